--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,96 @@
+// Package timeline orders positions in a group's replicated log across changes
+// of primary.
+//
+// A group's log is a sequence of terms. Term N is written by one primary only,
+// and starts at the position that the promoted server held. Positions beyond
+// the start of a later term were discarded by that promotion: they belong to a
+// branch that no server keeps. Positions of different terms therefore compare
+// only through the group's History.
+package timeline
+
+import "slices"
+
+// Term numbers the primaries of one group. Each promotion uses a new, higher
+// term; zero means "not known".
+type Term uint64
+
+// LSN is a log sequence number: a byte or entry offset in the group's log.
+type LSN uint64
+
+// Position is a place in the group's log, as written or applied in a term.
+type Position struct {
+	Term Term `json:"term"`
+	LSN  LSN  `json:"lsn"`
+}
+
+// IsZero reports whether p is the position before any write.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Less orders positions as a promotion does when it chooses a candidate: the
+// later term wins, then the longer log.
+func (p Position) Less(q Position) bool {
+	if p.Term != q.Term {
+		return p.Term < q.Term
+	}
+	return p.LSN < q.LSN
+}
+
+// Start records where a term's log begins.
+type Start struct {
+	Term Term `json:"term"`
+	LSN  LSN  `json:"lsn"`
+}
+
+// History lists the starts of a group's terms in ascending order. It is
+// immutable once published: Append returns a copy.
+type History []Start
+
+// Append returns h with the start of a new term. A term not above the last one
+// leaves h unchanged.
+func (h History) Append(s Start) History {
+	if n := len(h); n > 0 && h[n-1].Term >= s.Term {
+		return h
+	}
+	return append(slices.Clone(h), s)
+}
+
+// Last returns the newest start, or a zero Start.
+func (h History) Last() Start {
+	if len(h) == 0 {
+		return Start{}
+	}
+	return h[len(h)-1]
+}
+
+// Kept returns the part of p that survives every later term in h: the branch
+// beyond the start of a later term was discarded. The result has p's term.
+func (h History) Kept(p Position) Position {
+	for _, s := range h {
+		if s.Term > p.Term && s.LSN < p.LSN {
+			p.LSN = s.LSN
+		}
+	}
+	return p
+}
+
+// WasDiscarded reports whether a write at p was dropped by a later promotion.
+func (h History) WasDiscarded(p Position) bool { return h.Kept(p) != p }
+
+// Covers reports whether a server at position have holds everything of want
+// that was kept. Both are cut back to the latest branch before they are
+// compared, so a superseded primary never qualifies by the length of its log.
+// A want of a term that h does not know yet is covered only by a server of at
+// least that term: the view is stale and must not guess.
+func (h History) Covers(have, want Position) bool {
+	if want.IsZero() {
+		return true
+	}
+	if want.Term > have.Term && !h.knows(want.Term) {
+		return false
+	}
+	return h.Kept(have).LSN >= h.Kept(want).LSN
+}
+
+func (h History) knows(term Term) bool {
+	return slices.ContainsFunc(h, func(s Start) bool { return s.Term == term })
+}
