Add the stand-in database server

Cause: nothing to run a request against; the proxy's guards need a server whose transactions, unique keys and errors are real.

Change: PostgreSQL protocol 3 over two in-memory SQLite databases a server, asynchronous logical replication with terms, fence, promote and follow, faults and an execution log. Ruled out: SQLite's shared cache (readers block on an open write transaction) and its write-ahead log (needs shared memory).

--- /dev/null
+++ b/internal/standin/dbd/node.go
@@ -0,0 +1,201 @@
+package dbd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// firstTerm is the term of the seed and of the first primary.
+const firstTerm timeline.Term = 1
+
+// node is one server's replicated state. Whatever changes the log, the role or
+// the promise holds mu from its check to its effect.
+type node struct {
+	id     target.ID
+	faults *Faults
+	log    *zap.Logger
+
+	mu       sync.Mutex
+	role     target.Role
+	blank    bool
+	stopped  bool
+	promised timeline.Term
+	entries  *entryLog
+	engine   *engine
+	// follower is the running replication, nil on a primary.
+	follower *follower
+	// discarded remembers what each Follow dropped, by its term, so that a
+	// repeated order answers alike.
+	discarded map[timeline.Term][]target.Entry
+}
+
+func newNode(ctx context.Context, o Options, f *Faults) (*node, error) {
+	e, err := newEngine(ctx)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		id:        o.ID,
+		faults:    f,
+		log:       o.Log,
+		role:      target.RoleReplica,
+		blank:     o.Role == RoleBlank,
+		entries:   newEntryLog(),
+		engine:    e,
+		discarded: make(map[timeline.Term][]target.Entry),
+	}
+	if n.blank {
+		return n, nil
+	}
+	if o.Role == RolePrimary {
+		n.role = target.RolePrimary
+	}
+	n.promised = firstTerm
+	return n, n.seed(ctx, o.Seed)
+}
+
+// seed writes the first entry, alike on each server of a group.
+func (n *node) seed(ctx context.Context, stmts []string) error {
+	e := Entry{Position: timeline.Position{Term: firstTerm, LSN: 1}}
+	for _, s := range append([]string{RequestTable}, stmts...) {
+		e.Statements = append(e.Statements, Statement{SQL: s})
+	}
+	if err := n.engine.replay(ctx, e.Statements); err != nil {
+		return err
+	}
+	n.entries.append(e)
+	return nil
+}
+
+// status returns the server's account of itself.
+func (n *node) status() target.Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.statusLocked()
+}
+
+func (n *node) statusLocked() target.Status {
+	end := n.entries.end()
+	return target.Status{
+		Server:   n.id,
+		Role:     n.role,
+		Term:     end.Term,
+		Promised: n.promised,
+		LSN:      end.LSN,
+		Start:    n.entries.history.Last().LSN,
+	}
+}
+
+// store returns the present storage. A rewind replaces it.
+func (n *node) store() *engine {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.engine
+}
+
+// writable reports the term in which this server takes writes, and its
+// storage. ok is false on a replica and on a fenced primary.
+func (n *node) writable() (term timeline.Term, e *engine, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	term = n.entries.end().Term
+	return term, n.engine, n.leadsLocked(term)
+}
+
+func (n *node) leadsLocked(term timeline.Term) bool {
+	return !n.stopped && n.role == target.RolePrimary && n.entries.end().Term == term && n.promised <= term
+}
+
+// commit commits tx and returns the position of its entry. A transaction that
+// wrote nothing adds no entry.
+//
+// Failure stopped here: a primary that was fenced while a transaction was open
+// commits it afterwards, and the promotion loses an acknowledged write. It
+// would show as an acknowledged row that no server has. The promise is checked
+// and the entry appended under one hold of mu, which fence also takes.
+func (n *node) commit(tx *writeTx) (timeline.Position, error) {
+	n.faults.pause()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.leadsLocked(tx.term) || n.engine != tx.engine {
+		tx.rollback()
+		return timeline.Position{}, errEvicted
+	}
+	if err := tx.commit(); err != nil {
+		return timeline.Position{}, err
+	}
+	if len(tx.written) == 0 {
+		return n.entries.end(), nil
+	}
+	n.appendLocked(tx.term, tx.written)
+	return n.entries.end(), nil
+}
+
+func (n *node) appendLocked(term timeline.Term, stmts []Statement) {
+	n.entries.append(Entry{
+		Position:        timeline.Position{Term: term, LSN: n.entries.end().LSN + 1},
+		CommittedMicros: time.Now().UnixMicro(),
+		Statements:      stmts,
+	})
+}
+
+// fence promises term and ends the open write transaction of a lower one.
+func (n *node) fence(term timeline.Term) (target.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.blank {
+		return target.Status{}, failure(codeNotInState, "this server has lost its storage and may not vote")
+	}
+	if term < n.promised {
+		return target.Status{}, fenced(n.promised)
+	}
+	n.promised = term
+	if n.entries.end().Term < term {
+		n.engine.evict()
+	}
+	n.log.Info("fenced", zap.Uint64("term", uint64(term)))
+	return n.statusLocked(), nil
+}
+
+// promote makes the server the primary of the term that it has promised.
+//
+// Failure stopped here: a term with two primaries. A server that holds entries
+// of the term as a replica follows its primary, and so refuses.
+func (n *node) promote(term timeline.Term) (target.Status, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leadsLocked(term) {
+		return n.statusLocked(), nil
+	}
+	following := n.follower != nil && n.follower.term >= term
+	if n.blank || n.promised != term || n.entries.end().Term >= term || following {
+		return target.Status{}, fenced(n.promised)
+	}
+	n.stopFollowerLocked()
+	n.engine.evict()
+	n.role = target.RolePrimary
+	n.appendLocked(term, nil)
+	n.log.Info("promoted", zap.Uint64("term", uint64(term)), zap.Uint64("lsn", uint64(n.entries.end().LSN)))
+	return n.statusLocked(), nil
+}
+
+// stop ends replication and commits nothing more.
+func (n *node) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopped = true
+	n.stopFollowerLocked()
+}
+
+// close frees the storage of a stopped node.
+func (n *node) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.engine.close()
+}
--- /dev/null
+++ b/internal/standin/dbd/startup.go
@@ -0,0 +1,181 @@
+package dbd
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	// startupTimeout bounds the time until a client is authenticated.
+	startupTimeout = 10 * time.Second
+	scramMechanism = "SCRAM-SHA-256"
+	scramRounds    = 4096
+	scramSalt      = "endivemoor-standin"
+	refuseTLS      = 'N'
+)
+
+// start performs the startup handshake and reports whether to go on.
+func (x *session) start() bool {
+	_ = x.conn.SetDeadline(time.Now().Add(startupTimeout))
+	msg, ok := x.receiveStartup()
+	if !ok {
+		return false
+	}
+	x.user = msg.Parameters["user"]
+	x.application = msg.Parameters["application_name"]
+	x.conn.setApplication(x.application)
+	if err := x.srv.admit(x); err != nil {
+		x.sendFatal(err)
+		return false
+	}
+	sleep(x.srv.ctx, time.Duration(float64(x.srv.opts.ConnectCost)*x.srv.faults.slowness()))
+	if err := x.authenticate(); err != nil {
+		x.sendFatal(asSQLError(err))
+		return false
+	}
+	x.greet()
+	_ = x.conn.SetDeadline(time.Time{})
+	return x.be.Flush() == nil
+}
+
+// receiveStartup answers requests for encryption and cancellation until the
+// client introduces itself.
+func (x *session) receiveStartup() (*pgproto3.StartupMessage, bool) {
+	for {
+		msg, err := x.be.ReceiveStartupMessage()
+		if err != nil {
+			return nil, false
+		}
+		switch m := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return m, true
+		case *pgproto3.CancelRequest:
+			x.srv.cancelRequest(m.ProcessID, secretOf(m.SecretKey))
+			return nil, false
+		default:
+			if _, err := x.conn.Write([]byte{refuseTLS}); err != nil {
+				return nil, false
+			}
+		}
+	}
+}
+
+func secretOf(key []byte) uint32 {
+	if len(key) != 4 {
+		return 0
+	}
+	return binary.BigEndian.Uint32(key)
+}
+
+// greet reports the session's parameters.
+func (x *session) greet() {
+	x.be.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", "15.0 (endivemoor stand-in)"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"standard_conforming_strings", "on"},
+		{"integer_datetimes", "on"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+	} {
+		x.be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	x.be.Send(&pgproto3.BackendKeyData{
+		ProcessID: x.pid,
+		SecretKey: binary.BigEndian.AppendUint32(nil, x.secret),
+	})
+	x.ready()
+}
+
+// authenticate checks the password, if the server has users.
+func (x *session) authenticate() error {
+	if len(x.srv.opts.Users) == 0 {
+		return nil
+	}
+	server, err := scram.SHA256.NewServer(x.credentials)
+	if err != nil {
+		return errors.Wrap(err, "start SCRAM")
+	}
+	conv := server.NewConversation()
+	x.be.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}})
+	first, err := x.saslInitial()
+	if err != nil {
+		return err
+	}
+	challenge, err := conv.Step(first)
+	if err != nil {
+		return x.wrongPassword()
+	}
+	x.be.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	proof, err := x.saslProof()
+	if err != nil {
+		return err
+	}
+	final, err := conv.Step(proof)
+	if err != nil || !conv.Valid() {
+		return x.wrongPassword()
+	}
+	x.be.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+// credentials looks up the startup message's user; PostgreSQL clients leave
+// the name within SCRAM empty.
+func (x *session) credentials(string) (scram.StoredCredentials, error) {
+	password, ok := x.srv.opts.Users[x.user]
+	if !ok {
+		return scram.StoredCredentials{}, errors.Errorf("no user %q", x.user)
+	}
+	client, err := scram.SHA256.NewClient(x.user, password, "")
+	if err != nil {
+		return scram.StoredCredentials{}, err
+	}
+	return client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: scramSalt, Iters: scramRounds})
+}
+
+func (x *session) wrongPassword() error {
+	return failure(codeInvalidPassword, "password authentication failed for user %q", x.user)
+}
+
+func (x *session) saslInitial() (string, error) {
+	if err := x.be.SetAuthType(pgproto3.AuthTypeSASL); err != nil {
+		return "", err
+	}
+	msg, err := x.exchange()
+	if err != nil {
+		return "", err
+	}
+	m, ok := msg.(*pgproto3.SASLInitialResponse)
+	if !ok {
+		return "", failure(codeProtocolViolation, "expected a SASL initial response")
+	}
+	return string(m.Data), nil
+}
+
+func (x *session) saslProof() (string, error) {
+	if err := x.be.SetAuthType(pgproto3.AuthTypeSASLContinue); err != nil {
+		return "", err
+	}
+	msg, err := x.exchange()
+	if err != nil {
+		return "", err
+	}
+	m, ok := msg.(*pgproto3.SASLResponse)
+	if !ok {
+		return "", failure(codeProtocolViolation, "expected a SASL response")
+	}
+	return string(m.Data), nil
+}
+
+// exchange sends what is pending and reads the next message.
+func (x *session) exchange() (pgproto3.FrontendMessage, error) {
+	if err := x.be.Flush(); err != nil {
+		return nil, err
+	}
+	return x.be.Receive()
+}
