Drive a server's control interface over pgconn

Cause: the controllers need Status, Fence, Promote and Follow of a server by SQL only. Change: one statement an order, refusals as *target.FencedError, one connection that is opened again after a failure; every order is idempotent, so an order on a broken kept connection is repeated once.

--- /dev/null
+++ b/target/pgtarget/pgtarget_test.go
@@ -0,0 +1,122 @@
+package pgtarget_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/target/pgtarget"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+const waitLimit = 20 * time.Second
+
+func start(t *testing.T, o dbd.Options) (*dbd.Server, target.Database) {
+	t.Helper()
+	o.Seed = []string{"CREATE TABLE passes (id TEXT PRIMARY KEY)"}
+	s, err := dbd.Start(o)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	d, err := pgtarget.Dial(t.Context(), o.ID, "postgres://control@"+s.Addr()+"/ledger?sslmode=disable")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = d.Close(context.Background()) })
+	return s, d
+}
+
+func write(t *testing.T, s *dbd.Server, id string) {
+	t.Helper()
+	conn, err := pgconn.Connect(t.Context(), "postgres://app@"+s.Addr()+"/ledger?sslmode=disable")
+	require.NoError(t, err)
+	defer func() { _ = conn.Close(context.Background()) }()
+	require.NoError(t, conn.Exec(t.Context(), "INSERT INTO passes VALUES ('"+id+"')").Close())
+}
+
+func atEnd(t *testing.T, d target.Database, p timeline.Position) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		st, err := d.Status(t.Context())
+		return err == nil && st.Position() == p
+	}, waitLimit, time.Millisecond)
+}
+
+// The primary writes on while cut off from its replicas. The others move on to
+// term 2. When it is told to follow, it names what it wrote alone, and names it
+// again when the answer was lost and the order is repeated.
+func TestFailoverAndRejoin(t *testing.T) {
+	a, da := start(t, dbd.Options{ID: "a", Role: dbd.RolePrimary})
+	b, db := start(t, dbd.Options{ID: "b", Primary: a.Addr()})
+	_, dc := start(t, dbd.Options{ID: "c", Primary: a.Addr()})
+	write(t, a, "kept")
+	atEnd(t, db, timeline.Position{Term: 1, LSN: 2})
+	atEnd(t, dc, timeline.Position{Term: 1, LSN: 2})
+	a.Faults().Cut(dbd.Peers, dbd.Both)
+	write(t, a, "alone")
+
+	for _, d := range []target.Database{db, dc} {
+		st, err := d.Fence(t.Context(), 2)
+		require.NoError(t, err)
+		require.Equal(t, timeline.Term(2), st.Promised)
+	}
+	st, err := db.Promote(t.Context(), 2)
+	require.NoError(t, err)
+	require.Equal(t, target.Status{Server: "b", Role: target.RolePrimary, Term: 2, Promised: 2, LSN: 3, Start: 2}, st)
+	again, err := db.Promote(t.Context(), 2)
+	require.NoError(t, err)
+	require.Equal(t, st, again)
+	write(t, b, "after")
+
+	a.Faults().Heal()
+	for range 2 {
+		dropped, err := da.Follow(t.Context(), b.Addr(), 2)
+		require.NoError(t, err)
+		require.Len(t, dropped, 1)
+		require.Equal(t, timeline.Position{Term: 1, LSN: 3}, dropped[0].Position)
+		require.Contains(t, dropped[0].Statement, "alone")
+	}
+	dropped, err := dc.Follow(t.Context(), b.Addr(), 2)
+	require.NoError(t, err)
+	require.Empty(t, dropped)
+	atEnd(t, da, timeline.Position{Term: 2, LSN: 4})
+	atEnd(t, dc, timeline.Position{Term: 2, LSN: 4})
+}
+
+// A promoter that was paused past its lease wakes and goes on with its old
+// term. Each of its orders must be refused with the term that superseded it.
+func TestSupersededOrdersAreRefused(t *testing.T) {
+	a, da := start(t, dbd.Options{ID: "a", Role: dbd.RolePrimary})
+	_, err := da.Fence(t.Context(), 9)
+	require.NoError(t, err)
+	want := &target.FencedError{Server: "a", Ordered: 8, Promised: 9}
+	_, err = da.Fence(t.Context(), 8)
+	require.Equal(t, want, err)
+	_, err = da.Promote(t.Context(), 8)
+	require.Equal(t, want, err)
+	_, err = da.Follow(t.Context(), a.Addr(), 8)
+	require.Equal(t, want, err)
+	_, err = da.Fence(t.Context(), 9)
+	require.NoError(t, err, "the same order again is no refusal")
+}
+
+// A frozen server accepts TCP and answers nothing: the call ends at its
+// deadline, and the next one after the thaw uses a new connection.
+func TestDeadlineThenReconnect(t *testing.T) {
+	a, da := start(t, dbd.Options{ID: "a", Role: dbd.RolePrimary})
+	a.Faults().Freeze()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := da.Status(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	a.Faults().Thaw()
+	_, err = da.Status(t.Context())
+	require.NoError(t, err)
+}
+
+func TestMalformedConnectionString(t *testing.T) {
+	_, err := pgtarget.New("a", "postgres://%zz")
+	require.Error(t, err)
+}
