--- a/internal/standin/dbd/session.go
+++ b/internal/standin/dbd/session.go
@@ -172,10 +172,7 @@
 // fail reports err and moves the transaction to the failed state.
 func (x *session) fail(err error) {
 	x.be.Send(asSQLError(err).response(severityError))
-	x.tx.failed = x.tx.block
-	if !x.tx.block {
-		x.rollback()
-	}
+	x.failTransaction()
 }
 
 // sync ends an implicit transaction and says that the session is ready.
--- a/internal/standin/dbd/sqlstate.go
+++ b/internal/standin/dbd/sqlstate.go
@@ -33,6 +33,7 @@
 	codeInvalidStatement     = "26000"
 	codeInvalidPassword      = "28P01"
 	codeInvalidCursor        = "34000"
+	codeNoSavepoint          = "3B001"
 	codeSerialization        = "40001"
 	codeSyntax               = "42601"
 	codeUndefinedColumn      = "42703"
--- a/internal/standin/dbd/transaction.go
+++ b/internal/standin/dbd/transaction.go
@@ -19,8 +19,11 @@
 	// block is set between BEGIN and COMMIT.
 	block  bool
 	failed bool
+	// savepoints is set once a SAVEPOINT was made: a failed block can then be
+	// rolled back to it and go on.
+	savepoints bool
 	// write is the storage's transaction; nil while only reads have run
-	// outside a block, and in a block that may not write.
+	// outside a block, and in a block that may not write or has failed.
 	write *writeTx
 	// record is the execution log's account of write.
 	record Execution
@@ -157,14 +160,36 @@
 
 // rollback ends the transaction without effect.
 func (x *session) rollback() {
-	if w := x.tx.write; w != nil {
-		w.rollback()
-		x.tx.record.End = EndRolledBack
-		x.srv.executions.add(x.tx.record)
-	}
+	x.undo()
 	x.tx = transaction{}
 }
 
+// undo rolls the storage's transaction back, if there is one.
+func (x *session) undo() {
+	w := x.tx.write
+	if w == nil {
+		return
+	}
+	w.rollback()
+	x.tx.write = nil
+	x.tx.record.End = EndRolledBack
+	x.srv.executions.add(x.tx.record)
+}
+
+// failTransaction moves a block to the failed state. Like PostgreSQL it gives
+// up the locks at once, unless a savepoint may still be returned to: a caller
+// that is slow to send ROLLBACK must not hold up the other writers.
+func (x *session) failTransaction() {
+	if !x.tx.block {
+		x.rollback()
+		return
+	}
+	x.tx.failed = true
+	if !x.tx.savepoints {
+		x.undo()
+	}
+}
+
 // abandon ends the transaction of a connection that is gone.
 func (x *session) abandon() { x.rollback() }
 
@@ -172,12 +197,16 @@
 	if !x.tx.block {
 		return nil, failure(codeNoTransaction, "%s can only be used in transaction blocks", words[0])
 	}
+	if words[0] != verbSavepoint && !x.tx.savepoints {
+		return nil, failure(codeNoSavepoint, "savepoint does not exist")
+	}
 	if x.tx.write != nil {
 		if err := x.tx.write.savepoint(ctx, s); err != nil {
 			return nil, err
 		}
 		x.tx.record.addStatement(s)
 	}
+	x.tx.savepoints = true
 	x.tx.failed = false
 	return &result{tag: words[0]}, nil
 }
