Keep session settings in the stand-in database

Cause: a proxy that shares connections must prove that one caller's settings never reach the next, and a server that ignores SET cannot show it. Change: SET, SET LOCAL, RESET, SHOW, DISCARD ALL and a rollback act on kept settings; temporary tables are refused.

--- a/internal/standin/dbd/control.go
+++ b/internal/standin/dbd/control.go
@@ -74,7 +74,11 @@
 		verbSet, verbReset, verbDiscard, verbDeallocate:
 		return nil, nil
 	case verbShow:
-		return x.show(text).cols, nil
+		res, err := x.show(text)
+		if err != nil {
+			return nil, err
+		}
+		return res.cols, nil
 	}
 	return x.srv.node.store().columns(x.srv.ctx, text)
 }
--- a/internal/standin/dbd/dbd_test.go
+++ b/internal/standin/dbd/dbd_test.go
@@ -118,6 +118,32 @@
 	require.NoError(t, exec("/*endivemoor kind=purchase&key=k7*/"))
 }
 
+// What one caller sets must be gone after DISCARD ALL, after a rollback, and
+// after the block of a SET LOCAL: a pool that shares the connection relies on it.
+func TestSettings(t *testing.T) {
+	c := dial(t, startServer(t, Options{ID: "a", Role: RolePrimary}))
+	show := func(name string) (value string) {
+		require.NoError(t, c.QueryRow(t.Context(), "SHOW "+name, pgx.QueryExecModeSimpleProtocol).Scan(&value))
+		return value
+	}
+	mustExec(t, c, "SET application_name = 'mine'")
+	require.Equal(t, "mine", c.PgConn().ParameterStatus("application_name"))
+	mustExec(t, c, "BEGIN")
+	mustExec(t, c, "SET LOCAL timezone TO 'Europe/Dublin'")
+	require.Equal(t, "Europe/Dublin", show("timezone"))
+	mustExec(t, c, "COMMIT")
+	require.Equal(t, "UTC", show("timezone"))
+	mustExec(t, c, "BEGIN")
+	mustExec(t, c, "SET application_name = 'undone'")
+	mustExec(t, c, "ROLLBACK")
+	require.Equal(t, "mine", show("application_name"))
+	mustExec(t, c, "DISCARD ALL")
+	require.Equal(t, "test", show("application_name"))
+	require.Equal(t, "off", show("transaction_read_only"))
+	_, err := c.Exec(t.Context(), "SHOW nothing")
+	require.Equal(t, codeUndefinedObject, sqlState(err))
+}
+
 // A pipeline up to its Sync is one implicit transaction: when its second
 // statement fails, the first must not stay.
 func TestPipelineIsOneTransaction(t *testing.T) {
--- a/internal/standin/dbd/result.go
+++ b/internal/standin/dbd/result.go
@@ -36,6 +36,7 @@
 	verbReset      = "RESET"
 	verbDiscard    = "DISCARD"
 	verbDeallocate = "DEALLOCATE"
+	verbCreate     = "CREATE"
 	verbInsert     = "INSERT"
 	verbUpdate     = "UPDATE"
 	verbDelete     = "DELETE"
--- a/internal/standin/dbd/session.go
+++ b/internal/standin/dbd/session.go
@@ -29,7 +29,7 @@
 	application string
 	user        string
 	counted     bool
-	settings    map[string]string
+	settings    settings
 
 	tx         transaction
 	statements map[string]*prepared
@@ -51,7 +51,6 @@
 		types:      pgtype.NewMap(),
 		pid:        s.lastPID.Add(1),
 		secret:     randomSecret(),
-		settings:   make(map[string]string),
 		statements: make(map[string]*prepared),
 		portals:    make(map[string]*portal),
 	}
--- a/internal/standin/dbd/sqlstate.go
+++ b/internal/standin/dbd/sqlstate.go
@@ -37,6 +37,7 @@
 	codeSerialization        = "40001"
 	codeSyntax               = "42601"
 	codeUndefinedColumn      = "42703"
+	codeUndefinedObject      = "42704"
 	codeUndefinedTable       = "42P01"
 	codeDuplicateTable       = "42P07"
 	codeDuplicateStatement   = "42P05"
--- a/internal/standin/dbd/startup.go
+++ b/internal/standin/dbd/startup.go
@@ -18,6 +18,14 @@
 	refuseTLS      = 'N'
 )
 
+// fixedParameters are reported at the start and cannot be changed.
+var fixedParameters = [][2]string{
+	{"server_version", "15.0 (endivemoor stand-in)"},
+	{"server_encoding", "UTF8"},
+	{"standard_conforming_strings", "on"},
+	{"integer_datetimes", "on"},
+}
+
 // start performs the startup handshake and reports whether to go on.
 func (x *session) start() bool {
 	_ = x.conn.SetDeadline(time.Now().Add(startupTimeout))
@@ -28,6 +36,7 @@
 	x.user = msg.Parameters["user"]
 	x.application = msg.Parameters["application_name"]
 	x.conn.setApplication(x.application)
+	x.settings = newSettings(msg.Parameters)
 	if err := x.srv.admit(x); err != nil {
 		x.sendFatal(err)
 		return false
@@ -74,17 +83,12 @@
 // greet reports the session's parameters.
 func (x *session) greet() {
 	x.be.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", "15.0 (endivemoor stand-in)"},
-		{"server_encoding", "UTF8"},
-		{"client_encoding", "UTF8"},
-		{"standard_conforming_strings", "on"},
-		{"integer_datetimes", "on"},
-		{"DateStyle", "ISO, MDY"},
-		{"TimeZone", "UTC"},
-	} {
+	for _, p := range fixedParameters {
 		x.be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	for name := range reported {
+		x.report(name)
+	}
 	x.be.Send(&pgproto3.BackendKeyData{
 		ProcessID: x.pid,
 		SecretKey: binary.BigEndian.AppendUint32(nil, x.secret),
--- a/internal/standin/dbd/transaction.go
+++ b/internal/standin/dbd/transaction.go
@@ -107,6 +107,7 @@
 		}
 	}
 	x.tx.block = true
+	x.settingsAtBegin()
 	return &result{tag: verbBegin}, nil
 }
 
@@ -132,7 +133,9 @@
 
 func (x *session) commitBlock() (*result, error) {
 	x.tx.block = false
-	if err := x.commit(); err != nil {
+	err := x.commit()
+	x.settingsAtEnd(err == nil)
+	if err != nil {
 		return nil, err
 	}
 	return &result{tag: verbCommit}, nil
@@ -162,6 +165,7 @@
 func (x *session) rollback() {
 	x.undo()
 	x.tx = transaction{}
+	x.settingsAtEnd(false)
 }
 
 // undo rolls the storage's transaction back, if there is one.
@@ -260,14 +264,18 @@
 	return func() { <-x.srv.slots }, ctx.Err()
 }
 
-// utility handles the session settings, which have no meaning here but must
-// not fail.
+// utility handles the statements that concern the session only.
 func (x *session) utility(text string, words []string) (*result, error, bool) {
 	switch words[0] {
-	case verbSet, verbReset:
-		return &result{tag: words[0]}, nil, true
+	case verbSet:
+		x.set(text)
+		return &result{tag: verbSet}, nil, true
+	case verbReset:
+		x.reset(text)
+		return &result{tag: verbReset}, nil, true
 	case verbShow:
-		return x.show(text), nil, true
+		res, err := x.show(text)
+		return res, err, true
 	case verbDeallocate:
 		clear(x.statements)
 		return &result{tag: strings.Join(words, " ")}, nil, true
@@ -277,21 +285,14 @@
 		}
 		clear(x.statements)
 		clear(x.portals)
+		x.restore(x.settings.initial)
 		return &result{tag: "DISCARD ALL"}, nil, true
+	case verbCreate:
+		if len(words) > 1 && strings.HasPrefix(words[1], "TEMP") {
+			return nil, failure(codeNotSupported, "temporary tables are not supported"), true
+		}
+		return nil, nil, false
 	default:
 		return nil, nil, false
 	}
 }
-
-// show answers SHOW for the one setting that callers depend on.
-func (x *session) show(text string) *result {
-	name := strings.ToLower(strings.Trim(strings.TrimSpace(bare(text)[len(verbShow):]), "; "))
-	value := ""
-	if name == "transaction_read_only" {
-		value = "on"
-		if _, _, ok := x.srv.node.writable(); ok {
-			value = "off"
-		}
-	}
-	return &result{cols: []column{{name: name}}, rows: [][]any{{value}}, tag: verbShow}
-}
