Add the group controller and a view that only moves forward

Cause: the failover core needs a driver, and state reaches a daemon from the store, from peers and from its own promotions in any order. Change: controller.Group steps one failover.Machine from one goroutine and carries its actions out; view.Holder.Adopt takes a group only if its term, or within a term its reservation, is higher. Not run against servers.

--- /dev/null
+++ b/controller/group.go
@@ -0,0 +1,204 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+	"endivemoor.example/endivemoor/view"
+)
+
+// eventBacklog is how many events of a group may wait. Events beyond it are
+// dropped: each one is repeated or replaced by a later one.
+const eventBacklog = 1024
+
+// PeerEvidence asks other VMs what they know of a group's servers. It calls
+// report once for each server that a peer speaks of, and returns when every
+// peer has answered or failed.
+type PeerEvidence interface {
+	AskPeers(ctx context.Context, group string, report func(failover.PeerReport))
+	// Announce tells peers of a group's new state at once.
+	Announce(group *view.Group)
+}
+
+// Recorder takes the fleet's own acts for the audit trail and for explain.
+type Recorder interface {
+	RecordAct(e failover.Entry)
+}
+
+// Deps is what all group controllers share.
+type Deps struct {
+	Clock    clock.Clock
+	Views    *view.Holder
+	Links    *control.Links
+	Store    platform.Store
+	Peers    PeerEvidence
+	Recorder Recorder
+	Log      *zap.Logger
+}
+
+// Group is the controller of one database group on this VM.
+type Group struct {
+	Deps
+	name    string
+	tick    time.Duration
+	machine *failover.Machine
+	events  chan failover.Event
+	dropped func()
+}
+
+// NewGroup returns the controller of the group. dropped is called for every
+// event that did not fit into the backlog.
+func NewGroup(d Deps, group *view.Group, cfg failover.Config, seed uint64, dropped func()) *Group {
+	return &Group{
+		Deps:    d,
+		name:    group.Name,
+		tick:    cfg.Tick,
+		machine: failover.New(cfg, *group, seed, d.Clock.Now()),
+		events:  make(chan failover.Event, eventBacklog),
+		dropped: dropped,
+	}
+}
+
+// Post hands an event in. It never blocks.
+func (g *Group) Post(ev failover.Event) {
+	select {
+	case g.events <- ev:
+	default:
+		g.dropped()
+	}
+}
+
+// Run steps the machine until ctx ends. It is the machine's only goroutine.
+func (g *Group) Run(ctx context.Context) {
+	ticker := time.NewTicker(g.tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.step(ctx, failover.Tick{})
+		case ev := <-g.events:
+			g.step(ctx, ev)
+		}
+	}
+}
+
+func (g *Group) step(ctx context.Context, ev failover.Event) {
+	for _, a := range g.machine.Step(g.Clock.Now(), ev) {
+		g.carryOut(ctx, a)
+	}
+}
+
+// carryOut starts an action. Those that wait for an answer run on their own, so
+// that a frozen server or a slow store never delays the machine's ticks.
+func (g *Group) carryOut(ctx context.Context, action failover.Action) {
+	switch a := action.(type) {
+	case failover.Probe:
+		go g.probe(ctx, a)
+	case failover.AskPeers:
+		go g.Peers.AskPeers(ctx, g.name, func(r failover.PeerReport) { r.Asked = a.Asked; g.Post(r) })
+	case failover.ReadLease:
+		go g.readLease(ctx, a)
+	case failover.RenewLease:
+		go g.renewLease(ctx, a)
+	case failover.ReadGroup:
+		go g.readGroup(ctx)
+	case failover.Reserve:
+		go g.reserve(ctx, a)
+	case failover.Publish:
+		go g.publish(ctx, a)
+	case failover.Fence:
+		go g.fence(a)
+	case failover.Promote:
+		go g.promote(a)
+	case failover.Follow:
+		go g.follow(a)
+	case failover.Announce:
+		g.announce(a)
+	case failover.Record:
+		g.Recorder.RecordAct(a.Entry)
+	default:
+		g.Log.Error("unknown_action", zap.String("group", g.name))
+	}
+}
+
+func (g *Group) announce(a failover.Announce) {
+	group := a.Group
+	g.Views.Adopt(&group)
+	g.Peers.Announce(&group)
+}
+
+// link returns the control connection to a server of the group, or nil when
+// the view no longer has it.
+func (g *Group) link(id target.ID) *control.Link {
+	group := g.Views.Load().Groups[g.name]
+	if group == nil {
+		return nil
+	}
+	s := group.Server(id)
+	if s == nil {
+		return nil
+	}
+	return g.Links.Of(*s)
+}
+
+func (g *Group) probe(ctx context.Context, a failover.Probe) {
+	l := g.link(a.Server)
+	if l == nil {
+		g.Post(failover.ProbeFailed{Server: a.Server, Asked: a.Asked})
+		return
+	}
+	answer, err := l.Status(ctx)
+	if err != nil {
+		g.Post(failover.ProbeFailed{Server: a.Server, Asked: a.Asked})
+		return
+	}
+	g.Post(failover.ProbeAnswered{Server: a.Server, Asked: answer.Asked, Status: answer.Status})
+}
+
+func (g *Group) fence(a failover.Fence) {
+	st, err := g.orderStatus(a.Server, func(l *control.Link) (target.Status, error) { return l.Fence(a.Term) })
+	g.Post(failover.FenceAnswered{Server: a.Server, Term: a.Term, Status: st, Err: err})
+}
+
+func (g *Group) promote(a failover.Promote) {
+	st, err := g.orderStatus(a.Server, func(l *control.Link) (target.Status, error) { return l.Promote(a.Term) })
+	g.Post(failover.PromoteAnswered{Server: a.Server, Term: a.Term, Status: st, Err: err})
+}
+
+func (g *Group) orderStatus(id target.ID, order func(*control.Link) (target.Status, error)) (target.Status, error) {
+	l := g.link(id)
+	if l == nil {
+		return target.Status{}, errNoServer
+	}
+	return order(l)
+}
+
+func (g *Group) follow(a failover.Follow) {
+	l := g.link(a.Server)
+	if l == nil {
+		g.Post(failover.FollowAnswered{Server: a.Server, Term: a.Term, Err: errNoServer})
+		return
+	}
+	discarded, err := l.Follow(a.Addr, a.Term)
+	g.logFollow(a.Server, a.Term, len(discarded), err)
+	g.Post(failover.FollowAnswered{Server: a.Server, Term: a.Term, Discarded: discarded, Err: err})
+}
+
+func (g *Group) logFollow(id target.ID, term timeline.Term, discarded int, err error) {
+	g.Log.Info("follow_ordered",
+		zap.String("group", g.name),
+		zap.String("server", string(id)),
+		zap.Uint64("term", uint64(term)),
+		zap.Int("discarded", discarded),
+		zap.Error(err))
+}
--- /dev/null
+++ b/internal/demo/steps.go
@@ -0,0 +1,221 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	firstPass  = "pass-1"
+	secondPass = "pass-2"
+	heldPass   = "pass-3"
+)
+
+func (d *demo) waitReady(ctx context.Context) (string, error) {
+	for _, addr := range d.Admin {
+		if err := poll(ctx, func() error { return getOK(ctx, addr, "/readyz") }); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d daemons take callers", len(d.Admin)), nil
+}
+
+func (d *demo) buy(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 0, "")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if err = purchase(ctx, conn, "key-1", firstPass); err != nil {
+		return "", err
+	}
+	d.token = conn.PgConn().ParameterStatus(sessionParam)
+	if d.token == "" {
+		return "", errors.New("no session token came with the answer")
+	}
+	return "bought " + firstPass + " through daemon 1", nil
+}
+
+func (d *demo) readWithToken(ctx context.Context) (string, error) {
+	return d.readAt(ctx, 1, d.token)
+}
+
+func (d *demo) readWithoutToken(ctx context.Context) (string, error) {
+	return d.readAt(ctx, 1, "")
+}
+
+func (d *demo) readAt(ctx context.Context, i int, token string) (string, error) {
+	conn, err := d.connect(ctx, i, token)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if err = expectOne(ctx, conn, firstPass); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("read %s through daemon %d", firstPass, i+1), nil
+}
+
+// askTwice sends the first purchase again through another daemon, as a caller
+// does that lost its answer. The statement must not run a second time.
+func (d *demo) askTwice(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 1, "")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if err = purchase(ctx, conn, "key-1", firstPass); err != nil {
+		return "", err
+	}
+	return "the first answer came back, charged once", expectOne(ctx, conn, firstPass)
+}
+
+func (d *demo) killPrimary(ctx context.Context) (string, error) {
+	url := "http://" + d.Controls[0] + "/fault?kill=true"
+	if resp, err := http.Post(url, "", nil); err == nil {
+		resp.Body.Close()
+	}
+	begin := time.Now()
+	tries := 0
+	err := poll(ctx, func() error { tries++; return d.buyOnce(ctx, "key-2", secondPass) })
+	if err != nil {
+		return "", err
+	}
+	gap := time.Since(begin).Round(time.Millisecond)
+	return fmt.Sprintf("the next purchase succeeded after %s and %d tries", gap, tries), nil
+}
+
+func (d *demo) buyOnce(ctx context.Context, key, id string) error {
+	conn, err := d.connect(ctx, 0, d.token)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	return purchase(ctx, conn, key, id)
+}
+
+func (d *demo) stillThere(ctx context.Context) (string, error) {
+	conn, err := d.connect(ctx, 2, "")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if err = expectOne(ctx, conn, firstPass); err != nil {
+		return "", err
+	}
+	return "both purchases are there once", expectOne(ctx, conn, secondPass)
+}
+
+// profileChange tells the script to publish, and waits until every daemon has
+// the next generation in force.
+func (d *demo) profileChange(ctx context.Context) (string, error) {
+	before, err := generation(ctx, d.Admin[0])
+	if err != nil {
+		return "", err
+	}
+	if err = os.WriteFile(d.Ctl, []byte("go\n"), 0o600); err != nil {
+		return "", errors.Wrap(err, "signal to publish")
+	}
+	for _, addr := range d.Admin {
+		err = poll(ctx, func() error { return expectAbove(ctx, addr, before) })
+		if err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("generation %d in force on all %d", before+1, len(d.Admin)), nil
+}
+
+func expectAbove(ctx context.Context, addr string, before uint64) error {
+	now, err := generation(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if now <= before {
+		return errors.Errorf("%s still has generation %d", addr, now)
+	}
+	return nil
+}
+
+// gracefulShutdown ends the third daemon while a transaction is open on it.
+// The transaction must commit, and the daemon must then be gone.
+func (d *demo) gracefulShutdown(ctx context.Context) (string, error) {
+	last := len(d.Callers) - 1
+	conn, err := d.connect(ctx, last, "")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	if _, err = conn.Exec(ctx, tagged("purchase", "key-3", "BEGIN")); err != nil {
+		return "", errors.Wrap(err, "begin")
+	}
+	if err = syscall.Kill(d.DrainPID, syscall.SIGTERM); err != nil {
+		return "", errors.Wrap(err, "SIGTERM")
+	}
+	if err = poll(ctx, func() error { return getNotReady(ctx, d.Admin[last]) }); err != nil {
+		return "", err
+	}
+	const insert = "INSERT INTO passes(id, flight, price) VALUES ('" + heldPass + "', 'SK101', '12')"
+	if _, err = conn.Exec(ctx, insert); err != nil {
+		return "", errors.Wrap(err, "insert while draining")
+	}
+	if _, err = conn.Exec(ctx, "COMMIT"); err != nil {
+		return "", errors.Wrap(err, "commit while draining")
+	}
+	if err = poll(ctx, func() error { return expectGone(d.DrainPID) }); err != nil {
+		return "", err
+	}
+	return "the open transaction committed, then the daemon left", d.expectElsewhere(ctx)
+}
+
+func (d *demo) expectElsewhere(ctx context.Context) error {
+	conn, err := d.connect(ctx, 0, "")
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	return expectOne(ctx, conn, heldPass)
+}
+
+func expectGone(pid int) error {
+	if syscall.Kill(pid, 0) == nil {
+		return errors.Errorf("process %d still runs", pid)
+	}
+	return nil
+}
+
+func getOK(ctx context.Context, addr, path string) error {
+	code, _, err := get(ctx, addr, path)
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		return errors.Errorf("%s%s answers %d", addr, path, code)
+	}
+	return nil
+}
+
+// getNotReady succeeds once /readyz refuses; a closed endpoint counts too.
+func getNotReady(ctx context.Context, addr string) error {
+	if getOK(ctx, addr, "/readyz") == nil {
+		return errors.New(addr + " still says that it is ready")
+	}
+	return nil
+}
+
+func generation(ctx context.Context, addr string) (uint64, error) {
+	_, body, err := get(ctx, addr, "/status")
+	if err != nil {
+		return 0, err
+	}
+	var st struct {
+		Generation uint64 `json:"generation"`
+	}
+	return st.Generation, errors.Wrap(json.Unmarshal(body, &st), "status")
+}
--- a/view/view.go
+++ b/view/view.go
@@ -6,6 +6,7 @@
 package view
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"endivemoor.example/endivemoor/profile"
@@ -84,3 +85,33 @@
 		}
 	}
 }
+
+// Newer reports whether g replaces old: a later term always does, and within a
+// term a higher reservation. State therefore only moves forward, whatever order
+// the store, the peers and this VM's own promotions report it in.
+func (g *Group) Newer(old *Group) bool {
+	if old == nil {
+		return true
+	}
+	if g.Term != old.Term {
+		return g.Term > old.Term
+	}
+	return g.Reserved > old.Reserved
+}
+
+// Adopt swaps in group if it is newer than what the view has, and reports if it
+// was.
+func (h *Holder) Adopt(group *Group) bool {
+	adopted := false
+	h.Update(func(v *View) {
+		adopted = group.Newer(v.Groups[group.Name])
+		if !adopted {
+			return
+		}
+		groups := make(map[string]*Group, len(v.Groups)+1)
+		maps.Copy(groups, v.Groups)
+		groups[group.Name] = group
+		v.Groups = groups
+	})
+	return adopted
+}
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,17 @@
+package view
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A peer that was cut off for an hour comes back and announces the group as it
+// was. The present view must not go back to the superseded primary.
+func TestAdoptNeverGoesBack(t *testing.T) {
+	h := NewHolder()
+	require.True(t, h.Adopt(&Group{Name: "g", Term: 3, Primary: "b"}))
+	require.False(t, h.Adopt(&Group{Name: "g", Term: 2, Primary: "a", Reserved: 9}))
+	require.Equal(t, "b", string(h.Load().Groups["g"].Primary))
+	require.True(t, h.Adopt(&Group{Name: "g", Term: 3, Primary: "b", Reserved: 4}))
+}
