--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,14 @@
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+demo: build
+	examples/demo/run.sh
+
+run: build
+	examples/demo/run.sh stay
+
+generate:
+	$(GO) build -o bin/ github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
+	cd peer/peerpb && protoc -I. --plugin=../../bin/protoc-gen-go --plugin=../../bin/protoc-gen-twirp \
+	  --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. peer.proto
--- a/controller/group.go
+++ b/controller/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,12 +57,12 @@
 
 // NewGroup returns the controller of the group. dropped is called for every
 // event that did not fit into the backlog.
-func NewGroup(d Deps, group *view.Group, cfg failover.Config, seed uint64, dropped func()) *Group {
+func NewGroup(d Deps, group *view.Group, cfg failover.Config, rng *rand.Rand, dropped func()) *Group {
 	return &Group{
 		Deps:    d,
 		name:    group.Name,
 		tick:    cfg.Tick,
-		machine: failover.New(cfg, *group, seed, d.Clock.Now()),
+		machine: failover.New(cfg, group.Name, rng),
 		events:  make(chan failover.Event, eventBacklog),
 		dropped: dropped,
 	}
