Add the pool of connections to targets

Cause: connections to a server are scarce and must be shared by transaction without one caller's state or late answer reaching the next. Ruled out: skipping the reset by command tag, since a SELECT can change settings.

--- /dev/null
+++ b/pool/lease.go
@@ -0,0 +1,110 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"endivemoor.example/endivemoor/target"
+)
+
+// Lease is the ownership of one connection for one transaction. It is used by
+// one goroutine; only Cancel may come from another.
+type Lease struct {
+	pool  *Pool
+	conn  *conn
+	token uint64
+	// status is the transaction status last reported by the target.
+	status byte
+	// pending counts the ReadyForQuery answers still to come.
+	pending int
+	failed  bool
+}
+
+// Server returns the server that the connection leads to.
+func (l *Lease) Server() target.ID { return l.conn.server.id }
+
+// owns guards against the use of a connection after it was given back: it
+// would show as the statements of two transactions on one connection. Tokens
+// are never used twice, so a stale lease cannot pass.
+func (l *Lease) owns() bool { return l.conn.owner.Load() == l.token }
+
+// SetDeadline bounds all reads and writes that follow.
+func (l *Lease) SetDeadline(t time.Time) error { return l.conn.raw.Conn.SetDeadline(t) }
+
+// Send adds a message to the write buffer.
+func (l *Lease) Send(m pgproto3.FrontendMessage) error {
+	if !l.owns() {
+		return ErrNotOwner
+	}
+	switch m.(type) {
+	case *pgproto3.Query, *pgproto3.Sync:
+		l.pending++
+	}
+	l.conn.raw.Frontend.Send(m)
+	return nil
+}
+
+// Flush writes the buffer to the target.
+func (l *Lease) Flush() error {
+	if !l.owns() {
+		return ErrNotOwner
+	}
+	err := l.conn.raw.Frontend.Flush()
+	l.failed = l.failed || err != nil
+	return err
+}
+
+// Receive returns the next message, valid until the next call.
+func (l *Lease) Receive() (pgproto3.BackendMessage, error) {
+	if !l.owns() {
+		return nil, ErrNotOwner
+	}
+	m, err := l.conn.raw.Frontend.Receive()
+	if err != nil {
+		l.failed = true
+		return nil, err
+	}
+	if r, ok := m.(*pgproto3.ReadyForQuery); ok {
+		l.status = r.TxStatus
+		l.pending--
+	}
+	return m, nil
+}
+
+// TxStatus returns the transaction status last reported by the target.
+func (l *Lease) TxStatus() byte { return l.status }
+
+// Cancel asks the target to stop the statement that runs on this lease. The
+// connection is never given to another owner afterwards: the cancel may take
+// effect late, and would then hit a stranger's statement.
+func (l *Lease) Cancel(ctx context.Context) error {
+	l.conn.tainted.Store(true)
+	if !l.owns() {
+		return ErrNotOwner
+	}
+	return l.conn.cancel(ctx)
+}
+
+// Release gives the connection back if it is proven clean, and closes it
+// otherwise. It returns at once; the reset runs afterwards. A second call does
+// nothing.
+func (l *Lease) Release() {
+	if !l.conn.owner.CompareAndSwap(l.token, 0) {
+		return
+	}
+	if l.failed || l.pending != 0 || l.status != txIdle {
+		l.pool.drop(l.conn)
+		return
+	}
+	go l.pool.recycle(l.conn)
+}
+
+// Discard closes the connection. A late answer to what was sent on it dies
+// with it. A second call does nothing.
+func (l *Lease) Discard() {
+	if l.conn.owner.CompareAndSwap(l.token, 0) {
+		l.pool.drop(l.conn)
+	}
+}
