Add the failover machine: events, actions and core

Cause: nobody orders a promotion at night, so the fleet has to decide it. Change: a pure state machine for one group on one VM, with terms as ballots.

--- /dev/null
+++ b/failover/reserve.go
@@ -0,0 +1,271 @@
+package failover
+
+import (
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/timeline"
+	"endivemoor.example/endivemoor/view"
+)
+
+// storeState is what is known of the group's object in the store. At most one
+// write of it is under way.
+type storeState struct {
+	group   view.Group       // the object's value at version
+	version platform.Version // 0: not read yet
+	down    bool             // the newest call was not answered
+	pending pendingWrite
+	readAt  clock.Time // when ReadGroup is due; 0 if it is not
+	retryAt clock.Time // no write starts before
+
+	announceAt clock.Time // when what is not published is announced again
+}
+
+// pendingWrite is an unanswered Reserve or Publish.
+type pendingWrite struct {
+	kind  writeKind
+	value view.Group
+	asked clock.Time
+}
+
+type writeKind uint8
+
+const (
+	writeNone writeKind = iota
+	writeReserve
+	writePublish
+)
+
+// termBlock is the newest block of terms reserved by this VM, and the highest
+// term that it used. A term is never used again, whatever answers come late.
+type termBlock struct {
+	from, to timeline.Term
+	used     timeline.Term
+}
+
+func (s *storeState) noteAnswer() { s.down = false }
+
+func (s *storeState) noteError(err error) {
+	s.down = !isConflict(err) && !errors.Is(err, platform.ErrNotFound)
+}
+
+func isConflict(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict)
+}
+
+// usableTerm returns the lowest own term above every term that is known.
+func (m *Machine) usableTerm() (timeline.Term, bool) {
+	if m.cfg.Guards.Out(GuardReserve) {
+		return max(m.group.Term, m.promised, m.terms.used) + 1, true
+	}
+	t := max(m.terms.from, m.terms.used+1, m.group.Term+1, m.promised+1)
+	return t, m.terms.to > 0 && t <= m.terms.to
+}
+
+// tickStore reads the object when a write's outcome is in doubt, publishes what
+// the store lacks, and reserves terms ahead of need.
+func (m *Machine) tickStore() {
+	s := &m.store
+	if s.pending.kind != writeNone && m.now.Sub(s.pending.asked) >= m.cfg.StoreTimeout {
+		s.down = true
+		m.readBack()
+	}
+	if s.version == 0 && s.readAt == 0 {
+		s.readAt = m.now
+	}
+	if s.readAt != 0 && !m.now.Before(s.readAt) {
+		s.readAt = m.now.Add(m.jitter(m.cfg.StoreRetry))
+		m.do(ReadGroup{})
+	}
+	m.publish()
+	m.reserveAhead()
+}
+
+// readBack resolves the outcome of the pending write by reading.
+//
+// The failure: the store applied a write and its answer was lost. Taking it for
+// failed would use up a term or publish twice; taking it for done could use a
+// term that another VM owns. Only the object itself tells.
+func (m *Machine) readBack() {
+	m.store.pending.kind = writeNone
+	m.store.readAt = m.now
+}
+
+// canWrite reports whether a write of the object may start now.
+func (m *Machine) canWrite() bool {
+	s := &m.store
+	return s.version != 0 && s.pending.kind == writeNone && s.readAt == 0 && !m.now.Before(s.retryAt)
+}
+
+func (m *Machine) reserveAhead() {
+	if m.phase == PhaseLearning {
+		return
+	}
+	if _, ok := m.usableTerm(); !ok {
+		m.reserveTerms()
+	}
+}
+
+// reserveTerms asks the store for a block of terms above all that are known.
+func (m *Machine) reserveTerms() {
+	if !m.canWrite() {
+		return
+	}
+	g := copyGroup(m.store.group)
+	base := max(g.Reserved, g.Term, m.group.Term, m.promised, m.terms.used)
+	g.Reserved = base + timeline.Term(m.cfg.ReserveBlock)
+	g.ReservedBy = m.cfg.Incarnation
+	m.write(writeReserve, g)
+	m.do(Reserve{Group: g, ExpectVersion: m.store.version})
+}
+
+func (m *Machine) write(kind writeKind, g view.Group) {
+	m.store.pending = pendingWrite{kind: kind, value: g, asked: m.now}
+	m.store.retryAt = m.now.Add(m.jitter(m.cfg.StoreRetry))
+}
+
+// publish writes a promotion that the store does not have yet. The holder of
+// the lease also publishes what another VM promoted and could not write.
+func (m *Machine) publish() {
+	if m.phase == PhaseLearning || m.group.Term <= m.store.group.Term {
+		return
+	}
+	if !(m.Leads() || m.group.Term == m.terms.used) {
+		return
+	}
+	m.announce()
+	if !m.canWrite() {
+		return
+	}
+	g := copyGroup(m.group)
+	g.Servers = m.store.group.Servers
+	g.Reserved = max(m.store.group.Reserved, g.Term)
+	g.ReservedBy = m.store.group.ReservedBy
+	m.write(writePublish, g)
+	m.do(Publish{Group: g, ExpectVersion: m.store.version})
+}
+
+// announce tells peers of a promotion until the store has it.
+func (m *Machine) announce() {
+	if m.now.Before(m.store.announceAt) {
+		return
+	}
+	m.store.announceAt = m.now.Add(m.cfg.StoreRetry)
+	m.do(Announce{Group: copyGroup(m.group)})
+}
+
+func (m *Machine) onReserveResult(ev ReserveResult) {
+	m.onWriteResult(writeReserve, ev.Term, ev.Version, ev.Err)
+}
+
+func (m *Machine) onPublishResult(ev PublishResult) {
+	m.onWriteResult(writePublish, ev.Term, ev.Version, ev.Err)
+}
+
+// onWriteResult takes the answer to the pending write; an answer to an older
+// one is ignored, because its outcome was read back.
+func (m *Machine) onWriteResult(kind writeKind, term timeline.Term, version platform.Version, err error) {
+	p := m.store.pending
+	if p.kind != kind || pendingTerm(p) != term {
+		return
+	}
+	if err != nil {
+		m.store.noteError(err)
+		m.onWriteError(err)
+		return
+	}
+	m.store.noteAnswer()
+	m.store.pending.kind = writeNone
+	m.learnStore(p.value, version)
+}
+
+func pendingTerm(p pendingWrite) timeline.Term {
+	if p.kind == writeReserve {
+		return p.value.Reserved
+	}
+	return p.value.Term
+}
+
+func (m *Machine) onWriteError(err error) {
+	if errors.Is(err, platform.ErrUnavailable) {
+		m.store.pending.kind = writeNone
+		return
+	}
+	m.readBack()
+}
+
+func (m *Machine) onGroupLearned(ev GroupLearned) {
+	if ev.Err != nil {
+		m.store.noteError(ev.Err)
+		return
+	}
+	if ev.Group.Name != m.group.Name {
+		return
+	}
+	if ev.Version == 0 {
+		m.learnFromPeer(ev.Group)
+		return
+	}
+	m.store.noteAnswer()
+	m.learnStore(ev.Group, ev.Version)
+}
+
+// learnStore takes the object's value at a version.
+func (m *Machine) learnStore(g view.Group, version platform.Version) {
+	s := &m.store
+	if version < s.version {
+		return
+	}
+	s.readAt = 0
+	if version == s.version {
+		return
+	}
+	before := s.group
+	s.version = version
+	s.group = copyGroup(g)
+	m.learnTerms(g)
+	published := before.Term != 0 && g.Term > before.Term && g.Term == m.terms.used
+	m.learnGroup(g)
+	if published {
+		m.record(Entry{Step: StepPublished, Term: g.Term, Server: g.Primary})
+	}
+}
+
+// learnTerms finds out whether this VM owns the newest block of terms. Each
+// block that it reserved has Config.ReserveBlock terms and ends at Reserved.
+func (m *Machine) learnTerms(g view.Group) {
+	if g.ReservedBy != m.cfg.Incarnation || g.Reserved <= m.terms.to {
+		return
+	}
+	size := timeline.Term(m.cfg.ReserveBlock)
+	m.terms.from = g.Reserved - min(size, g.Reserved) + 1
+	m.terms.to = g.Reserved
+	m.record(Entry{Step: StepReserved, Term: g.Reserved})
+}
+
+// learnFromPeer takes a peer's word for a promotion that the store may not have
+// yet. Its list of servers is no news.
+func (m *Machine) learnFromPeer(g view.Group) {
+	if m.phase == PhaseLearning || g.Term > m.group.Term {
+		m.learnGroup(g)
+	}
+}
+
+// learnGroup takes a group of a term that is not older than the known one.
+func (m *Machine) learnGroup(g view.Group) {
+	if m.phase == PhaseLearning {
+		m.phase = PhaseWatching
+	} else if g.Term < m.group.Term {
+		m.group.Servers = copyGroup(g).Servers
+		m.resetServers()
+		return
+	}
+	changed := g.Term > m.group.Term
+	m.group = copyGroup(g)
+	m.resetServers()
+	if changed {
+		m.onNewTerm()
+	}
+}
