--- /dev/null
+++ b/daemon/command.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/finding"
+	"endivemoor.example/endivemoor/settings"
+)
+
+// Version is set by the build.
+var Version = "dev"
+
+// Exit codes of the command.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+// commands is the command line.
+type commands struct {
+	Serve       serveCommand  `cmd:"" help:"Run the daemon until SIGTERM, then shut down gracefully."`
+	CheckConfig checkCommand  `cmd:"" name:"check-config" help:"Check a settings file as a whole and print every finding."`
+	ScramSecret secretCommand `cmd:"" name:"scram-secret" help:"Read a password from standard input and print its SCRAM-SHA-256 secret for [users]."`
+	Version     versionCmd    `cmd:"" help:"Print the version."`
+}
+
+type serveCommand struct {
+	Settings string `arg:"" help:"INI file."`
+}
+
+type checkCommand struct {
+	Settings []string `arg:"" help:"INI files."`
+}
+
+type secretCommand struct{}
+
+type versionCmd struct{}
+
+// Main runs the command line and returns the exit code: 0 done, 1 failed, 2
+// bad arguments or settings.
+func Main(args []string) int {
+	var cli commands
+	parser, err := kong.New(&cli, kong.Name("endivemoor"), kong.Description("Database proxy with session consistency."))
+	if err != nil {
+		return fail(err)
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadInput
+	}
+	if err = ctx.Run(); err != nil {
+		return fail(err)
+	}
+	return exitOK
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	var findings finding.Findings
+	if errors.As(err, &findings) {
+		return exitBadInput
+	}
+	return exitFailed
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *serveCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return Run(ctx, s)
+}
+
+// Run reports the findings of all files together.
+func (c *checkCommand) Run() error {
+	var all finding.Findings
+	for _, path := range c.Settings {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			all = append(all, finding.Finding{File: path, Message: err.Error(), Mend: "name a readable file"})
+			continue
+		}
+		_, found := settings.Parse(path, raw)
+		all = append(all, found...)
+	}
+	if len(all) > 0 {
+		return all
+	}
+	fmt.Println("no findings")
+	return nil
+}
+
+// Run prints the secret of the password on the first line of standard input.
+func (secretCommand) Run() error {
+	in := bufio.NewScanner(os.Stdin)
+	if !in.Scan() {
+		return errors.New("no password on standard input")
+	}
+	secret, err := scramSecret(in.Text())
+	if err != nil {
+		return err
+	}
+	fmt.Println(secret)
+	return nil
+}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	fmt.Println("endivemoor", Version)
+	return nil
+}
--- /dev/null
+++ b/daemon/tls.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/settings"
+)
+
+// callerTLS returns the configuration shown to callers, or nil when no key
+// files are set. The files are read again for each handshake, so that a new
+// certificate needs no restart.
+func callerTLS(k settings.KeyFiles) (*tls.Config, error) {
+	if k.Cert == "" {
+		return nil, nil
+	}
+	if _, err := tls.LoadX509KeyPair(k.Cert, k.Key); err != nil {
+		return nil, errors.Wrap(err, "callers' key files")
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: reload(k)}, nil
+}
+
+func reload(k settings.KeyFiles) func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	return func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
+		return &cert, err
+	}
+}
+
+// peerTLS returns the configurations with which this daemon serves and asks
+// its peers, or nil when no key files are set. Both ends need a certificate of
+// the fleet's authority: a stranger cannot announce a primary.
+func peerTLS(k settings.KeyFiles) (server, client *tls.Config, err error) {
+	if k.Cert == "" {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peers' key files")
+	}
+	pem, err := os.ReadFile(k.CA)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peers' authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.Errorf("%s holds no certificate", k.CA)
+	}
+	server = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+	client = &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{cert}, RootCAs: roots}
+	return server, client, nil
+}
