--- /dev/null
+++ b/profile/inifile/keys.go
@@ -0,0 +1,62 @@
+package inifile
+
+import "time"
+
+// Keys of a profile's section.
+const (
+	keyMaxReadAge  = "max-read-age"
+	keyDrainGrace  = "drain-grace"
+	keyMaxQueued   = "max-queued"
+	keyMaxSessions = "max-sessions"
+	keyDefaultKind = "default-kind"
+)
+
+// Keys of a kind's section.
+const (
+	keyAccess     = "access"
+	keyWorth      = "worth"
+	keyDeadline   = "deadline"
+	keyMaxAge     = "max-age"
+	keyIdempotent = "idempotent"
+	keyKey        = "key"
+	keyDurability = "durability"
+)
+
+// Words of the choices.
+const (
+	wordRead      = "read"
+	wordWrite     = "write"
+	wordOptional  = "optional"
+	wordRequired  = "required"
+	wordConfirmed = "confirmed"
+	wordWitnessed = "witnessed"
+)
+
+// Defaults and bounds.
+const (
+	// MaxAgeLimit is the greatest age that any read may accept.
+	MaxAgeLimit = time.Hour
+
+	defaultDrainGrace = 10 * time.Second
+	maxDrainGrace     = 10 * time.Minute
+
+	defaultQueued = 1000
+	maxQueued     = 100_000
+
+	defaultSessions = 1000
+	maxSessions     = 100_000
+
+	defaultWorth = 1
+	maxWorth     = 1000
+
+	defaultDeadline = 5 * time.Second
+	minDeadline     = 10 * time.Millisecond
+	maxDeadline     = 10 * time.Minute
+
+	maxProfiles = 200
+	maxKinds    = 100
+)
+
+// UndeclaredKind names the kind of untagged requests in a profile that names no
+// default-kind: a write that the proxy never repeats.
+const UndeclaredKind = "undeclared"
