--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,332 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/profile"
+)
+
+// Ticket identifies a request within its Queue.
+type Ticket uint64
+
+// Cause says why a request was refused. The zero value means that it was not.
+type Cause uint8
+
+const (
+	// CauseNone means that the request was not refused.
+	CauseNone Cause = iota
+	// CauseHopeless means that its deadline is nearer than the expected wait.
+	CauseHopeless
+	// CauseFull means that the queue is full.
+	CauseFull
+	// CauseEvicted means that it made room for a worthier request.
+	CauseEvicted
+	// CauseExpired means that its deadline passed while it waited.
+	CauseExpired
+)
+
+// String returns the cause's name in logs and metrics.
+func (c Cause) String() string {
+	switch c {
+	case CauseHopeless:
+		return "hopeless"
+	case CauseFull:
+		return "full"
+	case CauseEvicted:
+		return "evicted"
+	case CauseExpired:
+		return "expired"
+	default:
+		return "none"
+	}
+}
+
+// Refusal is the final answer to a request that will not run.
+type Refusal struct {
+	Ticket Ticket
+	Cause  Cause
+	// RetryAfter is when to come back: the time to drain what is queued, with
+	// jitter.
+	RetryAfter time.Duration
+}
+
+// Offered is the answer to a new request: it has a slot, it waits, or it is
+// refused.
+type Offered struct {
+	Ticket  Ticket
+	Granted bool
+	// Refused is set if the cause is not CauseNone.
+	Refused Refusal
+	// Evicted is another, waiting request that is refused to make room; set if
+	// its cause is not CauseNone.
+	Evicted Refusal
+}
+
+// Config sets a Queue.
+type Config struct {
+	// Slots is the target's known number of statements at once; default 3.
+	Slots int
+	// MaxQueued bounds the waiting requests; default 64.
+	MaxQueued int
+	// Policy defaults to DelayRatio.
+	Policy Policy
+	// Seed feeds the jitter.
+	Seed uint64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = defaultSlots
+	}
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = defaultMaxQueued
+	}
+	if c.Policy == nil {
+		c.Policy = DelayRatio{}
+	}
+	return c
+}
+
+const (
+	defaultSlots     = 3
+	defaultMaxQueued = 64
+	// slack is the part of the expected wait that must fit before a deadline:
+	// the estimate is a mean, and a refusal that was not needed costs worth.
+	slack = 0.8
+)
+
+type waiting struct {
+	ticket   Ticket
+	arrived  clock.Time
+	deadline clock.Time
+}
+
+type lane struct {
+	kind  *profile.Kind
+	items []waiting
+}
+
+func (l *lane) view() Lane {
+	head := l.items[0]
+	return Lane{Kind: l.kind, Len: len(l.items), HeadArrived: head.arrived, HeadDeadline: head.deadline}
+}
+
+// Queue hands out one target's slots. It is not safe for concurrent use.
+type Queue struct {
+	cfg    Config
+	rnd    *rand.Rand
+	slots  Slots
+	drain  drainRate
+	lanes  []*lane
+	spare  []*lane
+	queued int
+	inUse  int
+	next   Ticket
+}
+
+// NewQueue returns a Queue with all slots free.
+func NewQueue(cfg Config) *Queue {
+	cfg = cfg.withDefaults()
+	return &Queue{
+		cfg:   cfg,
+		rnd:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Slots))),
+		slots: newSlots(cfg.Slots),
+	}
+}
+
+// Queued is the number of waiting requests.
+func (q *Queue) Queued() int { return q.queued }
+
+// InUse is the number of slots taken.
+func (q *Queue) InUse() int { return q.inUse }
+
+// Limit is the present number of slots.
+func (q *Queue) Limit() int { return q.slots.Limit() }
+
+// Offer brings a new request of kind k, whose caller waits until deadline.
+func (q *Queue) Offer(now clock.Time, k *profile.Kind, deadline clock.Time) Offered {
+	q.next++
+	ticket := q.next
+	if q.queued == 0 && q.inUse < q.slots.Limit() {
+		q.take(now)
+		return Offered{Ticket: ticket, Granted: true}
+	}
+	if q.hopeless(now, k, deadline) {
+		return Offered{Ticket: ticket, Refused: q.refuse(ticket, CauseHopeless)}
+	}
+	var evicted Refusal
+	if q.queued >= q.cfg.MaxQueued {
+		evicted = q.evictBelow(k)
+		if evicted.Cause == CauseNone {
+			return Offered{Ticket: ticket, Refused: q.refuse(ticket, CauseFull)}
+		}
+	}
+	l := q.laneOf(k)
+	l.items = append(l.items, waiting{ticket: ticket, arrived: now, deadline: deadline})
+	q.queued++
+	return Offered{Ticket: ticket, Evicted: evicted}
+}
+
+// Done returns the slot of a granted request that took latency. The requests
+// that get a slot now are appended to granted and returned. Call Expire first,
+// with the same now: a slot for a request past its deadline is wasted.
+func (q *Queue) Done(now clock.Time, latency time.Duration, granted []Ticket) []Ticket {
+	q.inUse--
+	q.drain.done(now, q.queued > 0)
+	q.slots.observe(latency, q.queued > 0)
+	return q.fill(now, granted)
+}
+
+// Cancel takes a waiting request out, as when its caller went away. It reports
+// whether the request was still waiting.
+func (q *Queue) Cancel(t Ticket) bool {
+	for _, l := range q.lanes {
+		for i := range l.items {
+			if l.items[i].ticket == t {
+				q.remove(l, i)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Expire refuses the waiting requests whose deadline has passed, appending them
+// to out.
+func (q *Queue) Expire(now clock.Time, out []Refusal) []Refusal {
+	for n := len(q.lanes) - 1; n >= 0; n-- {
+		l := q.lanes[n]
+		for i := len(l.items) - 1; i >= 0; i-- {
+			if l.items[i].deadline.After(now) {
+				continue
+			}
+			t := l.items[i].ticket
+			q.remove(l, i)
+			out = append(out, q.refuse(t, CauseExpired))
+		}
+	}
+	return out
+}
+
+// RetryAfter is when a request refused now should come back.
+func (q *Queue) RetryAfter() time.Duration {
+	return q.drain.retryAfter(q.queued+1, q.rnd)
+}
+
+func (q *Queue) take(now clock.Time) {
+	q.inUse++
+	if q.inUse == 1 {
+		q.drain.start(now)
+	}
+}
+
+// fill hands free slots to waiting requests, in the policy's order.
+func (q *Queue) fill(now clock.Time, granted []Ticket) []Ticket {
+	for q.queued > 0 && q.inUse < q.slots.Limit() {
+		l := q.best(now)
+		granted = append(granted, l.items[0].ticket)
+		q.remove(l, 0)
+		q.take(now)
+	}
+	return granted
+}
+
+func (q *Queue) best(now clock.Time) *lane {
+	var chosen *lane
+	var high float64
+	var arrived clock.Time
+	for _, l := range q.lanes {
+		v := l.view()
+		score := q.cfg.Policy.Score(&v, now)
+		if chosen == nil || score > high || (score == high && v.HeadArrived < arrived) {
+			chosen, high, arrived = l, score, v.HeadArrived
+		}
+	}
+	return chosen
+}
+
+func (q *Queue) refuse(t Ticket, c Cause) Refusal {
+	return Refusal{Ticket: t, Cause: c, RetryAfter: q.RetryAfter()}
+}
+
+// hopeless reports whether a request would probably miss its deadline.
+func (q *Queue) hopeless(now clock.Time, k *profile.Kind, deadline clock.Time) bool {
+	wait, known := q.drain.wait(q.ahead(k) + 1)
+	if !known {
+		return !deadline.After(now)
+	}
+	return now.Add(time.Duration(slack * float64(wait))).After(deadline)
+}
+
+// ahead estimates how many waiting requests will be served before a new one of
+// kind k: all of the kinds that are worth as much, and of a lesser one the part
+// that the ratio of worths lets by.
+func (q *Queue) ahead(k *profile.Kind) int {
+	own := max(k.Worth, minWorth)
+	var n float64
+	for _, l := range q.lanes {
+		part := max(l.kind.Worth, minWorth) / own
+		n += float64(len(l.items)) * min(part, 1)
+	}
+	return int(n)
+}
+
+// evictBelow refuses the newest request of the least worthy lane that is worth
+// less than k, if there is one.
+func (q *Queue) evictBelow(k *profile.Kind) Refusal {
+	var least *lane
+	for _, l := range q.lanes {
+		if l.kind.Worth < k.Worth && (least == nil || l.kind.Worth < least.kind.Worth) {
+			least = l
+		}
+	}
+	if least == nil {
+		return Refusal{}
+	}
+	last := len(least.items) - 1
+	t := least.items[last].ticket
+	q.remove(least, last)
+	return q.refuse(t, CauseEvicted)
+}
+
+func (q *Queue) laneOf(k *profile.Kind) *lane {
+	for _, l := range q.lanes {
+		if l.kind == k {
+			return l
+		}
+	}
+	l := q.spareLane()
+	l.kind = k
+	q.lanes = append(q.lanes, l)
+	return l
+}
+
+func (q *Queue) spareLane() *lane {
+	n := len(q.spare)
+	if n == 0 {
+		return &lane{}
+	}
+	l := q.spare[n-1]
+	q.spare = q.spare[:n-1]
+	return l
+}
+
+// remove takes item i out of l. An empty lane is put aside: kinds of a retired
+// profile leave nothing behind.
+func (q *Queue) remove(l *lane, i int) {
+	l.items = append(l.items[:i], l.items[i+1:]...)
+	q.queued--
+	if len(l.items) > 0 {
+		return
+	}
+	for n := range q.lanes {
+		if q.lanes[n] == l {
+			q.lanes = append(q.lanes[:n], q.lanes[n+1:]...)
+			break
+		}
+	}
+	l.kind = nil
+	q.spare = append(q.spare, l)
+}
