--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/profile"
+)
+
+const (
+	ms  = clock.Time(time.Millisecond)
+	far = clock.Time(time.Hour)
+)
+
+var (
+	browse   = &profile.Kind{Name: "browse", Worth: 1}
+	purchase = &profile.Kind{Name: "purchase", Worth: 10}
+)
+
+func TestWorthierKindWaitsLessAndNoneStarves(t *testing.T) {
+	q := NewQueue(Config{Slots: 1})
+	q.Offer(0, browse, far)
+	old := q.Offer(0, browse, far)
+	for i := range clock.Time(30) {
+		now := i * 10 * ms
+		bought := q.Offer(now, purchase, far)
+		granted := q.Done(now+9*ms, 9*time.Millisecond, nil)
+		require.Len(t, granted, 1)
+		if granted[0] == old.Ticket {
+			require.Equal(t, clock.Time(9), i, "ten times the worth, a tenth of the wait")
+			return
+		}
+		require.LessOrEqual(t, granted[0], bought.Ticket)
+	}
+	t.Fatal("the page view starved")
+}
+
+// busy gives a queue a measured drain of one request in 10 ms.
+func busy(cfg Config) (*Queue, clock.Time) {
+	cfg.Slots = 1
+	q := NewQueue(cfg)
+	q.Offer(0, browse, far)
+	now := clock.Time(0)
+	for range 50 {
+		q.Offer(now, browse, far)
+		now += 10 * ms
+		q.Done(now, 10*time.Millisecond, nil)
+	}
+	return q, now
+}
+
+// A target drains one request in 10 ms and twenty wait. A crew tablet that
+// waits 50 ms cannot be served; holding it until then only makes it ask again.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	q, now := busy(Config{})
+	for range 20 {
+		require.Equal(t, CauseNone, q.Offer(now, browse, far).Refused.Cause)
+	}
+	got := q.Offer(now, browse, now+50*ms)
+	require.Equal(t, CauseHopeless, got.Refused.Cause)
+	require.GreaterOrEqual(t, got.Refused.RetryAfter, 200*time.Millisecond)
+	require.LessOrEqual(t, got.Refused.RetryAfter, 320*time.Millisecond)
+	require.Equal(t, CauseNone, q.Offer(now, purchase, now+100*ms).Refused.Cause,
+		"a purchase passes most of the page views")
+}
+
+func TestFullQueueRefusesTheLeastWorthy(t *testing.T) {
+	q, now := busy(Config{MaxQueued: 2})
+	first, last := q.Offer(now, browse, far), q.Offer(now, browse, far)
+	require.Equal(t, CauseFull, q.Offer(now, browse, far).Refused.Cause)
+	bought := q.Offer(now, purchase, far)
+	require.Equal(t, CauseNone, bought.Refused.Cause)
+	require.Equal(t, CauseEvicted, bought.Evicted.Cause)
+	require.Equal(t, last.Ticket, bought.Evicted.Ticket)
+	require.False(t, q.Cancel(last.Ticket))
+	require.True(t, q.Cancel(first.Ticket))
+}
+
+func TestExpiredRequestIsRefusedAndCostsNoSlot(t *testing.T) {
+	q, now := busy(Config{})
+	late := q.Offer(now, browse, now+15*ms)
+	good := q.Offer(now, browse, far)
+	refused := q.Expire(now+15*ms, nil)
+	require.Len(t, refused, 1)
+	require.Equal(t, late.Ticket, refused[0].Ticket)
+	require.Equal(t, []Ticket{good.Ticket}, q.Done(now+15*ms, time.Millisecond, nil))
+}
+
+// The rest of the fleet floods the target. This proxy sees only that answers
+// take ten times as long; its share of the slots must shrink, and grow again
+// when the flood ends.
+func TestSlotsFollowTheLatency(t *testing.T) {
+	s := newSlots(3)
+	for range 100 {
+		s.observe(5*time.Millisecond, false)
+	}
+	require.Equal(t, 3, s.Limit())
+	for range 100 {
+		s.observe(50*time.Millisecond, true)
+	}
+	require.Equal(t, 1, s.Limit())
+	for range 100 {
+		s.observe(5*time.Millisecond, true)
+	}
+	require.Equal(t, 3, s.Limit())
+}
+
+// Any order of events keeps the books: slots in use within the limit, every
+// request granted, refused or cancelled exactly once.
+func TestEveryRequestEndsExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Config{Slots: 2, MaxQueued: 5})
+		kinds := []*profile.Kind{browse, purchase}
+		waiting, running := map[Ticket]bool{}, 0
+		end := func(x Ticket) {
+			require.True(t, waiting[x], "ended twice or never offered")
+			delete(waiting, x)
+		}
+		now := clock.Time(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += clock.Time(rapid.IntRange(0, 20).Draw(t, "ms")) * ms
+			for _, r := range q.Expire(now, nil) {
+				end(r.Ticket)
+			}
+			if running > 0 && rapid.Bool().Draw(t, "done") {
+				running--
+				for _, x := range q.Done(now, 5*time.Millisecond, nil) {
+					end(x)
+					running++
+				}
+				continue
+			}
+			k := rapid.SampledFrom(kinds).Draw(t, "kind")
+			o := q.Offer(now, k, now+clock.Time(rapid.IntRange(0, 60).Draw(t, "deadline"))*ms)
+			if o.Evicted.Cause != CauseNone {
+				end(o.Evicted.Ticket)
+			}
+			switch {
+			case o.Granted:
+				running++
+			case o.Refused.Cause == CauseNone:
+				waiting[o.Ticket] = true
+			}
+		}
+		require.Equal(t, running, q.InUse())
+		require.Equal(t, len(waiting), q.Queued())
+		require.LessOrEqual(t, q.Queued(), 5)
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	q := NewQueue(Config{})
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Offer(0, browse, far)
+		q.Done(0, time.Millisecond, nil)
+	}
+}
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -14,8 +14,6 @@
 	tolerance = 2.5
 	// shrink is the factor of a fall.
 	shrink = 0.95
-	// spread bounds the limit to at most spread times the known slots.
-	spread = 2
 )
 
 // Slots is a limit of requests at once that adapts to the latency they show.
@@ -23,7 +21,9 @@
 // The target's slots are known but shared by the whole fleet, and this proxy
 // cannot see what the others send. When they send much, latency rises here and
 // the limit falls, to no less than one; when latency is near its lowest and the
-// limit is used up, it grows by one for each limit's worth of answers.
+// limit is used up, it grows again by one for each limit's worth of answers. It
+// never passes the known slots: beyond them requests would wait in the target,
+// in order of arrival, where worth and deadlines count for nothing.
 type Slots struct {
 	limit float64
 	most  float64
@@ -32,7 +32,7 @@
 }
 
 func newSlots(known int) Slots {
-	return Slots{limit: float64(known), most: float64(known * spread)}
+	return Slots{limit: float64(known), most: float64(known)}
 }
 
 // Limit is the present number of requests at once, at least 1.
--- /dev/null
+++ b/membership/machine_test.go
@@ -0,0 +1,226 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/platform"
+)
+
+const tick = clock.Time(500 * time.Millisecond)
+
+func vm(i int) VM {
+	return VM{ID: fmt.Sprintf("vm-%04d", i), Zone: fmt.Sprintf("z%d", i%3), Addr: "192.0.2.1:1"}
+}
+
+func listOf(ids ...int) Listed {
+	var e Listed
+	for _, i := range ids {
+		v := vm(i)
+		e.VMs = append(e.VMs, platform.VM{ID: v.ID, Zone: v.Zone, Addr: v.Addr})
+	}
+	return e
+}
+
+func hello(i int) Exchanged { return Exchanged{From: Record{VM: vm(i), Incarnation: 1}} }
+
+func ids(vms []VM) []string {
+	var out []string
+	for _, v := range vms {
+		out = append(out, v.ID)
+	}
+	return out
+}
+
+func newMachine(self int) *Machine { return New(Config{Incarnation: 1, Seed: 7}, vm(self)) }
+
+// run ticks from one instant to another while the VMs in heard are heard.
+func run(m *Machine, from, to clock.Time, heard ...int) {
+	for now := from; now < to; now += tick {
+		m.Step(now, Tick{})
+		for _, i := range heard {
+			m.Step(now, hello(i))
+		}
+	}
+}
+
+const second = clock.Time(time.Second)
+
+func TestHeardVMIsLiveBeforeThePlatformListsIt(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1))
+	m.Step(2, hello(2))
+	require.Equal(t, []string{"vm-0000", "vm-0001", "vm-0002"}, ids(m.Live()))
+}
+
+// A VM dies at night and the platform goes on listing it for minutes. Its
+// groups would have no owner until the list catches up; its silence towards
+// all peers moves them within seconds.
+func TestSilentVMIsGoneThoughStillListed(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1, 2, 3))
+	run(m, 1, 5*second, 1, 2, 3)
+	run(m, 5*second, 12*second, 1, 2)
+	require.Equal(t, []string{"vm-0000", "vm-0001", "vm-0002"}, ids(m.Live()))
+}
+
+// This VM's own network is cut. It hears nobody and would take over the whole
+// fleet's work. It must see that it is the odd one out and move nothing.
+func TestIsolatedVMMovesNothing(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1, 2, 3))
+	run(m, 1, 5*second, 1, 2, 3)
+	before := ids(m.Live())
+	run(m, 5*second, 60*second)
+	require.Equal(t, before, ids(m.Live()))
+}
+
+// A VM restarts every few seconds. Without a settling time each return would
+// pull its share of the groups back and drop it again.
+func TestReturningVMMustSettle(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1, 2, 3))
+	run(m, 1, 5*second, 1, 2, 3)
+	run(m, 5*second, 12*second, 1, 2)
+	run(m, 12*second, 13*second, 1, 2, 3)
+	require.NotContains(t, ids(m.Live()), "vm-0003")
+	run(m, 13*second, 16*second, 1, 2, 3)
+	require.Contains(t, ids(m.Live()), "vm-0003")
+}
+
+// A VM drained, ended and was started again. A record of its former life is
+// still on its way around and says "leaving": it must not end the new one.
+func TestRecordOfAFormerIncarnationIsIgnored(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1))
+	old := Record{VM: vm(1), Incarnation: 1, Leaving: true}
+	m.Step(2, Exchanged{From: old})
+	require.NotContains(t, ids(m.Live()), "vm-0001")
+	m.Step(3, Exchanged{From: Record{VM: vm(1), Incarnation: 2}})
+	m.Step(4, Exchanged{From: Record{VM: vm(2), Incarnation: 1}, Others: []Record{old}})
+	require.Contains(t, ids(m.Live()), "vm-0001")
+}
+
+func TestLeavingVMGivesItsWorkAwayAtOnce(t *testing.T) {
+	m := newMachine(0)
+	m.Step(1, listOf(1, 2))
+	require.Contains(t, m.Step(2, Leave{}), Changed{})
+	require.Equal(t, []string{"vm-0001", "vm-0002"}, ids(m.Live()))
+	require.True(t, m.Self().Leaving)
+}
+
+func TestPartnersAreBoundedAndOfTwoZones(t *testing.T) {
+	m := newMachine(0)
+	var all []int
+	for i := range 200 {
+		all = append(all, i)
+	}
+	m.Step(1, listOf(all...))
+	for i := range 100 {
+		actions := m.Step(clock.Time(i+2), Tick{})
+		require.Len(t, actions, 2)
+		require.Equal(t, "z0", actions[0].(Exchange).With.Zone)
+		require.NotEqual(t, "z0", actions[1].(Exchange).With.Zone)
+	}
+}
+
+func TestMachineForgetsWhatNobodySpeaksOf(t *testing.T) {
+	m := newMachine(0)
+	for i := 1; i < 500; i++ {
+		m.Step(clock.Time(i)*second, hello(i))
+	}
+	require.Less(t, len(m.members), 40)
+	require.Len(t, m.order, len(m.members))
+}
+
+// fleet exchanges records between Machines without loss, in rounds.
+type fleet struct {
+	machines map[string]*Machine
+	order    []string
+	down     map[string]bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{machines: map[string]*Machine{}, down: map[string]bool{}}
+	var all []int
+	for i := range n {
+		all = append(all, i)
+	}
+	for i := range n {
+		m := New(Config{Incarnation: 1, Seed: uint64(i)}, vm(i))
+		m.Step(1, listOf(all...))
+		f.machines[vm(i).ID] = m
+		f.order = append(f.order, vm(i).ID)
+	}
+	return f
+}
+
+func (f *fleet) round(now clock.Time) {
+	for _, id := range f.order {
+		if f.down[id] {
+			continue
+		}
+		for _, a := range f.machines[id].Step(now, Tick{}) {
+			if e, ok := a.(Exchange); ok {
+				f.exchange(now, id, e.With.ID)
+			}
+		}
+	}
+}
+
+func (f *fleet) exchange(now clock.Time, from, to string) {
+	a, b := f.machines[from], f.machines[to]
+	if f.down[to] {
+		a.Step(now, Unanswered{ID: to})
+		return
+	}
+	request := Exchanged{From: a.Self(), Others: a.Records(now)}
+	reply := Exchanged{From: b.Self(), Others: b.Records(now)}
+	b.Step(now, request)
+	a.Step(now, reply)
+}
+
+func TestFleetAgreesOnWhoDied(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(5, 30).Draw(t, "vms")
+		dead := rapid.IntRange(0, n-1).Draw(t, "dead")
+		f := newFleet(n)
+		now := second
+		for ; now < 10*second; now += tick {
+			f.round(now)
+		}
+		f.down[vm(dead).ID] = true
+		for ; now < 25*second; now += tick {
+			f.round(now)
+		}
+		for _, id := range f.order {
+			if !f.down[id] {
+				require.Len(t, f.machines[id].Live(), n-1, id)
+			}
+		}
+	})
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{9, 100, 725, 2900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFleet(1)
+			m := f.machines[vm(0).ID]
+			var all []int
+			for i := range n {
+				all = append(all, i)
+			}
+			m.Step(1, listOf(all...))
+			now := clock.Time(2)
+			for b.Loop() {
+				m.Step(now, Tick{})
+				now++
+			}
+		})
+	}
+}
