--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,20 @@
+// Command standin plays the outside systems on one machine: the platform's
+// object API and a database server. It is for demos and tests only.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/internal/standin/platformd"
+)
+
+type commands struct {
+	Platform platformd.Command `cmd:"" help:"Serve the object API."`
+	DB       dbd.Command       `cmd:"" name:"db" help:"Serve one database server."`
+}
+
+func main() {
+	ctx := kong.Parse(&commands{}, kong.Name("standin"))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/controller/configuration.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/finding"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/view"
+)
+
+// Published is one published set of profiles as it travels.
+type Published struct {
+	Generation profile.Generation
+	Digest     string
+	Text       []byte
+}
+
+// Configuration holds the newest published set that this VM knows and puts it
+// in force. It is the only writer of view.View.Profiles.
+type Configuration struct {
+	views *view.Holder
+	log   *zap.Logger
+
+	mu      sync.Mutex
+	current Published
+}
+
+// NewConfiguration returns a holder of nothing.
+func NewConfiguration(views *view.Holder, log *zap.Logger) *Configuration {
+	return &Configuration{views: views, log: log}
+}
+
+// Current returns the set in force; its generation is 0 if there is none.
+func (c *Configuration) Current() Published {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// Offer puts p in force if its generation is above the present one, and reports
+// if it did. The source may be the store or any peer.
+//
+// Failure guarded against: a daemon that was paused for an hour, or a peer that
+// restarted during an outage, offers an older set, and a retired profile comes
+// back. Generations only grow, and the text must match the digest that the
+// store's pointer named, so a damaged copy is never put in force.
+func (c *Configuration) Offer(p Published, source string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.Generation <= c.current.Generation {
+		return false
+	}
+	set, err := c.parse(p)
+	if err != nil {
+		c.log.Error("configuration_refused",
+			zap.Uint64("generation", uint64(p.Generation)), zap.String("source", source), zap.Error(err))
+		return false
+	}
+	c.current = p
+	c.views.Update(func(v *view.View) { v.Profiles = set })
+	c.log.Info("configuration_in_force",
+		zap.Uint64("generation", uint64(p.Generation)), zap.String("digest", p.Digest), zap.String("source", source))
+	return true
+}
+
+func (c *Configuration) parse(p Published) (*profile.Set, error) {
+	if inifile.Digest(p.Text) != p.Digest {
+		return nil, finding.Findings{{Message: "text does not match its digest", Mend: "publish again"}}
+	}
+	set, found := inifile.Parse("published", p.Text)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	set.Generation = p.Generation
+	return set, nil
+}
--- a/controller/store.go
+++ b/controller/store.go
@@ -78,6 +78,7 @@
 func decodeGroup(obj platform.Object) (*view.Group, error) {
 	group := &view.Group{}
 	err := json.Unmarshal(obj.Value, group)
+	group.Version = int64(obj.Version)
 	return group, errors.Wrap(err, obj.Key)
 }
 
--- a/controller/watcher.go
+++ b/controller/watcher.go
@@ -33,6 +33,8 @@
 	Rand   *rand.Rand
 	Log    *zap.Logger
 
+	// since is the revision to go on from; 0 until the first answer, which
+	// every VM asks for: it needs the present objects once.
 	since int64
 }
 
@@ -40,7 +42,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	pause := watchRetryMin
 	for ctx.Err() == nil {
-		if !w.Active() {
+		if w.since != 0 && !w.Active() {
 			sleep(ctx, inactivePause)
 			continue
 		}
--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -33,7 +33,7 @@
   [ "$n" = 1 ] && role=primary
   start "db$n" "$bin/standin" db --listen "127.0.0.1:741$n" --control "127.0.0.1:742$n" --id "$id" \
     --zone "z$n" --role "$role" --primary 127.0.0.1:7411 --connections 25 --slots 3 \
-    --connect-cost 10ms --delay 20ms --schema "$conf/schema.sql"
+    --connect-cost 10ms --delay 20ms --seed "$conf/schema.sql"
 done
 
 ctl() { "$bin/endivemoorctl" --platform http://127.0.0.1:7400 "$@"; }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -9,8 +9,7 @@
 	"endivemoor.example/endivemoor/view"
 )
 
-// GroupState returns the message form of a group. Servers do not travel: a
-// daemon has them from the store's object, which a peer cannot replace.
+// GroupState returns the message form of a group.
 func GroupState(g *view.Group) *peerpb.GroupState {
 	out := &peerpb.GroupState{
 		Name:       g.Name,
@@ -18,30 +17,33 @@
 		Primary:    string(g.Primary),
 		Reserved:   uint64(g.Reserved),
 		ReservedBy: g.ReservedBy,
+		Version:    g.Version,
 	}
 	for _, s := range g.History {
 		out.History = append(out.History, &peerpb.TermStart{Term: uint64(s.Term), Lsn: uint64(s.LSN)})
 	}
+	for _, s := range g.Servers {
+		out.Servers = append(out.Servers, &peerpb.Server{Id: string(s.ID), Addr: s.Addr, Zone: s.Zone})
+	}
 	return out
 }
 
-// Group returns the group that in describes, with the servers of known. It is
-// nil if known is nil.
-func Group(in *peerpb.GroupState, known *view.Group) *view.Group {
-	if known == nil {
-		return nil
-	}
+// Group returns the group that in describes.
+func Group(in *peerpb.GroupState) *view.Group {
 	out := &view.Group{
-		Name:       known.Name,
+		Name:       in.GetName(),
 		Term:       timeline.Term(in.GetTerm()),
 		Primary:    target.ID(in.GetPrimary()),
 		Reserved:   timeline.Term(in.GetReserved()),
 		ReservedBy: in.GetReservedBy(),
-		Servers:    known.Servers,
+		Version:    in.GetVersion(),
 	}
 	for _, s := range in.GetHistory() {
 		out.History = append(out.History, timeline.Start{Term: timeline.Term(s.GetTerm()), LSN: timeline.LSN(s.GetLsn())})
 	}
+	for _, s := range in.GetServers() {
+		out.Servers = append(out.Servers, view.Server{ID: target.ID(s.GetId()), Addr: s.GetAddr(), Zone: s.GetZone()})
+	}
 	return out
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -36,6 +36,9 @@
 	// History holds the start of every term.
 	History timeline.History `json:"history"`
 	Servers []Server         `json:"servers"`
+	// Version is the version of the platform object that this was read from;
+	// 0 if a peer or an own promotion brought it.
+	Version int64 `json:"-"`
 }
 
 // Server returns the server with the id, or nil.
@@ -86,17 +89,21 @@
 	}
 }
 
-// Newer reports whether g replaces old: a later term always does, and within a
-// term a higher reservation. State therefore only moves forward, whatever order
-// the store, the peers and this VM's own promotions report it in.
+// Newer reports whether g replaces old: a later term always does; within a term
+// a later version of the store's object, and then a higher reservation. State
+// therefore only moves forward, whatever order the store, the peers and this
+// VM's own promotions report it in.
 func (g *Group) Newer(old *Group) bool {
-	if old == nil {
+	switch {
+	case old == nil:
 		return true
-	}
-	if g.Term != old.Term {
+	case g.Term != old.Term:
 		return g.Term > old.Term
+	case g.Version != old.Version && g.Version != 0:
+		return g.Version > old.Version
+	default:
+		return g.Reserved > old.Reserved
 	}
-	return g.Reserved > old.Reserved
 }
 
 // Adopt swaps in group if it is newer than what the view has, and reports if it
