Add scripted scenarios over small fakes, with judges

Cause: the core's promises need proof under scripted failures. Change: virtual time, fakes of store, servers, network, VMs and callers; a text language; judges over callers' histories and servers' execution logs.

--- a/failover/config.go
+++ b/failover/config.go
@@ -84,7 +84,7 @@
 		Heartbeat:        100 * time.Millisecond,
 		ProbeTimeout:     250 * time.Millisecond,
 		SuspectAfter:     500 * time.Millisecond,
-		MissedProbes:     3,
+		MissedProbes:     4,
 		StartupGrace:     2 * time.Second,
 		ReportTTL:        500 * time.Millisecond,
 		AskEvery:         100 * time.Millisecond,
--- a/failover/evidence.go
+++ b/failover/evidence.go
@@ -185,7 +185,7 @@
 		if !m.counts(r) {
 			continue
 		}
-		if r.LastGood < m.cfg.SuspectAfter {
+		if r.LastGood < m.agreeAge() {
 			good[r.Zone] = true
 			continue
 		}
@@ -197,6 +197,12 @@
 	return len(silent) >= m.zonesNeeded() && len(silent) > len(good)
 }
 
+// agreeAge is the age of a peer's newest answer from which on the peer finds a
+// server silent: as many heartbeats as this VM's own probes have to miss.
+func (m *Machine) agreeAge() time.Duration {
+	return min(m.cfg.SuspectAfter, time.Duration(m.cfg.MissedProbes)*m.cfg.Heartbeat)
+}
+
 // counts reports whether a report is recent and says something.
 func (m *Machine) counts(r PeerReport) bool {
 	return r.Seen && m.now.Sub(r.Asked) <= m.cfg.ReportTTL
@@ -243,7 +249,7 @@
 func (m *Machine) peerEvidence(r PeerReport) Evidence {
 	return Evidence{
 		VM: r.VM, Zone: r.Zone, Server: r.Server,
-		Silent: r.LastGood >= m.cfg.SuspectAfter, Age: r.LastGood, Status: r.Status,
+		Silent: r.LastGood >= m.agreeAge(), Age: r.LastGood, Status: r.Status,
 	}
 }
 
--- /dev/null
+++ b/scenario/caller.go
@@ -0,0 +1,131 @@
+package scenario
+
+import (
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/session"
+)
+
+// requestDeadline is how long a caller waits, and patience what it adds before
+// it gives up on a proxy that is gone.
+const (
+	requestDeadline = 2 * time.Second
+	patience        = 500 * time.Millisecond
+)
+
+// caller is one session of an application. It carries its token from proxy to
+// proxy, unless it lost it.
+type caller struct {
+	name  string
+	marks session.Marks
+	token bool
+}
+
+// Access of a call.
+type access uint8
+
+const (
+	accessWrite access = iota
+	accessRead
+)
+
+// call is one request of a caller, as the judges see it.
+type call struct {
+	id         int
+	caller     *caller
+	access     access
+	op         string // name for the matrix
+	row        string
+	key        string
+	durability profile.Durability
+	statements int
+	proxy      string
+	invoked    clock.Time
+	deadline   clock.Time
+	floor      session.Marks // what the session had seen when it asked
+	hasToken   bool
+
+	answered clock.Time // 0 while there is no answer
+	outcome  outcome.Outcome
+	rows     int // what a read returned
+	retry    time.Duration
+}
+
+func (w *World) caller(name string) *caller {
+	c := w.callers[name]
+	if c == nil {
+		c = &caller{name: name, marks: session.Marks{}, token: true}
+		w.callers[name] = c
+	}
+	return c
+}
+
+// request describes a call to make.
+type request struct {
+	op         string
+	access     access
+	row        string
+	key        string
+	durability profile.Durability
+	statements int
+}
+
+// start sends a request through a VM's proxy. The answer is in the call.
+func (w *World) start(name, vmName string, r request) *call {
+	s := w.caller(name)
+	w.nextID++
+	c := &call{
+		id: w.nextID, caller: s, access: r.access, op: r.op, row: r.row, key: r.key,
+		durability: r.durability, statements: max(1, r.statements), proxy: vmName,
+		invoked: w.now, deadline: w.now.Add(requestDeadline), hasToken: s.token,
+		floor: session.Marks{},
+	}
+	if s.token {
+		c.floor.Merge(s.marks)
+	}
+	w.history = append(w.history, c)
+	v := w.vm(vmName)
+	w.at(w.now.Add(w.delay()), func() { w.arrive(c, v) })
+	w.at(c.deadline.Add(patience), func() { w.reply(c, outcome.Unknown, 0, 0) })
+	return c
+}
+
+// arrive hands a call to a proxy. A caller sees a refused connection at once
+// and knows that its request did not run.
+func (w *World) arrive(c *call, v *vm) {
+	if !v.up || v.proxy.refuses() {
+		w.reply(c, outcome.NotRun, 0, time.Second)
+		return
+	}
+	w.runOn(v.node, v.epoch, func() { v.proxy.serve(c) })
+}
+
+// reply gives the caller its answer; only the first one counts.
+func (w *World) reply(c *call, o outcome.Outcome, rows int, retry time.Duration) {
+	if c.answered != 0 {
+		return
+	}
+	c.answered = w.now
+	c.outcome = o
+	c.rows = rows
+	c.retry = retry
+	w.logCall(c)
+}
+
+func (w *World) logCall(c *call) {
+	if c.access == accessRead {
+		w.logf("%s read %s at %s: %s rows=%d", c.caller.name, c.row, c.proxy, c.outcome, c.rows)
+		return
+	}
+	w.logf("%s %s %s%s at %s: %s", c.caller.name, c.op, c.row, keyNote(c), c.proxy, c.outcome)
+}
+
+func keyNote(c *call) string {
+	if c.key == "" {
+		return ""
+	}
+	return " key=" + c.key
+}
--- /dev/null
+++ b/scenario/script.go
@@ -0,0 +1,199 @@
+package scenario
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/target"
+)
+
+// answerLimit bounds the wait for the answer to a request of a script.
+const answerLimit = 10 * time.Second
+
+// command is a line of a script: its words and its key=value options.
+type command struct {
+	words   []string
+	options map[string]string
+}
+
+func parseCommand(line string) command {
+	c := command{options: map[string]string{}}
+	for _, word := range strings.Fields(line) {
+		if key, value, ok := strings.Cut(word, "="); ok {
+			c.options[key] = value
+			continue
+		}
+		c.words = append(c.words, word)
+	}
+	return c
+}
+
+// word returns a word of the line, or "" beyond its end.
+func (c command) word(i int) string {
+	if i < len(c.words) {
+		return c.words[i]
+	}
+	return ""
+}
+
+// Run carries out one line of a script. README.md beside the scripts lists the
+// commands.
+func (w *World) Run(line string) error {
+	c := parseCommand(line)
+	var err error
+	switch c.word(0) {
+	case "advance":
+		err = w.runAdvance(c)
+	case "write", "read", "start":
+		err = w.runRequest(c)
+	case "forget":
+		w.caller(c.word(1)).token = false
+	case "shutdown":
+		w.vm(c.word(1)).proxy.shutdown()
+	case "relieve":
+		w.Relieve(target.ID(c.word(1)))
+	case "on":
+		w.Trap(c.word(1), c.word(2), func(Strike) { err = w.Run(strings.Join(c.words[3:], " ")) })
+	case "settle":
+		w.Settle()
+	default:
+		err = w.Fault(c)
+	}
+	return err
+}
+
+func (w *World) runAdvance(c command) error {
+	d, err := time.ParseDuration(c.word(1))
+	w.Advance(d)
+	return err
+}
+
+// runRequest makes a request. "start" does not wait for its answer.
+func (w *World) runRequest(c command) error {
+	wait := c.word(0) != "start"
+	if !wait {
+		c.words = c.words[1:]
+	}
+	session, vmName := c.word(1), c.words[len(c.words)-1]
+	r := request{op: "read", access: accessRead, row: c.options["row"], key: c.options["key"]}
+	if c.word(0) == "write" {
+		r.access = accessWrite
+		r.op = c.word(2)
+		r.statements, _ = strconv.Atoi(c.options["statements"])
+	}
+	if c.options["durability"] == "witnessed" {
+		r.durability = profile.Witnessed
+	}
+	if w.vm(vmName) == nil || r.row == "" {
+		return errors.Errorf("request %q needs row= and a VM", strings.Join(c.words, " "))
+	}
+	done := w.start(session, vmName, r)
+	if wait {
+		w.AdvanceUntil(answerLimit, func() bool { return done.answered != 0 })
+	}
+	return nil
+}
+
+// Fault carries out a line that changes what works.
+func (w *World) Fault(c command) error {
+	name := c.word(1)
+	switch c.word(0) {
+	case "cut":
+		w.cutFrom(name, c.word(3))
+	case "heal":
+		w.Heal()
+	case "kill":
+		w.Kill(name)
+	case "restart":
+		w.restartNamed(name)
+	case "pause", "freeze":
+		w.Pause(name)
+	case "resume":
+		w.Resume(name)
+	case "late":
+		w.net.late[name] = true
+	case "duplicate":
+		w.net.duplicate[name] = true
+	case "lag":
+		d, err := time.ParseDuration(c.word(2))
+		w.server(target.ID(name)).lag = d
+		return err
+	case "store":
+		return w.storeFault(c)
+	default:
+		return errors.Errorf("unknown command %q", c.word(0))
+	}
+	return nil
+}
+
+func (w *World) storeFault(c command) error {
+	switch c.word(1) {
+	case "down":
+		w.store.down = true
+	case "up":
+		w.store.down, w.store.slow = false, 0
+	case "slow":
+		d, err := time.ParseDuration(c.word(2))
+		w.store.slow = d
+		return err
+	case "loses":
+		w.store.loseAnswers++
+	default:
+		return errors.Errorf("unknown fault of the store %q", c.word(1))
+	}
+	return nil
+}
+
+// cutFrom cuts a node off from the other servers ("peers"), from the VMs
+// ("callers"), from everything ("all"), or from one node.
+func (w *World) cutFrom(name, from string) {
+	w.Isolate(name, func(other string) bool {
+		switch from {
+		case "peers":
+			return w.server(target.ID(other)) != nil
+		case "callers":
+			return w.vm(other) != nil
+		case "all":
+			return true
+		default:
+			return other == from
+		}
+	})
+}
+
+func (w *World) restartNamed(name string) {
+	if v := w.vm(name); v != nil && !v.up {
+		v.boot()
+		return
+	}
+	w.restart(w.nodes[name])
+}
+
+// Relieve asks all VMs for a planned change of primary.
+func (w *World) Relieve(id target.ID) {
+	for _, v := range w.vms {
+		if v.up {
+			v.step(failover.Relieve{Server: id})
+		}
+	}
+}
+
+// Trap calls f once, when the operation passes the step for the first time.
+func (w *World) Trap(op, step string, f func(Strike)) {
+	before := w.hook
+	done := false
+	w.hook = func(s Strike) {
+		if before != nil {
+			before(s)
+		}
+		if !done && s.Op == op && s.Step == step {
+			done = true
+			f(s)
+		}
+	}
+}
--- /dev/null
+++ b/scenario/server.go
@@ -0,0 +1,189 @@
+package scenario
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// pullEvery is the interval at which a replica asks its primary for more.
+const pullEvery = 5 * time.Millisecond
+
+// entry is one committed transaction in a server's log. Its LSN is its place.
+type entry struct {
+	term timeline.Term
+	call int // id of the call that caused it
+	key  string
+	row  string
+	at   clock.Time
+}
+
+// execution is one line of a server's execution log, which survives rewinding.
+type execution struct {
+	at   clock.Time
+	call int
+	term timeline.Term
+	lsn  timeline.LSN
+}
+
+// server is a fake database server: an asynchronously replicated log.
+type server struct {
+	*node
+	w        *World
+	id       target.ID
+	zone     string
+	role     target.Role
+	term     timeline.Term
+	promised timeline.Term
+	start    timeline.LSN
+	log      []entry
+	follows  target.ID
+	lag      time.Duration
+	executed []execution
+	promoted []promotion
+}
+
+// promotion is when a server began to lead a term.
+type promotion struct {
+	at   clock.Time
+	term timeline.Term
+}
+
+func (w *World) addServer(id target.ID, zone string) *server {
+	s := &server{node: w.addNode(string(id)), w: w, id: id, zone: zone, role: target.RoleReplica, term: 1, promised: 1}
+	w.servers = append(w.servers, s)
+	s.pullLater()
+	return s
+}
+
+func (w *World) server(id target.ID) *server {
+	for _, s := range w.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *server) status() target.Status {
+	return target.Status{
+		Server: s.id, Role: s.role, Term: s.term, Promised: s.promised,
+		LSN: timeline.LSN(len(s.log)), Start: s.start,
+	}
+}
+
+func (s *server) refuse(term timeline.Term) error {
+	return errors.WithStack(&target.FencedError{Server: s.id, Ordered: term, Promised: s.promised})
+}
+
+func (s *server) fence(term timeline.Term) (target.Status, error) {
+	if s.promised > term {
+		return target.Status{}, s.refuse(term)
+	}
+	s.promised = term
+	return s.status(), nil
+}
+
+func (s *server) promote(term timeline.Term) (target.Status, error) {
+	if s.promised != term {
+		return target.Status{}, s.refuse(term)
+	}
+	if s.role == target.RolePrimary && s.term == term {
+		return s.status(), nil
+	}
+	s.role = target.RolePrimary
+	s.term = term
+	s.start = timeline.LSN(len(s.log))
+	s.follows = ""
+	s.promoted = append(s.promoted, promotion{at: s.w.now, term: term})
+	return s.status(), nil
+}
+
+// follow rewinds to the newest entry that both logs share.
+func (s *server) follow(primary target.ID, term timeline.Term) ([]target.Entry, error) {
+	if s.promised > term {
+		return nil, s.refuse(term)
+	}
+	p := s.w.server(primary)
+	if !s.reaches(p) || p.role != target.RolePrimary || p.term != term {
+		return nil, errors.New("primary not reached")
+	}
+	common := 0
+	for common < min(len(s.log), len(p.log)) && s.log[common] == p.log[common] {
+		common++
+	}
+	var discarded []target.Entry
+	for i := common; i < len(s.log); i++ {
+		pos := timeline.Position{Term: s.log[i].term, LSN: timeline.LSN(i + 1)}
+		discarded = append(discarded, target.Entry{Position: pos, Statement: s.log[i].row})
+	}
+	s.log = s.log[:common:common]
+	s.role = target.RoleReplica
+	s.term = term
+	s.promised = term
+	s.start = p.start
+	s.follows = primary
+	return discarded, nil
+}
+
+func (s *server) reaches(p *server) bool {
+	cut := s.w.net.cut
+	return p != nil && p.up && !p.paused &&
+		!cut[[2]string{s.name, p.name}] && !cut[[2]string{p.name, s.name}]
+}
+
+func (s *server) pullLater() { s.w.at(s.w.now.Add(pullEvery), s.pull) }
+
+// pull copies what the primary committed longer than the lag ago. A server
+// takes nothing of a lower term than it promised.
+func (s *server) pull() {
+	defer s.pullLater()
+	p := s.w.server(s.follows)
+	if !s.up || s.paused || !s.reaches(p) || p.term != s.term || s.promised > p.term {
+		return
+	}
+	for i := len(s.log); i < len(p.log); i++ {
+		if s.w.now.Sub(p.log[i].at) < s.lag {
+			if s.lag > defaultLag {
+				s.w.effects[effectLag]++
+			}
+			return
+		}
+		s.log = append(s.log, p.log[i])
+	}
+}
+
+// commit runs a write of a call. It is refused when the server does not lead,
+// or has promised a later term. A key that is in the log already is not run
+// again: the unique row in the target's own transaction stops it.
+func (s *server) commit(c *call) (timeline.Position, error) {
+	if s.role != target.RolePrimary || s.promised > s.term {
+		return timeline.Position{}, s.refuse(s.term)
+	}
+	if c.key != "" && !s.w.guards.Out(GuardKey) {
+		for i, e := range s.log {
+			if e.key == c.key {
+				return timeline.Position{Term: s.term, LSN: timeline.LSN(i + 1)}, nil
+			}
+		}
+	}
+	s.log = append(s.log, entry{term: s.term, call: c.id, key: c.key, row: c.row, at: s.w.now})
+	lsn := timeline.LSN(len(s.log))
+	s.executed = append(s.executed, execution{at: s.w.now, call: c.id, term: s.term, lsn: lsn})
+	return timeline.Position{Term: s.term, LSN: lsn}, nil
+}
+
+// rows counts the entries of a row.
+func (s *server) rows(row string) int {
+	n := 0
+	for _, e := range s.log {
+		if e.row == row {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/scenario/store.go
@@ -0,0 +1,86 @@
+package scenario
+
+import (
+	"time"
+
+	"endivemoor.example/endivemoor/platform"
+)
+
+// fakeStore is the platform's object API with its faults.
+type fakeStore struct {
+	*node
+	objects map[string]platform.Object
+	last    platform.Version
+	down    bool
+	slow    time.Duration
+	// loseAnswers is how many answers to writes are lost after the effect.
+	loseAnswers int
+	effects     map[string]int
+}
+
+func (w *World) addStore() *fakeStore {
+	w.store = &fakeStore{node: w.addNode("store"), objects: make(map[string]platform.Object), effects: w.effects}
+	return w.store
+}
+
+func (s *fakeStore) get(key string) (platform.Object, error) {
+	if s.down {
+		s.effects[effectDown]++
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return platform.Object{Key: key}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *fakeStore) put(key string, value []byte, expect platform.Version) (platform.Version, error) {
+	if s.down {
+		s.effects[effectDown]++
+		return 0, platform.ErrUnavailable
+	}
+	if current := s.objects[key].Version; current != expect {
+		return 0, &platform.ConflictError{Key: key, Current: current}
+	}
+	s.last++
+	s.objects[key] = platform.Object{Key: key, Version: s.last, Value: value}
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		s.effects[effectLost]++
+		return 0, platform.ErrNoAnswer
+	}
+	return s.last, nil
+}
+
+// getFrom reads an object over the network.
+func (w *World) getFrom(from *node, key string, done func(platform.Object, error)) {
+	w.storeCall(from, func() func() {
+		o, err := w.store.get(key)
+		return func() { done(o, err) }
+	})
+}
+
+// putFrom writes an object over the network.
+func (w *World) putFrom(from *node, key string, value []byte, expect platform.Version, done func(platform.Version, error)) {
+	w.storeCall(from, func() func() {
+		v, err := w.store.put(key, value, expect)
+		if err == platform.ErrNoAnswer {
+			return nil
+		}
+		return func() { done(v, err) }
+	})
+}
+
+// storeCall delays the call when the store is slow.
+func (w *World) storeCall(from *node, handle func() func()) {
+	epoch := from.epoch
+	if w.store.slow > 0 {
+		w.effects[effectSlow]++
+	}
+	w.at(w.now.Add(w.store.slow), func() {
+		if from.up && from.epoch == epoch {
+			w.call(from, w.store.node, handle, func() {})
+		}
+	})
+}
--- /dev/null
+++ b/scenario/vm.go
@@ -0,0 +1,284 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/routing"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/view"
+)
+
+// vm is one VM of the system: a failover machine for the group, and a proxy.
+type vm struct {
+	*node
+	w       *World
+	zone    string
+	cfg     failover.Config
+	machine *failover.Machine
+	group   *view.Group // nil until it is learned
+	reports map[target.ID]evidence
+	board   *routing.Board
+	router  *routing.Router
+	proxy   *proxy
+}
+
+// evidence is a VM's newest good answer of a server.
+type evidence struct {
+	asked  clock.Time
+	status target.Status
+}
+
+type leaseValue struct {
+	Holder string `json:"holder"`
+}
+
+func groupKey(name string) string { return "groups/" + name }
+func leaseKey(name string) string { return "leases/" + name }
+
+func (w *World) addVM(name, zone string, zones []string) *vm {
+	v := &vm{node: w.addNode(name), w: w, zone: zone}
+	v.cfg = failover.Default()
+	v.cfg.VM, v.cfg.Zone, v.cfg.Zones = name, zone, zones
+	v.cfg.Guards = w.guards
+	w.vms = append(w.vms, v)
+	v.boot()
+	return v
+}
+
+func (w *World) vm(name string) *vm {
+	for _, v := range w.vms {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// boot starts the VM's process anew: nothing is remembered.
+func (v *vm) boot() {
+	v.up = true
+	v.cfg.Incarnation = fmt.Sprintf("%s#%d", v.name, v.epoch)
+	seed := v.w.rng.Uint64()
+	v.machine = failover.New(v.cfg, groupName, rand.New(rand.NewPCG(seed, seed)))
+	v.group = nil
+	v.reports = make(map[target.ID]evidence)
+	v.board = routing.NewBoard()
+	v.router = routing.NewRouter(v.board, routing.Evidence{}, seed)
+	v.proxy = newProxy(v)
+	v.tick()
+	v.watch()
+}
+
+func (v *vm) tick() {
+	v.step(failover.Tick{})
+	v.w.after(v.node, v.cfg.Tick, v.tick)
+}
+
+func (v *vm) step(ev failover.Event) {
+	epoch := v.epoch
+	for _, a := range v.machine.Step(v.w.now, ev) {
+		v.do(a)
+		if v.epoch != epoch || v.paused {
+			return // a fault struck at this step
+		}
+	}
+	if g := v.machine.Group(); v.machine.Phase() != failover.PhaseLearning {
+		v.learn(g)
+	}
+}
+
+// learn gives the VM's own proxy a group that is not older than the known one.
+func (v *vm) learn(g view.Group) {
+	if v.group == nil || g.Term > v.group.Term {
+		v.group = &g
+		v.proxy.onGroup()
+	}
+}
+
+func (v *vm) do(a failover.Action) {
+	switch a := a.(type) {
+	case failover.Probe:
+		v.probe(a)
+	case failover.AskPeers:
+		v.askPeers(a)
+	case failover.ReadLease:
+		v.readLease(a.Asked)
+	case failover.RenewLease:
+		v.renewLease(a)
+	case failover.ReadGroup:
+		v.readGroup()
+	case failover.Reserve:
+		v.putGroup(a.Group, a.ExpectVersion, func(version platform.Version, err error) {
+			v.step(failover.ReserveResult{Term: a.Group.Reserved, Version: version, Err: err})
+		})
+	case failover.Publish:
+		v.putGroup(a.Group, a.ExpectVersion, func(version platform.Version, err error) {
+			v.step(failover.PublishResult{Term: a.Group.Term, Version: version, Err: err})
+		})
+	default:
+		v.order(a)
+	}
+}
+
+func (v *vm) order(a failover.Action) {
+	switch a := a.(type) {
+	case failover.Fence:
+		v.ask(a.Server, func(s *server) failover.Event {
+			st, err := s.fence(a.Term)
+			return failover.FenceAnswered{Server: a.Server, Term: a.Term, Status: st, Err: err}
+		})
+	case failover.Promote:
+		v.ask(a.Server, func(s *server) failover.Event {
+			st, err := s.promote(a.Term)
+			return failover.PromoteAnswered{Server: a.Server, Term: a.Term, Status: st, Err: err}
+		})
+	case failover.Follow:
+		v.ask(a.Server, func(s *server) failover.Event {
+			list, err := s.follow(a.Primary, a.Term)
+			return failover.FollowAnswered{Server: a.Server, Term: a.Term, Discarded: list, Err: err}
+		})
+	case failover.Announce:
+		v.announce(a.Group)
+	case failover.Record:
+		v.record(a.Entry)
+	}
+}
+
+// ask calls a server and steps the machine with the answer.
+func (v *vm) ask(id target.ID, handle func(*server) failover.Event) {
+	s := v.w.server(id)
+	v.w.call(v.node, s.node, func() func() {
+		ev := handle(s)
+		return func() { v.step(ev) }
+	}, func() {})
+}
+
+func (v *vm) probe(a failover.Probe) {
+	s := v.w.server(a.Server)
+	answered := false
+	fail := func() {
+		if !answered {
+			v.step(failover.ProbeFailed(a))
+		}
+		answered = true
+	}
+	v.w.call(v.node, s.node, func() func() {
+		st := s.status()
+		return func() {
+			answered = true
+			v.observe(a.Asked, st)
+			v.step(failover.ProbeAnswered{Server: a.Server, Asked: a.Asked, Status: st})
+		}
+	}, fail)
+	v.w.after(v.node, v.cfg.ProbeTimeout, fail)
+}
+
+func (v *vm) observe(asked clock.Time, st target.Status) {
+	if old, ok := v.reports[st.Server]; !ok || asked.After(old.asked) {
+		v.reports[st.Server] = evidence{asked: asked, status: st}
+	}
+	v.board.Observe(st.Server, st, asked, v.w.now)
+	if v.group != nil && v.group.Primary == st.Server && st.Role == target.RolePrimary {
+		v.board.ObservePrimary(groupName, st.Position(), asked)
+	}
+}
+
+// askPeers asks every other VM; each answers from its own evidence.
+func (v *vm) askPeers(a failover.AskPeers) {
+	for _, peer := range v.w.vms {
+		if peer == v {
+			continue
+		}
+		v.w.call(v.node, peer.node, func() func() {
+			e, seen := peer.reports[a.Server]
+			r := failover.PeerReport{
+				VM: peer.name, Zone: peer.zone, Server: a.Server, Asked: a.Asked,
+				Seen: seen, LastGood: peer.w.now.Sub(e.asked), Status: e.status,
+			}
+			return func() { v.step(r) }
+		}, func() {})
+	}
+}
+
+func (v *vm) announce(g view.Group) {
+	for _, peer := range v.w.vms {
+		if peer != v {
+			v.w.send(v.node, peer.node, v.w.delay(), func() { peer.step(failover.GroupLearned{Group: g}) })
+		}
+	}
+}
+
+func (v *vm) record(e failover.Entry) {
+	v.w.logf("%s %s term=%d server=%s%s", v.name, e.Step, e.Term, e.Server, discardedNote(e))
+	v.w.strike(Strike{Op: "promotion", Step: string(e.Step), Node: v.name, Server: string(e.Server)})
+}
+
+func discardedNote(e failover.Entry) string {
+	if len(e.Discarded) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" discarded=%d", len(e.Discarded))
+}
+
+func (v *vm) readLease(asked clock.Time) {
+	v.w.getFrom(v.node, leaseKey(groupName), func(o platform.Object, err error) {
+		if err == platform.ErrNotFound {
+			err = nil
+		}
+		var l leaseValue
+		if len(o.Value) > 0 {
+			mustUnmarshal(o.Value, &l)
+		}
+		v.step(failover.LeaseResult{Holder: l.Holder, Version: o.Version, Asked: asked, Err: err})
+	})
+}
+
+func (v *vm) renewLease(a failover.RenewLease) {
+	value := mustMarshal(leaseValue{Holder: a.Holder})
+	v.w.putFrom(v.node, leaseKey(groupName), value, a.ExpectVersion, func(version platform.Version, err error) {
+		v.step(failover.LeaseResult{Holder: a.Holder, Version: version, Asked: a.Asked, Err: err})
+	})
+}
+
+func (v *vm) readGroup() {
+	v.w.getFrom(v.node, groupKey(groupName), func(o platform.Object, err error) {
+		ev := failover.GroupLearned{Version: o.Version, Err: err}
+		if err == nil {
+			mustUnmarshal(o.Value, &ev.Group)
+		}
+		v.step(ev)
+	})
+}
+
+func (v *vm) putGroup(g view.Group, expect platform.Version, done func(platform.Version, error)) {
+	v.w.putFrom(v.node, groupKey(g.Name), mustMarshal(g), expect, done)
+}
+
+// watchInterval is how often a VM sees the group's object, as a watch would
+// show it.
+const watchInterval = 200 * time.Millisecond
+
+func (v *vm) watch() {
+	v.readGroup()
+	v.w.after(v.node, watchInterval, v.watch)
+}
+
+func mustMarshal(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the fakes' own values always encode
+	}
+	return b
+}
+
+func mustUnmarshal(b []byte, v any) {
+	if err := json.Unmarshal(b, v); err != nil {
+		panic(err) // the fakes' own values always decode
+	}
+}
--- /dev/null
+++ b/scenario/world.go
@@ -0,0 +1,156 @@
+package scenario
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/guard"
+)
+
+// startOfTime is where virtual time begins; the core needs times above zero.
+const startOfTime = clock.Time(time.Second)
+
+// World is one run: time, the network, and all that takes part.
+type World struct {
+	now    clock.Time
+	queue  eventQueue
+	seq    uint64
+	rng    *rand.Rand
+	nodes  map[string]*node
+	net    network
+	guards guard.Set
+	trace  strings.Builder
+
+	store   *fakeStore
+	servers []*server
+	vms     []*vm
+	callers map[string]*caller
+	history []*call
+	nextID  int
+	effects map[string]int // how often each fault changed something
+
+	// Hook is called at each named step of the core; see Trap.
+	hook func(Strike)
+}
+
+// Strike names a step of the core that was just passed.
+type Strike struct {
+	// Op is the operation, such as "write" or "promotion".
+	Op string
+	// Step is the core's own name of the transition.
+	Step string
+	// Node is the VM on which it happened.
+	Node string
+	// Server is the server that the step is about, or empty.
+	Server string
+}
+
+// New returns a world without anything in it.
+func New(seed uint64, guards guard.Set) *World {
+	w := &World{
+		now:     startOfTime,
+		rng:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		nodes:   make(map[string]*node),
+		callers: make(map[string]*caller),
+		guards:  guards,
+		effects: make(map[string]int),
+	}
+	w.net = newNetwork()
+	return w
+}
+
+// Now returns the virtual time.
+func (w *World) Now() clock.Time { return w.now }
+
+// OnStep sets the function that is told of every step of the core.
+func (w *World) OnStep(f func(Strike)) { w.hook = f }
+
+// strike tells the hook of a step.
+func (w *World) strike(s Strike) {
+	if w.hook != nil {
+		w.hook(s)
+	}
+}
+
+// logf adds a line to the trace, with the time in milliseconds from the start.
+func (w *World) logf(format string, args ...any) {
+	at := w.now.Sub(startOfTime).Milliseconds()
+	fmt.Fprintf(&w.trace, "%6dms ", at)
+	fmt.Fprintf(&w.trace, format, args...)
+	w.trace.WriteByte('\n')
+}
+
+// TakeTrace returns the trace since the last call.
+func (w *World) TakeTrace() string {
+	s := w.trace.String()
+	w.trace.Reset()
+	return s
+}
+
+// Advance lets virtual time pass.
+func (w *World) Advance(d time.Duration) {
+	end := w.now.Add(d)
+	for w.queue.Len() > 0 && !w.queue[0].at.After(end) {
+		w.step()
+	}
+	w.now = end
+}
+
+// AdvanceUntil lets time pass until done or for at most limit, and reports
+// whether it is done.
+func (w *World) AdvanceUntil(limit time.Duration, done func() bool) bool {
+	end := w.now.Add(limit)
+	for !done() {
+		if w.queue.Len() == 0 || w.queue[0].at.After(end) {
+			w.now = end
+			return done()
+		}
+		w.step()
+	}
+	return true
+}
+
+func (w *World) step() {
+	ev := heap.Pop(&w.queue).(*timedEvent)
+	w.now = max(w.now, ev.at)
+	ev.run()
+}
+
+// at schedules f.
+func (w *World) at(t clock.Time, f func()) {
+	w.seq++
+	heap.Push(&w.queue, &timedEvent{at: t, seq: w.seq, run: f})
+}
+
+type timedEvent struct {
+	at  clock.Time
+	seq uint64
+	run func()
+}
+
+// eventQueue orders events by time, and those of one time as they came.
+type eventQueue []*timedEvent
+
+func (q eventQueue) Len() int      { return len(q) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].seq < q[j].seq
+}
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(*timedEvent)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
