Keep an audit trail chained by digest in platform objects

Cause: an auditor must be able to read who changed what without trusting the proxy that wrote it, and the trail must survive races, outages and lost answers.

Ruled out: a head object that decides (two objects cannot be updated at once; here it is only a hint), and a marker that closes a segment (its size says it).

--- /dev/null
+++ b/audit/log/log_test.go
@@ -0,0 +1,198 @@
+package log
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform"
+)
+
+var at = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func act(id string) Pending {
+	return Act(id, at, "vm-1", audit.GroupPromoted, "primary lost", "ledger-0", "1", "2")
+}
+
+func open(s platform.Store) *Log { return New(s).WithPause(time.Millisecond) }
+
+func requireTrail(t *testing.T, s *platformd.Store, ids int) []audit.Entry {
+	t.Helper()
+	s.SetFaults(platformd.Faults{})
+	entries, err := open(s).All(context.Background())
+	require.NoError(t, err)
+	require.Empty(t, audit.Verify(entries))
+	require.Len(t, entries, ids)
+	return entries
+}
+
+// Eight writers append at once while half of all answers are lost and segments
+// fill up. Every act must stand in the trail once, in one unbroken chain.
+func TestRacingWritersWithLostAnswersNeitherLoseNorDouble(t *testing.T) {
+	const writers, each = 6, 25
+	ctx := context.Background()
+	s := platformd.NewStore()
+	s.SetFaults(platformd.Faults{LoseProbability: 0.5, Seed: 7})
+	var group errgroup.Group
+	for w := range writers {
+		group.Go(func() error { return appendMany(ctx, open(s), fmt.Sprint("w", w), each) })
+	}
+	require.NoError(t, group.Wait())
+	_, struck := s.Faults()
+	require.Positive(t, struck.LostAnswers)
+	requireTrail(t, s, writers*each)
+	segments, err := s.List(ctx, platform.PurposeAudit, SegmentPrefix)
+	require.NoError(t, err)
+	require.Greater(t, len(segments), 2)
+	tail, err := open(s).Tail(ctx, 100)
+	require.NoError(t, err)
+	require.Len(t, tail, 100)
+	require.EqualValues(t, writers*each, tail[99].Seq)
+}
+
+func appendMany(ctx context.Context, l *Log, name string, n int) error {
+	for i := range n {
+		a := act(fmt.Sprint(name, "-", i))
+		a.Reason = strings.Repeat("r", 600)
+		var err error
+		if a.Since, err = l.Last(ctx); err != nil {
+			return err
+		}
+		if err := l.Append(ctx, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// A command was killed after its entry was written, and another one finishes
+// its work a hundred segments' worth later. The act must not stand twice.
+func TestActIsRecognisedInAnEarlierSegment(t *testing.T) {
+	ctx := context.Background()
+	s := platformd.NewStore()
+	l := open(s)
+	first := act("publish-7")
+	first.Since = 1
+	require.NoError(t, l.Append(ctx, first))
+	var many []Pending
+	for i := range 300 {
+		a := act(fmt.Sprint("later-", i))
+		a.Reason = strings.Repeat("r", 500)
+		many = append(many, a)
+	}
+	for i := range many {
+		require.NoError(t, l.Append(ctx, many[i:i+1]...))
+	}
+	require.NoError(t, l.Append(ctx, first))
+	requireTrail(t, s, 301)
+}
+
+// A batch races with another command that recorded one act of it first. The
+// others must still be written, that one not again.
+func TestBatchKeepsWhatAnotherCommandLeft(t *testing.T) {
+	ctx := context.Background()
+	s := platformd.NewStore()
+	l := open(s)
+	require.NoError(t, l.Append(ctx, act("b")))
+	require.NoError(t, l.Append(ctx, act("a"), act("b"), act("c")))
+	entries := requireTrail(t, s, 3)
+	require.Equal(t, "c", entries[2].ID)
+}
+
+// A put is held up in the network, its writer gives up, and the put arrives
+// after others have appended. It must not cut their entries off.
+func TestLateAppendChangesNothing(t *testing.T) {
+	s := platformd.NewStore()
+	s.SetFaults(platformd.Faults{HoldRequests: 1})
+	require.NoError(t, open(s).Append(context.Background(), act("a")))
+	require.NoError(t, open(s).Append(context.Background(), act("b")))
+	s.Release()
+	requireTrail(t, s, 2)
+}
+
+// The store is down when a daemon promotes a primary. The act waits in memory,
+// the daemon says so, and it is written once when the store is back, although
+// the first answer then is lost.
+func TestOwnActsWaitOutAnOutage(t *testing.T) {
+	s := platformd.NewStore()
+	s.SetFaults(platformd.Faults{Down: true})
+	registry := prometheus.NewRegistry()
+	r, err := NewRecorder(open(s), zap.NewNop(), registry)
+	require.NoError(t, err)
+	r.pause = time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.Run(ctx, time.Second) })
+	require.NoError(t, r.Record(act("p1")))
+	require.NoError(t, r.Record(act("p2")))
+	require.Eventually(t, func() bool { _, struck := s.Faults(); return struck.Down > 2 }, time.Minute, time.Millisecond)
+	require.Equal(t, 2, r.Waiting())
+	s.SetFaults(platformd.Faults{LoseAnswers: 1})
+	require.Eventually(t, func() bool { return r.Waiting() == 0 }, time.Minute, time.Millisecond)
+	require.NoError(t, r.Record(act("p3")))
+	cancel()
+	wg.Wait()
+	requireTrail(t, s, 3)
+}
+
+// The outage lasts and the queue fills. The act is refused to its face, never
+// dropped in silence.
+func TestFullQueueRefuses(t *testing.T) {
+	r, err := NewRecorder(open(platformd.NewStore()), zap.NewNop(), nil)
+	require.NoError(t, err)
+	for i := range queueLimit {
+		require.NoError(t, r.Record(act(fmt.Sprint(i))))
+	}
+	require.ErrorIs(t, r.Record(act("one more")), ErrQueueFull)
+	require.Equal(t, queueLimit, r.Waiting())
+}
+
+// Somebody deletes a middle segment in the store. The trail must say which
+// entries are gone.
+func TestDeletedSegmentIsNamed(t *testing.T) {
+	ctx := context.Background()
+	s := platformd.NewStore()
+	l := open(s)
+	require.NoError(t, appendMany(ctx, l, "x", 200))
+	o, err := s.Get(ctx, platform.PurposeAudit, segmentKey(2))
+	require.NoError(t, err)
+	require.NoError(t, s.Delete(ctx, platform.PurposeAudit, o.Key, o.Version))
+	entries, err := l.All(ctx)
+	require.NoError(t, err)
+	faults := audit.Verify(entries)
+	require.Len(t, faults, 1)
+	require.Equal(t, audit.Dropped, faults[0].Kind)
+}
+
+// The store goes down between the lost answer and the read-back: the caller
+// must hear "may have been written", and asking again with the ID settles it.
+func TestUnansweredAppendIsUnknownAndSettledByItsID(t *testing.T) {
+	s := platformd.NewStore()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	s.SetFaults(platformd.Faults{LoseAnswers: 1})
+	err := New(outageAfterPut{s}).WithPause(time.Millisecond).Append(ctx, act("a"))
+	var unknown *UnknownError
+	require.ErrorAs(t, err, &unknown)
+	s.SetFaults(platformd.Faults{})
+	require.NoError(t, open(s).Append(context.Background(), act("a")))
+	requireTrail(t, s, 1)
+}
+
+type outageAfterPut struct{ *platformd.Store }
+
+func (o outageAfterPut) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	v, err := o.Store.Put(ctx, p, key, value, expect)
+	o.SetFaults(platformd.Faults{Down: true})
+	return v, err
+}
