--- a/daemon/command.go
+++ b/daemon/command.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/finding"
+	"endivemoor.example/endivemoor/proxy"
 	"endivemoor.example/endivemoor/settings"
 )
 
@@ -122,3 +124,16 @@
 	fmt.Println("endivemoor", Version)
 	return nil
 }
+
+const (
+	scramIterations = 4096
+	scramSaltBytes  = 16
+)
+
+func scramSecret(password string) (string, error) {
+	salt := make([]byte, scramSaltBytes)
+	if _, err := rand.Read(salt); err != nil {
+		return "", errors.Wrap(err, "salt")
+	}
+	return proxy.NewVerifier(password, string(salt), scramIterations)
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/url"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/controller"
+	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/membership"
+	"endivemoor.example/endivemoor/peer"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/target/pgtarget"
+	"endivemoor.example/endivemoor/view"
+)
+
+// controlDatabase is the database that control connections log in to.
+const controlDatabase = "postgres"
+
+func (d *daemon) buildPeers() error {
+	server, clientTLS, err := peerTLS(d.set.PeerTLS)
+	if err != nil {
+		return err
+	}
+	d.clients = peer.NewClients(clientTLS)
+	self := membership.VM{ID: d.set.VM.ID, Zone: d.set.VM.Zone, Addr: d.set.Listen.Peers}
+	rng := newRand()
+	d.exchange = controller.NewExchange(controller.ExchangeConfig{
+		Clock:    d.clk,
+		Views:    d.views,
+		Config:   d.config,
+		Clients:  d.clients,
+		Store:    d.store,
+		Log:      d.log,
+		OnGroup:  func(g *view.Group) { d.manager.OnPeerGroup(g) },
+		OnChange: d.onMembers,
+		Machine:  membership.New(membership.Config{Interval: exchangeEvery, Incarnation: d.incarnation, Seed: rng.Uint64()}, self),
+		Rand:     rng,
+	})
+	d.peers = peer.NewServer(&peerHandler{d}, server)
+	return nil
+}
+
+// onMembers takes a change of the live VMs.
+func (d *daemon) onMembers(live []membership.VM) {
+	d.log.Info("members_changed", zap.Int("live", len(live)))
+	d.views.Update(func(v *view.View) { v.FleetSize = max(1, len(live)) })
+	d.watch.update(d.set.VM.ID, live)
+}
+
+func (d *daemon) buildControl() error {
+	d.links = control.NewLinks(d.dialControl, d.clk, control.DefaultTimeout, d.onAnswer)
+	dropped := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivemoor_group_events_dropped_total",
+		Help: "Events that did not fit into a group controller's backlog.",
+	})
+	d.metrics.MustRegister(dropped)
+	d.manager = &controller.Manager{
+		Deps: controller.Deps{
+			Clock: d.clk,
+			Views: d.views,
+			Links: d.links,
+			Store: d.store,
+			Peers: d.exchange,
+			Recorder: &controller.Journal{
+				VM:          d.set.VM.ID,
+				Incarnation: d.incarnationName(),
+				Trail:       d.trail,
+				Promotions:  d.promotions,
+				Log:         d.log,
+			},
+			Log: d.log,
+		},
+		Failover: d.failoverConfig(),
+		Serve:    d.set.VM.Groups,
+		Dropped:  dropped.Inc,
+	}
+	return nil
+}
+
+func (d *daemon) failoverConfig() failover.Config {
+	cfg := failover.Default()
+	cfg.VM = d.set.VM.ID
+	cfg.Zone = d.set.VM.Zone
+	cfg.Zones = d.set.VM.Zones
+	cfg.Incarnation = d.incarnationName()
+	cfg.Heartbeat = d.set.Failover.Heartbeat
+	cfg.SuspectAfter = d.set.Failover.SuspectAfter
+	cfg.LeaseDuration = d.set.Failover.LeaseTime
+	return cfg
+}
+
+// dialControl opens the control connection to a server.
+func (d *daemon) dialControl(ctx context.Context, id target.ID, addr string) (target.Database, error) {
+	return pgtarget.Dial(ctx, id, d.connString(addr, controlDatabase))
+}
+
+// connString is the login to a server as a URL.
+func (d *daemon) connString(addr, database string) string {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		host, port = addr, ""
+	}
+	u := url.URL{
+		Scheme:   "postgres",
+		User:     url.UserPassword(d.set.Targets.User, d.set.Targets.Password),
+		Host:     net.JoinHostPort(host, port),
+		Path:     "/" + database,
+		RawQuery: "sslmode=disable",
+	}
+	return u.String()
+}
+
+// onAnswer shares what every control call showed.
+func (d *daemon) onAnswer(id target.ID, a control.Answer, err error) {
+	d.evidence.Add(id, a, err)
+	if err != nil {
+		return
+	}
+	d.board.Observe(id, a.Status, a.Asked, a.Answered)
+	if a.Status.Role != target.RolePrimary {
+		return
+	}
+	for name, g := range d.views.Load().Groups {
+		if g.Primary == id && g.Term == a.Status.Term {
+			d.board.ObservePrimary(name, a.Status.Position(), a.Asked)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"endivemoor.example/endivemoor/membership"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/view"
+)
+
+// status is what GET /status shows.
+type status struct {
+	VM          string                 `json:"vm"`
+	Zone        string                 `json:"zone"`
+	Incarnation string                 `json:"incarnation"`
+	Version     string                 `json:"version"`
+	Ready       bool                   `json:"ready"`
+	Reason      string                 `json:"reason,omitempty"`
+	Generation  uint64                 `json:"generation"`
+	Digest      string                 `json:"digest"`
+	Sessions    int                    `json:"sessions"`
+	Watches     bool                   `json:"watches_store"`
+	AuditWaits  int                    `json:"audit_waiting"`
+	Live        []membership.VM        `json:"live"`
+	Groups      map[string]*view.Group `json:"groups"`
+	Draining    map[target.ID]bool     `json:"draining"`
+}
+
+func (d *daemon) status() status {
+	ready, reason := d.ready()
+	current := d.config.Current()
+	v := d.views.Load()
+	return status{
+		VM:          d.set.VM.ID,
+		Zone:        d.set.VM.Zone,
+		Incarnation: d.incarnationName(),
+		Version:     Version,
+		Ready:       ready,
+		Reason:      reason,
+		Generation:  uint64(current.Generation),
+		Digest:      current.Digest,
+		Sessions:    d.callers.Sessions(),
+		Watches:     d.watch.active.Load(),
+		AuditWaits:  d.trail.Waiting(),
+		Live:        d.exchange.Live(),
+		Groups:      v.Groups,
+		Draining:    v.Draining,
+	}
+}
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -10,26 +10,6 @@
 	"endivemoor.example/endivemoor/settings"
 )
 
-// callerTLS returns the configuration shown to callers, or nil when no key
-// files are set. The files are read again for each handshake, so that a new
-// certificate needs no restart.
-func callerTLS(k settings.KeyFiles) (*tls.Config, error) {
-	if k.Cert == "" {
-		return nil, nil
-	}
-	if _, err := tls.LoadX509KeyPair(k.Cert, k.Key); err != nil {
-		return nil, errors.Wrap(err, "callers' key files")
-	}
-	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: reload(k)}, nil
-}
-
-func reload(k settings.KeyFiles) func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-	return func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-		cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
-		return &cert, err
-	}
-}
-
 // peerTLS returns the configurations with which this daemon serves and asks
 // its peers, or nil when no key files are set. Both ends need a certificate of
 // the fleet's authority: a stranger cannot announce a primary.
