--- /dev/null
+++ b/filter/execute.go
@@ -0,0 +1,57 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/pool"
+	"endivemoor.example/endivemoor/request"
+)
+
+// connectRetry is the least advice when no connection can be had.
+const connectRetry = 250 * time.Millisecond
+
+// Executor owns a connection for the time of the transaction. It is the last
+// filter of the chain.
+type Executor struct{ Pool Connections }
+
+// Handle runs the request's protocol work and gives the connection back. The
+// pool takes it only if it is proven clean.
+func (e Executor) Handle(ctx context.Context, r *Request, _ Handler) *Failure {
+	lease, fail := e.connect(ctx, r)
+	if fail != nil {
+		return fail
+	}
+	r.Machine.Pass(request.StepConnected)
+	defer lease.Release()
+	return r.Work.Run(ctx, r, lease)
+}
+
+func (e Executor) connect(ctx context.Context, r *Request) (*pool.Lease, *Failure) {
+	bounded, cancel := r.Bounded(ctx)
+	defer cancel()
+	lease, err := e.Pool.Acquire(bounded, r.Server, r.View.FleetSize)
+	switch {
+	case err == nil:
+		return lease, nil
+	case ctx.Err() != nil:
+		return nil, canceled()
+	}
+	return nil, connectFailure(r, err)
+}
+
+func connectFailure(r *Request, err error) *Failure {
+	f := &Failure{Cause: request.FailureConnect, Wait: connectRetry}
+	var gone *pool.UnavailableError
+	switch {
+	case errors.As(err, &gone):
+		f.Wait = max(gone.RetryAfter, time.Millisecond)
+	case errors.Is(err, context.DeadlineExceeded):
+		f.Cause = request.FailureDeadline
+	}
+	f.Err = outcome.Refuse(outcome.CodeTooManyConnections, max(f.Wait, connectRetry),
+		"no connection to a server of group %q: %v", r.Group.Name, err)
+	return f
+}
