--- a/filter/retry.go
+++ b/filter/retry.go
@@ -114,7 +114,7 @@
 // final turns the failure into the caller's answer. The outcome is the
 // machine's word, never that of the last attempt alone.
 func (f Retrier) final(r *Request, fail *Failure, v request.Verdict) *Failure {
-	if v.Outcome == outcome.Unknown && fail.Err.Outcome != outcome.Unknown {
+	if v.Outcome == outcome.Unknown && fail.Err.Outcome == outcome.NotRun {
 		fail.Err = outcome.Lost(max(fail.Err.RetryAfter, askAgainAfter), "the request may have run: %s", fail.Err.Message)
 	}
 	if v.Outcome == outcome.NotRun && fail.Err.Outcome == outcome.Unknown {
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -19,7 +20,8 @@
 	status byte
 	// pending counts the ReadyForQuery answers still to come.
 	pending int
-	failed  bool
+	// failed is set by a read or write that failed; both may run at once.
+	failed atomic.Bool
 }
 
 // Server returns the server that the connection leads to.
@@ -52,7 +54,9 @@
 		return ErrNotOwner
 	}
 	err := l.conn.raw.Frontend.Flush()
-	l.failed = l.failed || err != nil
+	if err != nil {
+		l.failed.Store(true)
+	}
 	return err
 }
 
@@ -63,7 +67,7 @@
 	}
 	m, err := l.conn.raw.Frontend.Receive()
 	if err != nil {
-		l.failed = true
+		l.failed.Store(true)
 		return nil, err
 	}
 	if r, ok := m.(*pgproto3.ReadyForQuery); ok {
@@ -94,7 +98,7 @@
 	if !l.conn.owner.CompareAndSwap(l.token, 0) {
 		return
 	}
-	if l.failed || l.pending != 0 || l.status != txIdle {
+	if l.failed.Load() || l.pending != 0 || l.status != txIdle {
 		l.pool.drop(l.conn)
 		return
 	}
@@ -108,3 +112,17 @@
 		l.pool.drop(l.conn)
 	}
 }
+
+// Abandon closes the connection and asks the target to stop what still runs on
+// it, so that a request nobody waits for does not keep a slot there.
+func (l *Lease) Abandon(timeout time.Duration) {
+	if !l.conn.owner.CompareAndSwap(l.token, 0) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_ = l.conn.cancel(ctx)
+		l.pool.drop(l.conn)
+	}()
+}
--- /dev/null
+++ b/proxy/config.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/xdg-go/scram"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/filter"
+	"endivemoor.example/endivemoor/retry"
+	"endivemoor.example/endivemoor/session"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/view"
+)
+
+// Acknowledger proves that commits and positions were not superseded.
+type Acknowledger = filter.Gate
+
+// Board takes what requests themselves show of a server.
+type Board interface {
+	Begin(id target.ID, now clock.Time)
+	End(id target.ID, now clock.Time, latency time.Duration, failed bool)
+}
+
+// Tokens signs and verifies session tokens.
+type Tokens interface {
+	Issue(user string, m session.Marks, now time.Time) (string, error)
+	Verify(token, user string, now time.Time) (session.Marks, error)
+}
+
+// Users looks up SCRAM credentials.
+type Users interface {
+	// Lookup returns false for an unknown user.
+	Lookup(user string) (scram.StoredCredentials, bool)
+}
+
+// RemoteCancel forwards a cancel request for a session of another proxy. It
+// returns once the request was handed over.
+type RemoteCancel func(ctx context.Context, pid uint32, secret []byte)
+
+// Config sets a Server. View, Router, Board, Limiter, Pool, Tokens, Users, Ack,
+// Clock and Log are required.
+type Config struct {
+	View    *view.Holder
+	Router  filter.Chooser
+	Board   Board
+	Limiter filter.Admission
+	Pool    filter.Connections
+	Tokens  Tokens
+	Users   Users
+	// TLS is nil if callers connect in plain text.
+	TLS   *tls.Config
+	Ack   Acknowledger
+	Clock clock.Clock
+	Log   *zap.Logger
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
+	// Recorder may be nil.
+	Recorder filter.Sink
+	// Zone is this VM's availability zone.
+	Zone string
+	// Node is this VM's part of the process ids given to callers, so that a
+	// cancel request that comes in elsewhere can be forwarded.
+	Node uint16
+	// RemoteCancel may be nil.
+	RemoteCancel RemoteCancel
+	// Retry sets the groups' retry budgets.
+	Retry retry.Config
+	// Seed starts the jitter of retries.
+	Seed   uint64
+	Limits Limits
+}
+
+// Limits bound what one caller may take. Zero fields get the defaults.
+type Limits struct {
+	// MaxSessions bounds the connections, also those not yet logged in.
+	MaxSessions int
+	// MaxMessage bounds one message, in bytes.
+	MaxMessage int
+	// MaxBatch bounds the messages up to Sync or Flush, in bytes.
+	MaxBatch int
+	// Startup bounds the time from connect to login.
+	Startup time.Duration
+	// Message bounds the time from a message's first bytes to its end, and the
+	// time that a caller takes to read an answer.
+	Message time.Duration
+	// IdleInTransaction bounds the time that an open transaction may wait for
+	// its caller while it holds a connection.
+	IdleInTransaction time.Duration
+	// AnswerBuffer is the size up to which an answer is kept whole, in bytes.
+	AnswerBuffer int
+	// MaxHeld bounds the part of an answer that must wait for the gate.
+	MaxHeld int
+}
+
+// Defaults of Limits.
+const (
+	DefaultMaxSessions       = 10000
+	DefaultMaxMessage        = 1 << 20
+	DefaultMaxBatch          = 4 << 20
+	DefaultStartup           = 10 * time.Second
+	DefaultMessage           = 30 * time.Second
+	DefaultIdleInTransaction = 10 * time.Second
+	DefaultAnswerBuffer      = 256 << 10
+	DefaultMaxHeld           = 16 << 20
+)
+
+func orDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func (l Limits) withDefaults() Limits {
+	orDefault(&l.MaxSessions, DefaultMaxSessions)
+	orDefault(&l.MaxMessage, DefaultMaxMessage)
+	orDefault(&l.MaxBatch, DefaultMaxBatch)
+	orDefault(&l.Startup, DefaultStartup)
+	orDefault(&l.Message, DefaultMessage)
+	orDefault(&l.IdleInTransaction, DefaultIdleInTransaction)
+	orDefault(&l.AnswerBuffer, DefaultAnswerBuffer)
+	orDefault(&l.MaxHeld, DefaultMaxHeld)
+	return l
+}
--- /dev/null
+++ b/proxy/errors.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"endivemoor.example/endivemoor/outcome"
+)
+
+// Codes that only this package answers with.
+const (
+	codeNotSupported       outcome.SQLSTATE = "0A000"
+	codeIdleInTransaction  outcome.SQLSTATE = "25P03"
+	codeReadOnlySession    outcome.SQLSTATE = "25006"
+	codeObjectNotInState   outcome.SQLSTATE = "55000"
+	codeUniqueViolation    outcome.SQLSTATE = "23505"
+	severityError                           = "ERROR"
+	severityFatal                           = "FATAL"
+	severityWarning                         = "WARNING"
+	codeWarning                             = "01000"
+	messageProtocolTimeout                  = "message was not completed in time"
+)
+
+// errCallerGone says that the caller closed its connection.
+var errCallerGone = errors.New("caller is gone")
+
+// refuse is a "not run" answer without advice to come back.
+func refuse(code outcome.SQLSTATE, message string) *outcome.Error {
+	return &outcome.Error{Outcome: outcome.NotRun, Code: code, Message: message}
+}
+
+// readRefusal turns a failed read from the caller into the answer to it.
+func readRefusal(err error) *outcome.Error {
+	var tooLong *pgproto3.ExceededMaxBodyLenErr
+	switch {
+	case errors.As(err, &tooLong):
+		return refuse(outcome.CodeProgramLimit,
+			fmt.Sprintf("message of %d bytes exceeds the limit of %d", tooLong.ActualBodyLen, tooLong.MaxExpectedBodyLen))
+	case isTimeout(err):
+		return refuse(outcome.CodeProtocolViolation, messageProtocolTimeout)
+	default:
+		return refuse(outcome.CodeProtocolViolation, "malformed message: "+err.Error())
+	}
+}
+
+// isGone reports whether a read failed because the caller left.
+func isGone(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || isReset(err)
+}
+
+func isReset(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && !op.Timeout()
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// response is the wire form of an error of the proxy's own.
+func response(severity string, e *outcome.Error) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                string(e.Code),
+		Message:             e.Message,
+		Detail:              e.Detail(),
+	}
+}
+
+func warning(message string) *pgproto3.NoticeResponse {
+	return &pgproto3.NoticeResponse{
+		Severity:            severityWarning,
+		SeverityUnlocalized: severityWarning,
+		Code:                codeWarning,
+		Message:             message,
+	}
+}
--- /dev/null
+++ b/proxy/exchange.go
@@ -0,0 +1,263 @@
+package proxy
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/pool"
+)
+
+const (
+	txIdle   = 'I'
+	txOpen   = 'T'
+	txFailed = 'E'
+)
+
+// show says what the caller sees of the answer to a step.
+type show uint8
+
+const (
+	// showAll forwards everything but ReadyForQuery.
+	showAll show = iota
+	// showRows forwards what a simple query would answer.
+	showRows
+	// showNone forwards nothing but errors.
+	showNone
+	// showNever hides errors, too: the step is the proxy's own affair.
+	showNever
+)
+
+// step is one message to the target with what to do with its answer.
+type step struct {
+	msg  pgproto3.FrontendMessage
+	show show
+	// on sees every message of the answer, valid during the call.
+	on func(m pgproto3.BackendMessage)
+}
+
+// exchange sends steps to a target and goes through their answers in order.
+// The protocol answers each message by known ones, and after an error nothing
+// but the ReadyForQuery of the next Sync; so every answer is matched to its
+// step, and a stray one is an error instead of somebody's row.
+type exchange struct {
+	lease *pool.Lease
+	steps []step
+	size  int
+	put   func(m pgproto3.BackendMessage) error
+
+	// at is the step whose answer is read.
+	at int
+	// failedAt is the first step that was answered by an error, or -1.
+	failedAt int
+	failure  *pgproto3.ErrorResponse
+	// tags are the command tags of visible steps.
+	tags []string
+	// status is the transaction status after the last visible Sync or Query.
+	status   byte
+	skipping bool
+}
+
+var (
+	errStray = errors.New("target sent an answer that nothing asked for")
+	errCopy  = errors.New("target began a COPY")
+)
+
+func newExchange(l *pool.Lease, put func(pgproto3.BackendMessage) error) *exchange {
+	return &exchange{lease: l, put: put, failedAt: -1}
+}
+
+func (x *exchange) add(s step) { x.steps = append(x.steps, s) }
+
+// writeAside is the size from which a batch is written while its answers are
+// read. Otherwise both sides could wait for the other to read.
+const writeAside = 32 << 10
+
+// run sends all steps and reads all answers.
+func (x *exchange) run() error {
+	for i := range x.steps {
+		if err := x.lease.Send(x.steps[i].msg); err != nil {
+			return err
+		}
+	}
+	if x.size < writeAside {
+		if err := x.lease.Flush(); err != nil {
+			return err
+		}
+		return x.readAll()
+	}
+	return x.readBeside()
+}
+
+func (x *exchange) readBeside() error {
+	written := make(chan error, 1)
+	go func() { written <- x.lease.Flush() }()
+	err := x.readAll()
+	if err != nil {
+		// The writer ends with the connection or at the deadline.
+		x.lease.Discard()
+	}
+	werr := <-written
+	if err == nil {
+		err = werr
+	}
+	return err
+}
+
+func (x *exchange) readAll() error {
+	x.passSilent()
+	for x.at < len(x.steps) {
+		m, err := x.lease.Receive()
+		if err != nil {
+			return err
+		}
+		if err := x.take(m); err != nil {
+			return err
+		}
+		x.passSilent()
+	}
+	return nil
+}
+
+// passSilent moves over steps that get no answer: Flush, and after an error
+// everything up to the next Sync.
+func (x *exchange) passSilent() {
+	for x.at < len(x.steps) {
+		_, isFlush := x.steps[x.at].msg.(*pgproto3.Flush)
+		if !isFlush && !(x.skipping && !endsBatch(x.steps[x.at].msg)) {
+			return
+		}
+		x.at++
+	}
+}
+
+func endsBatch(m pgproto3.FrontendMessage) bool {
+	_, ok := m.(*pgproto3.Sync)
+	return ok
+}
+
+func (x *exchange) take(m pgproto3.BackendMessage) error {
+	st := &x.steps[x.at]
+	switch m := m.(type) {
+	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+		return nil
+	case *pgproto3.NoticeResponse:
+		return x.forward(st, m, st.show <= showRows)
+	case *pgproto3.ErrorResponse:
+		return x.takeError(st, m)
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		return errCopy
+	case *pgproto3.ReadyForQuery:
+		return x.takeReady(st, m)
+	}
+	if !answers(st.msg, m) {
+		return errStray
+	}
+	if c, ok := m.(*pgproto3.CommandComplete); ok && st.show <= showRows {
+		x.tags = append(x.tags, string(c.CommandTag))
+	}
+	if err := x.forward(st, m, visible(st.show, m)); err != nil {
+		return err
+	}
+	if completes(st.msg, m) {
+		x.at++
+	}
+	return nil
+}
+
+func (x *exchange) forward(st *step, m pgproto3.BackendMessage, seen bool) error {
+	if st.on != nil {
+		st.on(m)
+	}
+	if !seen {
+		return nil
+	}
+	return x.put(m)
+}
+
+func (x *exchange) takeError(st *step, m *pgproto3.ErrorResponse) error {
+	if m.Severity == severityFatal || m.SeverityUnlocalized == severityFatal {
+		return errors.Errorf("target ended the connection: %s (%s)", m.Message, m.Code)
+	}
+	if x.failedAt < 0 && st.show != showNever {
+		failure := *m
+		x.failedAt, x.failure = x.at, &failure
+	}
+	if _, simple := st.msg.(*pgproto3.Query); !simple && !endsBatch(st.msg) {
+		x.skipping = true
+	}
+	return x.forward(st, m, st.show != showNever)
+}
+
+func (x *exchange) takeReady(st *step, m *pgproto3.ReadyForQuery) error {
+	switch st.msg.(type) {
+	case *pgproto3.Sync, *pgproto3.Query:
+	default:
+		return errStray
+	}
+	if st.show != showNever {
+		x.status = m.TxStatus
+	}
+	if st.on != nil {
+		st.on(m)
+	}
+	x.skipping = false
+	x.at++
+	return nil
+}
+
+// answers reports whether m may be part of the answer to sent.
+func answers(sent pgproto3.FrontendMessage, m pgproto3.BackendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.ParseComplete:
+		_, ok := sent.(*pgproto3.Parse)
+		return ok
+	case *pgproto3.BindComplete:
+		_, ok := sent.(*pgproto3.Bind)
+		return ok
+	case *pgproto3.CloseComplete:
+		_, ok := sent.(*pgproto3.Close)
+		return ok
+	case *pgproto3.ParameterDescription, *pgproto3.NoData:
+		_, ok := sent.(*pgproto3.Describe)
+		return ok
+	case *pgproto3.RowDescription:
+		return isQuery(sent) || isDescribe(sent)
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return isQuery(sent) || isExecute(sent)
+	case *pgproto3.PortalSuspended:
+		return isExecute(sent)
+	}
+	return false
+}
+
+func isQuery(m pgproto3.FrontendMessage) bool    { _, ok := m.(*pgproto3.Query); return ok }
+func isExecute(m pgproto3.FrontendMessage) bool  { _, ok := m.(*pgproto3.Execute); return ok }
+func isDescribe(m pgproto3.FrontendMessage) bool { _, ok := m.(*pgproto3.Describe); return ok }
+
+// completes reports whether m is the last answer to sent.
+func completes(sent pgproto3.FrontendMessage, m pgproto3.BackendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete,
+		*pgproto3.NoData, *pgproto3.PortalSuspended:
+		return true
+	case *pgproto3.RowDescription:
+		return isDescribe(sent)
+	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return isExecute(sent)
+	}
+	return false
+}
+
+// visible reports whether the caller sees m.
+func visible(s show, m pgproto3.BackendMessage) bool {
+	switch s {
+	case showAll:
+		return true
+	case showRows:
+		switch m.(type) {
+		case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/proxy/plan.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"endivemoor.example/endivemoor/filter"
+	"endivemoor.example/endivemoor/outcome"
+)
+
+// plan turns the caller's messages into steps. Statements that were prepared
+// on another connection are prepared here first, under the caller's own names:
+// the reset between owners forgets them.
+func (u *unit) plan(x *exchange) {
+	x.size = u.chunk.size
+	planned := map[string]bool{}
+	for _, m := range u.chunk.msgs {
+		if u.skipping {
+			break
+		}
+		u.ensure(x, m, planned)
+		x.add(u.stepFor(m, planned))
+	}
+	u.end(x)
+}
+
+// ensure adds a Parse for the statement that m refers to, if this connection
+// does not have it. A Parse that gives a taken name to another statement is
+// sent after the first, so that the target refuses it as it should.
+func (u *unit) ensure(x *exchange, m pgproto3.FrontendMessage, planned map[string]bool) {
+	name, refers := refersTo(m)
+	if !refers || u.prepared[name] || planned[name] {
+		return
+	}
+	st := u.s.stmts[name]
+	if st == nil {
+		return
+	}
+	planned[name] = true
+	x.add(step{msg: st, show: showNone, on: u.noteParsed(name)})
+}
+
+func refersTo(m pgproto3.FrontendMessage) (string, bool) {
+	switch m := m.(type) {
+	case *pgproto3.Bind:
+		return m.PreparedStatement, true
+	case *pgproto3.Describe:
+		return m.Name, m.ObjectType == 'S'
+	case *pgproto3.Parse:
+		return m.Name, m.Name != ""
+	}
+	return "", false
+}
+
+func (u *unit) noteParsed(name string) func(pgproto3.BackendMessage) {
+	return func(m pgproto3.BackendMessage) {
+		if _, ok := m.(*pgproto3.ParseComplete); ok {
+			u.prepared[name] = true
+		}
+	}
+}
+
+// stepFor returns the step for a message of the caller's, and keeps the book
+// on its prepared statements as the target confirms them.
+func (u *unit) stepFor(m pgproto3.FrontendMessage, planned map[string]bool) step {
+	st := step{msg: m}
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		planned[m.Name] = true
+		st.on = u.keepParse(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			planned[m.Name] = false
+			st.on = u.dropParse(m.Name)
+		}
+	}
+	return st
+}
+
+func (u *unit) keepParse(p *pgproto3.Parse) func(pgproto3.BackendMessage) {
+	return func(m pgproto3.BackendMessage) {
+		if _, ok := m.(*pgproto3.ParseComplete); ok {
+			u.prepared[p.Name] = true
+			u.s.stmts[p.Name] = p
+		}
+	}
+}
+
+func (u *unit) dropParse(name string) func(pgproto3.BackendMessage) {
+	return func(m pgproto3.BackendMessage) {
+		if _, ok := m.(*pgproto3.CloseComplete); ok {
+			delete(u.prepared, name)
+			delete(u.s.stmts, name)
+		}
+	}
+}
+
+// end closes the batch, and asks for the position along with it if the chunk
+// is likely to commit.
+func (u *unit) end(x *exchange) {
+	u.status = statusReader{}
+	switch u.chunk.end {
+	case endFlush:
+		x.add(step{msg: &pgproto3.Flush{}})
+		return
+	case endSync:
+		x.add(step{msg: &pgproto3.Sync{}})
+	}
+	if u.likelyCommits() {
+		x.add(u.status.step())
+	}
+}
+
+// likelyCommits guesses. A wrong guess costs a round trip or a needless
+// question, never the order of things: learn and conclude go by what the
+// target reports.
+func (u *unit) likelyCommits() bool {
+	if !u.r.OnPrimary() || u.r.IsRead() || !u.r.Executes {
+		return false
+	}
+	texts := u.s.texts(u.chunk)
+	if len(texts) == 0 {
+		return false
+	}
+	if u.open {
+		return endsTransaction(texts[len(texts)-1])
+	}
+	return !u.r.Explicit
+}
+
+// newRequest describes the chunk for the filter chain.
+func (s *caller) newRequest(w *work) (*filter.Request, *outcome.Error) {
+	texts := s.texts(w.chunk)
+	tags, oerr := readTags(texts)
+	if oerr != nil {
+		return nil, oerr
+	}
+	r := &filter.Request{
+		ID:       s.srv.request.Add(1),
+		Session:  &s.state,
+		Clock:    s.srv.cfg.Clock,
+		Start:    s.srv.cfg.Clock.Now(),
+		Tags:     tags,
+		Executes: w.chunk.executes(),
+		Work:     w,
+	}
+	r.Explicit = r.Executes && len(texts) > 0 && opensTransaction(texts[0])
+	if r.Executes && !s.pending.IsZero() {
+		r.Tags = append(r.Tags, s.pending)
+		s.pending = filter.Tag{}
+	}
+	r.Load(s.srv.cfg.View)
+	return r, nil
+}
--- /dev/null
+++ b/proxy/reply.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/filter"
+	"endivemoor.example/endivemoor/outcome"
+)
+
+// handle runs one request and reports whether the session goes on.
+func (s *caller) handle(c *chunk) bool {
+	w := &work{s: s, chunk: c, current: c}
+	r, err := s.newRequest(w)
+	if err != nil {
+		return s.refuseChunk(c, err)
+	}
+	ctx, stop := s.begin()
+	fail := s.srv.chain(ctx, r)
+	stop()
+	if fail == nil {
+		return s.reply()
+	}
+	return s.replyFailure(w, fail)
+}
+
+// reply sends the whole answer. The token goes first: a caller that has seen
+// ReadyForQuery has the token of its write.
+func (s *caller) reply() bool {
+	ready := &pgproto3.ReadyForQuery{TxStatus: txIdle}
+	if !s.state.Dirty {
+		return s.release(ready)
+	}
+	s.state.Dirty = false
+	return s.release(&pgproto3.ParameterStatus{Name: paramToken, Value: s.token()}, ready)
+}
+
+// token issues the session's token. If that fails the caller gets an empty one
+// in place of the old: without a token its next session asks the primary, while
+// the old one would let it read from before its write.
+func (s *caller) token() string {
+	token, err := s.srv.cfg.Tokens.Issue(s.state.User, s.state.Marks, time.Now())
+	if err != nil {
+		s.srv.cfg.Log.Warn("session_token_failed", zap.String("user", s.state.User), zap.Error(err))
+		return ""
+	}
+	return token
+}
+
+// forward sends the answer to a chunk within an open transaction or batch.
+func (u *unit) forward(status byte) bool {
+	s := u.s
+	if status == 0 {
+		s.answer.held = -1
+		return s.stream() == nil
+	}
+	ok := s.release(&pgproto3.ReadyForQuery{TxStatus: status})
+	s.answer.reset()
+	return ok
+}
+
+// replyFailure sends the final answer of a request without a whole one. What
+// was kept of an answer is dropped.
+func (s *caller) replyFailure(w *work, f *filter.Failure) bool {
+	if f.Gone {
+		return false
+	}
+	if f.Fatal {
+		s.fatal(f.Err)
+		return false
+	}
+	return s.refuseChunk(w.current, f.Err)
+}
+
+// refuseChunk answers a chunk by an error. After a Flush the rest of the batch
+// is still to come.
+func (s *caller) refuseChunk(c *chunk, e *outcome.Error) bool {
+	s.be.Send(response(severityError, e))
+	if c.end == endFlush {
+		s.skipping = true
+		return s.flush()
+	}
+	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+	return s.flush()
+}
--- /dev/null
+++ b/proxy/startup.go
@@ -0,0 +1,190 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/session"
+)
+
+const (
+	// maxStartupMessage bounds messages before the login, in bytes.
+	maxStartupMessage = 8 << 10
+	// maxNegotiations bounds the SSL and GSS requests of one connection.
+	maxNegotiations = 3
+
+	paramUser        = "user"
+	paramDatabase    = "database"
+	paramProfile     = "endivemoor.profile"
+	paramToken       = "endivemoor.session"
+	paramReplication = "replication"
+)
+
+// parameters are reported at login. They do not change: session settings end
+// with each transaction.
+var parameters = map[string]string{
+	"server_version":              "16.0 (endivemoor)",
+	"server_encoding":             "UTF8",
+	"client_encoding":             "UTF8",
+	"DateStyle":                   "ISO, MDY",
+	"IntervalStyle":               "postgres",
+	"TimeZone":                    "UTC",
+	"integer_datetimes":           "on",
+	"standard_conforming_strings": "on",
+}
+
+// login takes the caller from the first byte to the first ReadyForQuery, within
+// the startup time, and reports whether it is served.
+func (s *caller) login() bool {
+	_ = s.raw.SetDeadline(time.Now().Add(s.srv.cfg.Limits.Startup))
+	start, oerr := s.negotiate()
+	if start == nil && oerr == nil {
+		return false
+	}
+	if oerr == nil {
+		oerr = s.admit(start)
+	}
+	if oerr != nil {
+		s.srv.metrics.refusedStartup(oerr.Code)
+		s.fatal(oerr)
+		return false
+	}
+	return s.welcome()
+}
+
+// negotiate reads up to the startup message. Both results are nil if the
+// connection served its purpose or the caller left.
+func (s *caller) negotiate() (*pgproto3.StartupMessage, *outcome.Error) {
+	for range maxNegotiations {
+		m, err := s.first()
+		if err != nil {
+			return nil, startupRefusal(err)
+		}
+		switch m := m.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			s.srv.cancelRequest(m)
+			return nil, nil
+		case *pgproto3.SSLRequest:
+			if err := s.startTLS(); err != nil {
+				return nil, nil
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := s.raw.Write([]byte{'N'}); err != nil {
+				return nil, nil
+			}
+		}
+	}
+	return nil, refuse(outcome.CodeProtocolViolation, "too many encryption requests")
+}
+
+func (s *caller) first() (pgproto3.FrontendMessage, error) {
+	s.in.fresh = true
+	return s.be.ReceiveStartupMessage()
+}
+
+// startupRefusal answers garbage; a caller that left gets no answer. A health
+// check by the balancer connects and leaves, too.
+func startupRefusal(err error) *outcome.Error {
+	if isGone(err) {
+		return nil
+	}
+	return readRefusal(err)
+}
+
+// startTLS answers an SSL request. Bytes that came before the handshake are
+// refused: they would be taken for encrypted ones (CVE-2021-23214).
+func (s *caller) startTLS() error {
+	if _, secured := s.raw.(*tls.Conn); s.srv.cfg.TLS == nil || secured {
+		_, err := s.raw.Write([]byte{'N'})
+		return err
+	}
+	if _, err := s.raw.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	conn := tls.Server(s.raw, s.srv.cfg.TLS)
+	if err := conn.HandshakeContext(context.Background()); err != nil {
+		s.srv.cfg.Log.Info("tls_handshake_failed", zap.Error(err))
+		return err
+	}
+	s.attach(conn)
+	return nil
+}
+
+// admit checks who the caller is, and only then what it asks for: a stranger
+// learns nothing of groups and profiles.
+func (s *caller) admit(m *pgproto3.StartupMessage) *outcome.Error {
+	params := maps.Clone(m.Parameters)
+	user := params[paramUser]
+	if user == "" {
+		return refuse(outcome.CodeInvalidAuthorization, "no user name was given")
+	}
+	s.state.User = user
+	if oerr := s.authenticate(user); oerr != nil {
+		return oerr
+	}
+	if oerr := s.choose(params); oerr != nil {
+		return oerr
+	}
+	return s.restore(params[paramToken])
+}
+
+// choose finds the group and the profile that the caller names.
+func (s *caller) choose(params map[string]string) *outcome.Error {
+	if params[paramReplication] != "" {
+		return refuse(codeNotSupported, "replication connections are not supported")
+	}
+	v := s.srv.cfg.View.Load()
+	name := params[paramDatabase]
+	if name == "" {
+		name = s.state.User
+	}
+	if v.Groups[name] == nil {
+		return refuse(outcome.CodeUndefinedDatabase, "database group \""+name+"\" does not exist")
+	}
+	p := v.Profiles.Profile(params[paramProfile])
+	if p == nil {
+		return refuse(outcome.CodeInvalidParameter, "profile \""+params[paramProfile]+"\" is not published: set "+paramProfile)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.ID = uint64(s.pid)
+	s.state.Group = name
+	s.state.Profile = p
+	return nil
+}
+
+// restore takes the watermark from the caller's token.
+func (s *caller) restore(token string) *outcome.Error {
+	s.state.Marks = session.Marks{}
+	if token == "" {
+		return nil
+	}
+	marks, err := s.srv.cfg.Tokens.Verify(token, s.state.User, time.Now())
+	if err != nil {
+		return refuse(outcome.CodeInvalidParameter, paramToken+": "+err.Error())
+	}
+	s.state.Marks = marks
+	return nil
+}
+
+func (s *caller) welcome() bool {
+	for _, name := range slices.Sorted(maps.Keys(parameters)) {
+		s.be.Send(&pgproto3.ParameterStatus{Name: name, Value: parameters[name]})
+	}
+	s.be.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+	if s.be.Flush() != nil {
+		return false
+	}
+	s.be.SetMaxBodyLen(s.srv.cfg.Limits.MaxMessage)
+	return s.raw.SetDeadline(time.Time{}) == nil
+}
--- a/request/failure.go
+++ b/request/failure.go
@@ -7,7 +7,7 @@
 const (
 	// FailureDeadline means that the caller's time ran out.
 	FailureDeadline Failure = iota
-	// FailureNoServer means that no server qualifies now.
+	// FailureNoServer means that no server will qualify before the deadline.
 	FailureNoServer
 	// FailureShed means that admission refused the request.
 	FailureShed
@@ -42,7 +42,11 @@
 
 // final failures are never cured by another attempt.
 func (f Failure) final() bool {
-	return f == FailureDeadline || f == FailureShed || f == FailureCanceled
+	switch f {
+	case FailureDeadline, FailureNoServer, FailureShed, FailureCanceled:
+		return true
+	}
+	return false
 }
 
 // provesNotRun failures come from the target's own refusal.
