Publish profiles by one conditional update, reviewed by somebody else

Cause: a change of profiles must be accepted at one point in time, by a rule that nobody can pass alone, and leave its audit entry also when the command is killed in between.

Change: package publication is the pure state machine and Accept, by which daemons never go back; publication/store drives it. profiles/current holds text, generation and audit act of the record in force, so one update decides. The act goes to the trail afterwards; the archive profiles/sets/<generation> is written last and says that all is settled; every command begins by settling what another left.

Ruled out: deciding by the archive object (current would lag behind it after a kill), and clearing the act from profiles/current (a second wake of every watcher for each publish).

--- a/profile/inifile/parse.go
+++ b/profile/inifile/parse.go
@@ -1,8 +1,6 @@
 package inifile
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"regexp"
 	"strings"
@@ -16,19 +14,13 @@
 // name is what profiles and kinds may be called; a dot separates the two.
 var name = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
-// Digest is the hex SHA-256 of a set's text.
-func Digest(text []byte) string {
-	sum := sha256.Sum256(text)
-	return hex.EncodeToString(sum[:])
-}
-
 // Parse checks the text and returns its profiles, without a generation. The
 // set is nil if any finding is an Error; the findings may hold warnings beside
 // a set. The file name is used in findings only.
 func Parse(file string, text []byte) (*profile.Set, finding.Findings) {
 	p := &parser{
 		doc:    inidoc.Load(file, text),
-		set:    &profile.Set{Profiles: map[string]*profile.Profile{}, Digest: Digest(text)},
+		set:    &profile.Set{Profiles: map[string]*profile.Profile{}, Digest: profile.Digest(text)},
 		maxAge: map[string]time.Duration{},
 	}
 	p.profiles()
--- /dev/null
+++ b/publication/draft.go
@@ -0,0 +1,167 @@
+package publication
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/finding"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/diff"
+)
+
+// State is how far a draft has come.
+type State string
+
+// States of a draft. Retired is final; a published draft lives on as a Record,
+// which the next one retires in its turn.
+const (
+	StateDraft    State = "draft"
+	StateChecked  State = "checked"
+	StateReviewed State = "reviewed"
+	StateRetired  State = "retired"
+)
+
+// Mark places an act: the wall clock, and the last segment of the audit log.
+type Mark struct {
+	Time  time.Time
+	Since int
+}
+
+// Review is a reviewer's word on one text against one record.
+type Review struct {
+	Reviewer string    `json:"reviewer"`
+	Reason   string    `json:"reason"`
+	Time     time.Time `json:"time"`
+	// Digest of the text that was reviewed, and the version it would replace.
+	Digest string  `json:"digest"`
+	Base   Version `json:"base"`
+	// Accepted are the IDs of the dangerous changes accepted.
+	Accepted []string `json:"accepted,omitempty"`
+}
+
+// Draft is a text on its way. It is the value of "profiles/drafts/<id>"; the
+// text is never edited, another text is another draft.
+type Draft struct {
+	ID      string    `json:"id"`
+	Author  string    `json:"author"`
+	Reason  string    `json:"reason"`
+	Created time.Time `json:"created"`
+	Text    string    `json:"text"`
+	Digest  string    `json:"digest"`
+	State   State     `json:"state"`
+	Review  *Review   `json:"review,omitempty"`
+	// Acts are the audit entries of its steps, in order. The first Recorded of
+	// them are known to stand in the audit trail.
+	Acts     []Act `json:"acts"`
+	Recorded int   `json:"recorded"`
+}
+
+// NewDraft begins a draft of text.
+func NewDraft(id string, text []byte, s Step) (Draft, error) {
+	if err := s.check(); err != nil {
+		return Draft{}, err
+	}
+	d := Draft{ID: id, Author: s.Actor, Reason: s.Reason, Created: s.Act.Time, Text: string(text), Digest: profile.Digest(text), State: StateDraft}
+	return d.record(s, audit.ProfileDrafted, "", d.Digest), nil
+}
+
+// Check moves a draft on if its text has no findings that refuse it.
+func (d Draft) Check(findings finding.Findings, current *Record) (Draft, error) {
+	if d.State != StateDraft {
+		return d, refuse(RuleState, "draft %s is %s", d.ID, d.State)
+	}
+	if findings.Refused() {
+		return d, refuse(RuleChecked, "the text has findings:\n%s", findings.Error())
+	}
+	if d.Digest == current.version().Digest {
+		return d, refuse(RuleSameText, "the text is what generation %d says already", current.Generation)
+	}
+	d.State = StateChecked
+	return d, nil
+}
+
+// Approve records a reviewer's word. Changes are those from current to the
+// draft's text; each dangerous one must be among the accepted IDs. A draft may
+// be reviewed again, when another publish came between.
+func (d Draft) Approve(s Step, current *Record, changes []diff.Change, accepted []string) (Draft, error) {
+	if err := s.check(); err != nil {
+		return d, err
+	}
+	if d.State != StateChecked && d.State != StateReviewed {
+		return d, refuse(RuleState, "draft %s is %s, not checked", d.ID, d.State)
+	}
+	if d.Digest == current.version().Digest {
+		return d, refuse(RuleSameText, "the text is what generation %d says already", current.Generation)
+	}
+	// The guard against a change that one person pushes through alone. Names
+	// are compared without case and space, else "Aoife" could review "aoife".
+	if samePerson(d.Author, s.Actor) {
+		return d, refuse(RuleOwnReview, "%s wrote draft %s, somebody else must review it", d.Author, d.ID)
+	}
+	if missing := notAccepted(changes, accepted); len(missing) > 0 {
+		return d, refuse(RuleDanger, "accept each dangerous change by its ID:\n%s", strings.Join(missing, "\n"))
+	}
+	d.State = StateReviewed
+	d.Review = &Review{
+		Reviewer: s.Actor, Reason: s.Reason, Time: s.Act.Time,
+		Digest: d.Digest, Base: current.version(), Accepted: dangerousIDs(changes),
+	}
+	return d.record(s, audit.ProfileReviewed, current.version().Digest, d.Digest), nil
+}
+
+// Retire withdraws a draft that is not to be published.
+func (d Draft) Retire(s Step) (Draft, error) {
+	if err := s.check(); err != nil {
+		return d, err
+	}
+	if d.State == StateRetired {
+		return d, refuse(RuleState, "draft %s is %s", d.ID, d.State)
+	}
+	d.State = StateRetired
+	return d.record(s, audit.ProfileRetired, d.Digest, ""), nil
+}
+
+// Publish returns the record that puts the draft in force after current, which
+// is nil before the first.
+func (d Draft) Publish(s Step, current *Record) (*Record, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	if d.State != StateReviewed {
+		return nil, refuse(RuleState, "draft %s is %s, not reviewed", d.ID, d.State)
+	}
+	if d.Review.Digest != d.Digest || samePerson(d.Author, d.Review.Reviewer) {
+		return nil, refuse(RuleOwnReview, "the review of draft %s does not stand", d.ID)
+	}
+	// The guard against two publishes at once, and against a review of one
+	// difference that lets another pass: the reviewer saw the change from Base.
+	if d.Review.Base != current.version() {
+		return nil, Superseded(current, "draft %s was reviewed against generation %d; review it again", d.ID, d.Review.Base.Generation)
+	}
+	next := Version{Generation: current.version().Generation + 1, Digest: d.Digest}
+	act := s.act(audit.ProfilePublished, "profiles", label(current.version()), label(next))
+	act.Reviewer = d.Review.Reviewer
+	return &Record{
+		Version: next, Text: d.Text, Draft: d.ID,
+		Author: d.Author, Reviewer: d.Review.Reviewer, Publisher: s.Actor, Published: s.Act.Time,
+		Accepted: d.Review.Accepted, Replaced: current.version(), Act: act,
+	}, nil
+}
+
+func (d Draft) record(s Step, action audit.Action, from, to string) Draft {
+	act := s.act(action, "profiles/drafts/"+d.ID, from, to)
+	if d.Review != nil {
+		act.Reviewer = d.Review.Reviewer
+	}
+	d.Acts = append(slices.Clone(d.Acts), act)
+	return d
+}
+
+func (s Step) act(action audit.Action, subject, from, to string) Act {
+	return Act{
+		Draft: audit.Draft{ID: s.ID, Time: s.Act.Time, Actor: s.Actor, Action: action, Reason: s.Reason, Subject: subject, From: from, To: to},
+		Since: s.Act.Since,
+	}
+}
--- /dev/null
+++ b/publication/store/publish.go
@@ -0,0 +1,148 @@
+package store
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/publication"
+)
+
+// Published is an accepted publish. Settled is false while its audit entry
+// still travels with the record; the next command writes it.
+type Published struct {
+	Record  *publication.Record `json:"record"`
+	Settled bool                `json:"settled"`
+}
+
+// Publish puts a reviewed draft in force by one conditional update. The error
+// is nil if and only if the publish was accepted; a *publication.RefusedError
+// names the winner of a race; *UnknownError says that the store stopped
+// answering; any other error that nothing was changed.
+func (s *Store) Publish(ctx context.Context, by By, id string) (Published, error) {
+	step, _, err := s.begin(ctx, by)
+	if err != nil {
+		return Published{}, err
+	}
+	d, _, err := s.draft(ctx, id)
+	if err != nil {
+		return Published{}, err
+	}
+	// Read after Recover: the record that is overwritten is a settled one.
+	current, version, err := s.current(ctx)
+	if err != nil {
+		return Published{}, err
+	}
+	if err := s.settle(ctx, current); err != nil {
+		return Published{}, err
+	}
+	next, err := d.Publish(step, current)
+	if err != nil {
+		return Published{}, err
+	}
+	if err := s.replace(ctx, next, version); err != nil {
+		return Published{}, err
+	}
+	return Published{Record: next, Settled: s.settle(ctx, next) == nil}, nil
+}
+
+// replace makes the one update that decides.
+func (s *Store) replace(ctx context.Context, next *publication.Record, expect platform.Version) error {
+	value, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	r, err := readback.Put(ctx, s.platform, readback.Write{
+		Purpose: platform.PurposeProfile, Key: CurrentKey, Value: value, Expect: expect, Pause: s.pause,
+		Mine: func(o platform.Object) bool { return isRecord(o, next) },
+	})
+	switch r.Outcome {
+	case readback.Won:
+		return nil
+	case readback.Lost:
+		return s.resolveLost(ctx, next, r.Current)
+	case readback.Unknown:
+		return &UnknownError{What: "the publish", Cause: err}
+	default:
+		return err
+	}
+}
+
+func isRecord(o platform.Object, next *publication.Record) bool {
+	r, err := publication.Decode(o.Value)
+	return err == nil && r.Act.ID == next.Act.ID
+}
+
+// resolveLost tells a publish that lost from one that won, had its answer lost
+// and was followed by another before it could be read back. Without it the
+// operator would be told "refused" of a set that was in force. The archive
+// decides: nobody overwrites a record before it stands there.
+func (s *Store) resolveLost(ctx context.Context, next *publication.Record, seen platform.Object) error {
+	winner, err := publication.Decode(seen.Value)
+	if err != nil {
+		return err
+	}
+	for winner.Generation > next.Generation {
+		archived, err := s.Set(ctx, next.Generation)
+		switch {
+		case err == nil && archived != nil && archived.Act.ID == next.Act.ID:
+			return nil
+		case err == nil:
+			return publication.Superseded(winner, "another publish came first")
+		case !sleep(ctx, s.pause):
+			return &UnknownError{What: "the publish", Cause: err}
+		}
+	}
+	return publication.Superseded(winner, "another publish came first")
+}
+
+// Recover finishes what a command left that was killed between a change and its
+// audit entry. It is idempotent, and two may run at once.
+func (s *Store) Recover(ctx context.Context) error {
+	current, err := s.Current(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.settle(ctx, current); err != nil {
+		return err
+	}
+	objects, err := s.platform.List(ctx, platform.PurposeProfile, DraftPrefix)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		if err := s.settleObject(ctx, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settle records a published set: the acts of its draft, its own act, the end
+// of the draft, and last the archive, which says that all this is done.
+func (s *Store) settle(ctx context.Context, r *publication.Record) error {
+	if r == nil {
+		return nil
+	}
+	archived, err := s.Set(ctx, r.Generation)
+	if err != nil || archived != nil {
+		return err
+	}
+	if err := s.closeDraft(ctx, r); err != nil {
+		return err
+	}
+	value, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	result, err := readback.Put(ctx, s.platform, readback.Write{
+		Purpose: platform.PurposeProfile, Key: setKey(r.Generation), Value: value, Pause: s.pause,
+		Mine: func(o platform.Object) bool { return isRecord(o, r) },
+	})
+	if result.Outcome == readback.Lost {
+		return errors.Errorf("profile generation %d is archived with another content", r.Generation)
+	}
+	return err
+}
--- /dev/null
+++ b/publication/store/store.go
@@ -0,0 +1,191 @@
+package store
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	auditlog "endivemoor.example/endivemoor/audit/log"
+	"endivemoor.example/endivemoor/finding"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/diff"
+	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/publication"
+)
+
+// Keys of the objects.
+const (
+	CurrentKey  = "profiles/current"
+	DraftPrefix = "profiles/drafts/"
+	SetPrefix   = "profiles/sets/"
+)
+
+const idBytes = 6
+
+// ErrNoDraft says that no open draft has the ID.
+var ErrNoDraft = errors.New("no such open draft")
+
+// UnknownError says that a change was sent and the store stopped answering: it
+// may have taken effect. Asking for the draft or the status later tells.
+type UnknownError struct {
+	What  string
+	Cause error
+}
+
+// Error names the change and the cause.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("it is not known whether %s took effect: %v", e.What, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Store holds drafts and records.
+type Store struct {
+	platform platform.Store
+	log      *auditlog.Log
+	now      func() time.Time
+	pause    time.Duration
+}
+
+// New returns a store in the platform. now gives the wall clock.
+func New(p platform.Store, now func() time.Time) *Store {
+	return &Store{platform: p, log: auditlog.New(p), now: now, pause: readback.DefaultPause}
+}
+
+// WithPause returns the store with another pause between tries.
+func (s *Store) WithPause(d time.Duration) *Store {
+	return &Store{platform: s.platform, log: s.log.WithPause(d), now: s.now, pause: d}
+}
+
+// Compile parses a record into the set that requests use.
+func Compile(r *publication.Record) (*profile.Set, error) {
+	if r == nil {
+		return nil, nil
+	}
+	name := fmt.Sprintf("%s%d", SetPrefix, r.Generation)
+	set, findings := inifile.Parse(name, []byte(r.Text))
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	set.Generation = r.Generation
+	return set, nil
+}
+
+// Current returns the record in force, nil before the first.
+func (s *Store) Current(ctx context.Context) (*publication.Record, error) {
+	r, _, err := s.current(ctx)
+	return r, err
+}
+
+func (s *Store) current(ctx context.Context) (*publication.Record, platform.Version, error) {
+	o, err := s.platform.Get(ctx, platform.PurposeProfile, CurrentKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	r, err := publication.Decode(o.Value)
+	return r, o.Version, err
+}
+
+// Set returns the archived record of a generation, nil if it is not there.
+func (s *Store) Set(ctx context.Context, g profile.Generation) (*publication.Record, error) {
+	o, err := s.platform.Get(ctx, platform.PurposeProfile, setKey(g))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return publication.Decode(o.Value)
+}
+
+func setKey(g profile.Generation) string { return fmt.Sprintf("%s%010d", SetPrefix, g) }
+
+// History returns up to n records, the newest first.
+func (s *Store) History(ctx context.Context, n int) ([]*publication.Record, error) {
+	r, err := s.Current(ctx)
+	var out []*publication.Record
+	for r != nil && err == nil && len(out) < n {
+		out = append(out, r)
+		if r.Replaced.Generation == 0 {
+			break
+		}
+		r, err = s.Set(ctx, r.Replaced.Generation)
+	}
+	return out, err
+}
+
+// Drafts returns the open drafts.
+func (s *Store) Drafts(ctx context.Context) ([]publication.Draft, error) {
+	objects, err := s.platform.List(ctx, platform.PurposeProfile, DraftPrefix)
+	if err != nil {
+		return nil, err
+	}
+	drafts := make([]publication.Draft, len(objects))
+	for i, o := range objects {
+		if err := json.Unmarshal(o.Value, &drafts[i]); err != nil {
+			return nil, errors.Wrapf(err, "draft %s", o.Key)
+		}
+	}
+	return drafts, nil
+}
+
+// Draft returns one open draft.
+func (s *Store) Draft(ctx context.Context, id string) (publication.Draft, error) {
+	d, _, err := s.draft(ctx, id)
+	return d, err
+}
+
+func (s *Store) draft(ctx context.Context, id string) (publication.Draft, platform.Version, error) {
+	var d publication.Draft
+	o, err := s.platform.Get(ctx, platform.PurposeProfile, DraftPrefix+id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return d, 0, errors.WithMessagef(ErrNoDraft, "draft %s", id)
+	}
+	if err != nil {
+		return d, 0, err
+	}
+	err = json.Unmarshal(o.Value, &d)
+	return d, o.Version, errors.Wrapf(err, "draft %s", id)
+}
+
+// Changes returns what a text would change of the record in force, with the
+// findings of the text.
+func (s *Store) Changes(ctx context.Context, file string, text []byte) ([]diff.Change, finding.Findings, error) {
+	current, err := s.Current(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	next, findings := inifile.Parse(file, text)
+	if next == nil {
+		return nil, findings, nil
+	}
+	changes, err := changesTo(current, next)
+	return changes, findings, err
+}
+
+func changesTo(current *publication.Record, next *profile.Set) ([]diff.Change, error) {
+	before, err := Compile(current)
+	if err != nil {
+		return nil, err
+	}
+	return diff.Sets(before, next), nil
+}
+
+// NewID returns a random ID for a draft or an act.
+func NewID() string {
+	var b [idBytes]byte
+	// Read never fails: the runtime ends the process if it could.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
