--- a/view/view.go
+++ b/view/view.go
@@ -6,6 +6,7 @@
 package view
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"endivemoor.example/endivemoor/profile"
@@ -35,6 +36,9 @@
 	// History holds the start of every term.
 	History timeline.History `json:"history"`
 	Servers []Server         `json:"servers"`
+	// Version is the version of the platform object that this was read from;
+	// 0 if a peer or an own promotion brought it.
+	Version int64 `json:"-"`
 }
 
 // Server returns the server with the id, or nil.
@@ -84,3 +88,37 @@
 		}
 	}
 }
+
+// Newer reports whether g replaces old: a later term always does; within a term
+// a later version of the store's object, and then a higher reservation. State
+// therefore only moves forward, whatever order the store, the peers and this
+// VM's own promotions report it in.
+func (g *Group) Newer(old *Group) bool {
+	switch {
+	case old == nil:
+		return true
+	case g.Term != old.Term:
+		return g.Term > old.Term
+	case g.Version != old.Version && g.Version != 0:
+		return g.Version > old.Version
+	default:
+		return g.Reserved > old.Reserved
+	}
+}
+
+// Adopt swaps in group if it is newer than what the view has, and reports if it
+// was.
+func (h *Holder) Adopt(group *Group) bool {
+	adopted := false
+	h.Update(func(v *View) {
+		adopted = group.Newer(v.Groups[group.Name])
+		if !adopted {
+			return
+		}
+		groups := make(map[string]*Group, len(v.Groups)+1)
+		maps.Copy(groups, v.Groups)
+		groups[group.Name] = group
+		v.Groups = groups
+	})
+	return adopted
+}
