--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 	$(GO) build -o bin/ github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
 	cd peer/peerpb && protoc -I. --plugin=../../bin/protoc-gen-go --plugin=../../bin/protoc-gen-twirp \
 	  --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. peer.proto
+
+bench: build
+	examples/demo/run.sh bench
--- a/controller/gate.go
+++ b/controller/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"endivemoor.example/endivemoor/ack"
@@ -15,10 +16,6 @@
 )
 
 const (
-	// firstPoll and lastPoll bound the pause between two rounds of asking the
-	// replicas for one write; the pause doubles.
-	firstPoll = time.Millisecond
-	lastPoll  = 25 * time.Millisecond
 	// noDeadline is used when the context has none.
 	noDeadline = 5 * time.Second
 	// comeBack is told to a caller whose group cannot prove its primary.
@@ -33,6 +30,14 @@
 	Links *control.Links
 	Views *view.Holder
 	Clock clock.Clock
+
+	// paces holds an *ack.Pace for each group name.
+	paces sync.Map
+}
+
+func (g *Gate) pace(group string) *ack.Pace {
+	p, _ := g.paces.LoadOrStore(group, &ack.Pace{})
+	return p.(*ack.Pace)
 }
 
 // Acknowledge returns nil once the write at pos may be acknowledged, and an
@@ -46,17 +51,17 @@
 		Durability: d,
 	}
 	evidence := ack.NewEvidence(group)
-	pause := firstPoll
+	pace := g.pace(group.Name)
 	for {
 		decision := g.round(ctx, w, evidence)
 		switch decision.Verdict {
 		case ack.Ack:
+			pace.Saw(g.Clock.Now().Sub(w.Committed))
 			return nil
 		case ack.Unknown:
 			return outcome.Lost(comeBack, "write at term %d position %d: %s", pos.Term, pos.LSN, decision.Reason)
 		}
-		sleep(ctx, pause)
-		pause = min(2*pause, lastPoll)
+		sleep(ctx, pace.Next(g.Clock.Now().Sub(w.Committed)))
 	}
 }
 
