--- a/internal/standin/dbd/controlhttp.go
+++ b/internal/standin/dbd/controlhttp.go
@@ -15,12 +15,14 @@
 //	POST /fault?kind=cut&who=*|peers|callers|APPLICATION&direction=requests|answers|both
 //	POST /fault?kind=slow&factor=10
 //	POST /fault?kind=delay&delay=200ms
+//	GET  /fault        what the faults held back
 //	GET  /executions   write transactions that ended here
 //	GET  /entries      the replicated log
 //	GET  /status       the server's account of itself
 func (s *Server) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /fault", s.serveFault)
+	mux.HandleFunc("GET /fault", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.faults.Struck()) })
 	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Executions()) })
 	mux.HandleFunc("GET /entries", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Entries()) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Status()) })
--- a/internal/standin/dbd/failure_test.go
+++ b/internal/standin/dbd/failure_test.go
@@ -43,6 +43,7 @@
 		_, err := buyer.Exec(context.Background(), "COMMIT")
 		answer <- err
 	}()
+	eventually(t, func() bool { return a.Faults().Struck().Requests > 0 }, "COMMIT is held up")
 	_, err := a.node.fence(2)
 	require.NoError(t, err)
 	a.Faults().Heal()
--- a/internal/standin/dbd/faults.go
+++ b/internal/standin/dbd/faults.go
@@ -31,10 +31,23 @@
 	Callers = "callers"
 )
 
-// Faults holds the faults that are in force on one server. The zero number of
-// faults is a healthy server. All methods may be called at any time.
+// Struck counts what faults held back, so that a test can tell a fault that was
+// survived from one that never hit.
+type Struck struct {
+	// Requests and Answers count reads and writes of connections.
+	Requests int `json:"requests"`
+	Answers  int `json:"answers"`
+	// Peers counts this server's own replication.
+	Peers int `json:"peers"`
+	// Commits counts commits and statements that a freeze stopped.
+	Commits int `json:"commits"`
+}
+
+// Faults holds the faults that are in force on one server. With none the server
+// is well. All methods may be called at any time.
 type Faults struct {
 	mu      sync.Mutex
+	struck  Struck
 	frozen  bool
 	cuts    map[string]Direction
 	slow    float64
@@ -69,6 +82,13 @@
 // SetReplicationDelay sets how long after its commit an entry is applied here.
 func (f *Faults) SetReplicationDelay(d time.Duration) { f.change(func() { f.delay = d }) }
 
+// Struck returns what was held back since the start.
+func (f *Faults) Struck() Struck {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.struck
+}
+
 func (f *Faults) change(apply func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,12 +137,35 @@
 	}
 }
 
+// check reports whether bytes are held back, counts the first time of one
+// wait, and returns what is closed at the next change.
+func (f *Faults) check(application string, d Direction, first bool) (blocked bool, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	blocked = f.blocks(application, d)
+	if blocked && first {
+		f.count(d)
+	}
+	return blocked, f.changed
+}
+
+func (f *Faults) count(d Direction) {
+	switch d {
+	case Requests:
+		f.struck.Requests++
+	case Answers:
+		f.struck.Answers++
+	case Both:
+		f.struck.Peers++
+	default:
+		f.struck.Commits++
+	}
+}
+
 // wait returns when bytes may pass, or when done is closed.
 func (f *Faults) wait(done <-chan struct{}, application string, d Direction) {
-	for {
-		f.mu.Lock()
-		blocked, changed := f.blocks(application, d), f.changed
-		f.mu.Unlock()
+	for first := true; ; first = false {
+		blocked, changed := f.check(application, d, first)
 		if !blocked {
 			return
 		}
