Keep reads going while the stand-in database rewinds

Cause: a read that met the replaced storage failed with an internal error, and an order to follow went through although the server was cut off from peers. Change: such a read runs on the new storage; a cut holds the order back; a connection with an idle open transaction ends after 10 s, since it holds the only write lock.

--- a/internal/standin/dbd/command.go
+++ b/internal/standin/dbd/command.go
@@ -31,6 +31,7 @@
 	ConnectCost   time.Duration     `help:"Time that opening a connection takes." default:"10ms"`
 	StatementCost time.Duration     `help:"Least time that a statement takes." default:"0s"`
 	Delay         time.Duration     `help:"Replication delay of this server." default:"0s"`
+	IdleLimit     time.Duration     `help:"Time after which a connection with an idle open transaction is ended." default:"10s"`
 	Seed          string            `help:"File of SQL statements, run alike on each server of a group." type:"existingfile"`
 	User          map[string]string `help:"User and password (name=password) for SCRAM-SHA-256; none means trust."`
 }
@@ -78,8 +79,10 @@
 		StatementCost: c.StatementCost,
 		Delay:         c.Delay,
 		Seed:          seed,
-		Users:         c.User,
-		Log:           newLogger().With(zap.String("server", c.ID)),
+
+		IdleInTransaction: c.IdleLimit,
+		Users:             c.User,
+		Log:               newLogger().With(zap.String("server", c.ID)),
 	}
 }
 
--- a/internal/standin/dbd/control.go
+++ b/internal/standin/dbd/control.go
@@ -80,7 +80,7 @@
 		}
 		return res.cols, nil
 	}
-	return x.srv.node.store().columns(x.srv.ctx, text)
+	return onStore(x.srv.node, func(e *engine) ([]column, error) { return e.columns(x.srv.ctx, text) })
 }
 
 // controlCall runs a control function. It needs no slot, so that a busy server
--- a/internal/standin/dbd/engine.go
+++ b/internal/standin/dbd/engine.go
@@ -15,6 +15,9 @@
 // outside, by a fence or a rewind.
 var errEvicted = errors.New("transaction was ended by the server")
 
+// errClosed is returned by a storage that a rewind has replaced.
+var errClosed = errors.New("storage was replaced by a rewind")
+
 // databases numbers the in-memory databases of this process.
 var databases atomic.Uint64
 
@@ -29,8 +32,9 @@
 
 	// mu lets readers of committed exclude the replay of an entry, since the
 	// in-memory SQLite file has one lock for the whole database.
-	mu    sync.RWMutex
-	apply *sql.Conn
+	mu     sync.RWMutex
+	closed bool
+	apply  *sql.Conn
 	// writeLock holds one token: the right to be owner.
 	writeLock chan struct{}
 }
@@ -67,6 +71,9 @@
 func (e *engine) read(ctx context.Context, s Statement) (*result, error) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
+	if e.closed {
+		return nil, errClosed
+	}
 	conn, err := e.committedDB.Conn(ctx)
 	if err != nil {
 		return nil, err
@@ -79,6 +86,9 @@
 func (e *engine) columns(ctx context.Context, sqlText string) ([]column, error) {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
+	if e.closed {
+		return nil, errClosed
+	}
 	conn, err := e.committedDB.Conn(ctx)
 	if err != nil {
 		return nil, err
@@ -124,9 +134,12 @@
 
 // close frees the storage once its readers are done.
 func (e *engine) close() {
-	e.evict()
+	e.headMu.Lock()
+	defer e.headMu.Unlock()
+	e.release(e.owner)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.closed = true
 	_ = e.head.Close()
 	_ = e.apply.Close()
 	_ = e.headDB.Close()
--- a/internal/standin/dbd/failure_test.go
+++ b/internal/standin/dbd/failure_test.go
@@ -146,6 +146,39 @@
 	require.Equal(t, codeReadOnly, sqlState(err))
 }
 
+// Readers are at work while the old primary is rewound. None of them may notice
+// more than rows that come and go.
+func TestReadersDoNotNoticeRewind(t *testing.T) {
+	a, b, c := startGroup(t)
+	a.Faults().Cut(Peers, Both)
+	mustExec(t, dial(t, a), "INSERT INTO passes (id) VALUES ('alone')")
+	for _, s := range []*Server{b, c} {
+		_, err := s.node.fence(2)
+		require.NoError(t, err)
+	}
+	_, err := b.node.promote(2)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	errs := make([]error, 4)
+	for i := range errs {
+		conn := dial(t, a)
+		wg.Go(func() {
+			for ctx.Err() == nil && errs[i] == nil {
+				var n int
+				errs[i] = conn.QueryRow(context.Background(), "SELECT count(*) FROM passes").Scan(&n)
+			}
+		})
+	}
+	a.Faults().Heal()
+	dropped, err := a.node.follow(t.Context(), b.Addr(), 2)
+	require.NoError(t, err)
+	require.Len(t, dropped, 1)
+	stop()
+	wg.Wait()
+	require.Equal(t, make([]error, len(errs)), errs)
+}
+
 // Two promoters with the same term cannot both win: a server that follows the
 // term's primary, or that has promised another term, refuses.
 func TestOneTermHasOnePrimary(t *testing.T) {
--- a/internal/standin/dbd/follow.go
+++ b/internal/standin/dbd/follow.go
@@ -43,6 +43,7 @@
 	if err := n.yieldTo(term); err != nil {
 		return nil, err
 	}
+	n.faults.waitPeers(ctx)
 	theirs, err := fetchHistory(ctx, n.peerName(), primary, term)
 	if err != nil {
 		return nil, failure(codeConnectionFailure, "cannot learn the primary's history: %s", err)
--- a/internal/standin/dbd/node.go
+++ b/internal/standin/dbd/node.go
@@ -193,6 +193,12 @@
 	n.stopFollowerLocked()
 }
 
+func (n *node) isStopped() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopped
+}
+
 // close frees the storage of a stopped node.
 func (n *node) close() {
 	n.mu.Lock()
--- a/internal/standin/dbd/options.go
+++ b/internal/standin/dbd/options.go
@@ -56,7 +56,8 @@
 	Users map[string]string
 	// LockTimeout bounds the wait for the write lock.
 	LockTimeout time.Duration
-	// IdleInTransaction ends a connection that leaves a transaction open.
+	// IdleInTransaction ends a connection that leaves a transaction open: it
+	// holds the only write lock, where PostgreSQL has a lock for each row.
 	IdleInTransaction time.Duration
 	Log               *zap.Logger
 }
@@ -65,7 +66,7 @@
 	defaultConnections       = 25
 	defaultSlots             = 3
 	defaultLockTimeout       = 5 * time.Second
-	defaultIdleInTransaction = 30 * time.Second
+	defaultIdleInTransaction = 10 * time.Second
 )
 
 func (o Options) withDefaults() Options {
--- a/internal/standin/dbd/sqlstate.go
+++ b/internal/standin/dbd/sqlstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"database/sql"
 	"fmt"
 	"strings"
 
@@ -119,8 +118,8 @@
 		return failure(codeQueryCanceled, "canceling statement due to user request")
 	case errors.Is(err, context.DeadlineExceeded):
 		return failure(codeLockNotAvailable, "canceling statement due to lock timeout")
-	case errors.Is(err, sql.ErrConnDone):
-		return failure(codeSerialization, "the server is rewinding")
+	case errors.Is(err, errClosed):
+		return failure(codeReadOnly, readOnlyMessage)
 	}
 	return engineError(err)
 }
--- a/internal/standin/dbd/transaction.go
+++ b/internal/standin/dbd/transaction.go
@@ -5,6 +5,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Transaction states of ReadyForQuery.
@@ -242,7 +244,18 @@
 		return nil, err
 	}
 	defer release()
-	return x.srv.node.store().read(ctx, s)
+	return onStore(x.srv.node, func(e *engine) (*result, error) { return e.read(ctx, s) })
+}
+
+// onStore reads from the present storage, and again from the one that replaced
+// it if a rewind came in between: a reader must not notice it.
+func onStore[T any](n *node, read func(*engine) (T, error)) (T, error) {
+	for {
+		v, err := read(n.store())
+		if !errors.Is(err, errClosed) || n.isStopped() {
+			return v, err
+		}
+	}
 }
 
 // slot waits for one of the few places of running statements, then spends the
--- a/internal/standin/dbd/writetx.go
+++ b/internal/standin/dbd/writetx.go
@@ -32,6 +32,9 @@
 	// has any effect, and is thereby known to belong in the log.
 	if err := execAll(ctx, e.head, "BEGIN IMMEDIATE", "PRAGMA query_only=1"); err != nil {
 		<-e.writeLock
+		if errors.Is(err, sql.ErrConnDone) {
+			err = errClosed
+		}
 		return nil, err
 	}
 	e.owner = tx
