Add endivemoorctl

Cause: operators drive the fleet by publishing, reviewing and retiring profiles, and an auditor reads the trail; both need one command line whose exit code tells what became of a change.

A profile in force is retired by drafting the set without it, so that it is reviewed like any other change.

--- /dev/null
+++ b/ctl/profileread.go
@@ -0,0 +1,228 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/publication"
+)
+
+const timeForm = time.RFC3339
+
+// errNothingInForce answers commands that need a published set.
+var errNothingInForce = &refusedError{message: "no profiles are published yet"}
+
+type profileRetire struct {
+	Draft   string `arg:"" optional:"" help:"ID of the draft to withdraw."`
+	Profile string `help:"Name of a profile in force: drafts the set without it, to be reviewed and published."`
+	Reason  string `help:"Why." required:""`
+}
+
+// Run withdraws a draft. A profile in force goes the way of every other change.
+func (c *profileRetire) Run(r *runner) error {
+	if (c.Draft == "") == (c.Profile == "") {
+		return &inputError{message: "name a draft or a --profile"}
+	}
+	if c.Profile != "" {
+		return c.removal(r)
+	}
+	by, err := r.by(c.Reason)
+	if err != nil {
+		return err
+	}
+	d, err := r.profiles().Retire(r.ctx, by, c.Draft)
+	if err != nil {
+		return err
+	}
+	return r.print(infoOf(d), func(w io.Writer) { fmt.Fprintln(w, infoOf(d)) })
+}
+
+func (c *profileRetire) removal(r *runner) error {
+	current, err := r.inForce()
+	if err != nil {
+		return err
+	}
+	text, err := inifile.Without([]byte(current.Text), c.Profile)
+	if err != nil {
+		return &inputError{message: err.Error()}
+	}
+	return r.createDraft("without "+c.Profile, text, c.Reason)
+}
+
+func (r *runner) inForce() (*publication.Record, error) {
+	current, err := r.profiles().Current(r.ctx)
+	if err == nil && current == nil {
+		return nil, errNothingInForce
+	}
+	return current, err
+}
+
+type profileList struct{}
+
+// listing is what profile list shows.
+type listing struct {
+	Published *recordInfo `json:"published"`
+	Drafts    []draftInfo `json:"drafts"`
+}
+
+// Run prints what is in force and the open drafts.
+func (profileList) Run(r *runner) error {
+	current, err := r.profiles().Current(r.ctx)
+	if err != nil {
+		return err
+	}
+	drafts, err := r.profiles().Drafts(r.ctx)
+	if err != nil {
+		return err
+	}
+	l := listing{Drafts: []draftInfo{}}
+	if current != nil {
+		info := infoOfRecord(current, statePublished)
+		l.Published = &info
+	}
+	for _, d := range drafts {
+		l.Drafts = append(l.Drafts, infoOf(d))
+	}
+	return r.print(l, func(w io.Writer) {
+		if l.Published == nil {
+			fmt.Fprintln(w, "nothing published")
+		} else {
+			fmt.Fprintln(w, l.Published)
+		}
+		lines(w, l.Drafts)
+	})
+}
+
+type profileShow struct {
+	Generation profile.Generation `arg:"" optional:"" help:"Generation; what is in force if left out."`
+	Draft      string             `help:"ID of an open draft instead."`
+}
+
+// shown is a text with what it belongs to.
+type shown struct {
+	Record *recordInfo `json:"record,omitempty"`
+	Draft  *draftInfo  `json:"draft,omitempty"`
+	Text   string      `json:"text"`
+}
+
+// Run prints the text alone, so that it can be kept as a file.
+func (c *profileShow) Run(r *runner) error {
+	s, err := c.find(r)
+	if err != nil {
+		return err
+	}
+	return r.print(s, func(w io.Writer) { fmt.Fprint(w, s.Text) })
+}
+
+func (c *profileShow) find(r *runner) (shown, error) {
+	if c.Draft != "" {
+		d, err := r.profiles().Draft(r.ctx, c.Draft)
+		info := infoOf(d)
+		return shown{Draft: &info, Text: d.Text}, err
+	}
+	current, err := r.inForce()
+	if err != nil {
+		return shown{}, err
+	}
+	record, state := current, statePublished
+	if c.Generation != 0 && c.Generation != current.Generation {
+		state = stateRetired
+		if record, err = r.profiles().Set(r.ctx, c.Generation); err != nil {
+			return shown{}, err
+		}
+	}
+	if record == nil {
+		return shown{}, &refusedError{message: fmt.Sprintf("no generation %d", c.Generation)}
+	}
+	info := infoOfRecord(record, state)
+	return shown{Record: &info, Text: record.Text}, nil
+}
+
+type profileHistory struct {
+	Last int `short:"n" help:"How many." default:"20"`
+}
+
+// Run prints the published sets.
+func (c *profileHistory) Run(r *runner) error {
+	records, err := r.profiles().History(r.ctx, c.Last)
+	if err != nil {
+		return err
+	}
+	infos := []recordInfo{}
+	for i, record := range records {
+		state := stateRetired
+		if i == 0 {
+			state = statePublished
+		}
+		infos = append(infos, infoOfRecord(record, state))
+	}
+	return r.print(infos, func(w io.Writer) { lines(w, infos) })
+}
+
+type profileStatus struct{}
+
+// spread says where the set in force has arrived.
+type spread struct {
+	Published *recordInfo `json:"published"`
+	Daemons   []arrival   `json:"daemons"`
+}
+
+// arrival is what one daemon has in force.
+type arrival struct {
+	Daemon     string `json:"daemon"`
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest,omitempty"`
+	InForce    bool   `json:"in_force"`
+	Error      string `json:"error,omitempty"`
+}
+
+func (a arrival) String() string {
+	switch {
+	case a.Error != "":
+		return fmt.Sprintf("daemon %s unknown: %s", a.Daemon, a.Error)
+	case a.InForce:
+		return fmt.Sprintf("daemon %s in force: generation %d", a.Daemon, a.Generation)
+	default:
+		return fmt.Sprintf("daemon %s behind: generation %d", a.Daemon, a.Generation)
+	}
+}
+
+// Run asks the daemons, so that no daemon has to write to the store.
+func (profileStatus) Run(r *runner) error {
+	current, err := r.inForce()
+	if err != nil {
+		return err
+	}
+	info := infoOfRecord(current, statePublished)
+	s := spread{Published: &info, Daemons: []arrival{}}
+	var answers []answer
+	if len(r.daemons) > 0 {
+		if answers, err = r.askAll("/status", nil); err != nil {
+			return err
+		}
+	}
+	for _, a := range answers {
+		s.Daemons = append(s.Daemons, arrivalOf(a, current.Version))
+	}
+	if err := r.print(s, func(w io.Writer) { fmt.Fprintln(w, info); lines(w, s.Daemons) }); err != nil {
+		return err
+	}
+	return firstError(answers)
+}
+
+func arrivalOf(a answer, want publication.Version) arrival {
+	out := arrival{Daemon: a.Daemon, Error: a.Error}
+	status, _ := a.Value.(map[string]any)
+	if n, ok := status["generation"].(json.Number); ok {
+		out.Generation, _ = strconv.ParseUint(n.String(), 10, 64)
+	}
+	out.Digest, _ = status["digest"].(string)
+	has := publication.Version{Generation: profile.Generation(out.Generation), Digest: out.Digest}
+	out.InForce = publication.Accept(has, want) == publication.Same
+	return out
+}
--- a/internal/inidoc/load.go
+++ b/internal/inidoc/load.go
@@ -26,6 +26,10 @@
 	AllowNonUniqueSections:     true,
 }
 
+// Options are how the library reads: one line a value, no interpolation asked
+// for, and what stands twice kept so that it can be reported.
+func Options() ini.LoadOptions { return options }
+
 // Document is one parsed file and the findings about it so far.
 type Document struct {
 	// File is the name used in findings.
--- a/profile/inifile/parse_test.go
+++ b/profile/inifile/parse_test.go
@@ -51,6 +51,19 @@
 	}
 }
 
+func TestWithoutRemovesAProfileAndItsKindsOnly(t *testing.T) {
+	text := []byte("# shop\n[shop]\n[shop.pay]\nkey = required\n[shopping]\n# kept\n[shopping.pay]\nworth = 3 ; three\n")
+	left, err := Without(text, "shop")
+	require.NoError(t, err)
+	set, findings := Parse("left.ini", left)
+	require.Empty(t, findings)
+	require.Len(t, set.Profiles, 1)
+	require.InDelta(t, 3, set.Profile("shopping").KindOf("pay").Worth, 0)
+	require.Contains(t, string(left), "# kept")
+	_, err = Without(text, "shopp")
+	require.ErrorIs(t, err, ErrNoProfile)
+}
+
 // docs/PROFILES.md is the operators' page: it must name every key.
 func TestEveryKeyIsDocumented(t *testing.T) {
 	page, err := os.ReadFile("../../docs/PROFILES.md")
