Reload users, keys, certificate and log level on SIGHUP

Cause: rotating a session key or a user's secret needed a restart of the fleet. Change: SIGHUP reads the file again; any finding or a bad secret keeps all of what was there.

--- a/controller/group.go
+++ b/controller/group.go
@@ -155,12 +155,12 @@
 func (g *Group) probe(ctx context.Context, a failover.Probe) {
 	l := g.link(a.Server)
 	if l == nil {
-		g.Post(failover.ProbeFailed{Server: a.Server, Asked: a.Asked})
+		g.Post(failover.ProbeFailed(a))
 		return
 	}
 	answer, err := l.Status(ctx)
 	if err != nil {
-		g.Post(failover.ProbeFailed{Server: a.Server, Asked: a.Asked})
+		g.Post(failover.ProbeFailed(a))
 		return
 	}
 	g.Post(failover.ProbeAnswered{Server: a.Server, Asked: answer.Asked, Status: answer.Status})
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -50,11 +50,10 @@
 		},
 	}
 	if d.set.TLS.Cert != "" {
-		cert, err := proxy.LoadCertificate(d.set.TLS.Cert, d.set.TLS.Key)
-		if err != nil {
+		if d.cert, err = proxy.LoadCertificate(d.set.TLS.Cert, d.set.TLS.Key); err != nil {
 			return errors.Wrap(err, "callers' key files")
 		}
-		cfg.TLS = cert.Config()
+		cfg.TLS = d.cert.Config()
 	}
 	d.callers = proxy.New(cfg)
 	d.buildAdmin()
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -77,13 +77,9 @@
 
 // Run serves until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return Run(ctx, s)
+	return Run(ctx, c.Settings)
 }
 
 // Run reports the findings of all files together.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,8 @@
 	set         *settings.Settings
 	incarnation uint64
 	log         *zap.Logger
+	level       zap.AtomicLevel
+	cert        *proxy.Certificate
 	clk         *monotonic.Clock
 	metrics     *prometheus.Registry
 	views       *view.Holder
@@ -70,18 +72,24 @@
 	draining    atomic.Bool
 }
 
-// Run serves until ctx ends, then shuts down gracefully.
-func Run(ctx context.Context, s *settings.Settings) error {
+// Run serves with the settings in the file until ctx ends, then shuts down
+// gracefully.
+func Run(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
 	d, err := newDaemon(s)
 	if err != nil {
 		return err
 	}
+	go d.reloadOnHangup(ctx, path)
 	defer func() { _ = d.log.Sync() }()
 	return d.run(ctx)
 }
 
 func newDaemon(s *settings.Settings) (*daemon, error) {
-	log, err := newLog(s)
+	log, level, err := newLog(s)
 	if err != nil {
 		return nil, err
 	}
@@ -89,6 +97,7 @@
 		set:         s,
 		incarnation: uint64(time.Now().UnixNano()),
 		log:         log,
+		level:       level,
 		clk:         monotonic.New(),
 		metrics:     prometheus.NewRegistry(),
 		views:       view.NewHolder(),
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -12,16 +12,17 @@
 )
 
 // newLog returns a logger that writes one line of key=value pairs for each
-// event. The message is the event's stable name.
-func newLog(s *settings.Settings) (*zap.Logger, error) {
+// event. The message is the event's stable name. The level can be changed while the daemon runs.
+func newLog(s *settings.Settings) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zapcore.ParseLevel(s.Log.Level)
 	if err != nil {
-		return nil, errors.Wrap(err, "log level")
+		return nil, zap.AtomicLevel{}, errors.Wrap(err, "log level")
 	}
+	atomic := zap.NewAtomicLevelAt(level)
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.MessageKey = "event"
 	cfg.TimeKey = "time"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), level)
-	return zap.New(core).With(zap.String("vm", s.VM.ID), zap.String("zone", s.VM.Zone)), nil
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), atomic)
+	return zap.New(core).With(zap.String("vm", s.VM.ID), zap.String("zone", s.VM.Zone)), atomic, nil
 }
--- a/daemon/users.go
+++ b/daemon/users.go
@@ -15,22 +15,25 @@
 }
 
 func newUsers(secrets map[string]string) (*users, error) {
+	first, err := parseUsers(secrets)
+	if err != nil {
+		return nil, err
+	}
 	u := &users{}
-	return u, u.replace(secrets)
+	u.now.Store(&first)
+	return u, nil
 }
 
-// replace swaps in new logins; on error the present ones stay.
-func (u *users) replace(secrets map[string]string) error {
-	next := proxy.StaticUsers{}
+func parseUsers(secrets map[string]string) (proxy.StaticUsers, error) {
+	out := proxy.StaticUsers{}
 	for name, secret := range secrets {
 		c, err := proxy.ParseVerifier(secret)
 		if err != nil {
-			return errors.Wrapf(err, "user %s", name)
+			return nil, errors.Wrapf(err, "user %s", name)
 		}
-		next[name] = c
+		out[name] = c
 	}
-	u.now.Store(&next)
-	return nil
+	return out, nil
 }
 
 // Lookup implements proxy.Users.
