Prove that the primary leads for reads that accept no age

Cause: an exact read went to the view's primary without proof. Ruled out: reads with an age, which the router judges by witnessed samples, and first reads of a session, whose floor is witnessed. Change: filter.Witness asks the gate while the read runs and holds the last part of the answer until a replica vouches.

--- a/proxy/server.go
+++ b/proxy/server.go
@@ -77,6 +77,7 @@
 		filter.Watermarker{},
 		filter.Acknowledger{Gate: s.cfg.Ack},
 		filter.Router{Chooser: s.cfg.Router, View: s.cfg.View, Zone: s.cfg.Zone, Sleep: filter.Sleep},
+		filter.Witness{Gate: s.cfg.Ack},
 		filter.Admitter{Limiter: s.cfg.Limiter},
 		filter.Executor{Pool: s.cfg.Pool},
 	)
