--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -125,8 +125,10 @@
 }
 
 func TestTextsAreClippedAndValid(t *testing.T) {
-	e := Next(Head{}, Draft{ID: "a", Reason: string(make([]byte, 5000)) + "\xff", Actor: "\xffx"})
+	long := string(make([]byte, 2*maxDetail))
+	e := Next(Head{}, Draft{ID: "a", Reason: long, Actor: "\xffx", To: long})
 	require.Len(t, e.Reason, maxField)
+	require.Len(t, e.To, maxDetail)
 	back, err := Import(Export([]Entry{e}))
 	require.NoError(t, err)
 	require.Empty(t, Verify(back))
--- a/audit/entry.go
+++ b/audit/entry.go
@@ -26,9 +26,12 @@
 	KeyChanged       Action = "key.change"
 )
 
-// maxField bounds each text of a draft, in bytes, so that an entry always fits
-// a segment of the log.
-const maxField = 1024
+// Bounds of a draft's texts in bytes, so that an entry always fits a segment of
+// the log. From and To may hold evidence, or what a rewound server discarded.
+const (
+	maxField  = 1024
+	maxDetail = 16 << 10
+)
 
 // resolution of recorded times.
 const resolution = time.Millisecond
@@ -81,23 +84,25 @@
 // what was written is the digest of what is read.
 func (d Draft) normal() Draft {
 	d.Time = d.Time.UTC().Truncate(resolution)
-	d.Action = Action(clip(string(d.Action)))
-	for _, field := range []*string{&d.ID, &d.Actor, &d.Reason, &d.Reviewer, &d.Subject, &d.From, &d.To} {
-		*field = clip(*field)
+	d.Action = Action(clip(string(d.Action), maxField))
+	for _, field := range []*string{&d.ID, &d.Actor, &d.Reason, &d.Reviewer, &d.Subject} {
+		*field = clip(*field, maxField)
 	}
+	d.From = clip(d.From, maxDetail)
+	d.To = clip(d.To, maxDetail)
 	return d
 }
 
-func clip(s string) string {
+func clip(s string, most int) string {
 	s = strings.ToValidUTF8(s, "\uFFFD")
-	if len(s) <= maxField {
+	if len(s) <= most {
 		return s
 	}
-	return strings.ToValidUTF8(s[:maxField], "")
+	return strings.ToValidUTF8(s[:most], "")
 }
 
 // compute returns the digest of the canonical form: the entry's JSON with the
-// fields in the order of the type, no spaces, and no digest.
+// fields in the order of the type, no spaces, and an empty digest.
 func (e Entry) compute() string {
 	e.Digest = ""
 	sum := sha256.Sum256(e.canonical())
--- a/audit/export.go
+++ b/audit/export.go
@@ -8,7 +8,7 @@
 )
 
 // Export returns the entries as JSON lines in canonical form, one entry a line.
-// The form of a line without its digest is what the digest covers.
+// A line with its digest emptied is what the digest covers.
 func Export(entries []Entry) []byte {
 	var b bytes.Buffer
 	for _, e := range entries {
