Compare queueing policies under load, and mend the adaptive limit

Change: latencies are rated against the lowest average of their own kind after a warm-up, and the limit never falls below this VM's share of the known slots.

--- a/admission/limiter/limiter.go
+++ b/admission/limiter/limiter.go
@@ -32,6 +32,9 @@
 	Queue admission.Config
 	// Clock gives the time; it must be set.
 	Clock clock.Clock
+	// Fleet returns the number of live VMs that use the targets; nil means that
+	// this one is alone.
+	Fleet func() int
 	// Recorder may be nil.
 	Recorder Recorder
 }
@@ -101,6 +104,7 @@
 // slot is one granted request; it is used again after its release.
 type slot struct {
 	gate    *gate
+	kind    *profile.Kind
 	since   clock.Time
 	release func()
 }
@@ -117,10 +121,13 @@
 func (g *gate) acquire(ctx context.Context, k *profile.Kind, deadline clock.Time) (func(), *outcome.Error) {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
+	if g.cfg.Fleet != nil {
+		g.queue.SetFleet(g.cfg.Fleet())
+	}
 	g.expire(now)
 	offer := g.queue.Offer(now, k, deadline)
 	if offer.Granted {
-		release := g.slotAt(now).release
+		release := g.slotFor(k, now).release
 		g.mu.Unlock()
 		return release, nil
 	}
@@ -166,21 +173,21 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.slotAt(g.cfg.Clock.Now()).release, nil
+	return g.slotFor(k, g.cfg.Clock.Now()).release, nil
 }
 
-// slotAt takes an idle slot, or makes one: there are never more than the
+// slotFor takes an idle slot, or makes one: there are never more than the
 // queue's highest limit.
-func (g *gate) slotAt(now clock.Time) *slot {
+func (g *gate) slotFor(k *profile.Kind, now clock.Time) *slot {
 	n := len(g.idle)
 	if n == 0 {
-		s := &slot{gate: g, since: now}
+		s := &slot{gate: g, kind: k, since: now}
 		s.release = s.end
 		return s
 	}
 	s := g.idle[n-1]
 	g.idle = g.idle[:n-1]
-	s.since = now
+	s.kind, s.since = k, now
 	return s
 }
 
@@ -191,7 +198,7 @@
 	defer g.mu.Unlock()
 	g.idle = append(g.idle, s)
 	g.expire(now)
-	g.granted = g.queue.Done(now, now.Sub(s.since), g.granted[:0])
+	g.granted = g.queue.Done(now, s.kind, now.Sub(s.since), g.granted[:0])
 	for _, t := range g.granted {
 		g.wake(t, admission.Refusal{Ticket: t})
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -72,6 +72,8 @@
 	MaxQueued int
 	// Policy defaults to DelayRatio.
 	Policy Policy
+	// FixedSlots keeps the number of slots as it is set, whatever the latency.
+	FixedSlots bool
 	// Seed feeds the jitter.
 	Seed uint64
 }
@@ -132,7 +134,7 @@
 	return &Queue{
 		cfg:   cfg,
 		rnd:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Slots))),
-		slots: newSlots(cfg.Slots),
+		slots: newSlots(cfg.Slots, cfg.FixedSlots),
 	}
 }
 
@@ -145,6 +147,10 @@
 // Limit is the present number of slots.
 func (q *Queue) Limit() int { return q.slots.Limit() }
 
+// SetFleet tells how many live VMs use the target, at least 1. Until it is told
+// the Queue has the target for itself.
+func (q *Queue) SetFleet(vms int) { q.slots.share(vms) }
+
 // Offer brings a new request of kind k, whose caller waits until deadline.
 func (q *Queue) Offer(now clock.Time, k *profile.Kind, deadline clock.Time) Offered {
 	q.next++
@@ -169,13 +175,13 @@
 	return Offered{Ticket: ticket, Evicted: evicted}
 }
 
-// Done returns the slot of a granted request that took latency. The requests
+// Done returns the slot of a granted request of kind k that took latency. The requests
 // that get a slot now are appended to granted and returned. Call Expire first,
 // with the same now: a slot for a request past its deadline is wasted.
-func (q *Queue) Done(now clock.Time, latency time.Duration, granted []Ticket) []Ticket {
+func (q *Queue) Done(now clock.Time, k *profile.Kind, latency time.Duration, granted []Ticket) []Ticket {
 	q.inUse--
 	q.drain.done(now, q.queued > 0)
-	q.slots.observe(latency, q.queued > 0)
+	q.slots.observe(k, latency, q.queued > 0)
 	return q.fill(now, granted)
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -28,7 +28,7 @@
 	for i := range clock.Time(30) {
 		now := i * 10 * ms
 		bought := q.Offer(now, purchase, far)
-		granted := q.Done(now+9*ms, 9*time.Millisecond, nil)
+		granted := q.Done(now+9*ms, browse, 9*time.Millisecond, nil)
 		require.Len(t, granted, 1)
 		if granted[0] == old.Ticket {
 			require.Equal(t, clock.Time(9), i, "ten times the worth, a tenth of the wait")
@@ -48,7 +48,7 @@
 	for range 50 {
 		q.Offer(now, browse, far)
 		now += 10 * ms
-		q.Done(now, 10*time.Millisecond, nil)
+		q.Done(now, browse, 10*time.Millisecond, nil)
 	}
 	return q, now
 }
@@ -87,24 +87,38 @@
 	refused := q.Expire(now+15*ms, nil)
 	require.Len(t, refused, 1)
 	require.Equal(t, late.Ticket, refused[0].Ticket)
-	require.Equal(t, []Ticket{good.Ticket}, q.Done(now+15*ms, time.Millisecond, nil))
+	require.Equal(t, []Ticket{good.Ticket}, q.Done(now+15*ms, browse, time.Millisecond, nil))
 }
 
 // The rest of the fleet floods the target. This proxy sees only that answers
 // take ten times as long; its share of the slots must shrink, and grow again
 // when the flood ends.
 func TestSlotsFollowTheLatency(t *testing.T) {
-	s := newSlots(3)
-	for range 100 {
-		s.observe(5*time.Millisecond, false)
+	s := newSlots(3, false)
+	s.share(8)
+	show := func(k *profile.Kind, latency time.Duration) int {
+		for range 200 {
+			s.observe(k, latency, true)
+		}
+		return s.Limit()
 	}
-	require.Equal(t, 3, s.Limit())
-	for range 100 {
-		s.observe(50*time.Millisecond, true)
+	require.Equal(t, 3, show(browse, 5*time.Millisecond))
+	require.Equal(t, 1, show(browse, 50*time.Millisecond))
+	s.share(2)
+	require.Equal(t, 2, show(browse, 50*time.Millisecond), "never below the share")
+	require.Equal(t, 3, show(browse, 5*time.Millisecond))
+}
+
+// By night long purchases follow the short page views of the day. The mean
+// latency grows tenfold though the target is idle; the limit must stay.
+func TestSlotsDoNotMistakeAChangeOfMixForASlowTarget(t *testing.T) {
+	s := newSlots(3, false)
+	s.share(8)
+	for range 500 {
+		s.observe(browse, 2*time.Millisecond, true)
 	}
-	require.Equal(t, 1, s.Limit())
-	for range 100 {
-		s.observe(5*time.Millisecond, true)
+	for range 500 {
+		s.observe(purchase, 20*time.Millisecond, true)
 	}
 	require.Equal(t, 3, s.Limit())
 }
@@ -128,7 +142,7 @@
 			}
 			if running > 0 && rapid.Bool().Draw(t, "done") {
 				running--
-				for _, x := range q.Done(now, 5*time.Millisecond, nil) {
+				for _, x := range q.Done(now, browse, 5*time.Millisecond, nil) {
 					end(x)
 					running++
 				}
@@ -157,6 +171,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		q.Offer(0, browse, far)
-		q.Done(0, time.Millisecond, nil)
+		q.Done(0, browse, time.Millisecond, nil)
 	}
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
 
@@ -22,6 +23,7 @@
 // CLI is the command line.
 type CLI struct {
 	Reads ReadsCmd `cmd:"" help:"Compare the policies that route reads."`
+	Load  LoadCmd  `cmd:"" help:"Compare the policies that hand out slots."`
 }
 
 // Options are common to the comparisons.
@@ -55,3 +57,17 @@
 	}
 	return reads.Sweep(env.Out, path, c.Seeds, c.Parallel)
 }
+
+// LoadCmd compares the policies that hand out slots.
+type LoadCmd struct {
+	Options
+}
+
+// Run implements the command.
+func (c *LoadCmd) Run(env *Env) error {
+	path, err := c.plot("load-worth.svg")
+	if err != nil {
+		return err
+	}
+	return load.Compare(env.Out, path, c.Seeds, c.Parallel)
+}
--- /dev/null
+++ b/internal/experiment/load/shape.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"endivemoor.example/endivemoor/profile"
+)
+
+const (
+	slots    = 3
+	duration = 120 * time.Second
+)
+
+// class is a kind of request with its share of the target's capacity in quiet
+// times and how that swings over a day.
+type class struct {
+	kind    *profile.Kind
+	service time.Duration
+	// quiet is the share of the slots that it takes in the spike and outage
+	// shapes; mean and swing are those of the day shape.
+	quiet, mean, swing float64
+}
+
+// classes are the request kinds of both users: the worthy ones are fewer and
+// longer, and come more at night, when people fly, than by day.
+var classes = []class{
+	{&profile.Kind{Name: "purchase", Worth: 20, Deadline: 3 * time.Second}, 8 * time.Millisecond, 0.15, 0.15, -0.05},
+	{&profile.Kind{Name: "confirm", Worth: 10, Deadline: time.Second}, 5 * time.Millisecond, 0.15, 0.15, -0.05},
+	{&profile.Kind{Name: "parts", Worth: 3, Deadline: 800 * time.Millisecond, Access: profile.Read, Idempotent: true}, 4 * time.Millisecond, 0.10, 0.15, 0.10},
+	{&profile.Kind{Name: "browse", Worth: 1, Deadline: time.Second, Access: profile.Read, Idempotent: true}, 3 * time.Millisecond, 0.30, 0.45, 0.40},
+}
+
+const (
+	purchaseClass = iota
+	confirmClass
+	partsClass
+	browseClass
+)
+
+// Shape gives a class's share of the slots at an instant of the run.
+type Shape struct {
+	Name string
+	load func(class int, at time.Duration) float64
+	// outage is set if the target fails between outageFrom and outageTo, and
+	// callers come back.
+	outage bool
+	// slow is set if the target is at a tenth of its speed between slowFrom and
+	// slowTo.
+	slow bool
+	// proxies share the target; 0 means one.
+	proxies int
+	// skew is the share of the requests that all come to one proxy.
+	skew float64
+}
+
+const (
+	slowFrom = 40 * time.Second
+	slowTo   = 60 * time.Second
+	// tenth is the factor of a statement's time at a tenth of the speed.
+	tenth = 10
+
+	outageFrom  = 40 * time.Second
+	outageSplit = 45 * time.Second
+	outageTo    = 50 * time.Second
+)
+
+// Shapes returns the situations that are compared.
+func Shapes() []Shape {
+	return []Shape{
+		{Name: "day and night", load: dayLoad},
+		{Name: "spikes", load: spikeLoad},
+		{Name: "outage and retry storm", load: quietLoad, outage: true},
+		{Name: "target at a tenth of its speed", load: quietLoad, slow: true},
+		{Name: "spikes through eight proxies", load: spikeLoad, proxies: 8},
+		{Name: "spikes, one of eight proxies with most", load: spikeLoad, proxies: 8, skew: 0.8},
+	}
+}
+
+// dayLoad is one day in the run's duration: from 50% of the slots by night to
+// 130% by day.
+func dayLoad(c int, at time.Duration) float64 {
+	phase := 2 * math.Pi * float64(at) / float64(duration)
+	return classes[c].mean + classes[c].swing*math.Sin(phase)
+}
+
+func quietLoad(c int, _ time.Duration) float64 { return classes[c].quiet }
+
+// spikeLoad has three bursts: page views fourfold, confirmations fivefold, and
+// everything two and a half times.
+func spikeLoad(c int, at time.Duration) float64 {
+	quiet := classes[c].quiet
+	switch {
+	case within(at, 20, 35) && c == browseClass:
+		return 4 * quiet
+	case within(at, 60, 70) && c == confirmClass:
+		return 5 * quiet
+	case within(at, 95, 105):
+		return 2.5 * quiet
+	}
+	return quiet
+}
+
+func within(at time.Duration, from, to float64) bool {
+	return at.Seconds() >= from && at.Seconds() < to
+}
--- a/internal/experiment/reads/server.go
+++ b/internal/experiment/reads/server.go
@@ -19,10 +19,10 @@
 type fault uint8
 
 const (
-	faultNone fault = iota
-	faultSlow       // a tenth of the speed
-	faultSilent     // takes requests and answers none
-	faultFailing    // refuses at once
+	faultNone    fault = iota
+	faultSlow          // a tenth of the speed
+	faultSilent        // takes requests and answers none
+	faultFailing       // refuses at once
 )
 
 // server is a fake of one database server: slots, a queue in order of arrival
