Give each group five probers, and feed lag evidence only where reads go

Cause: every VM probed every server and ran every group's machine; an idle daemon with one group took 1.3% of a core, so control grew with groups times VMs. Change: a group's machine runs on five VMs by rendezvous hashing over zones; others ask a group's servers only for 10 s after a request of it; peers' evidence is asked of the probers. The manager starts before the peers' endpoint listens: an early exchange would have met a nil map.

--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -38,6 +38,7 @@
 	config  *Configuration
 	clients *peer.Clients
 	store   platform.Store
+	duty    *Duty
 	log     *zap.Logger
 	// onGroup is told of every group state that a peer sent.
 	onGroup func(*view.Group)
@@ -61,6 +62,7 @@
 	Config   *Configuration
 	Clients  *peer.Clients
 	Store    platform.Store
+	Duty     *Duty
 	Log      *zap.Logger
 	OnGroup  func(*view.Group)
 	OnChange func([]membership.VM)
@@ -71,7 +73,7 @@
 // NewExchange returns the controller.
 func NewExchange(c ExchangeConfig) *Exchange {
 	return &Exchange{
-		clk: c.Clock, views: c.Views, config: c.Config, clients: c.Clients, store: c.Store,
+		clk: c.Clock, views: c.Views, config: c.Config, clients: c.Clients, store: c.Store, duty: c.Duty,
 		log: c.Log, onGroup: c.OnGroup, onChange: c.OnChange, machine: c.Machine, rng: c.Rand,
 		changed: map[string]clock.Time{}, terms: map[string]timeline.Term{},
 	}
--- a/controller/gate_test.go
+++ b/controller/gate_test.go
@@ -84,6 +84,8 @@
 	g, group := newGate(f)
 	pos := timeline.Position{Term: 1, LSN: 9}
 	require.NoError(t, g.Acknowledge(context.Background(), group, pos, profile.Confirmed))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	require.GreaterOrEqual(t, asks, 6)
 }
 
--- a/controller/manager.go
+++ b/controller/manager.go
@@ -21,44 +21,79 @@
 	Failover failover.Config
 	// Serve lists the groups; empty means all.
 	Serve []string
+	// Duty says which groups this VM controls.
+	Duty *Duty
 	// Dropped counts events that a full backlog dropped.
 	Dropped func()
 
 	ctx    context.Context
 	mu     sync.Mutex
-	groups map[string]*Group
+	groups map[string]running
+}
+
+// running is a controller and what ends it.
+type running struct {
+	*Group
+	stop context.CancelFunc
 }
 
 // Start makes the manager ready; its controllers run until ctx ends.
 func (m *Manager) Start(ctx context.Context) {
 	m.ctx = ctx
-	m.groups = map[string]*Group{}
+	m.groups = map[string]running{}
 }
 
 func (m *Manager) serves(name string) bool {
 	return len(m.Serve) == 0 || slices.Contains(m.Serve, name)
 }
 
-func (m *Manager) controllerOf(group *view.Group) *Group {
+// Reassign starts and stops controllers after a change of duties. A controller
+// that is stopped in mid-promotion leaves a term half used: the group's other
+// probers go on with a later one.
+func (m *Manager) Reassign() {
+	for _, group := range m.Views.Load().Groups {
+		m.control(group)
+	}
+}
+
+// control returns the group's controller, started or stopped as duty asks; nil
+// if the group is not this VM's duty.
+func (m *Manager) control(group *view.Group) *Group {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := m.groups[group.Name]
-	if c == nil {
-		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		c = NewGroup(m.Deps, group, m.Failover, rng, m.Dropped)
-		m.groups[group.Name] = c
-		go c.Run(m.ctx)
-		m.Log.Info("group_served", zap.String("group", group.Name), zap.Uint64("term", uint64(group.Term)))
+	r, runs := m.groups[group.Name]
+	wanted := m.Duty.Probes(group.Name)
+	switch {
+	case runs && wanted:
+		return r.Group
+	case runs:
+		r.stop()
+		delete(m.groups, group.Name)
+		m.Log.Info("group_left", zap.String("group", group.Name))
+		return nil
+	case !wanted:
+		return nil
 	}
+	return m.start(group)
+}
+
+func (m *Manager) start(group *view.Group) *Group {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ctx, stop := context.WithCancel(m.ctx)
+	c := NewGroup(m.Deps, group, m.Failover, rng, m.Dropped)
+	m.groups[group.Name] = running{c, stop}
+	go c.Run(ctx)
+	c.Post(failover.GroupLearned{Group: *group, Version: platform.Version(group.Version)})
+	m.Log.Info("group_served", zap.String("group", group.Name), zap.Uint64("term", uint64(group.Term)))
 	return c
 }
 
 func (m *Manager) post(name string, ev failover.Event) {
 	m.mu.Lock()
-	c := m.groups[name]
+	r, ok := m.groups[name]
 	m.mu.Unlock()
-	if c != nil {
-		c.Post(ev)
+	if ok {
+		r.Post(ev)
 	}
 }
 
--- a/controller/observe.go
+++ b/controller/observe.go
@@ -15,20 +15,18 @@
 	"endivemoor.example/endivemoor/view"
 )
 
-const (
-	// askPerZone is how many VMs of each availability zone are asked for their
-	// evidence: one may be paused or gone.
-	askPerZone = 2
-	// freshEvidence is the age up to which a peer's own evidence is sent
-	// without asking the server again.
-	freshEvidence = 150 * time.Millisecond
-)
+// freshEvidence is the age up to which a peer's own evidence is sent without
+// asking the server again.
+const freshEvidence = 150 * time.Millisecond
 
-// AskPeers implements PeerEvidence: a bounded number of VMs of every
-// availability zone are asked at once.
+// AskPeers implements PeerEvidence: the group's other probers are asked at
+// once. They watch its servers and are spread over the availability zones.
 func (x *Exchange) AskPeers(ctx context.Context, group string, report func(failover.PeerReport)) {
 	var wg sync.WaitGroup
-	for _, vm := range x.perZone(askPerZone) {
+	for _, vm := range x.duty.Probers(group) {
+		if vm.ID == x.duty.self {
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -38,20 +36,6 @@
 	wg.Wait()
 }
 
-// perZone returns up to n other live VMs of each availability zone, in random
-// order.
-func (x *Exchange) perZone(n int) []membership.VM {
-	taken := map[string]int{}
-	var out []membership.VM
-	for _, vm := range x.some(len(x.Live())) {
-		if taken[vm.Zone] < n {
-			taken[vm.Zone]++
-			out = append(out, vm)
-		}
-	}
-	return out
-}
-
 func (x *Exchange) askPeer(ctx context.Context, vm membership.VM, group string, report func(failover.PeerReport)) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/controller/watched.go
+++ b/controller/watched.go
@@ -32,14 +32,15 @@
 	}
 }
 
-// learn adopts a group and tells its controller, which it starts if need be.
+// learn adopts a group and tells its controller.
 func (m *Manager) learn(group *view.Group, version platform.Version) {
 	if !m.serves(group.Name) {
 		return
 	}
 	m.Views.Adopt(group)
-	c := m.controllerOf(group)
-	c.Post(failover.GroupLearned{Group: *group, Version: version})
+	if c := m.control(group); c != nil {
+		c.Post(failover.GroupLearned{Group: *group, Version: version})
+	}
 }
 
 // onDrains takes changed drain marks. A primary that leaves is relieved first.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -26,9 +26,16 @@
 	if err != nil {
 		return err
 	}
+	d.feeder = &controller.Feeder{
+		Clock:  d.clk,
+		Views:  d.views,
+		Links:  d.links,
+		Duty:   d.duty,
+		Router: routing.NewRouter(d.board, routing.Evidence{}, newRand().Uint64()),
+	}
 	cfg := proxy.Config{
 		View:         d.views,
-		Router:       routing.NewRouter(d.board, routing.Evidence{}, newRand().Uint64()),
+		Router:       d.feeder,
 		Board:        d.board,
 		Limiter:      d.newLimiter(),
 		Pool:         connections,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -35,6 +35,7 @@
 		Config:   d.config,
 		Clients:  d.clients,
 		Store:    d.store,
+		Duty:     d.duty,
 		Log:      d.log,
 		OnGroup:  func(g *view.Group) { d.manager.OnPeerGroup(g) },
 		OnChange: d.onMembers,
@@ -49,7 +50,8 @@
 func (d *daemon) onMembers(live []membership.VM) {
 	d.log.Info("members_changed", zap.Int("live", len(live)))
 	d.views.Update(func(v *view.View) { v.FleetSize = max(1, len(live)) })
-	d.watch.update(d.set.VM.ID, live)
+	d.duty.Update(live)
+	d.manager.Reassign()
 }
 
 func (d *daemon) buildControl() error {
@@ -77,6 +79,7 @@
 		},
 		Failover: d.failoverConfig(),
 		Serve:    d.set.VM.Groups,
+		Duty:     d.duty,
 		Dropped:  dropped.Inc,
 	}
 	return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"endivemoor.example/endivemoor/control"
 	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/explain"
+	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/platform/client"
 	"endivemoor.example/endivemoor/proxy"
@@ -65,7 +66,8 @@
 	promotions  *explain.Ring
 	manager     *controller.Manager
 	exchange    *controller.Exchange
-	watch       *watchDuty
+	duty        *controller.Duty
+	feeder      *controller.Feeder
 	callers     *proxy.Server
 	peers       *http.Server
 	admin       *http.Server
@@ -105,7 +107,7 @@
 		evidence:    controller.NewEvidence(),
 		requests:    explain.NewRing(keepRequests),
 		promotions:  explain.NewRing(keepPromotions),
-		watch:       &watchDuty{},
+		duty:        controller.NewDuty(membership.VM{ID: s.VM.ID, Zone: s.VM.Zone, Addr: s.Listen.Peers}),
 	}
 	d.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.config = controller.NewConfiguration(d.views, log)
@@ -143,6 +145,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed := make(chan error, 3)
+	// A peer may bring groups as soon as its endpoint listens.
+	d.manager.Start(work)
 	if err := d.listen(failed); err != nil {
 		return err
 	}
@@ -188,11 +192,11 @@
 }
 
 func (d *daemon) startControllers(ctx context.Context) (trailDone <-chan struct{}) {
-	d.manager.Start(ctx)
 	for _, w := range d.watchers() {
 		go w.Run(ctx)
 	}
 	go d.exchange.Run(ctx, exchangeEvery)
+	go d.feeder.Run(ctx, d.set.Failover.Heartbeat)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -241,4 +245,8 @@
 	})
 }
 
+func (d *daemon) watchers() []*controller.Watcher {
+	return append(d.manager.Watchers(d.duty.Watches), d.profileWatcher())
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/daemon/profiles.go
+++ b/daemon/profiles.go
@@ -21,7 +21,7 @@
 		Purpose: platform.PurposeProfile,
 		Prefix:  currentProfiles,
 		Handle:  d.onProfiles,
-		Active:  d.watch.active.Load,
+		Active:  d.duty.Watches,
 		Rand:    newRand(),
 		Log:     d.log,
 	}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -38,7 +38,7 @@
 		Generation:  uint64(current.Generation),
 		Digest:      current.Digest,
 		Sessions:    d.callers.Sessions(),
-		Watches:     d.watch.active.Load(),
+		Watches:     d.duty.Watches(),
 		AuditWaits:  d.trail.Waiting(),
 		Live:        d.exchange.Live(),
 		Groups:      v.Groups,
