--- /dev/null
+++ b/audit/log/bench_test.go
@@ -0,0 +1,53 @@
+package log
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform"
+)
+
+// weighed counts the bytes written.
+type weighed struct {
+	*platformd.Store
+	bytes int
+}
+
+func (w *weighed) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	w.bytes += len(value)
+	return w.Store.Put(ctx, p, key, value, expect)
+}
+
+// What one act costs the store when acts come singly or in batches, as a
+// daemon's recorder writes them.
+func BenchmarkAppend(b *testing.B) {
+	for _, batch := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
+			w := &weighed{Store: platformd.NewStore()}
+			l := open(w)
+			ctx := context.Background()
+			n := 0
+			for b.Loop() {
+				since, err := l.Last(ctx)
+				if err != nil {
+					b.Fatal(err)
+				}
+				acts := make([]Pending, batch)
+				for i := range acts {
+					acts[i] = act(fmt.Sprint(n))
+					acts[i].Since = since
+					n++
+				}
+				if err := l.Append(ctx, acts...); err != nil {
+					b.Fatal(err)
+				}
+			}
+			stats := w.Stats()
+			b.ReportMetric(float64(stats.Reads)/float64(n), "reads/act")
+			b.ReportMetric(float64(stats.Writes)/float64(n), "writes/act")
+			b.ReportMetric(float64(w.bytes)/float64(n), "written-B/act")
+		})
+	}
+}
