--- /dev/null
+++ b/proxy/failure_test.go
@@ -0,0 +1,267 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/view"
+)
+
+// A note is written without a key and its answer is lost. The proxy must not
+// send it again, and must not say that it did not run: it did.
+func TestLostAnswerOfAnUnkeyedWriteIsUnknown(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t)
+	r.trip.arm("INSERT 0 1\x00")
+	_, err := c.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	e := pgError(t, err)
+	require.Equal(t, "08007", e.Code)
+	require.Contains(t, e.Detail, "outcome=unknown retry-after-ms=")
+	require.Equal(t, 1, r.trip.hits)
+	require.Empty(t, token(c))
+	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM passes"))
+}
+
+// The same for a kind that may be repeated, and for a read: the caller sees
+// nothing of the loss.
+func TestRepeatableRequestsSurviveALostAnswer(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t, simple)
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	r.trip.arm("UPDATE 1\x00")
+	exec(t, c, "/*endivemoor kind=set-seat*/ UPDATE passes SET seat = 9 WHERE id = 'n1'")
+	r.trip.arm("SELECT 1\x00")
+	require.Equal(t, 9, queryInt(t, c, "/*endivemoor kind=balance*/ SELECT seat FROM passes WHERE id = 'n1'"))
+	require.Equal(t, 2, r.trip.hits)
+}
+
+// The connection breaks in the middle of a transaction of the caller's. The
+// caller must not go on as if it were open: what follows would be committed
+// without what came before.
+func TestBrokenTransactionEndsTheSession(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t, simple)
+	exec(t, c, "BEGIN")
+	r.trip.arm("INSERT 0 1\x00")
+	_, err := c.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	require.Equal(t, "FATAL", pgError(t, err).Severity)
+	require.True(t, c.IsClosed())
+	require.Zero(t, queryInt(t, r.connect(t), "SELECT count(*) FROM passes"))
+}
+
+// The gate finds no proof that the primary still leads. The write is in its
+// log, but the caller hears neither "done" nor "not run", and its watermark
+// stays where it was.
+func TestUnprovenCommitIsUnknown(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	cl.gate.setRefuse(true)
+	for _, sql := range []string{
+		"INSERT INTO passes (id, seat) VALUES ('n1', 1)",
+		"BEGIN; INSERT INTO passes (id, seat) VALUES ('n2', 1); COMMIT",
+	} {
+		_, err := c.Exec(context.Background(), sql)
+		require.Equal(t, "08007", pgError(t, err).Code, sql)
+	}
+	tx, err := c.Begin(context.Background())
+	require.NoError(t, err)
+	_, err = tx.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n3', 1)")
+	require.NoError(t, err)
+	require.Equal(t, "08007", pgError(t, tx.Commit(context.Background())).Code)
+	require.Empty(t, token(c))
+	require.Empty(t, cl.gate.acked)
+}
+
+// The server that commits is not the primary of the term that the write was
+// sent under. Its position says nothing of the group's history.
+func TestCommitUnderAnotherTermIsUnknown(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t)
+	g := *cl.views.Load().Groups["ledger"]
+	g.Term = 2
+	cl.publish(g)
+	_, err := c.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	require.Equal(t, "08007", pgError(t, err).Code)
+	require.Empty(t, cl.gate.acked)
+}
+
+// A promotion happens while the proxy's view is old. The fenced primary refuses
+// the write by its own word, so the proxy may wait for the new view and send
+// the write to the new primary: the caller sees only a delay.
+func TestWriteToAFencedPrimaryGoesToTheNewOne(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('n0', 1)")
+	cl.caughtUp(t)
+	g := cl.promote(t, 1, 2, 0)
+	before := r.board.ends.Load()
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return r.board.ends.Load() > before }, waitLimit, time.Millisecond)
+	cl.publish(g)
+	require.NoError(t, <-done)
+	require.Equal(t, "fenced", r.last().Attempts[0].Failure)
+	require.Len(t, cl.committed(1), 1)
+	require.Equal(t, 2, queryInt(t, c, "SELECT count(*) FROM passes"))
+}
+
+// The primary's process is gone and nobody has noticed yet. Writes that were
+// not sent wait for the next primary instead of failing.
+func TestQueuedWriteWaitsForTheNextPrimary(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	cl.caughtUp(t)
+	cl.servers[0].Kill()
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+		done <- err
+	}()
+	cl.publish(cl.promote(t, 1, 2, 2))
+	require.NoError(t, <-done)
+	require.Len(t, cl.committed(1), 1)
+}
+
+// No primary comes before the deadline. The answer is "not run", because no
+// byte was sent, and it says when to come back.
+func TestNoPrimaryIsNotRun(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t)
+	cl.servers[0].Kill()
+	_, err := c.Exec(context.Background(), "/*endivemoor kind=brief*/ INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	e := pgError(t, err)
+	require.Contains(t, e.Detail, "outcome=not-run retry-after-ms=")
+	require.Contains(t, []string{"53300", "57P03"}, e.Code)
+}
+
+// A frozen primary answers long after the proxy has given up on the request.
+// The late answer must reach nobody: not the caller that has its final answer,
+// and not the next one on the same server.
+func TestLateAnswersReachNobody(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('n1', 41)")
+	require.Eventually(t, func() bool { return r.pool.Stats("a").Idle == 1 }, waitLimit, time.Millisecond)
+	cl.servers[0].Faults().Cut("proxy", dbd.Answers)
+	_, err := c.Exec(context.Background(), "/*endivemoor kind=brief*/ SELECT seat FROM passes")
+	require.Equal(t, "08007", pgError(t, err).Code)
+	cl.servers[0].Faults().Heal()
+	for i := range 5 {
+		require.Equal(t, i, queryInt(t, c, fmt.Sprintf("SELECT %d", i)))
+	}
+}
+
+// Many callers run transactions over a few connections, some of which break or
+// are left open. The target's own record shows that no transaction holds
+// statements of two callers.
+func TestTransactionsNeverMix(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	const callers, rounds = 12, 8
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() { churn(r, i, rounds) })
+	}
+	wg.Wait()
+	for _, e := range cl.servers[0].Executions() {
+		require.LessOrEqual(t, len(owners(e.Statements, callers)), 1, "mixed: %v", e.Statements)
+	}
+	require.Equal(t, callers*rounds*2, queryInt(t, r.connect(t), "SELECT count(*) FROM passes"))
+}
+
+func churn(r *rig, caller, rounds int) {
+	ctx := context.Background()
+	for j := range rounds {
+		c, err := pgx.Connect(ctx, r.dsn(""))
+		if err != nil {
+			panic(err)
+		}
+		insert := func(part string) string {
+			return fmt.Sprintf("INSERT INTO passes (id, seat) VALUES ('%s-%s-%d', %d)", name(caller), part, j, j)
+		}
+		mustDo(c, "BEGIN", insert("x"), insert("y"), "COMMIT", "BEGIN", insert("lost"))
+		_ = c.Close(ctx)
+	}
+}
+
+func mustDo(c *pgx.Conn, statements ...string) {
+	for _, sql := range statements {
+		if _, err := c.Exec(context.Background(), sql); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func name(caller int) string { return fmt.Sprintf("caller%02d", caller) }
+
+func owners(statements []string, callers int) map[string]bool {
+	found := map[string]bool{}
+	for _, s := range statements {
+		for i := range callers {
+			if strings.Contains(s, name(i)) {
+				found[name(i)] = true
+			}
+		}
+	}
+	return found
+}
+
+// A caller writes through one proxy and reads through another before the
+// replicas have its write. With its token, and also without, it sees it.
+func TestRoamingReadsItsOwnWrite(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	for _, s := range cl.servers[1:] {
+		s.Faults().SetReplicationDelay(50 * time.Millisecond)
+	}
+	r1, r2 := startProxy(t, cl), startProxy(t, cl)
+	const read = "/*endivemoor kind=balance*/ SELECT seat FROM passes WHERE id = 'p'"
+	w := r1.connect(t)
+	exec(t, w, "INSERT INTO passes (id, seat) VALUES ('p', 0)")
+	for i := 1; i <= 6; i++ {
+		exec(t, w, "UPDATE passes SET seat = $1 WHERE id = 'p'", i)
+		roam := []func(*pgx.ConnConfig){}
+		if i%2 == 0 {
+			roam = append(roam, withToken(token(w)))
+		}
+		r2.observe()
+		require.Equal(t, i, queryInt(t, r2.connect(t, roam...), read))
+	}
+}
+
+// The token comes from a term that this proxy has not heard of. Its primary is
+// superseded, so nothing here can prove to hold the session's write: the read
+// waits for the new view.
+func TestTokenFromALaterTermWaitsForTheView(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r1 := startProxy(t, cl)
+	stale := view.NewHolder()
+	stale.Update(func(v *view.View) { *v = *cl.views.Load() })
+	r2 := startProxy(t, cl, func(c *Config) { c.View = stale })
+	cl.caughtUp(t)
+	g := cl.promote(t, 1, 2, 2)
+	cl.publish(g)
+	w := r1.connect(t, simple)
+	exec(t, w, "INSERT INTO passes (id, seat) VALUES ('p', 5)")
+	c := r2.connect(t, simple, withToken(token(w)))
+	_, err := c.Exec(context.Background(), "/*endivemoor kind=brief*/ SELECT seat FROM passes WHERE id = 'p'")
+	require.Contains(t, pgError(t, err).Detail, "outcome=not-run")
+	stale.Update(func(v *view.View) { v.Groups = cl.views.Load().Groups })
+	require.Equal(t, 5, queryInt(t, c, "SELECT seat FROM passes WHERE id = 'p'"))
+}
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,9 +142,10 @@
 type rig struct {
 	*Server
 	c     *cluster
-	board *routing.Board
+	board *countingBoard
 	pool  *pool.Pool
 	addr  string
+	trip  *trip
 
 	mu      sync.Mutex
 	records []*filter.Record
@@ -161,11 +164,9 @@
 }
 
 func startProxy(t testing.TB, c *cluster, change ...func(*Config)) *rig {
-	r := &rig{c: c, board: routing.NewBoard()}
-	dial, err := pool.NewDialer("postgres://proxy@x/ledger?sslmode=disable&application_name=proxy")
-	require.NoError(t, err)
+	r := &rig{c: c, board: &countingBoard{Board: routing.NewBoard()}, trip: &trip{}}
 	r.pool = pool.New(pool.Config{
-		Dial: dial, Clock: c.clk, Log: zap.NewNop(), Seed: 1,
+		Dial: r.dial, Clock: c.clk, Log: zap.NewNop(), Seed: 1,
 		Backoff: retry.Backoff{Base: time.Millisecond, Max: 20 * time.Millisecond},
 	})
 	verifier, err := NewVerifier(password, "0123456789abcdef", minIterations)
@@ -173,7 +174,7 @@
 	creds, err := ParseVerifier(verifier)
 	require.NoError(t, err)
 	cfg := Config{
-		View: c.views, Router: routing.NewRouter(r.board, routing.Evidence{}, 1), Board: r.board, Pool: r.pool,
+		View: c.views, Router: routing.NewRouter(r.board.Board, routing.Evidence{}, 1), Board: r.board, Pool: r.pool,
 		Limiter: limiter.New(limiter.Config{Queue: admission.Config{}, Clock: c.clk}),
 		Tokens:  c.keys, Users: StaticUsers{"app": creds, "other": creds}, Ack: c.gate, Clock: c.clk,
 		Log: zap.NewNop(), Recorder: r, Zone: "a", Seed: 1,
@@ -194,6 +195,74 @@
 	return r
 }
 
+// dial opens a connection that the rig's trip can break.
+func (r *rig) dial(ctx context.Context, srv *view.Server) (*pgconn.HijackedConn, error) {
+	cfg, err := pgconn.ParseConfig("postgres://proxy@" + srv.Addr + "/ledger?sslmode=disable&application_name=proxy")
+	if err != nil {
+		return nil, err
+	}
+	cfg.DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, addr)
+		return &tripConn{Conn: conn, trip: r.trip}, err
+	}
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	return conn.Hijack()
+}
+
+// countingBoard counts the exchanges with targets that have ended.
+type countingBoard struct {
+	*routing.Board
+	ends atomic.Int64
+}
+
+func (b *countingBoard) End(id target.ID, now clock.Time, latency time.Duration, failed bool) {
+	b.Board.End(id, now, latency, failed)
+	b.ends.Add(1)
+}
+
+// trip loses the answer that contains a text, once: the target has done its
+// work, and the connection breaks before the proxy hears of it.
+type trip struct {
+	mu   sync.Mutex
+	text string
+	hits int
+}
+
+func (t *trip) arm(text string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = text
+}
+
+func (t *trip) strikes(b []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.text == "" || !strings.Contains(string(b), t.text) {
+		return false
+	}
+	t.text = ""
+	t.hits++
+	return true
+}
+
+type tripConn struct {
+	net.Conn
+	trip *trip
+}
+
+func (c *tripConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.trip.strikes(b[:n]) {
+		_ = c.Conn.Close()
+		return 0, io.EOF
+	}
+	return n, err
+}
+
 // observe gives the board what probes would have seen.
 func (r *rig) observe() {
 	for _, s := range r.c.servers {
@@ -260,3 +329,40 @@
 	}
 	return out
 }
+
+// promote makes server id the primary of term, with the others fenced, and
+// leaves the proxies' view as it was.
+func (c *cluster) promote(t testing.TB, id int, term timeline.Term, fence ...int) view.Group {
+	t.Helper()
+	for _, i := range append(fence, id) {
+		c.control(t, i, fmt.Sprintf("SELECT * FROM endivemoor_fence(%d)", term))
+	}
+	c.control(t, id, fmt.Sprintf("SELECT * FROM endivemoor_promote(%d)", term))
+	st := c.servers[id].Status()
+	g := *c.views.Load().Groups["ledger"]
+	g.Term, g.Primary = term, c.servers[id].ID()
+	g.History = g.History.Append(timeline.Start{Term: term, LSN: st.Start})
+	return g
+}
+
+func (c *cluster) control(t testing.TB, id int, sql string) {
+	t.Helper()
+	conn, err := pgx.Connect(context.Background(), "postgres://control@"+c.servers[id].Addr()+"/endivemoor?sslmode=disable")
+	require.NoError(t, err)
+	defer func() { _ = conn.Close(context.Background()) }()
+	_, err = conn.Exec(context.Background(), sql)
+	require.NoError(t, err, sql)
+}
+
+func (c *cluster) publish(g view.Group) {
+	c.views.Update(func(v *view.View) { v.Groups = map[string]*view.Group{g.Name: &g} })
+}
+
+// caughtUp waits until every replica holds what the primary has committed.
+func (c *cluster) caughtUp(t testing.TB) {
+	t.Helper()
+	want := c.primary().Status().LSN
+	for _, s := range c.servers {
+		require.Eventually(t, func() bool { return s.Status().LSN >= want }, waitLimit, time.Millisecond)
+	}
+}
--- /dev/null
+++ b/proxy/keyed_test.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+)
+
+const buy = "/*endivemoor kind=purchase&key=%s*/ INSERT INTO passes (id, seat) VALUES ('%s', 4) RETURNING id, seat"
+
+func purchase(c *pgx.Conn, key, id string) (string, error) {
+	var got string
+	var seat int
+	err := c.QueryRow(context.Background(), fmt.Sprintf(buy, key, id)).Scan(&got, &seat)
+	return got, err
+}
+
+// A passenger's portal times out and asks again, through the balancer and so
+// through another proxy. One pass is sold, and both calls get its answer.
+func TestSameKeyRunsOnceAndRepeatsTheAnswer(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r1, r2 := startProxy(t, cl), startProxy(t, cl)
+	for name, mode := range map[string]func(*pgx.ConnConfig){"simple": simple, "extended": func(*pgx.ConnConfig) {}} {
+		t.Run(name, func(t *testing.T) {
+			first, err := purchase(r1.connect(t, mode), name, name)
+			require.NoError(t, err)
+			again := r2.connect(t, mode)
+			second, err := purchase(again, name, name)
+			require.NoError(t, err)
+			require.Equal(t, first, second)
+			require.NotEmpty(t, token(again), "the repeat raises the watermark, too")
+		})
+	}
+	require.Equal(t, 2, queryInt(t, r1.connect(t), "SELECT count(*) FROM passes"))
+}
+
+// Two proxies get the same key at the same moment, many times over. Whatever
+// the interleaving, one runs and all callers hear the same.
+func TestRacingKeysRunOnce(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	rigs := []*rig{startProxy(t, cl), startProxy(t, cl)}
+	const rounds, racers = 5, 6
+	for i := range rounds {
+		var wg sync.WaitGroup
+		errs := make([]error, racers)
+		key := fmt.Sprint("race", i)
+		for j := range racers {
+			c := rigs[j%2].connect(t)
+			wg.Go(func() { _, errs[j] = purchase(c, key, key) })
+		}
+		wg.Wait()
+		for _, err := range errs {
+			require.NoError(t, err)
+		}
+	}
+	require.Equal(t, rounds, queryInt(t, rigs[0].connect(t), "SELECT count(*) FROM passes"))
+}
+
+// The target commits a purchase and the connection breaks before its answer.
+// The proxy asks by the key, finds the row and tells the caller "done".
+func TestLostCommitAnswerIsResolvedByTheKey(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	r.trip.arm("COMMIT\x00")
+	got, err := purchase(c, "k7", "p7")
+	require.NoError(t, err)
+	require.Equal(t, "p7", got)
+	require.Equal(t, 1, r.trip.hits)
+	require.Len(t, r.last().Attempts, 2)
+	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM passes"))
+}
+
+func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t)
+	_, err := purchase(c, "k1", "p1")
+	require.NoError(t, err)
+	_, err = purchase(c, "k1", "p2")
+	require.Equal(t, "22023", pgError(t, err).Code)
+	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM passes"))
+}
+
+// Two services happen to use the same key. Neither may be given the other's
+// answer in place of running.
+func TestKeysOfTwoUsersAreApart(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	_, err := purchase(r.connect(t), "k1", "p1")
+	require.NoError(t, err)
+	other := r.connect(t, func(cfg *pgx.ConnConfig) { cfg.User = "other" })
+	_, err = purchase(other, "k1", "p2")
+	require.NoError(t, err)
+	require.Equal(t, 2, queryInt(t, other, "SELECT count(*) FROM passes"))
+}
+
+func TestFailedRequestLeavesItsKeyFree(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t)
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('p1', 1)")
+	_, err := purchase(c, "k1", "p1")
+	require.Equal(t, "23505", pgError(t, err).Code)
+	exec(t, c, "DELETE FROM passes")
+	_, err = purchase(c, "k1", "p1")
+	require.NoError(t, err)
+}
+
+// A statement that could end the proxy's transaction would drop the key's row
+// and let the rest run without it.
+func TestKeyedRequestTakesNoTransactionControl(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t, simple)
+	for _, sql := range []string{
+		"ROLLBACK", "rollback; INSERT INTO passes VALUES ('x', 1)", "-- x\n/* y */ commit",
+		"/* /* */ x */ COMMIT", "INSERT INTO passes VALUES ('x', 1); ROLLBACK; INSERT INTO passes VALUES ('x', 1)", "",
+	} {
+		_, err := c.Exec(context.Background(), "/*endivemoor kind=purchase&key=k1*/ "+sql+" --")
+		require.Error(t, err, sql)
+	}
+	require.Zero(t, queryInt(t, c, "SELECT count(*) FROM passes"))
+	_, err := c.Exec(context.Background(), "/*endivemoor kind=purchase*/ INSERT INTO passes VALUES ('x', 1)")
+	require.Equal(t, "22023", pgError(t, err).Code, "the kind requires a key")
+}
+
+// A whole transaction carries a key. The caller loses its answer and runs it
+// again from BEGIN: it hears at once that the first one was done.
+func TestKeyedTransactionIsNotRepeated(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r1, r2 := startProxy(t, cl), startProxy(t, cl)
+	const begin = "/*endivemoor kind=purchase&key=tx1*/ BEGIN"
+	c := r1.connect(t)
+	exec(t, c, begin)
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('p1', 1)")
+	exec(t, c, "COMMIT")
+	again := r2.connect(t)
+	_, err := again.Exec(context.Background(), begin)
+	e := pgError(t, err)
+	require.Equal(t, "EM001", e.Code)
+	require.Equal(t, "outcome=done", e.Detail)
+	require.Equal(t, 1, queryInt(t, again, "SELECT count(*) FROM passes"))
+
+	tx, err := again.Begin(context.Background())
+	require.NoError(t, err)
+	_, err = tx.Exec(context.Background(), "/*endivemoor key=tx1*/ INSERT INTO passes (id, seat) VALUES ('p2', 1)")
+	require.Equal(t, "EM001", pgError(t, err).Code)
+	require.ErrorIs(t, tx.Commit(context.Background()), pgx.ErrTxCommitRollback)
+	require.Equal(t, 1, queryInt(t, again, "SELECT count(*) FROM passes"))
+}
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 // attach makes conn the caller's connection; TLS replaces it once.
 func (s *caller) attach(conn net.Conn) {
 	s.raw = conn
-	s.in = &patientReader{conn: conn, rest: s.srv.cfg.Limits.Message}
+	s.in = &patientReader{conn: conn, rest: s.srv.cfg.Limits.Message, phase: login}
 	s.be = pgproto3.NewBackend(s.in, conn)
 	s.be.SetMaxBodyLen(maxStartupMessage)
 }
@@ -84,10 +85,24 @@
 	}
 }
 
-// close ends the caller's connection. Half-closing first lets a last error
-// message arrive although the caller has sent more than was read.
-func (s *caller) close() {
-	_ = s.raw.Close()
+func (s *caller) close() { _ = s.raw.Close() }
+
+const (
+	// lingerTime and lingerBytes bound what is read after a last message.
+	lingerTime  = time.Second
+	lingerBytes = 1 << 20
+)
+
+// linger lets a last message arrive although the caller has sent more than was
+// read: a close would reset the connection and take the message along.
+func (s *caller) linger() {
+	half, ok := s.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if s.raw.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, s.raw, lingerBytes)
+	}
 }
 
 // serve handles one request and reports whether the session goes on.
@@ -189,6 +204,9 @@
 	s.flush()
 	s.srv.cfg.Log.Info("session_ended", zap.Uint32("pid", s.pid), zap.String("user", s.state.User),
 		zap.String("code", string(e.Code)), zap.String("reason", e.Message))
+	if e.Code == outcome.CodeProgramLimit || e.Code == outcome.CodeProtocolViolation {
+		s.linger()
+	}
 }
 
 // turnAway refuses a connection that was not entered.
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -63,7 +63,7 @@
 // connection served its purpose or the caller left.
 func (s *caller) negotiate() (*pgproto3.StartupMessage, *outcome.Error) {
 	for range maxNegotiations {
-		m, err := s.first()
+		m, err := s.be.ReceiveStartupMessage()
 		if err != nil {
 			return nil, startupRefusal(err)
 		}
@@ -86,11 +86,6 @@
 	return nil, refuse(outcome.CodeProtocolViolation, "too many encryption requests")
 }
 
-func (s *caller) first() (pgproto3.FrontendMessage, error) {
-	s.in.fresh = true
-	return s.be.ReceiveStartupMessage()
-}
-
 // startupRefusal answers garbage; a caller that left gets no answer. A health
 // check by the balancer connects and leaves, too.
 func startupRefusal(err error) *outcome.Error {
