--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -28,7 +28,7 @@
 	}
 	cfg := proxy.Config{
 		View:         d.views,
-		Router:       routing.NewRouter(d.board, routing.DefaultPolicy(), newRand().Uint64()),
+		Router:       routing.NewRouter(d.board, routing.Evidence{}, newRand().Uint64()),
 		Board:        d.board,
 		Limiter:      d.newLimiter(),
 		Pool:         connections,
@@ -50,11 +50,10 @@
 		},
 	}
 	if d.set.TLS.Cert != "" {
-		cert, err := proxy.LoadCertificate(d.set.TLS.Cert, d.set.TLS.Key)
-		if err != nil {
+		if d.cert, err = proxy.LoadCertificate(d.set.TLS.Cert, d.set.TLS.Key); err != nil {
 			return errors.Wrap(err, "callers' key files")
 		}
-		cfg.TLS = cert.Config()
+		cfg.TLS = d.cert.Config()
 	}
 	d.callers = proxy.New(cfg)
 	d.buildAdmin()
@@ -70,7 +69,7 @@
 		Dial:    dial,
 		Limit:   d.set.Targets.Connections,
 		Control: controlPerServer,
-		Backoff: retry.Backoff{Base: 20 * time.Millisecond, Cap: time.Second},
+		Backoff: retry.Backoff{Base: 20 * time.Millisecond, Max: time.Second},
 		Seed:    newRand().Uint64(),
 		Clock:   d.clk,
 		Log:     d.log,
--- a/internal/standin/dbd/control.go
+++ b/internal/standin/dbd/control.go
@@ -74,9 +74,13 @@
 		verbSet, verbReset, verbDiscard, verbDeallocate:
 		return nil, nil
 	case verbShow:
-		return x.show(text).cols, nil
+		res, err := x.show(text)
+		if err != nil {
+			return nil, err
+		}
+		return res.cols, nil
 	}
-	return x.srv.node.store().columns(x.srv.ctx, text)
+	return onStore(x.srv.node, func(e *engine) ([]column, error) { return e.columns(x.srv.ctx, text) })
 }
 
 // controlCall runs a control function. It needs no slot, so that a busy server
--- a/internal/standin/dbd/session.go
+++ b/internal/standin/dbd/session.go
@@ -29,7 +29,7 @@
 	application string
 	user        string
 	counted     bool
-	settings    map[string]string
+	settings    settings
 
 	tx         transaction
 	statements map[string]*prepared
@@ -51,7 +51,6 @@
 		types:      pgtype.NewMap(),
 		pid:        s.lastPID.Add(1),
 		secret:     randomSecret(),
-		settings:   make(map[string]string),
 		statements: make(map[string]*prepared),
 		portals:    make(map[string]*portal),
 	}
@@ -172,10 +171,7 @@
 // fail reports err and moves the transaction to the failed state.
 func (x *session) fail(err error) {
 	x.be.Send(asSQLError(err).response(severityError))
-	x.tx.failed = x.tx.block
-	if !x.tx.block {
-		x.rollback()
-	}
+	x.failTransaction()
 }
 
 // sync ends an implicit transaction and says that the session is ready.
--- a/internal/standin/dbd/sqlstate.go
+++ b/internal/standin/dbd/sqlstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"database/sql"
 	"fmt"
 	"strings"
 
@@ -33,9 +32,11 @@
 	codeInvalidStatement     = "26000"
 	codeInvalidPassword      = "28P01"
 	codeInvalidCursor        = "34000"
+	codeNoSavepoint          = "3B001"
 	codeSerialization        = "40001"
 	codeSyntax               = "42601"
 	codeUndefinedColumn      = "42703"
+	codeUndefinedObject      = "42704"
 	codeUndefinedTable       = "42P01"
 	codeDuplicateTable       = "42P07"
 	codeDuplicateStatement   = "42P05"
@@ -117,8 +118,8 @@
 		return failure(codeQueryCanceled, "canceling statement due to user request")
 	case errors.Is(err, context.DeadlineExceeded):
 		return failure(codeLockNotAvailable, "canceling statement due to lock timeout")
-	case errors.Is(err, sql.ErrConnDone):
-		return failure(codeSerialization, "the server is rewinding")
+	case errors.Is(err, errClosed):
+		return failure(codeReadOnly, readOnlyMessage)
 	}
 	return engineError(err)
 }
--- a/internal/standin/dbd/transaction.go
+++ b/internal/standin/dbd/transaction.go
@@ -5,6 +5,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Transaction states of ReadyForQuery.
@@ -19,8 +21,11 @@
 	// block is set between BEGIN and COMMIT.
 	block  bool
 	failed bool
+	// savepoints is set once a SAVEPOINT was made: a failed block can then be
+	// rolled back to it and go on.
+	savepoints bool
 	// write is the storage's transaction; nil while only reads have run
-	// outside a block, and in a block that may not write.
+	// outside a block, and in a block that may not write or has failed.
 	write *writeTx
 	// record is the execution log's account of write.
 	record Execution
@@ -104,6 +109,7 @@
 		}
 	}
 	x.tx.block = true
+	x.settingsAtBegin()
 	return &result{tag: verbBegin}, nil
 }
 
@@ -129,7 +135,9 @@
 
 func (x *session) commitBlock() (*result, error) {
 	x.tx.block = false
-	if err := x.commit(); err != nil {
+	err := x.commit()
+	x.settingsAtEnd(err == nil)
+	if err != nil {
 		return nil, err
 	}
 	return &result{tag: verbCommit}, nil
@@ -157,12 +165,35 @@
 
 // rollback ends the transaction without effect.
 func (x *session) rollback() {
-	if w := x.tx.write; w != nil {
-		w.rollback()
-		x.tx.record.End = EndRolledBack
-		x.srv.executions.add(x.tx.record)
-	}
+	x.undo()
 	x.tx = transaction{}
+	x.settingsAtEnd(false)
+}
+
+// undo rolls the storage's transaction back, if there is one.
+func (x *session) undo() {
+	w := x.tx.write
+	if w == nil {
+		return
+	}
+	w.rollback()
+	x.tx.write = nil
+	x.tx.record.End = EndRolledBack
+	x.srv.executions.add(x.tx.record)
+}
+
+// failTransaction moves a block to the failed state. Like PostgreSQL it gives
+// up the locks at once, unless a savepoint may still be returned to: a caller
+// that is slow to send ROLLBACK must not hold up the other writers.
+func (x *session) failTransaction() {
+	if !x.tx.block {
+		x.rollback()
+		return
+	}
+	x.tx.failed = true
+	if !x.tx.savepoints {
+		x.undo()
+	}
 }
 
 // abandon ends the transaction of a connection that is gone.
@@ -172,12 +203,16 @@
 	if !x.tx.block {
 		return nil, failure(codeNoTransaction, "%s can only be used in transaction blocks", words[0])
 	}
+	if words[0] != verbSavepoint && !x.tx.savepoints {
+		return nil, failure(codeNoSavepoint, "savepoint does not exist")
+	}
 	if x.tx.write != nil {
 		if err := x.tx.write.savepoint(ctx, s); err != nil {
 			return nil, err
 		}
 		x.tx.record.addStatement(s)
 	}
+	x.tx.savepoints = true
 	x.tx.failed = false
 	return &result{tag: words[0]}, nil
 }
@@ -209,7 +244,18 @@
 		return nil, err
 	}
 	defer release()
-	return x.srv.node.store().read(ctx, s)
+	return onStore(x.srv.node, func(e *engine) (*result, error) { return e.read(ctx, s) })
+}
+
+// onStore reads from the present storage, and again from the one that replaced
+// it if a rewind came in between: a reader must not notice it.
+func onStore[T any](n *node, read func(*engine) (T, error)) (T, error) {
+	for {
+		v, err := read(n.store())
+		if !errors.Is(err, errClosed) || n.isStopped() {
+			return v, err
+		}
+	}
 }
 
 // slot waits for one of the few places of running statements, then spends the
@@ -231,14 +277,18 @@
 	return func() { <-x.srv.slots }, ctx.Err()
 }
 
-// utility handles the session settings, which have no meaning here but must
-// not fail.
+// utility handles the statements that concern the session only.
 func (x *session) utility(text string, words []string) (*result, error, bool) {
 	switch words[0] {
-	case verbSet, verbReset:
-		return &result{tag: words[0]}, nil, true
+	case verbSet:
+		x.set(text)
+		return &result{tag: verbSet}, nil, true
+	case verbReset:
+		x.reset(text)
+		return &result{tag: verbReset}, nil, true
 	case verbShow:
-		return x.show(text), nil, true
+		res, err := x.show(text)
+		return res, err, true
 	case verbDeallocate:
 		clear(x.statements)
 		return &result{tag: strings.Join(words, " ")}, nil, true
@@ -248,21 +298,14 @@
 		}
 		clear(x.statements)
 		clear(x.portals)
+		x.restore(x.settings.initial)
 		return &result{tag: "DISCARD ALL"}, nil, true
+	case verbCreate:
+		if len(words) > 1 && strings.HasPrefix(words[1], "TEMP") {
+			return nil, failure(codeNotSupported, "temporary tables are not supported"), true
+		}
+		return nil, nil, false
 	default:
 		return nil, nil, false
 	}
 }
-
-// show answers SHOW for the one setting that callers depend on.
-func (x *session) show(text string) *result {
-	name := strings.ToLower(strings.Trim(strings.TrimSpace(bare(text)[len(verbShow):]), "; "))
-	value := ""
-	if name == "transaction_read_only" {
-		value = "on"
-		if _, _, ok := x.srv.node.writable(); ok {
-			value = "off"
-		}
-	}
-	return &result{cols: []column{{name: name}}, rows: [][]any{{value}}, tag: verbShow}
-}
