--- a/controller/watcher.go
+++ b/controller/watcher.go
@@ -51,6 +51,9 @@
 			pause = watchRetryMin
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		w.Log.Warn("watch_failed", zap.String("prefix", w.Prefix), zap.Error(err))
 		sleep(ctx, w.jitter(pause))
 		pause = min(2*pause, watchRetryMax)
