Start each user's full size from one script; readable evidence in the trail

Cause: the users' sizes were not runnable; the trail's evidence was raw JSON and the reason of a fence was empty.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Developer entry points. README.md names the first two.
 GO ?= go
+EXAMPLE ?= demo
 
 .PHONY: demo run test lint build bench measure matrix matrix-all fuzz
 
@@ -15,10 +16,10 @@
 	$(GO) tool staticcheck ./...
 
 demo: build
-	examples/demo/run.sh
+	examples/run.sh demo play
 
 run: build
-	examples/demo/run.sh stay
+	examples/run.sh $(EXAMPLE) stay
 
 generate:
 	$(GO) build -o bin/ github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
@@ -26,4 +27,4 @@
 	  --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. peer.proto
 
 bench: build
-	examples/demo/run.sh bench
+	examples/run.sh demo bench
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 type commands struct {
 	Platform platformd.Command `cmd:"" help:"Serve the object API."`
 	DB       dbd.Command       `cmd:"" name:"db" help:"Serve one database server."`
+	Member   memberCommand     `cmd:"" help:"Serve one database server of a group's object file."`
 }
 
 func main() {
--- a/controller/journal.go
+++ b/controller/journal.go
@@ -1,8 +1,9 @@
 package controller
 
 import (
-	"encoding/json"
 	"fmt"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,10 @@
 	Trail           *auditlog.Recorder
 	Promotions      *explain.Ring
 	Log             *zap.Logger
+
+	mu sync.Mutex
+	// started is the start of each group's newest attempt.
+	started map[string]failover.Entry
 }
 
 // act is one recorded step with its evidence, as explain shows it.
@@ -39,6 +44,7 @@
 // RecordAct implements Recorder.
 func (j *Journal) RecordAct(e failover.Entry) {
 	now := time.Now()
+	e.Reason = j.why(e)
 	j.Log.Info("group_"+string(e.Step),
 		zap.String("group", e.Group),
 		zap.Uint64("term", uint64(e.Term)),
@@ -62,18 +68,47 @@
 	return auditlog.Act(id, now, j.VM, action, e.Reason, e.Group, evidenceText(e), to)
 }
 
-// evidenceText is the evidence as it was, or what was discarded, as JSON; the
-// trail clips it.
+// evidenceText is the evidence as it was, or what was discarded, in one line
+// for an auditor. The trail clips it; explain holds it whole.
 func evidenceText(e failover.Entry) string {
-	var of any = e.Evidence
-	if len(e.Discarded) > 0 {
-		of = e.Discarded
+	var parts []string
+	for _, x := range e.Discarded {
+		parts = append(parts, fmt.Sprintf("term=%d position=%d %q", x.Position.Term, x.Position.LSN, x.Statement))
+	}
+	if len(parts) > 0 {
+		return "discarded: " + strings.Join(parts, "; ")
+	}
+	for _, x := range e.Evidence {
+		parts = append(parts, observationText(x))
+	}
+	return strings.Join(parts, "; ")
+}
+
+func observationText(x failover.Evidence) string {
+	heard := "answered " + x.Age.Round(time.Millisecond).String() + " ago"
+	if x.Silent {
+		heard = "silent, last " + heard
+	}
+	return fmt.Sprintf("%s (%s) saw %s: %s term=%d position=%d promised=%d, %s",
+		x.VM, x.Zone, x.Server, x.Status.Role, x.Status.Term, x.Status.LSN, x.Status.Promised, heard)
+}
+
+// why returns the entry's reason; a step of an attempt that has none gets that
+// of the attempt's start.
+func (j *Journal) why(e failover.Entry) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if e.Step == failover.StepStarted {
+		if j.started == nil {
+			j.started = map[string]failover.Entry{}
+		}
+		j.started[e.Group] = e
 	}
-	raw, err := json.Marshal(of)
-	if err != nil {
-		return ""
+	start, ok := j.started[e.Group]
+	if e.Reason != "" || !ok || start.Term != e.Term {
+		return e.Reason
 	}
-	return string(raw)
+	return start.Reason
 }
 
 // keepForExplain adds the step to the acts of its group.
--- /dev/null
+++ b/examples/caledonian/schema.sql
@@ -0,0 +1,3 @@
+CREATE TABLE listings (id TEXT PRIMARY KEY, title TEXT NOT NULL, price TEXT NOT NULL);
+CREATE TABLE reservations (listing TEXT PRIMARY KEY, buyer TEXT NOT NULL);
+CREATE TABLE payments (id TEXT PRIMARY KEY, listing TEXT NOT NULL, amount TEXT NOT NULL);
--- /dev/null
+++ b/examples/skybridge/schema.sql
@@ -0,0 +1,1 @@
+CREATE TABLE passes (id TEXT PRIMARY KEY, flight TEXT NOT NULL, price TEXT NOT NULL);
