--- a/scenario/proxy.go
+++ b/scenario/proxy.go
@@ -115,7 +115,7 @@
 	if a.done {
 		return
 	}
-	v := a.m.Fail(f, a.p.v.w.now, openBudget{})
+	v := a.verdict(f)
 	a.number++
 	if !v.Retry {
 		a.finish(v.Outcome, 0)
@@ -130,6 +130,19 @@
 	})
 }
 
+// verdict is the core's, but for the guards that a test takes out.
+func (a *attempt) verdict(f core.Failure) core.Verdict {
+	now := a.p.v.w.now
+	v := a.m.Fail(f, now, openBudget{})
+	if a.p.v.w.guards.Out(GuardOutcome) {
+		v.Outcome = outcome.NotRun
+	}
+	if a.p.v.w.guards.Out(GuardRepeat) && v.Why == core.ReasonUnsafe {
+		v.Retry = now.Before(a.c.deadline)
+	}
+	return v
+}
+
 // finish answers the caller, unless the way back is gone.
 func (a *attempt) finish(o outcome.Outcome, rows int) {
 	if a.done {
@@ -152,13 +165,16 @@
 	}
 }
 
-// target calls the attempt's server; an answer to an abandoned try is dropped.
+// target calls the attempt's server; an answer to an abandoned try is dropped,
+// and a second answer to one question too, as a connection's stream would.
 func (a *attempt) target(handle func(*server) func(), lost func()) {
 	s := a.p.v.w.server(a.server)
 	n := a.number
+	taken := false
 	only := func(f func()) func() {
 		return func() {
-			if a.live(n) {
+			if a.live(n) && !taken {
+				taken = true
 				f()
 			}
 		}
--- a/scenario/read.go
+++ b/scenario/read.go
@@ -22,6 +22,10 @@
 	GuardWitnessedFloor guard.Name = "session/witnessed-floor"
 	// GuardKey is the unique row for a request key in the target.
 	GuardKey guard.Name = "request/key"
+	// GuardOutcome is the rule that a request which was sent is not "not run".
+	GuardOutcome guard.Name = "request/outcome"
+	// GuardRepeat is the rule that a request which may have run is not repeated.
+	GuardRepeat guard.Name = "request/repeat"
 )
 
 // readKind is how reads are declared: a stated age of some seconds.
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -31,6 +31,7 @@
 	callers map[string]*caller
 	history []*call
 	nextID  int
+	steps   int // events run so far
 	effects map[string]int // how often each fault changed something
 
 	// Hook is called at each named step of the core; see Trap.
@@ -91,6 +92,11 @@
 	return s
 }
 
+func (w *World) lastLines() string {
+	s := w.trace.String()
+	return s[max(0, len(s)-2000):]
+}
+
 // Advance lets virtual time pass.
 func (w *World) Advance(d time.Duration) {
 	end := w.now.Add(d)
@@ -114,7 +120,15 @@
 	return true
 }
 
+// maxEvents bounds a run; an ordinary one has some ten thousand events. More
+// means that something answers itself for ever.
+const maxEvents = 1_000_000
+
 func (w *World) step() {
+	w.steps++
+	if w.steps > maxEvents {
+		panic("scenario: the run does not end; last lines of its trace:\n" + w.lastLines())
+	}
 	ev := heap.Pop(&w.queue).(*timedEvent)
 	w.now = max(w.now, ev.at)
 	ev.run()
