--- /dev/null
+++ b/controller/exchange_test.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/membership"
+	"endivemoor.example/endivemoor/peer"
+	"endivemoor.example/endivemoor/peer/peerpb"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/view"
+)
+
+// downStore answers no call.
+type downStore struct{ platform.Store }
+
+func (downStore) VMs(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable }
+
+type node struct {
+	*Exchange
+	views *view.Holder
+}
+
+func (n node) OnObserve(*peerpb.ObserveRequest) *peerpb.ObserveReply { return nil }
+func (n node) OnCancel(uint32, []byte) bool                          { return false }
+
+func newNode(t *testing.T, id string) (node, membership.VM) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	self := membership.VM{ID: id, Zone: "z", Addr: ln.Addr().String()}
+	views := view.NewHolder()
+	x := NewExchange(ExchangeConfig{
+		Clock: monotonic.New(), Views: views, Config: NewConfiguration(views, zap.NewNop()),
+		Clients: peer.NewClients(nil), Store: downStore{}, Duty: NewDuty(self), Log: zap.NewNop(),
+		OnGroup:  func(g *view.Group) { views.Adopt(g) },
+		OnChange: func([]membership.VM) {},
+		Machine:  membership.New(membership.Config{Incarnation: 1}, self),
+		Rand:     rand.New(rand.NewPCG(1, 2)),
+	})
+	n := node{x, views}
+	srv := peer.NewServer(n, nil)
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return n, self
+}
+
+func published(g profile.Generation, grace string) Published {
+	text := []byte("[p]\ndrain-grace = " + grace + "\n")
+	return Published{Generation: g, Digest: inifile.Digest(text), Text: text}
+}
+
+// The store is down and a daemon restarts with nothing. It must serve from what
+// a peer knows: groups with their servers, and the newest profiles. A peer that
+// slept through two publications must not take it back.
+func TestRestartedDaemonLearnsFromPeersAndNeverGoesBack(t *testing.T) {
+	old, oldVM := newNode(t, "p1")
+	old.views.Adopt(&view.Group{Name: "g", Term: 4, Primary: "b", Servers: []view.Server{{ID: "b", Addr: "127.0.0.1:9"}}})
+	require.True(t, old.config.Offer(published(3, "4s"), "store"))
+
+	fresh, _ := newNode(t, "p2")
+	fresh.exchangeWith(context.Background(), oldVM)
+	require.Equal(t, "127.0.0.1:9", fresh.views.Load().Groups["g"].Servers[0].Addr)
+	require.Equal(t, profile.Generation(3), fresh.views.Load().Profiles.Generation)
+
+	asleep, asleepVM := newNode(t, "p3")
+	require.True(t, asleep.config.Offer(published(1, "9s"), "store"))
+	fresh.exchangeWith(context.Background(), asleepVM)
+	require.Equal(t, profile.Generation(3), fresh.config.Current().Generation)
+	require.Equal(t, profile.Generation(3), asleep.config.Current().Generation, "and the sleeper is brought forward")
+}
+
+// A damaged copy of a set arrives from a peer: its text does not match the
+// digest that was published. It must not be put in force, whatever its number.
+func TestDamagedConfigurationIsRefused(t *testing.T) {
+	n, _ := newNode(t, "p1")
+	p := published(9, "4s")
+	p.Text = append(p.Text, ' ')
+	require.False(t, n.config.Offer(p, "peer"))
+	require.Zero(t, n.config.Current().Generation)
+}
