Measure the failover gap on processes, and look for every acknowledged write

Cause: only single kills had been tried; the users weigh the gap most. Change: endivemoor-load gap breaks and mends the primary under load.

--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -4,11 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"strconv"
 	"time"
-
-	"github.com/alecthomas/kong"
 )
 
 // Bench is the command line of the comparison.
@@ -27,22 +24,8 @@
 	writeSQL = "INSERT INTO passes(id, flight, price) VALUES ($1, 'SK101', '12')"
 )
 
-// Main runs the command line and returns the exit code.
-func Main(args []string) int {
-	var b Bench
-	parser := kong.Must(&b, kong.Name("endivemoor-load"))
-	if _, err := parser.Parse(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if err := b.run(context.Background(), os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return 0
-}
-
-func (b *Bench) run(ctx context.Context, out io.Writer) error {
+// Run compares and prints a table.
+func (b *Bench) Run(ctx context.Context, out io.Writer) error {
 	endpoints := [2]Endpoint{
 		{Name: "direct", URL: b.Direct},
 		{Name: "proxy", URL: b.Proxy, Params: map[string]string{"endivemoor.profile": b.Profile}},
--- /dev/null
+++ b/internal/load/gap.go
@@ -0,0 +1,350 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+)
+
+// Gap is the command line of the failover measurement: callers buy passes
+// without a pause while the primary is broken and mended again and again. It
+// reports how long no write was acknowledged, and at the end looks for every
+// acknowledged write.
+type Gap struct {
+	Proxies  []string      `help:"callers' addresses of the daemons, ip:port" required:""`
+	Admin    string        `help:"admin address of one daemon" required:""`
+	Controls []string      `help:"fault controls as server=ip:port" required:""`
+	Group    string        `default:"ledger-0"`
+	Profile  string        `default:"passes"`
+	User     string        `default:"passapp"`
+	Password string        `default:"demo-only"`
+	Faults   []string      `help:"freeze, cut (from all), cut-peers (replication alone), slow" default:"freeze,cut"`
+	Rounds   int           `help:"times that each fault strikes" default:"10"`
+	Callers  int           `default:"4"`
+	Settle   time.Duration `help:"pause between mending and the next fault" default:"2s"`
+}
+
+const (
+	statusPoll  = 20 * time.Millisecond
+	mendTimeout = 30 * time.Second
+	requestTime = 15 * time.Second
+)
+
+// buyers is the state that all callers share.
+type buyers struct {
+	mu      sync.Mutex
+	acked   []string
+	last    time.Time
+	unknown int
+	notRun  int
+	other   map[string]int
+	// worst is the longest time without an acknowledgement since reset.
+	worst time.Duration
+}
+
+func (b *buyers) ack(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.worst = max(b.worst, now.Sub(b.last))
+	b.last = now
+	b.acked = append(b.acked, id)
+}
+
+func (b *buyers) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var pg *pgconn.PgError
+	switch {
+	case errors.As(err, &pg) && strings.Contains(pg.Detail, "outcome=unknown"):
+		b.unknown++
+	case errors.As(err, &pg) && strings.Contains(pg.Detail, "outcome=not-run"):
+		b.notRun++
+	default:
+		b.other[err.Error()]++
+	}
+}
+
+// reset starts a new observation and returns nothing of the old one.
+func (b *buyers) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.worst = 0
+	b.last = time.Now()
+}
+
+func (b *buyers) gap() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.worst, time.Since(b.last))
+}
+
+// Run strikes, mends and reports.
+func (g *Gap) Run(ctx context.Context, out io.Writer) error {
+	controls, err := parseControls(g.Controls)
+	if err != nil {
+		return err
+	}
+	b := &buyers{last: time.Now(), other: map[string]int{}}
+	work, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	for i := range g.Callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.buy(work, b, i)
+		}()
+	}
+	time.Sleep(g.Settle)
+	fmt.Fprintf(out, "%-10s %6s | %9s %9s %9s | %s\n", "fault", "rounds", "gap p50", "p99", "max", "promotions")
+	for _, fault := range g.Faults {
+		if err := g.strikeAll(ctx, out, b, controls, fault); err != nil {
+			return err
+		}
+	}
+	stop()
+	wg.Wait()
+	return g.report(ctx, out, b)
+}
+
+func parseControls(in []string) (map[string]string, error) {
+	out := map[string]string{}
+	for _, c := range in {
+		id, addr, ok := strings.Cut(c, "=")
+		if !ok {
+			return nil, errors.Errorf("%q is not server=ip:port", c)
+		}
+		out[id] = addr
+	}
+	return out, nil
+}
+
+func (g *Gap) strikeAll(ctx context.Context, out io.Writer, b *buyers, controls map[string]string, fault string) error {
+	gaps := hdrhistogram.New(minLatency, maxLatency, latencyDigits)
+	promotions := 0
+	for range g.Rounds {
+		gap, promoted, err := g.strike(ctx, b, controls, fault)
+		if err != nil {
+			return errors.Wrap(err, fault)
+		}
+		_ = gaps.RecordValue(gap.Nanoseconds())
+		if promoted {
+			promotions++
+		}
+	}
+	q := func(p float64) time.Duration {
+		return time.Duration(gaps.ValueAtQuantile(p)).Round(time.Millisecond)
+	}
+	fmt.Fprintf(out, "%-10s %6d | %9s %9s %9s | %d\n", fault, g.Rounds, q(50), q(99), q(100), promotions)
+	return nil
+}
+
+// strike breaks the present primary, waits for the next acknowledgement after
+// a promotion, mends the server, and waits until it follows.
+func (g *Gap) strike(ctx context.Context, b *buyers, controls map[string]string, fault string) (time.Duration, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, mendTimeout)
+	defer cancel()
+	before, err := g.group(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	control := controls[before.Primary]
+	b.reset()
+	if err = apply(control, fault); err != nil {
+		return 0, false, err
+	}
+	promoted := g.awaitPromotion(ctx, before.Term)
+	time.Sleep(g.Settle / 2)
+	gap := b.gap()
+	if err = mend(control); err != nil {
+		return 0, false, err
+	}
+	if err = g.awaitFollowing(ctx, control); err != nil {
+		return 0, false, err
+	}
+	time.Sleep(g.Settle)
+	return gap, promoted, nil
+}
+
+// awaitPromotion gives up after a while: some faults need none.
+func (g *Gap) awaitPromotion(ctx context.Context, term uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, mendTimeout/3)
+	defer cancel()
+	for ctx.Err() == nil {
+		if now, err := g.group(ctx); err == nil && now.Term > term {
+			return true
+		}
+		time.Sleep(statusPoll)
+	}
+	return false
+}
+
+// awaitFollowing waits until the mended server is of the newest term.
+func (g *Gap) awaitFollowing(ctx context.Context, control string) error {
+	for {
+		group, err := g.group(ctx)
+		if err == nil {
+			var st struct{ Term uint64 }
+			if err = getJSON(ctx, "http://"+control+"/status", &st); err == nil && st.Term == group.Term {
+				return nil
+			}
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("the mended server does not follow: %v", err)
+		}
+		time.Sleep(statusPoll)
+	}
+}
+
+// groupState is the part of a daemon's status that is needed here.
+type groupState struct {
+	Term    uint64 `json:"term"`
+	Primary string `json:"primary"`
+}
+
+func (g *Gap) group(ctx context.Context) (groupState, error) {
+	var st struct {
+		Groups map[string]groupState `json:"groups"`
+	}
+	err := getJSON(ctx, "http://"+g.Admin+"/status", &st)
+	return st.Groups[g.Group], err
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// faults are the control calls behind each fault's name.
+var faults = map[string]url.Values{
+	"freeze":    {"kind": {"freeze"}},
+	"cut":       {"kind": {"cut"}, "who": {"*"}, "direction": {"both"}},
+	"cut-peers": {"kind": {"cut"}, "who": {"peers"}, "direction": {"both"}},
+	"answers":   {"kind": {"cut"}, "who": {"*"}, "direction": {"answers"}},
+	"slow":      {"kind": {"slow"}, "factor": {"1000"}},
+	"heal":      {"kind": {"heal"}},
+	"thaw":      {"kind": {"thaw"}},
+	"speed":     {"kind": {"slow"}, "factor": {"1"}},
+}
+
+// mend takes every fault back.
+func mend(control string) error {
+	for _, f := range []string{"thaw", "heal", "speed"} {
+		if err := apply(control, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func apply(control, fault string) error {
+	v, ok := faults[fault]
+	if !ok {
+		return errors.Errorf("unknown fault %q", fault)
+	}
+	resp, err := http.Post("http://"+control+"/fault?"+v.Encode(), "", nil)
+	if err != nil {
+		return errors.Wrap(err, "fault control")
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("fault %s refused: %s", fault, resp.Status)
+	}
+	return nil
+}
+
+// buy sends purchases one after the other, each under its own key, repeated
+// with the same key while the outcome is unknown.
+func (g *Gap) buy(ctx context.Context, b *buyers, caller int) {
+	run := time.Now().UnixNano()
+	var conn *pgx.Conn
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("gap-%d-%d-%d", run, caller, n)
+		for ctx.Err() == nil {
+			err := g.buyOnce(ctx, &conn, id, (caller+n)%len(g.Proxies))
+			if err == nil {
+				b.ack(id)
+				break
+			}
+			if ctx.Err() == nil {
+				b.fail(err)
+				time.Sleep(statusPoll)
+			}
+		}
+	}
+	if conn != nil {
+		_ = conn.Close(context.Background())
+	}
+}
+
+func (g *Gap) buyOnce(ctx context.Context, conn **pgx.Conn, id string, proxy int) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTime)
+	defer cancel()
+	if *conn == nil || (*conn).IsClosed() {
+		c, err := connect(ctx, g.endpoint(g.Proxies[proxy]))
+		if err != nil {
+			return err
+		}
+		*conn = c
+	}
+	_, err := (*conn).Exec(ctx, "/*endivemoor kind=purchase&key="+id+"*/ "+writeSQL, id)
+	return err
+}
+
+func (g *Gap) endpoint(addr string) Endpoint {
+	return Endpoint{
+		Name:   addr,
+		URL:    fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", g.User, g.Password, addr, g.Group),
+		Params: map[string]string{"endivemoor.profile": g.Profile},
+	}
+}
+
+// report looks for every acknowledged purchase.
+func (g *Gap) report(ctx context.Context, out io.Writer, b *buyers) error {
+	conn, err := connect(ctx, g.endpoint(g.Proxies[0]))
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	lost, twice := 0, 0
+	for _, id := range b.acked {
+		var n string
+		err := conn.QueryRow(ctx, "/*endivemoor kind=balance*/ "+readSQL, id).Scan(&n)
+		switch {
+		case err != nil:
+			return errors.Wrap(err, "look for "+id)
+		case n == "0":
+			lost++
+		case n != "1":
+			twice++
+		}
+	}
+	fmt.Fprintf(out, "acknowledged %d, lost %d, twice %d; answers unknown %d, not run %d\n", len(b.acked), lost, twice, b.unknown, b.notRun)
+	for text, n := range b.other {
+		fmt.Fprintf(out, "other error x%d: %s\n", n, text)
+	}
+	if lost+twice > 0 {
+		return errors.New("an acknowledged purchase is lost or doubled")
+	}
+	return nil
+}
