--- a/audit/log/find.go
+++ b/audit/log/find.go
@@ -51,7 +51,9 @@
 			head, err := l.headBefore(ctx, s.from)
 			return at, head, err
 		}
-		s.drop(at)
+		if !l.guards.Out(GuardActID) {
+			s.drop(at)
+		}
 		if !at.isFull() {
 			return at, at.head(), nil
 		}
--- a/audit/log/log.go
+++ b/audit/log/log.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/platform/readback"
 )
@@ -15,15 +16,30 @@
 // Log appends to the trail and reads it. It is safe for concurrent use.
 type Log struct {
 	store platform.Store
-	// Pause between two read-backs, and after a lost race.
+	// pause is the time between two read-backs, and after a lost race.
 	pause time.Duration
+	// guards are taken out by tests only.
+	guards guard.Set
 }
 
+// Guards that a test may take out.
+const (
+	// GuardActID looks for an act by its ID before it is written.
+	GuardActID guard.Name = "audit/act-id"
+	// GuardReadBack judges by the acts' IDs what became of an append whose
+	// answer was lost.
+	GuardReadBack guard.Name = "audit/read-back"
+)
+
 // New returns a log in the store.
 func New(s platform.Store) *Log { return &Log{store: s, pause: readback.DefaultPause} }
 
 // WithPause returns the log with another pause between tries.
-func (l *Log) WithPause(d time.Duration) *Log { return &Log{store: l.store, pause: d} }
+func (l *Log) WithPause(d time.Duration) *Log {
+	next := *l
+	next.pause = d
+	return &next
+}
 
 // Pending is an act that is to be recorded, maybe by another command than the
 // one that prepared it.
@@ -138,7 +154,7 @@
 		// judged by ID: a racing command may have recorded the very same act.
 		Mine: func(o platform.Object) bool {
 			s, err := decode(o, last.Number)
-			return err == nil && s.hasAll(entries[len(last.Entries):])
+			return err == nil && s.hasAll(entries[len(last.Entries):]) && !l.guards.Out(GuardReadBack)
 		},
 	})
 }
--- a/audit/log/log_test.go
+++ b/audit/log/log_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
 	"endivemoor.example/endivemoor/platform"
 )
@@ -89,6 +90,31 @@
 	requireTrail(t, s, 151)
 }
 
+// The same act is written again, after a lost answer or by another command.
+// Without its ID being looked for it stands twice, and Verify says so. Without
+// the read-back alone, the ID still catches it: the two guards cover each other.
+func TestActIDGuardIsNeeded(t *testing.T) {
+	for _, c := range []struct {
+		guards guard.Set
+		faults int
+	}{
+		{nil, 0},
+		{guard.Without(GuardReadBack), 0},
+		{guard.Without(GuardActID), 1},
+		{guard.Without(GuardActID, GuardReadBack), 2},
+	} {
+		s := platformd.NewStore()
+		l := open(s)
+		l.guards = c.guards
+		s.SetFaults(platformd.Faults{LoseAnswers: 1})
+		require.NoError(t, l.Append(context.Background(), act("a")))
+		require.NoError(t, l.Append(context.Background(), act("a")))
+		entries, err := l.All(context.Background())
+		require.NoError(t, err)
+		require.Len(t, audit.Verify(entries), c.faults)
+	}
+}
+
 // A batch races with another command that recorded one act of it first. The
 // others must still be written, that one not again.
 func TestBatchKeepsWhatAnotherCommandLeft(t *testing.T) {
--- a/ctl/audit.go
+++ b/ctl/audit.go
@@ -60,7 +60,17 @@
 	if e.Reviewer != "" {
 		fmt.Fprintf(w, " reviewed by %s", e.Reviewer)
 	}
-	fmt.Fprintf(w, ": %s\n    from %q to %q\n", e.Reason, e.From, e.To)
+	fmt.Fprintf(w, ": %s\n    from %q to %q\n", e.Reason, brief(e.From), brief(e.To))
+}
+
+// briefLength is how much of a value is shown to people; JSON has it whole.
+const briefLength = 100
+
+func brief(s string) string {
+	if len(s) <= briefLength {
+		return s
+	}
+	return strings.ToValidUTF8(s[:briefLength], "") + "..."
 }
 
 type auditVerify struct {
