Strike publishing with pairs of faults

Change: publication/store takes its IDs from a function, so that a scenario can give the same trace twice.

--- a/publication/store/matrix_test.go
+++ b/publication/store/matrix_test.go
@@ -36,13 +36,25 @@
 
 var faults = []fault{killed, killedAfter, lostAnswer, lostRequest, outage, lostThenDown}
 
-// faulty strikes at call number at, counting from 0.
+// endsCommand reports whether no later call reaches the store.
+func (f fault) endsCommand() bool { return f == killed || f == killedAfter || f == lostThenDown }
+
+// strike is a fault at a call, counted from 0.
+type strike struct {
+	kind fault
+	at   int
+}
+
+func (s strike) String() string { return fmt.Sprintf("%s at call %d", s.kind, s.at) }
+
+// faulty strikes at the calls given, in order.
 type faulty struct {
 	platform.Store
-	at     int
-	kind   fault
-	calls  int
-	struck bool
+	left  []strike
+	calls int
+	// gone counts the calls since the command ended, or the store did.
+	gone *int
+	last fault
 	// cancel ends the command: its process is gone, or its time is up.
 	cancel func()
 }
@@ -51,37 +63,40 @@
 // before its time is up.
 const patience = 4
 
-// strike says how the call is struck: what to answer instead, and if it
+func (f *faulty) allStruck() bool { return len(f.left) == 0 }
+
+// next says how the present call is struck: what to answer instead, and if it
 // reaches the store at all.
-func (f *faulty) strike() (reaches bool, err error) {
+func (f *faulty) next() (reaches bool, err error) {
 	n := f.calls
 	f.calls++
-	if n < f.at {
+	if f.gone != nil {
+		*f.gone++
+		if f.last != lostThenDown || *f.gone == patience {
+			f.cancel()
+		}
+		return false, platform.ErrUnavailable
+	}
+	if f.allStruck() || f.left[0].at != n {
 		return true, nil
 	}
-	if n == f.at {
-		f.struck = true
-		switch f.kind {
-		case killedAfter, lostThenDown, lostAnswer:
-			return true, platform.ErrNoAnswer
-		case lostRequest:
-			return false, platform.ErrNoAnswer
-		default:
-			return false, platform.ErrUnavailable
-		}
+	f.last, f.left = f.left[0].kind, f.left[1:]
+	if f.last.endsCommand() {
+		f.gone = new(int)
 	}
-	if f.kind == killed || f.kind == killedAfter || f.kind == lostThenDown {
-		if n-f.at == patience || f.kind != lostThenDown {
-			f.cancel()
-		}
+	switch f.last {
+	case killedAfter, lostThenDown, lostAnswer:
+		return true, platform.ErrNoAnswer
+	case lostRequest:
+		return false, platform.ErrNoAnswer
+	default:
 		return false, platform.ErrUnavailable
 	}
-	return true, nil
 }
 
 // read is a call without effect: whatever strikes it, it is unavailable.
 func (f *faulty) read() error {
-	if _, err := f.strike(); err != nil {
+	if _, err := f.next(); err != nil {
 		return platform.ErrUnavailable
 	}
 	return nil
@@ -102,7 +117,7 @@
 }
 
 func (f *faulty) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	reaches, struck := f.strike()
+	reaches, struck := f.next()
 	if !reaches {
 		return 0, struck
 	}
@@ -114,7 +129,7 @@
 }
 
 func (f *faulty) Delete(ctx context.Context, p platform.Purpose, key string, expect platform.Version) error {
-	reaches, struck := f.strike()
+	reaches, struck := f.next()
 	if !reaches {
 		return struck
 	}
@@ -153,16 +168,13 @@
 	}, func(_ *publication.Record, drafts []publication.Draft) bool { return len(drafts) == 2 }, audit.ProfileDrafted},
 }
 
-// cell is one fault at one call of one command.
+// cell is one command under one fault, or a pair.
 type cell struct {
 	command command
-	kind    fault
-	at      int
+	strikes []strike
 }
 
-func (c cell) String() string {
-	return fmt.Sprintf("%s, %s at call %d", c.command.name, c.kind, c.at)
-}
+func (c cell) String() string { return fmt.Sprint(c.command.name, " ", c.strikes) }
 
 // Every fault strikes every call of every command. Whatever the operator was
 // told must be true, and after the next operator's command the change stands
@@ -185,7 +197,7 @@
 	for _, command := range commands {
 		for _, kind := range faults {
 			for at := 0; ; at++ {
-				c := cell{command: command, kind: kind, at: at}
+				c := cell{command: command, strikes: []strike{{kind, at}}}
 				outcome, struck, fault := c.play(t, guards)
 				if !struck {
 					break
@@ -198,8 +210,8 @@
 	}
 }
 
-// play strikes once and judges. Whether the fault struck at all says when the
-// command has no further call.
+// play runs the command under the strikes and judges. Whether all of them struck
+// says when the command has no further call.
 func (c cell) play(t *testing.T, guards guard.Set) (outcome string, struck bool, fault error) {
 	t.Helper()
 	p := platformd.NewStore()
@@ -208,15 +220,15 @@
 	before := actions(t, p)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f := &faulty{Store: p, at: c.at, kind: c.kind, cancel: cancel}
+	f := &faulty{Store: p, left: c.strikes, cancel: cancel}
 	told := c.command.run(ctx, without(f, guards), id)
 
 	_, _, err := without(p, guards).Create(context.Background(), dora, "f.ini", []byte(fourthText))
 	if err != nil {
-		return "", f.struck, errors.Wrap(err, "the next operator is stuck")
+		return "", f.allStruck(), errors.Wrap(err, "the next operator is stuck")
 	}
 	outcome, fault = judge(t, p, c.command, told, before)
-	return outcome, f.struck, fault
+	return outcome, f.allStruck(), fault
 }
 
 // judge compares what was told with what stands. It knows the objects and the
@@ -259,3 +271,47 @@
 	require.NoError(t, err)
 	return current, slices.DeleteFunc(drafts, func(d publication.Draft) bool { return d.Author == dora.Actor })
 }
+
+// Two faults strike one command: one that it survives, and any other at any
+// later call.
+func TestPairsOfFaults(t *testing.T) {
+	cells := pairs(t)
+	for _, c := range cells {
+		_, struck, fault := c.play(t, nil)
+		require.NoError(t, fault, c.String())
+		require.True(t, struck, c.String())
+	}
+	t.Logf("pairs struck: %d", len(cells))
+	require.Greater(t, len(cells), 100)
+}
+
+// pairs lists the pairs whose second fault finds a call to strike: those after
+// a first fault that does not end the command.
+func pairs(t *testing.T) []cell {
+	t.Helper()
+	var out []cell
+	sweep(t, nil, func(first cell, _ string, _ error) bool {
+		calls := first.calls(t)
+		for _, kind := range faults {
+			for at := first.strikes[0].at + 1; at < calls; at++ {
+				out = append(out, cell{command: first.command, strikes: append(first.strikes[:1:1], strike{kind, at})})
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// calls counts the calls that reach for the store under the cell's strikes; none
+// if they end the command.
+func (c cell) calls(t *testing.T) int {
+	t.Helper()
+	if c.strikes[0].kind.endsCommand() {
+		return 0
+	}
+	p := platformd.NewStore()
+	publishFirst(t, p)
+	f := &faulty{Store: p, left: c.strikes, cancel: func() {}}
+	_ = c.command.run(context.Background(), open(f), reviewed(t, p, aoife, secondText))
+	return f.calls
+}
--- a/publication/store/steps.go
+++ b/publication/store/steps.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return publication.Draft{}, nil, err
 	}
-	d, err := publication.NewDraft(NewID(), text, step)
+	d, err := publication.NewDraft(s.newID(), text, step)
 	if err != nil {
 		return d, nil, err
 	}
@@ -97,7 +97,7 @@
 		return none, nil, err
 	}
 	mark := publication.Mark{Time: s.now().UTC(), Since: since}
-	return publication.Step{Actor: by.Actor, Reason: by.Reason, ID: NewID(), Act: mark, Guards: s.guards}, current, nil
+	return publication.Step{Actor: by.Actor, Reason: by.Reason, ID: s.newID(), Act: mark, Guards: s.guards}, current, nil
 }
 
 // write stores a draft after a step, with the step's act in it, and then
--- a/publication/store/store.go
+++ b/publication/store/store.go
@@ -54,6 +54,7 @@
 	log      *auditlog.Log
 	now      func() time.Time
 	pause    time.Duration
+	newID    func() string
 	// guards are taken out by tests only.
 	guards guard.Set
 }
@@ -76,7 +77,7 @@
 
 // New returns a store in the platform. now gives the wall clock.
 func New(p platform.Store, now func() time.Time) *Store {
-	return &Store{platform: p, log: auditlog.New(p), now: now, pause: readback.DefaultPause}
+	return &Store{platform: p, log: auditlog.New(p), now: now, pause: readback.DefaultPause, newID: NewID}
 }
 
 // WithPause returns the store with another pause between tries.
@@ -86,6 +87,13 @@
 	return &next
 }
 
+// WithIDs returns the store with another source of IDs, which must not repeat.
+func (s *Store) WithIDs(newID func() string) *Store {
+	next := *s
+	next.newID = newID
+	return &next
+}
+
 // Compile parses a record into the set that requests use.
 func Compile(r *publication.Record) (*profile.Set, error) {
 	if r == nil {
