Take wall-clock limits out of the platform's tests

They never failed here; the cause was found by reading.

The wait between tries stands once, as readback.Pause.

--- a/audit/log/log.go
+++ b/audit/log/log.go
@@ -118,7 +118,7 @@
 			return err
 		}
 		// Lost: another writer was first. Chain behind it.
-		if !sleep(ctx, l.pause) {
+		if !readback.Pause(ctx, l.pause) {
 			return errors.WithMessage(platform.ErrUnavailable, "other writers were first until the time ran out")
 		}
 	}
@@ -175,14 +175,3 @@
 	}
 	_, _ = l.store.Put(ctx, platform.PurposeAudit, HeadKey, value, o.Version)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/audit/log/log_test.go
+++ b/audit/log/log_test.go
@@ -150,7 +150,7 @@
 	r.pause = time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { r.Run(ctx, time.Second) })
+	wg.Go(func() { r.Run(ctx, time.Minute) })
 	require.NoError(t, r.Record(act("p1")))
 	require.NoError(t, r.Record(act("p2")))
 	require.Eventually(t, func() bool { _, struck := s.Faults(); return struck.Down > 2 }, time.Minute, time.Millisecond)
@@ -196,10 +196,9 @@
 // must hear "may have been written", and asking again with the ID settles it.
 func TestUnansweredAppendIsUnknownAndSettledByItsID(t *testing.T) {
 	s := platformd.NewStore()
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-	defer cancel()
+	ctx, cancel := context.WithCancel(context.Background())
 	s.SetFaults(platformd.Faults{LoseAnswers: 1})
-	err := New(outageAfterPut{s}).WithPause(time.Millisecond).Append(ctx, act("a"))
+	err := New(outageAfterPut{s, cancel}).WithPause(time.Millisecond).Append(ctx, act("a"))
 	var unknown *UnknownError
 	require.ErrorAs(t, err, &unknown)
 	s.SetFaults(platformd.Faults{})
@@ -207,10 +206,15 @@
 	requireTrail(t, s, 1)
 }
 
-type outageAfterPut struct{ *platformd.Store }
+// outageAfterPut goes down after one update, and ends the caller's time.
+type outageAfterPut struct {
+	*platformd.Store
+	cancel func()
+}
 
 func (o outageAfterPut) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
 	v, err := o.Store.Put(ctx, p, key, value, expect)
 	o.SetFaults(platformd.Faults{Down: true})
+	o.cancel()
 	return v, err
 }
--- a/audit/log/recorder.go
+++ b/audit/log/recorder.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/platform/readback"
 )
 
 // queueLimit bounds the acts that wait in memory.
@@ -88,7 +89,7 @@
 			return
 		}
 		for r.Waiting() > 0 && !r.flush(ctx) {
-			if !sleep(ctx, r.pause) {
+			if !readback.Pause(ctx, r.pause) {
 				break
 			}
 		}
--- a/drain/store/store.go
+++ b/drain/store/store.go
@@ -269,10 +269,8 @@
 		if !errors.Is(err, platform.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
-		select {
-		case <-ctx.Done():
+		if !readback.Pause(ctx, s.pause) {
 			return err
-		case <-time.After(s.pause):
 		}
 	}
 }
--- a/publication/store/publish.go
+++ b/publication/store/publish.go
@@ -93,7 +93,7 @@
 			return nil
 		case err == nil:
 			return publication.Superseded(winner, "another publish came first")
-		case !sleep(ctx, s.pause):
+		case !readback.Pause(ctx, s.pause):
 			return &UnknownError{What: "the publish", Cause: err}
 		}
 	}
--- a/publication/store/settle.go
+++ b/publication/store/settle.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/platform/readback"
 	"endivemoor.example/endivemoor/publication"
 )
 
@@ -82,7 +82,7 @@
 		if !errors.Is(err, platform.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
-		if !sleep(ctx, s.pause) {
+		if !readback.Pause(ctx, s.pause) {
 			return err
 		}
 	}
@@ -96,14 +96,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
