Send the reset along with the last statements, prove it at hand-over

Ruled out: leaving the reset out by command tag, since a SELECT can change settings. Change: DISCARD ALL travels behind statements that surely end their transaction, its answer is read by the next owner before it sends anything; no goroutine waits for it.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -28,6 +28,8 @@
 	owner atomic.Uint64
 	// tainted is set by a cancel request, whose effect may come late.
 	tainted atomic.Bool
+	// unproven says that the answer to a reset is still to be read.
+	unproven bool
 	// since is when it became idle.
 	since clock.Time
 	close sync.Once
@@ -37,14 +39,22 @@
 	c.close.Do(func() { _ = c.raw.Conn.Close() })
 }
 
-// reset asks the target to drop all session state, and proves that it did.
-func (c *conn) reset(timeout time.Duration) error {
-	if err := c.raw.Conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+// sendReset asks the target to drop all session state.
+func (c *conn) sendReset(until time.Time) error {
+	if err := c.raw.Conn.SetDeadline(until); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
 	c.raw.Frontend.SendQuery(&pgproto3.Query{String: resetStatement})
-	if err := c.raw.Frontend.Flush(); err != nil {
-		return errors.Wrap(err, "send reset")
+	return errors.Wrap(c.raw.Frontend.Flush(), "send reset")
+}
+
+// prove reads the answer to the reset. It has mostly arrived by then.
+func (c *conn) prove(until time.Time) error {
+	if c.tainted.Load() {
+		return errors.New("a cancel request was sent on the connection")
+	}
+	if err := c.raw.Conn.SetDeadline(until); err != nil {
+		return errors.Wrap(err, "set deadline")
 	}
 	return c.awaitReset()
 }
--- a/pool/doc.go
+++ b/pool/doc.go
@@ -7,12 +7,14 @@
 // transactions never travel on one connection. Waiters are served in order of
 // arrival.
 //
-// A connection goes back into the list only when it is proven clean: the
+// A connection is given to the next owner only when it is proven clean: the
 // target reported "idle" at the end of the transaction, nobody asked to cancel
 // on it, and the target confirmed DISCARD ALL, which drops settings, prepared
 // statements, temporary tables, cursors and advisory locks. The command tag of
 // a statement is no such proof (a SELECT may call set_config), so the reset is
-// always made; it runs after the caller has its answer. A connection that its
+// always made. It is sent when the connection is given back, or along with the
+// last statements, and its answer is read at the hand-over: by then it has
+// mostly arrived, and no goroutine has to wait for it. A connection that its
 // owner abandons is closed: a late answer dies with it and cannot reach the
 // next owner.
 //
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -20,6 +20,8 @@
 	status byte
 	// pending counts the ReadyForQuery answers still to come.
 	pending int
+	// resetSent says that the reset was sent along with the last statements.
+	resetSent bool
 	// failed is set by a read or write that failed; both may run at once.
 	failed atomic.Bool
 }
@@ -48,6 +50,18 @@
 	return nil
 }
 
+// SendReset adds the reset behind the last statements of a transaction, which
+// saves a write and a wake-up of the target. It must only be used if they cannot
+// leave a transaction open: the target would refuse the reset and fail it.
+func (l *Lease) SendReset() error {
+	if !l.owns() {
+		return ErrNotOwner
+	}
+	l.conn.raw.Frontend.SendQuery(&pgproto3.Query{String: resetStatement})
+	l.resetSent = true
+	return nil
+}
+
 // Flush writes the buffer to the target.
 func (l *Lease) Flush() error {
 	if !l.owns() {
@@ -91,18 +105,23 @@
 	return l.conn.cancel(ctx)
 }
 
-// Release gives the connection back if it is proven clean, and closes it
-// otherwise. It returns at once; the reset runs afterwards. A second call does
-// nothing.
+// Release gives the connection back if its transaction has ended and the reset
+// could be sent, and closes it otherwise. The next owner reads the answer to
+// the reset before it sends anything. A second call does nothing.
 func (l *Lease) Release() {
 	if !l.conn.owner.CompareAndSwap(l.token, 0) {
 		return
 	}
-	if l.failed.Load() || l.pending != 0 || l.status != txIdle {
+	if l.failed.Load() || l.pending != 0 || l.status != txIdle || l.conn.tainted.Load() {
+		l.pool.drop(l.conn)
+		return
+	}
+	if !l.resetSent && l.conn.sendReset(time.Now().Add(l.pool.cfg.DialTimeout)) != nil {
 		l.pool.drop(l.conn)
 		return
 	}
-	go l.pool.recycle(l.conn)
+	l.conn.unproven = true
+	l.pool.giveBack(l.conn)
 }
 
 // Discard closes the connection. A late answer to what was sent on it dies
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -72,7 +73,7 @@
 	mu      sync.Mutex
 	servers map[target.ID]*server
 	rnd     *rand.Rand
-	token   uint64
+	token   atomic.Uint64
 	closed  bool
 }
 
@@ -88,30 +89,75 @@
 // Acquire returns a lease on a connection to srv, waiting until ctx ends. When
 // the server cannot be reached the error is an *UnavailableError, at once.
 func (p *Pool) Acquire(ctx context.Context, srv *view.Server, fleet int) (*Lease, error) {
+	for {
+		c, err := p.take(ctx, srv, fleet)
+		if err != nil {
+			return nil, err
+		}
+		if l := p.handOver(ctx, c); l != nil {
+			return l, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// take returns a connection that nobody owns.
+func (p *Pool) take(ctx context.Context, srv *view.Server, fleet int) (*conn, error) {
 	p.mu.Lock()
-	l, w, err := p.ask(srv, fleet)
+	c, w, err := p.ask(srv, fleet)
 	p.mu.Unlock()
-	if l != nil || err != nil {
-		return l, err
+	if c != nil || err != nil {
+		return c, err
 	}
 	select {
 	case g := <-w.ready:
-		return p.accept(g)
+		return g.conn, g.err
 	case <-ctx.Done():
-		return p.withdraw(srv.ID, w, ctx.Err())
+		return nil, p.withdraw(srv.ID, w, ctx.Err())
+	}
+}
+
+// handOver makes the connection the caller's own, once its reset is proven. It
+// returns nil if the connection turned out to be of no use.
+//
+// Failure guarded against: a setting, a temporary table or an unread answer of
+// one caller reaches the next. Nothing is sent for the new owner before the
+// target has confirmed that it dropped the old one's state.
+func (p *Pool) handOver(ctx context.Context, c *conn) *Lease {
+	if c.unproven {
+		if err := c.prove(p.proofLimit(ctx)); err != nil {
+			p.cfg.Log.Warn("connection_reset_failed", zap.String("server", string(c.server.id)), zap.Error(err))
+			p.drop(c)
+			return nil
+		}
+		c.unproven = false
+	}
+	l := &Lease{pool: p, conn: c, token: p.token.Add(1), status: txIdle}
+	c.owner.Store(l.token)
+	return l
+}
+
+// proofLimit bounds the wait for the answer to a reset.
+func (p *Pool) proofLimit(ctx context.Context) time.Time {
+	limit := time.Now().Add(p.cfg.DialTimeout)
+	if t, ok := ctx.Deadline(); ok && t.Before(limit) {
+		return t
 	}
+	return limit
 }
 
 // ask takes an idle connection, or joins the queue and sees that somebody
 // opens one. It is called with mu held.
-func (p *Pool) ask(srv *view.Server, fleet int) (*Lease, *waiter, error) {
+func (p *Pool) ask(srv *view.Server, fleet int) (*conn, *waiter, error) {
 	if p.closed {
 		return nil, nil, ErrClosed
 	}
 	s := p.serverOf(srv)
 	s.share = Share(p.cfg.Limit, fleet, p.cfg.Control)
 	if c := s.popIdle(); c != nil {
-		return p.lease(c), nil, nil
+		return c, nil, nil
 	}
 	now := p.cfg.Clock.Now()
 	if rest := s.quota.resting(now); rest > 0 && s.quota.hopeless() {
@@ -138,29 +184,14 @@
 	return s
 }
 
-func (p *Pool) lease(c *conn) *Lease {
-	p.token++
-	c.owner.Store(p.token)
-	return &Lease{pool: p, conn: c, token: p.token, status: txIdle}
-}
-
-func (p *Pool) accept(g grant) (*Lease, error) {
-	if g.err != nil {
-		return nil, g.err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lease(g.conn), nil
-}
-
 // withdraw leaves the queue. A connection that was granted meanwhile goes to
 // the next in line.
-func (p *Pool) withdraw(id target.ID, w *waiter, cause error) (*Lease, error) {
+func (p *Pool) withdraw(id target.ID, w *waiter, cause error) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id]
 	if s != nil && s.leave(w) {
-		return nil, cause
+		return cause
 	}
 	select {
 	case g := <-w.ready:
@@ -169,10 +200,10 @@
 		}
 	default:
 	}
-	return nil, cause
+	return cause
 }
 
-// offer hands a clean connection to the next waiter or puts it aside. It is
+// offer hands a connection to the next waiter or puts it aside. It is
 // called with mu held.
 func (p *Pool) offer(c *conn) {
 	s := c.server
@@ -188,17 +219,7 @@
 	s.idle = append(s.idle, c)
 }
 
-// recycle resets a connection and offers it again.
-func (p *Pool) recycle(c *conn) {
-	if c.tainted.Load() {
-		p.drop(c)
-		return
-	}
-	if err := c.reset(p.cfg.DialTimeout); err != nil {
-		p.cfg.Log.Warn("connection_reset_failed", zap.String("server", string(c.server.id)), zap.Error(err))
-		p.drop(c)
-		return
-	}
+func (p *Pool) giveBack(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.offer(c)
--- /dev/null
+++ b/proxy/bench_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+)
+
+const (
+	benchRead  = "/*endivemoor kind=balance*/ SELECT seat FROM passes WHERE id = 'p'"
+	benchWrite = "/*endivemoor kind=note*/ UPDATE passes SET seat = 1 WHERE id = 'p'"
+)
+
+// BenchmarkThroughProxy compares the proxy with the direct way in one run, so
+// that a busy machine slows both: p50 in microseconds and their ratio.
+func BenchmarkThroughProxy(b *testing.B) {
+	for _, bench := range []struct {
+		name, sql string
+		callers   int
+	}{
+		{"read/1", benchRead, 1}, {"read/25", benchRead, 25},
+		{"write/1", benchWrite, 1}, {"write/25", benchWrite, 25},
+	} {
+		b.Run(bench.name, func(b *testing.B) { compare(b, bench.sql, bench.callers) })
+	}
+}
+
+func compare(b *testing.B, sql string, callers int) {
+	cl := startCluster(b, dbd.Options{Connections: 100})
+	r := startProxy(b, cl)
+	direct := fmt.Sprintf("postgres://app@%s/ledger?sslmode=disable", cl.servers[0].Addr())
+	exec(b, r.connect(b), "INSERT INTO passes (id, seat) VALUES ('p', 1)")
+	cl.caughtUp(b)
+	r.observe()
+	run(b, direct, sql, callers, 20)
+	run(b, r.dsn(""), sql, callers, 20)
+	b.ResetTimer()
+	straight := run(b, direct, sql, callers, b.N)
+	proxied := run(b, r.dsn(""), sql, callers, b.N)
+	b.ReportMetric(straight, "direct-p50-us")
+	b.ReportMetric(proxied, "proxy-p50-us")
+	b.ReportMetric(proxied/straight, "ratio")
+}
+
+// run sends n statements from each of callers and returns the p50 in
+// microseconds.
+func run(b *testing.B, dsn, sql string, callers, n int) float64 {
+	var mu sync.Mutex
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	var wg sync.WaitGroup
+	for range callers {
+		c, err := pgx.Connect(context.Background(), dsn)
+		require.NoError(b, err)
+		defer func() { _ = c.Close(context.Background()) }()
+		wg.Go(func() {
+			for range n {
+				start := time.Now()
+				if _, err := c.Exec(context.Background(), sql); err != nil {
+					b.Error(err)
+					return
+				}
+				took := time.Since(start)
+				mu.Lock()
+				_ = h.RecordValue(int64(took))
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return float64(h.ValueAtQuantile(50)) / float64(time.Microsecond)
+}
--- a/proxy/commit.go
+++ b/proxy/commit.go
@@ -48,6 +48,9 @@
 
 // conclude finds the position of what the transaction committed.
 //
+// A change by what was sent as a read to a replica shows that it is none any
+// more; without an account of it the outcome is unknown.
+//
 // A SELECT of a kind that was not declared a read counts as a write: it may
 // call a function that writes. A declared read that was answered by the
 // primary counts only if a command tag shows a change.
@@ -55,7 +58,7 @@
 	if !u.maybeCommitted() {
 		return nil
 	}
-	if !u.status.answered() {
+	if !u.status.answered() && !u.reset {
 		if fail := u.askStatus(); fail != nil {
 			return fail
 		}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -43,6 +43,9 @@
 	lease *pool.Lease
 	steps []step
 	size  int
+	// reset sends the connection's reset behind the steps. Its answer is not
+	// read here.
+	reset bool
 	put   func(m pgproto3.BackendMessage) error
 
 	// at is the step whose answer is read.
@@ -79,6 +82,11 @@
 			return err
 		}
 	}
+	if x.reset {
+		if err := x.lease.SendReset(); err != nil {
+			return err
+		}
+	}
 	if x.size < writeAside {
 		if err := x.lease.Flush(); err != nil {
 			return err
--- a/proxy/failure_test.go
+++ b/proxy/failure_test.go
@@ -265,3 +265,19 @@
 	stale.Update(func(v *view.View) { v.Groups = cl.views.Load().Groups })
 	require.Equal(t, 5, queryInt(t, c, "SELECT seat FROM passes WHERE id = 'p'"))
 }
+
+// A replica was promoted a moment ago and the proxy's view is old. A statement
+// that was declared a read, but writes, commits there. It passed no gate under
+// the new term, so the caller is told "unknown" and not "done".
+func TestWriteDeclaredAsReadAtANewPrimaryIsUnknown(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	cl.caughtUp(t)
+	r.observe()
+	cl.promote(t, 1, 2)
+	cl.promote(t, 2, 3)
+	_, err := c.Exec(context.Background(), "/*endivemoor kind=balance*/ INSERT INTO passes (id, seat) VALUES ('n1', 1)")
+	require.Equal(t, "08007", pgError(t, err).Code)
+	require.Empty(t, cl.gate.acked)
+}
--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"endivemoor.example/endivemoor/filter"
@@ -108,6 +110,23 @@
 	if u.likelyCommits() {
 		x.add(u.status.step())
 	}
+	u.reset = u.surelyEnds()
+	x.reset = u.reset
+}
+
+// surelyEnds reports whether the connection is free after the chunk, whatever
+// the target answers: there is nothing more to ask, and no statement can open a
+// transaction. A text without a semicolon is one statement.
+func (u *unit) surelyEnds() bool {
+	if u.open || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
+		return false
+	}
+	for _, t := range u.s.texts(u.chunk) {
+		if controlsTransaction(t) || strings.Contains(strings.TrimRight(t, "; \t\r\n"), ";") {
+			return false
+		}
+	}
+	return true
 }
 
 // likelyCommits guesses. A wrong guess costs a round trip or a needless
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -33,6 +33,9 @@
 	keyed bool
 	// skipping is set after an error in a batch that is not closed yet.
 	skipping bool
+	// reset says that the connection's reset was sent along: nothing more can be
+	// asked on it.
+	reset bool
 	// status answers what was asked along with the last chunk.
 	status statusReader
 	// ran and committed are what the command tags tell.
