Bound prepared statements and profile sessions; end work at a leaving target

Cause: a caller could keep any number of prepared statements, the profile's bound of sessions was not enforced, and an open transaction could stay at a draining target for ever. Tests with a scripted target for COPY, stray and large answers.

--- a/proxy/chunk.go
+++ b/proxy/chunk.go
@@ -101,10 +101,10 @@
 		switch m := m.(type) {
 		case *pgproto3.Sync:
 			c.end = endSync
-			return c, nil
+			return c, s.checkStatements(c)
 		case *pgproto3.Flush:
 			c.end = endFlush
-			return c, nil
+			return c, s.checkStatements(c)
 		case *pgproto3.Query:
 			c.add(m)
 			c.end = endQuery
@@ -125,42 +125,6 @@
 	}
 }
 
-// texts returns the statements that the chunk runs, or only prepares if it runs
-// none, in order.
-func (s *caller) texts(c *chunk) []string {
-	var run, prepared []string
-	local := map[string]string{}
-	for _, m := range c.msgs {
-		switch m := m.(type) {
-		case *pgproto3.Query:
-			run = append(run, m.String)
-		case *pgproto3.Parse:
-			local[m.Name] = m.Query
-			prepared = append(prepared, m.Query)
-		case *pgproto3.Bind:
-			run = append(run, s.textOf(m.PreparedStatement, local))
-		case *pgproto3.Describe:
-			if m.ObjectType == 'S' {
-				prepared = append(prepared, s.textOf(m.Name, local))
-			}
-		}
-	}
-	if len(run) > 0 {
-		return run
-	}
-	return prepared
-}
-
-func (s *caller) textOf(name string, local map[string]string) string {
-	if q, ok := local[name]; ok {
-		return q
-	}
-	if st := s.stmts[name]; st != nil {
-		return st.Query
-	}
-	return ""
-}
-
 // readTags returns the tags of the statements, in order.
 func readTags(texts []string) ([]filter.Tag, *outcome.Error) {
 	var tags []filter.Tag
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -83,6 +83,9 @@
 	MaxMessage int
 	// MaxBatch bounds the messages up to Sync or Flush, in bytes.
 	MaxBatch int
+	// MaxStatements and MaxStatementBytes bound what a caller keeps prepared.
+	MaxStatements     int
+	MaxStatementBytes int
 	// Startup bounds the time from connect to login.
 	Startup time.Duration
 	// Message bounds the time from a message's first bytes to its end, and the
@@ -102,6 +105,8 @@
 	DefaultMaxSessions       = 10000
 	DefaultMaxMessage        = 1 << 20
 	DefaultMaxBatch          = 4 << 20
+	DefaultMaxStatements     = 2000
+	DefaultStatementBytes    = 8 << 20
 	DefaultStartup           = 10 * time.Second
 	DefaultMessage           = 30 * time.Second
 	DefaultIdleInTransaction = 10 * time.Second
@@ -119,6 +124,8 @@
 	orDefault(&l.MaxSessions, DefaultMaxSessions)
 	orDefault(&l.MaxMessage, DefaultMaxMessage)
 	orDefault(&l.MaxBatch, DefaultMaxBatch)
+	orDefault(&l.MaxStatements, DefaultMaxStatements)
+	orDefault(&l.MaxStatementBytes, DefaultStatementBytes)
 	orDefault(&l.Startup, DefaultStartup)
 	orDefault(&l.Message, DefaultMessage)
 	orDefault(&l.IdleInTransaction, DefaultIdleInTransaction)
--- /dev/null
+++ b/proxy/exchange_test.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/view"
+)
+
+// scripted is a target that answers simple queries as a test wants.
+type scripted struct {
+	ln     net.Listener
+	answer func(b *pgproto3.Backend, sql string)
+}
+
+func startScripted(t *testing.T, cl *cluster, answer func(b *pgproto3.Backend, sql string)) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &scripted{ln: ln, answer: answer}
+	go s.accept()
+	g := *cl.views.Load().Groups["ledger"]
+	g.Servers = []view.Server{{ID: "a", Addr: ln.Addr().String()}}
+	cl.publish(g)
+}
+
+func (s *scripted) accept() {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *scripted) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+	for b.Flush() == nil {
+		m, err := b.Receive()
+		if err != nil {
+			return
+		}
+		if q, ok := m.(*pgproto3.Query); ok {
+			s.reply(b, q.String)
+		}
+	}
+}
+
+func (s *scripted) reply(b *pgproto3.Backend, sql string) {
+	switch sql {
+	case "DISCARD ALL":
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte(sql)})
+	case statusQuery:
+		var d pgproto3.RowDescription
+		for _, n := range []string{"server", "role", "term", "promised", "lsn", "start_lsn"} {
+			d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(n)})
+		}
+		b.Send(&d)
+		b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("a"), []byte("primary"), []byte("1"), []byte("1"), []byte("9"), []byte("0")}})
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	default:
+		s.answer(b, sql)
+	}
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+}
+
+// A target streams a COPY, which the proxy cannot hold back for its gate. The
+// caller gets a clear error, and its next request a clean connection.
+func TestCopyAnswersAreRefused(t *testing.T) {
+	for name, first := range map[string]pgproto3.BackendMessage{
+		"out": &pgproto3.CopyOutResponse{ColumnFormatCodes: []uint16{0}},
+		"in":  &pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cl := startCluster(t, dbd.Options{})
+			startScripted(t, cl, func(b *pgproto3.Backend, sql string) {
+				if strings.HasPrefix(sql, "COPY") {
+					b.Send(first)
+					return
+				}
+				b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")})
+			})
+			c := startProxy(t, cl).connect(t, simple)
+			_, err := c.Exec(context.Background(), "COPY passes TO STDOUT")
+			require.Equal(t, "0A000", pgError(t, err).Code)
+			exec(t, c, "SELECT 1")
+		})
+	}
+}
+
+// A target sends a message that nothing asked for. It must not be taken for a
+// part of the answer, and the connection is not used again.
+func TestStrayAnswersEndTheConnection(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	startScripted(t, cl, func(b *pgproto3.Backend, sql string) {
+		if strings.HasPrefix(sql, "STRAY") {
+			b.Send(&pgproto3.ParseComplete{})
+		}
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")})
+	})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	_, err := c.Exec(context.Background(), "STRAY")
+	require.Equal(t, "08007", pgError(t, err).Code)
+	require.Contains(t, r.last().Attempts[0].Error, errStray.Error())
+	exec(t, c, "SELECT 1")
+}
+
+// A large answer is streamed, whole and in order, although only a part of it
+// fits into the proxy's buffer.
+func TestLargeAnswersAreStreamed(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	const rows = 400
+	startScripted(t, cl, func(b *pgproto3.Backend, _ string) {
+		b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25}}})
+		for range rows {
+			b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(strings.Repeat("x", 1000))}})
+		}
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 400")})
+	})
+	r := startProxy(t, cl, func(c *Config) { c.Limits.AnswerBuffer = 8 << 10 })
+	c := r.connect(t, simple)
+	res, err := c.Query(context.Background(), "SELECT v")
+	require.NoError(t, err)
+	n := 0
+	for res.Next() {
+		require.Len(t, res.RawValues()[0], 1000)
+		n++
+	}
+	require.NoError(t, res.Err())
+	require.Equal(t, rows, n)
+	require.NotEmpty(t, token(c), "the end of the answer waited for the gate")
+}
--- a/proxy/input_test.go
+++ b/proxy/input_test.go
@@ -234,3 +234,29 @@
 		require.Eventually(t, func() bool { return r.Sessions() == 0 }, waitLimit, time.Millisecond)
 	})
 }
+
+func TestProfileBoundsItsSessions(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	p := testProfile()
+	p.MaxSessions = 1
+	cl.views.Load().Profiles.Profiles["app"] = p
+	r := startProxy(t, cl)
+	held := r.connect(t)
+	_, err := pgx.Connect(context.Background(), r.dsn(""))
+	require.Equal(t, "53300", pgError(t, err).Code)
+	require.NoError(t, held.Close(context.Background()))
+	require.Eventually(t, func() bool { return r.Sessions() == 0 }, waitLimit, time.Millisecond)
+	exec(t, r.connect(t), "SELECT 1")
+}
+
+// A driver prepares each statement under a new name and never closes one.
+func TestPreparedStatementsAreBounded(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}), func(c *Config) { c.Limits.MaxStatements = 3 })
+	c := r.connect(t)
+	for _, n := range []string{"s1", "s2", "s3"} {
+		_, err := c.Prepare(context.Background(), n, "SELECT 1")
+		require.NoError(t, err)
+	}
+	_, err := c.Prepare(context.Background(), "s4", "SELECT 1")
+	require.Equal(t, "54000", pgError(t, err).Code)
+}
--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -33,7 +33,7 @@
 	if !refers || u.prepared[name] || planned[name] {
 		return
 	}
-	st := u.s.stmts[name]
+	st := u.s.stmts.byName[name]
 	if st == nil {
 		return
 	}
@@ -82,7 +82,7 @@
 	return func(m pgproto3.BackendMessage) {
 		if _, ok := m.(*pgproto3.ParseComplete); ok {
 			u.prepared[p.Name] = true
-			u.s.stmts[p.Name] = p
+			u.s.stmts.keep(p)
 		}
 	}
 }
@@ -91,7 +91,7 @@
 	return func(m pgproto3.BackendMessage) {
 		if _, ok := m.(*pgproto3.CloseComplete); ok {
 			delete(u.prepared, name)
-			delete(u.s.stmts, name)
+			u.s.stmts.drop(name)
 		}
 	}
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -13,6 +13,7 @@
 
 	"endivemoor.example/endivemoor/filter"
 	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/profile"
 )
 
 const (
@@ -36,9 +37,11 @@
 	listeners map[net.Listener]struct{}
 	sessions  map[uint32]*caller
 	count     int
-	lastPID   uint16
-	draining  bool
-	done      sync.WaitGroup
+	// profiles counts the sessions of each profile.
+	profiles map[string]int
+	lastPID  uint16
+	draining bool
+	done     sync.WaitGroup
 }
 
 // New returns a Server.
@@ -49,6 +52,7 @@
 		secret:    make([]byte, secretLen),
 		listeners: map[net.Listener]struct{}{},
 		sessions:  map[uint32]*caller{},
+		profiles:  map[string]int{},
 	}
 	// crypto/rand.Read never fails: it ends the process instead.
 	_, _ = rand.Read(s.secret)
@@ -89,6 +93,8 @@
 	if !s.register(ln) {
 		return ln.Close()
 	}
+	stop := s.sweep()
+	defer stop()
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -149,6 +155,18 @@
 	return nil
 }
 
+// enterProfile counts the session to its profile, within the profile's bound.
+func (s *Server) enterProfile(ses *caller, p *profile.Profile) *outcome.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.MaxSessions > 0 && s.profiles[p.Name] >= p.MaxSessions {
+		return outcome.Refuse(outcome.CodeTooManyConnections, comeBack, "too many connections of profile %q", p.Name)
+	}
+	s.profiles[p.Name]++
+	ses.counted = p.Name
+	return nil
+}
+
 // freePID returns an unused process id of this node; 0 is never given out.
 func (s *Server) freePID() uint32 {
 	for {
@@ -165,6 +183,9 @@
 	defer s.mu.Unlock()
 	delete(s.sessions, ses.pid)
 	s.count--
+	if ses.counted != "" {
+		s.profiles[ses.counted]--
+	}
 	s.metrics.sessions.Dec()
 	s.done.Done()
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -41,10 +41,11 @@
 	be     *pgproto3.Backend
 	pid    uint32
 	secret []byte
-	state  filter.Session
+	// counted is the profile that the session is counted to; Server.mu guards it.
+	counted string
+	state   filter.Session
 
-	// stmts are the caller's prepared statements, by name.
-	stmts map[string]*pgproto3.Parse
+	stmts statements
 	// pending is the tag that a tag-only query left for the next request.
 	pending filter.Tag
 	answer  answer
@@ -62,7 +63,7 @@
 }
 
 func newCaller(srv *Server, conn net.Conn) *caller {
-	s := &caller{srv: srv, secret: newCancelKey(), stmts: map[string]*pgproto3.Parse{}}
+	s := &caller{srv: srv, secret: newCancelKey(), stmts: newStatements()}
 	s.attach(conn)
 	return s
 }
@@ -144,7 +145,7 @@
 		return false
 	}
 	for _, m := range c.msgs {
-		delete(s.stmts, m.(*pgproto3.Close).Name)
+		s.stmts.drop(m.(*pgproto3.Close).Name)
 		s.be.Send(&pgproto3.CloseComplete{})
 	}
 	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/view"
 )
 
 // blockWriter opens a transaction straight at the primary, so that every write
@@ -191,3 +193,25 @@
 	require.Eventually(t, func() bool { return r.last().Code == codeIdleInTransaction }, waitLimit, time.Millisecond)
 	require.Equal(t, "not-run", r.last().Outcome)
 }
+
+// A target is leaving. New work goes elsewhere or waits; a transaction that is
+// open there has the profile's grace, and is then ended as "not run".
+func TestDrainingTargetKeepsItsTransactionForTheGrace(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	p := testProfile()
+	p.DrainGrace = 0
+	cl.views.Load().Profiles.Profiles["app"] = p
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	exec(t, c, "BEGIN")
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('d', 1)")
+	cl.views.Update(func(v *view.View) { v.Draining = map[target.ID]bool{"a": true} })
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('e', 1)")
+	_, err := c.Exec(context.Background(), "COMMIT")
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return r.last().Code == "57P01" }, waitLimit, time.Millisecond)
+	require.Equal(t, "not-run", r.last().Outcome)
+	require.Empty(t, cl.committed(0))
+	_, err = r.connect(t).Exec(context.Background(), "/*endivemoor kind=brief*/ INSERT INTO passes (id, seat) VALUES ('f', 1)")
+	require.Contains(t, pgError(t, err).Detail, "outcome=not-run")
+}
--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -149,6 +149,9 @@
 	if p == nil {
 		return refuse(outcome.CodeInvalidParameter, "profile \""+params[paramProfile]+"\" is not published: set "+paramProfile)
 	}
+	if oerr := s.srv.enterProfile(s, p); oerr != nil {
+		return oerr
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.ID = uint64(s.pid)
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/filter"
 	"endivemoor.example/endivemoor/outcome"
 	"endivemoor.example/endivemoor/pool"
@@ -38,6 +39,8 @@
 	reset bool
 	// status answers what was asked along with the last chunk.
 	status statusReader
+	// drainSeen is when the server was first seen to drain; 0 is never.
+	drainSeen clock.Time
 	// ran and committed are what the command tags tell.
 	ran, committed bool
 }
@@ -193,6 +196,9 @@
 	if status != 0 {
 		u.open = true
 	}
+	if fail := u.overstays(); fail != nil {
+		return fail
+	}
 	c, err := u.s.readChunk(awaitStatement)
 	if err != nil {
 		return u.withdrawn(err)
@@ -202,6 +208,25 @@
 	return u.adopt()
 }
 
+// overstays ends a transaction at a target that drains, once the profile's
+// grace is over. It is looked at between statements; a caller that sends none
+// is ended by the idle limit.
+func (u *unit) overstays() *filter.Failure {
+	if !u.s.srv.cfg.View.Load().Draining[u.r.Server.ID] {
+		u.drainSeen = 0
+		return nil
+	}
+	now := u.r.Clock.Now()
+	if u.drainSeen == 0 {
+		u.drainSeen = now
+	}
+	if now.Sub(u.drainSeen) < u.r.Session.Profile.DrainGrace {
+		return nil
+	}
+	return u.breakOff(outcome.Refuse(outcome.CodeAdminShutdown, comeBack,
+		"server %s is leaving: the open transaction was rolled back", u.r.Server.ID))
+}
+
 // withdrawn ends the transaction because nothing more comes from the caller.
 // Whatever it did is rolled back with the connection, so it did not run.
 func (u *unit) withdrawn(err error) *filter.Failure {
