Resolve a keyed transaction's lost COMMIT by its key

Cause: a transaction whose COMMIT answer was lost ended in 08007 although its key's row tells. Change: filter.Resolver looks for the row at the current primary until the deadline and passes the gate; not finding it proves nothing and stays unknown. Tests lose the answer, and the COMMIT itself.

--- a/filter/doc.go
+++ b/filter/doc.go
@@ -12,9 +12,11 @@
 //	Bounder      no more waiting requests than the profile allows
 //	Floorer      what the session must see
 //	Retrier      attempts, within deadline and budget
+//	Resolver     learns by its key if a transaction without an answer committed
 //	Watermarker  raises the session's watermark by what was acknowledged
 //	Acknowledger the gate: no commit is reported that may have been superseded
 //	Router       a server that qualifies, waiting for one if it pays
+//	Witness      proof that the primary of an exact read leads
 //	Admitter     a slot of that server
 //	Executor     a connection, and the protocol work on it
 //
--- a/filter/request.go
+++ b/filter/request.go
@@ -21,6 +21,9 @@
 	// Run executes the request on a leased connection and keeps the last answer
 	// back until the chain has returned. It sets r.Committed and r.Position.
 	Run(ctx context.Context, r *Request, l *pool.Lease) *Failure
+	// Resolve looks for the key of a transaction whose COMMIT has no answer. It
+	// returns nil, with r.Committed and r.Position set, if it is found.
+	Resolve(r *Request, l *pool.Lease) *Failure
 }
 
 // Session is what requests of one caller's connection share. It belongs to the
@@ -74,6 +77,8 @@
 	Machine *request.Machine
 	// Committed is set if the attempt committed at a primary.
 	Committed bool
+	// Resolvable is set once a COMMIT of a keyed transaction was sent.
+	Resolvable bool
 	// Position is the primary's position after the commit.
 	Position timeline.Position
 	Record   Record
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -92,6 +92,7 @@
 		"purchase": {Name: "purchase", Worth: 5, Deadline: 8 * time.Second, Key: profile.KeyRequired},
 		"note":     {Name: "note", Worth: 1, Deadline: 8 * time.Second},
 		"brief":    {Name: "brief", Worth: 1, Deadline: 300 * time.Millisecond},
+		"hasty":    {Name: "hasty", Worth: 1, Deadline: 300 * time.Millisecond, Key: profile.KeyRequired},
 		"set-seat": {Name: "set-seat", Worth: 1, Deadline: 8 * time.Second, Idempotent: true},
 		"balance":  {Name: "balance", Access: profile.Read, Worth: 1, Deadline: 8 * time.Second, MaxAge: time.Minute},
 	}
@@ -229,19 +230,25 @@
 type trip struct {
 	mu   sync.Mutex
 	text string
+	// out loses the message that contains the text, before it arrives.
+	out  bool
 	hits int
 }
 
-func (t *trip) arm(text string) {
+func (t *trip) arm(text string) { t.set(text, false) }
+
+func (t *trip) armOut(text string) { t.set(text, true) }
+
+func (t *trip) set(text string, out bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.text = text
+	t.text, t.out = text, out
 }
 
-func (t *trip) strikes(b []byte) bool {
+func (t *trip) strikes(b []byte, out bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.text == "" || !strings.Contains(string(b), t.text) {
+	if t.text == "" || t.out != out || !strings.Contains(string(b), t.text) {
 		return false
 	}
 	t.text = ""
@@ -256,13 +263,21 @@
 
 func (c *tripConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if c.trip.strikes(b[:n]) {
+	if c.trip.strikes(b[:n], false) {
 		_ = c.Conn.Close()
 		return 0, io.EOF
 	}
 	return n, err
 }
 
+func (c *tripConn) Write(b []byte) (int, error) {
+	if c.trip.strikes(b, true) {
+		_ = c.Conn.Close()
+		return 0, io.ErrClosedPipe
+	}
+	return c.Conn.Write(b)
+}
+
 // observe gives the board what probes would have seen.
 func (r *rig) observe() {
 	for _, s := range r.c.servers {
--- a/proxy/keyed_test.go
+++ b/proxy/keyed_test.go
@@ -153,3 +153,40 @@
 	require.ErrorIs(t, tx.Commit(context.Background()), pgx.ErrTxCommitRollback)
 	require.Equal(t, 1, queryInt(t, again, "SELECT count(*) FROM passes"))
 }
+
+// The target commits a keyed transaction and the connection breaks before the
+// answer. The proxy finds the key's row, passes the gate, and tells the caller
+// that its transaction committed.
+func TestLostCommitOfATransactionIsResolvedByTheKey(t *testing.T) {
+	for name, mode := range map[string]func(*pgx.ConnConfig){"simple": simple, "extended": func(*pgx.ConnConfig) {}} {
+		t.Run(name, func(t *testing.T) {
+			cl := startCluster(t, dbd.Options{})
+			r := startProxy(t, cl)
+			c := r.connect(t, mode)
+			exec(t, c, "/*endivemoor kind=purchase&key=tx1*/ BEGIN")
+			exec(t, c, "INSERT INTO passes (id, seat) VALUES ($1, 1)", "p1")
+			r.trip.arm("COMMIT\x00")
+			exec(t, c, "COMMIT")
+			require.Equal(t, 1, r.trip.hits)
+			require.NotEmpty(t, token(c))
+			require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM passes"))
+		})
+	}
+}
+
+// The same, but the COMMIT never reached the target: no row is found, which
+// proves nothing, and the caller hears "unknown".
+func TestUnfoundKeyStaysUnknown(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple)
+	exec(t, c, "/*endivemoor kind=hasty&key=tx1*/ BEGIN")
+	exec(t, c, "INSERT INTO passes (id, seat) VALUES ('p1', 1)")
+	r.trip.armOut("COMMIT\x00")
+	_, err := c.Exec(context.Background(), "COMMIT")
+	e := pgError(t, err)
+	require.Equal(t, "08007", e.Code)
+	require.Contains(t, e.Detail, "outcome=unknown")
+	require.Greater(t, len(r.last().Attempts), 1, "the key was looked for")
+	require.Empty(t, cl.committed(0))
+}
--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -116,19 +116,25 @@
 
 // surelyEnds reports whether the connection is free after the chunk, whatever
 // the target answers: there is nothing more to ask, and no statement can open a
-// transaction. A text without a semicolon is one statement.
+// transaction.
 func (u *unit) surelyEnds() bool {
 	if u.open || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
 		return false
 	}
 	for _, t := range u.s.texts(u.chunk) {
-		if controlsTransaction(t) || strings.Contains(strings.TrimRight(t, "; \t\r\n"), ";") {
+		if controlsTransaction(t) || !isSingle(t) {
 			return false
 		}
 	}
 	return true
 }
 
+// isSingle reports whether a text is surely one statement: without a semicolon
+// but at its end it cannot be two.
+func isSingle(sql string) bool {
+	return !strings.Contains(strings.TrimRight(sql, "; \t\r\n"), ";")
+}
+
 // likelyCommits guesses. A wrong guess costs a round trip or a needless
 // question, never the order of things: learn and conclude go by what the
 // target reports.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -69,6 +69,14 @@
 	if s.cfg.Registerer != nil {
 		sinks = append(sinks, filter.NewMetrics(s.cfg.Registerer))
 	}
+	router := filter.Router{Chooser: s.cfg.Router, View: s.cfg.View, Zone: s.cfg.Zone, Sleep: filter.Sleep}
+	lookup := filter.Chain(nil,
+		filter.Watermarker{},
+		filter.Acknowledger{Gate: s.cfg.Ack},
+		router,
+		filter.Admitter{Limiter: s.cfg.Limiter},
+		filter.Searcher{Pool: s.cfg.Pool},
+	)
 	return filter.Chain(nil,
 		filter.Recorder{Sink: sinks},
 		filter.Tagger{},
@@ -78,9 +86,10 @@
 		&filter.Bounder{},
 		filter.Floorer{Gate: s.cfg.Ack},
 		filter.Retrier{View: s.cfg.View, Budgets: filter.NewBudgets(s.cfg.Retry, s.cfg.Seed), Sleep: filter.Sleep},
+		filter.Resolver{View: s.cfg.View, Sleep: filter.Sleep, Lookup: lookup},
 		filter.Watermarker{},
 		filter.Acknowledger{Gate: s.cfg.Ack},
-		filter.Router{Chooser: s.cfg.Router, View: s.cfg.View, Zone: s.cfg.Zone, Sleep: filter.Sleep},
+		router,
 		filter.Witness{Gate: s.cfg.Ack},
 		filter.Admitter{Limiter: s.cfg.Limiter},
 		filter.Executor{Pool: s.cfg.Pool},
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -93,6 +93,7 @@
 	}
 	x := newExchange(u.lease, u.s.put)
 	u.plan(x)
+	u.r.Resolvable = u.commitsAlone()
 	if err := u.exchange(x, request.StepSent); err != nil {
 		return 0, u.lost(err)
 	}
