Repair without the lease, and end planned changes at a replica

Cause, found by the scripts: (1) with the promoter dead, replicas followed nobody until its lease lapsed, 6 s; (2) a planned change promoted the old primary again when a lagging replica answered first; (3) a stranded state noted for the old term started two more promotions after the new one; (4) three VMs started at once when servers came back. Change: other VMs step in after the takeover delay with jitter; a planned change waits for a caught-up replica's promise; a new term starts with no notes.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -146,7 +146,7 @@
 	if m.cfg.Guards.Out(GuardMajority) {
 		need = 1
 	}
-	if len(a.fenced) < need {
+	if len(a.fenced) < need || !m.replicaReady() {
 		return
 	}
 	a.candidate = m.choose()
@@ -157,6 +157,23 @@
 	m.order()
 }
 
+// replicaReady reports whether a planned change has the promise of a replica
+// that can relieve the primary. Without it the first replica to answer could
+// be one that is behind, and the primary would have to relieve itself.
+func (m *Machine) replicaReady() bool {
+	a := m.attempt
+	end, fenced := a.fenced[a.old]
+	if !a.planned || !fenced || m.now.Sub(a.started) >= m.cfg.HandoverTimeout {
+		return true
+	}
+	for id, st := range a.fenced {
+		if id != a.old && !rank(st, m.group.History).Less(rank(end, m.group.History)) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the fenced server with the highest position; of equals, the
 // first in the group's order that was not the primary.
 func (m *Machine) choose() target.ID {
@@ -276,6 +293,7 @@
 	m.attempt = nil
 	m.backoff = 0
 	m.relieve = ""
+	m.startTerm()
 	m.setPrimary(a.candidate, a.term, startOf(a.fenced[a.candidate], st.Start, m.group.History))
 	m.record(Entry{Step: StepPromoted, Term: a.term, Server: a.candidate})
 	m.noteAlive(a.candidate, st)
@@ -306,10 +324,17 @@
 	m.noteStatus(s, st)
 }
 
-// onNewTerm gives up an attempt that another VM was faster with.
-func (m *Machine) onNewTerm() {
+// startTerm forgets what was observed of the term before.
+func (m *Machine) startTerm() {
 	m.agreed = 0
+	m.blocked = 0
 	m.stranded = 0
+	m.termAt = m.now
+}
+
+// onNewTerm gives up an attempt that another VM was faster with.
+func (m *Machine) onNewTerm() {
+	m.startTerm()
 	delete(m.reports, m.group.Primary)
 	if s := m.servers[m.group.Primary]; s != nil {
 		s.good = max(s.good, m.now)
--- a/failover/config.go
+++ b/failover/config.go
@@ -45,7 +45,8 @@
 	// reads of the lease.
 	LeaseRenew time.Duration
 	// TakeoverDelay is how long a VM without the lease waits, after two zones
-	// agree, before it acts itself.
+	// agree, before it acts itself. Each VM adds up to half of it at random, so
+	// that two of them seldom act together.
 	TakeoverDelay time.Duration
 
 	// ReserveBlock is how many terms are reserved at once. Each candidate that
@@ -68,8 +69,11 @@
 	// BackoffMin and BackoffMax bound the wait after an attempt was refused.
 	// The wait doubles and is drawn at random from its upper half.
 	BackoffMin, BackoffMax time.Duration
+	// BlockedAfter is how long the primary may be fenced at a term that has no
+	// primary, before a promotion ends that. It is longer than a promotion.
+	BlockedAfter time.Duration
 	// RepairAfter is how long a replica may stand still behind its primary, or
-	// a server be fenced at a term without a primary, before it is repaired.
+	// be fenced at a term without a primary, before it is repaired.
 	RepairAfter time.Duration
 
 	// Guards is for tests of this module only.
@@ -99,6 +103,7 @@
 		HandoverTimeout:  1500 * time.Millisecond,
 		BackoffMin:       200 * time.Millisecond,
 		BackoffMax:       3 * time.Second,
+		BlockedAfter:     time.Second,
 		RepairAfter:      3 * time.Second,
 	}
 }
--- a/failover/evidence.go
+++ b/failover/evidence.go
@@ -18,7 +18,8 @@
 	missed      int        // failed probes since the newest answer
 	missedAsked clock.Time // when the newest failed probe was sent
 	status      target.Status
-	moved       clock.Time // when the log position was last seen to change
+	behind      clock.Time // since when it stands still behind its primary; 0 if it does not
+	astray      clock.Time // since when it does not follow its primary; 0 if it does
 	followAt    clock.Time // when Follow may be ordered again
 }
 
@@ -26,7 +27,7 @@
 func (m *Machine) resetServers() {
 	for _, s := range m.group.Servers {
 		if m.servers[s.ID] == nil {
-			m.servers[s.ID] = &serverState{good: m.now.Add(m.cfg.StartupGrace), moved: m.now}
+			m.servers[s.ID] = &serverState{good: m.now.Add(m.cfg.StartupGrace)}
 		}
 	}
 	maps.DeleteFunc(m.servers, func(id target.ID, _ *serverState) bool { return m.group.Server(id) == nil })
@@ -50,10 +51,12 @@
 		s.good = max(s.good, m.now)
 		s.missed = 0
 		s.missedAsked = m.now
-		s.moved = m.now
+		s.behind = 0
+		s.astray = 0
 	}
 	clear(m.reports)
 	m.agreed = 0
+	m.blocked = 0
 	m.stranded = 0
 }
 
@@ -108,7 +111,7 @@
 
 func (m *Machine) noteStatus(s *serverState, st target.Status) {
 	if st.Position() != s.status.Position() {
-		s.moved = m.now
+		s.behind = 0
 	}
 	s.status = st
 }
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -69,9 +69,13 @@
 	agreed    clock.Time // when two zones agreed; 0 if they do not
 	askAt     clock.Time
 	promised  timeline.Term // highest promise seen on any server
-	stranded  clock.Time    // since when a server is fenced beyond its group
+	blocked   clock.Time    // since when the live primary is fenced beyond its term; 0 if it is not
+	stranded  clock.Time    // the same of any live server
+	termAt    clock.Time    // when the present term was learned
 	relieve   target.ID     // primary to be relieved; empty if none
 
+	takeover time.Duration // Config.TakeoverDelay with this Machine's jitter
+
 	lease   leaseState
 	store   storeState
 	terms   termBlock
@@ -84,12 +88,13 @@
 // randomness; it must not be shared.
 func New(cfg Config, group string, rng *rand.Rand) *Machine {
 	return &Machine{
-		cfg:     cfg,
-		rng:     rng,
-		group:   view.Group{Name: group},
-		phase:   PhaseLearning,
-		servers: make(map[target.ID]*serverState),
-		reports: make(map[target.ID]map[string]PeerReport),
+		cfg:      cfg,
+		rng:      rng,
+		group:    view.Group{Name: group},
+		phase:    PhaseLearning,
+		servers:  make(map[target.ID]*serverState),
+		reports:  make(map[target.ID]map[string]PeerReport),
+		takeover: cfg.TakeoverDelay + time.Duration(rng.Int64N(int64(cfg.TakeoverDelay/2)+1)),
 	}
 }
 
@@ -197,11 +202,7 @@
 		return m.confirmed(), "primary silent"
 	}
 	m.clearSuspicion()
-	if !m.Leads() {
-		m.phase = PhaseWatching
-		return false, ""
-	}
-	if m.relieve != "" {
+	if m.relieve != "" && m.Leads() {
 		return true, "planned change of primary"
 	}
 	if m.isStranded() {
@@ -234,17 +235,18 @@
 	m.agreed = 0
 }
 
-// confirmed reports whether two zones agree that the primary is silent, and it
-// is this VM's turn to act: at once with the lease, later without.
+// confirmed reports whether two zones agree that the primary is silent, enough
+// servers answer for a promotion, and it is this VM's turn to act: at once with
+// the lease, later without.
 func (m *Machine) confirmed() bool {
-	if !m.zonesAgree() {
+	if !m.zonesAgree() || !m.reachesMajority() {
 		m.agreed = 0
 		return false
 	}
 	if m.agreed == 0 {
 		m.agreed = m.now
 	}
-	return m.Leads() || m.now.Sub(m.agreed) >= m.cfg.TakeoverDelay
+	return m.Leads() || m.now.Sub(m.agreed) >= m.takeover
 }
 
 // addr returns the address of a server of the group.
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -1,53 +1,76 @@
 package failover
 
 import (
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
-// tickRepair tells servers that do not follow the primary to do so. Only the
-// lease holder, or the VM that promoted, repairs.
+// tickRepair tells servers that do not follow the primary to do so.
 func (m *Machine) tickRepair() {
-	if m.attempt != nil || !(m.Leads() || m.group.Term == m.terms.used) {
+	if m.attempt != nil {
 		return
 	}
 	m.watchStranded()
 	m.followAll()
 }
 
+// mine reports whether repairs are this VM's business at once: it holds the
+// lease, or made the promotion. Others step in Config.TakeoverDelay later, which
+// covers a promoter that died half way. An order that two VMs give is harmless:
+// it carries the term, and is refused when that is old.
+func (m *Machine) mine() bool { return m.Leads() || m.group.Term == m.terms.used }
+
+// myTurn reports whether this VM may act on what has been so since then.
+func (m *Machine) myTurn(since clock.Time) bool {
+	return m.mine() || m.now.Sub(since) >= m.takeover
+}
+
 // followAll orders every other server that needs it to follow the primary.
 func (m *Machine) followAll() {
-	if m.addr(m.group.Primary) == "" {
+	addr := m.addr(m.group.Primary)
+	if addr == "" {
 		return
 	}
 	for _, srv := range m.group.Servers {
 		s := m.servers[srv.ID]
-		if srv.ID == m.group.Primary || m.now.Before(s.followAt) || !m.needsFollow(s) {
+		if srv.ID == m.group.Primary || !m.needsFollow(s) || m.now.Before(s.followAt) {
 			continue
 		}
 		s.followAt = m.now.Add(m.cfg.OrderRetry)
-		m.do(Follow{Server: srv.ID, Primary: m.group.Primary, Addr: m.addr(m.group.Primary), Term: m.group.Term})
+		m.do(Follow{Server: srv.ID, Primary: m.group.Primary, Addr: addr, Term: m.group.Term})
 	}
 }
 
 // needsFollow reports whether a server that answers is not a replica of the
-// present term, or stands still behind its primary.
+// present term, or has long stood still behind its primary, and it is this VM's
+// turn to order it.
 func (m *Machine) needsFollow(s *serverState) bool {
 	if !s.seen || m.silent(s) || s.status.Promised > m.group.Term {
 		return false
 	}
-	if s.status.Term < m.group.Term || s.status.Role != target.RoleReplica {
-		return true
+	if s.status.Term >= m.group.Term && s.status.Role == target.RoleReplica {
+		s.astray = 0
+		return m.stalled(s)
 	}
-	return m.stalled(s)
+	if s.astray == 0 {
+		s.astray = m.now
+	}
+	return m.myTurn(s.astray)
 }
 
+// stalled reports whether a replica has not moved for long although its primary
+// is ahead: it may follow nobody since a restart.
 func (m *Machine) stalled(s *serverState) bool {
 	p := m.servers[m.group.Primary]
-	if p == nil || !p.seen || p.status.Term != m.group.Term {
+	if p == nil || !p.seen || p.status.Term != m.group.Term || s.status.LSN >= p.status.LSN {
+		s.behind = 0
 		return false
 	}
-	return s.status.LSN < p.status.LSN && m.now.Sub(s.moved) >= m.cfg.RepairAfter
+	if s.behind == 0 {
+		s.behind = m.now
+	}
+	return m.Leads() && m.now.Sub(s.behind) >= m.cfg.RepairAfter
 }
 
 func (m *Machine) onFollowAnswered(ev FollowAnswered) {
@@ -59,15 +82,19 @@
 	if ev.Err != nil {
 		return
 	}
-	s.moved = m.now
-	s.followAt = m.now.Add(2 * m.cfg.Heartbeat)
 	step := StepFollowing
-	if s.status.Term == ev.Term {
+	s.followAt = m.now.Add(2 * m.cfg.Heartbeat)
+	if s.behind != 0 {
 		step = StepRepaired
+		s.followAt = m.now.Add(repairPause * m.cfg.RepairAfter)
 	}
 	m.record(Entry{Step: step, Term: ev.Term, Server: ev.Server, Discarded: ev.Discarded})
 }
 
+// repairPause is how many times RepairAfter a replica that was told to follow
+// again is left alone: it may just be slow.
+const repairPause = 10
+
 // recordDiscarded keeps what a late answer says for the auditor.
 func (m *Machine) recordDiscarded(ev FollowAnswered) {
 	if len(ev.Discarded) == 0 {
@@ -76,23 +103,40 @@
 	m.record(Entry{Step: StepFollowing, Term: ev.Term, Server: ev.Server, Discarded: ev.Discarded})
 }
 
-// watchStranded notes since when a live server of the group has promised a term
+// watchStranded notes since when live servers of the group have promised a term
 // that has no primary, because its promoter died or lost a duel. Such a primary
 // commits nothing, and such a replica replicates nothing.
 func (m *Machine) watchStranded() {
-	for _, s := range m.servers {
+	blocked, stranded := false, false
+	for id, s := range m.servers {
 		if s.seen && !m.silent(s) && s.status.Promised > m.group.Term {
-			if m.stranded == 0 {
-				m.stranded = m.now
-			}
-			return
+			stranded = true
+			blocked = blocked || id == m.group.Primary
 		}
 	}
-	m.stranded = 0
+	m.blocked = since(m.blocked, m.now, blocked)
+	m.stranded = since(m.stranded, m.now, stranded)
+}
+
+// since returns when a condition began to hold, or 0 if it does not hold.
+func since(began, now clock.Time, holds bool) clock.Time {
+	switch {
+	case !holds:
+		return 0
+	case began == 0:
+		return now
+	default:
+		return began
+	}
 }
 
+// isStranded reports whether it is time for this VM to end such a state by a
+// promotion at a later term.
 func (m *Machine) isStranded() bool {
-	return m.stranded != 0 && m.now.Sub(m.stranded) >= m.cfg.RepairAfter
+	if m.blocked != 0 && m.now.Sub(m.blocked) >= m.cfg.BlockedAfter {
+		return m.myTurn(m.blocked.Add(m.cfg.BlockedAfter))
+	}
+	return m.Leads() && m.stranded != 0 && m.now.Sub(m.stranded) >= m.cfg.RepairAfter
 }
 
 // adoptUnannounced takes over a promotion whose promoter died before it could
--- a/failover/reserve.go
+++ b/failover/reserve.go
@@ -126,13 +126,13 @@
 	m.store.retryAt = m.now.Add(m.jitter(m.cfg.StoreRetry))
 }
 
-// publish writes a promotion that the store does not have yet. The holder of
-// the lease also publishes what another VM promoted and could not write.
+// publish writes a promotion that the store does not have yet. VMs other than
+// the promoter and the lease holder do so when it was not published for a while.
 func (m *Machine) publish() {
 	if m.phase == PhaseLearning || m.group.Term <= m.store.group.Term {
 		return
 	}
-	if !(m.Leads() || m.group.Term == m.terms.used) {
+	if !m.myTurn(m.termAt) {
 		return
 	}
 	m.announce()
--- a/scenario/server.go
+++ b/scenario/server.go
@@ -77,6 +77,7 @@
 }
 
 func (s *server) refuse(term timeline.Term) error {
+	s.w.logf("%s refuses term=%d promised=%d", s.id, term, s.promised)
 	return errors.WithStack(&target.FencedError{Server: s.id, Ordered: term, Promised: s.promised})
 }
 
--- a/scenario/vm.go
+++ b/scenario/vm.go
@@ -103,11 +103,14 @@
 func (v *vm) step(ev failover.Event) {
 	epoch := v.epoch
 	for _, a := range v.machine.Step(v.w.now, ev) {
-		v.do(a)
-		if v.epoch != epoch || v.paused {
-			return // a fault struck at this step
-		}
+		// A fault that struck at one action ends the rest or holds it back.
+		v.w.runOn(v.node, epoch, func() { v.do(a) })
 	}
+	v.w.runOn(v.node, epoch, v.learnOwn)
+}
+
+// learnOwn shows the machine's group to the proxy beside it.
+func (v *vm) learnOwn() {
 	if v.machine.Phase() == failover.PhaseLearning {
 		return
 	}
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -31,7 +31,7 @@
 	callers map[string]*caller
 	history []*call
 	nextID  int
-	steps   int // events run so far
+	steps   int            // events run so far
 	effects map[string]int // how often each fault changed something
 
 	// Hook is called at each named step of the core; see Trap.
