--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Developer entry points. README.md names the first two.
 GO ?= go
+EXAMPLE ?= demo
 
 .PHONY: demo run test lint build bench measure matrix matrix-all fuzz
 
@@ -15,12 +16,15 @@
 	$(GO) tool staticcheck ./...
 
 demo: build
-	examples/demo/run.sh
+	examples/run.sh demo play
 
 run: build
-	examples/demo/run.sh stay
+	examples/run.sh $(EXAMPLE) stay
 
 generate:
 	$(GO) build -o bin/ github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
 	cd peer/peerpb && protoc -I. --plugin=../../bin/protoc-gen-go --plugin=../../bin/protoc-gen-twirp \
 	  --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. peer.proto
+
+bench: build
+	examples/run.sh demo bench
--- /dev/null
+++ b/publication/store/store_test.go
@@ -0,0 +1,206 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/audit"
+	auditlog "endivemoor.example/endivemoor/audit/log"
+	"endivemoor.example/endivemoor/internal/guard"
+	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/publication"
+)
+
+const (
+	firstText  = "[shop]\n[shop.pay]\nkey = required\n"
+	secondText = "[shop]\n[shop.pay]\nkey = required\nworth = 9\n"
+	fourthText = "[shop]\n[shop.pay]\nkey = required\nworth = 5\n"
+	thirdText  = "[shop]\n[shop.pay]\nkey = required\nworth = 7\n"
+)
+
+var (
+	aoife = By{Actor: "aoife", Reason: "season"}
+	brian = By{Actor: "brian", Reason: "read it"}
+	ciara = By{Actor: "ciara", Reason: "sale"}
+	dora  = By{Actor: "dora", Reason: "next"}
+)
+
+func noon() time.Time { return time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC) }
+
+func open(p platform.Store) *Store { return New(p, noon).WithPause(time.Millisecond) }
+
+// without opens the store with some guards taken out.
+func without(p platform.Store, guards guard.Set) *Store {
+	s := open(p)
+	s.guards = guards
+	return s
+}
+
+// reviewed leaves a reviewed draft of text by the author.
+func reviewed(t *testing.T, p platform.Store, author By, text string) string {
+	t.Helper()
+	ctx := context.Background()
+	d, _, err := open(p).Create(ctx, author, "f.ini", []byte(text))
+	require.NoError(t, err)
+	_, err = open(p).Review(ctx, brian, d.ID, nil)
+	require.NoError(t, err)
+	return d.ID
+}
+
+func publishFirst(t *testing.T, p platform.Store) {
+	t.Helper()
+	_, err := open(p).Publish(context.Background(), aoife, reviewed(t, p, aoife, firstText))
+	require.NoError(t, err)
+}
+
+// trail returns the trail's actions in order, and what Verify says of it.
+func trail(t *testing.T, p platform.Store) ([]audit.Action, []audit.Fault) {
+	t.Helper()
+	entries, err := auditlog.New(p).All(context.Background())
+	require.NoError(t, err)
+	var out []audit.Action
+	for _, e := range entries {
+		out = append(out, e.Action)
+	}
+	return out, audit.Verify(entries)
+}
+
+func actions(t *testing.T, p platform.Store) []audit.Action {
+	t.Helper()
+	out, faults := trail(t, p)
+	require.Empty(t, faults)
+	return out
+}
+
+func TestLifeOfAChange(t *testing.T) {
+	ctx := context.Background()
+	p := platformd.NewStore()
+	publishFirst(t, p)
+	_, err := open(p).Publish(ctx, aoife, reviewed(t, p, ciara, secondText))
+	require.NoError(t, err)
+	withdrawn, _, err := open(p).Create(ctx, aoife, "f.ini", []byte(thirdText))
+	require.NoError(t, err)
+	_, err = open(p).Retire(ctx, aoife, withdrawn.ID)
+	require.NoError(t, err)
+	history, err := open(p).History(ctx, 10)
+	require.NoError(t, err)
+	require.Len(t, history, 2)
+	require.Equal(t, secondText, history[0].Text)
+	require.Equal(t, "ciara", history[0].Author)
+	set, err := Compile(history[0])
+	require.NoError(t, err)
+	require.EqualValues(t, 2, set.Generation)
+	drafts, err := open(p).Drafts(ctx)
+	require.NoError(t, err)
+	require.Empty(t, drafts)
+	require.Equal(t, []audit.Action{
+		audit.ProfileDrafted, audit.ProfileReviewed, audit.ProfilePublished,
+		audit.ProfileDrafted, audit.ProfileReviewed, audit.ProfilePublished,
+		audit.ProfileDrafted, audit.ProfileRetired,
+	}, actions(t, p))
+}
+
+// Two operators publish at the same moment. One wins; the other is told who
+// and what, and nothing of its own is in force. Half of all answers are lost.
+func TestOfTwoPublishersOneWinsAndTheOtherLearnsIt(t *testing.T) {
+	for seed := range uint64(20) {
+		require.NoError(t, race(t, seed, nil), "seed %d", seed)
+	}
+}
+
+// race lets two publish at once and judges what they were told.
+func race(t *testing.T, seed uint64, guards guard.Set) error {
+	t.Helper()
+	p := platformd.NewStore()
+	publishFirst(t, p)
+	ids := []string{reviewed(t, p, aoife, secondText), reviewed(t, p, ciara, thirdText)}
+	p.SetFaults(platformd.Faults{LoseProbability: 0.5, Seed: seed})
+	told := make([]error, 2)
+	var wg sync.WaitGroup
+	for i, by := range []By{aoife, ciara} {
+		wg.Go(func() { _, told[i] = without(p, guards).Publish(context.Background(), by, ids[i]) })
+	}
+	wg.Wait()
+	p.SetFaults(platformd.Faults{})
+	current, err := open(p).Current(context.Background())
+	require.NoError(t, err)
+	winner := 0
+	if told[0] != nil {
+		winner = 1
+	}
+	var refused *publication.RefusedError
+	switch {
+	case told[winner] != nil:
+		return errors.Wrap(told[winner], "both were refused")
+	case !errors.As(told[1-winner], &refused) || refused.Rule != publication.RuleSuperseded:
+		return errors.Errorf("the loser was told %v", told[1-winner])
+	case refused.Winner.Draft != ids[winner] || current.Draft != ids[winner] || current.Generation != 2:
+		return errors.Errorf("draft %s won, generation %d of %s is in force", ids[winner], current.Generation, current.Draft)
+	}
+	return nil
+}
+
+// A publish takes effect, its answer is lost, and before it can be read back
+// the next publish replaces it. It was in force: "refused" would be untrue.
+func TestOvertakenPublishIsStillAccepted(t *testing.T) {
+	require.NoError(t, overtaken(t, nil))
+}
+
+func overtaken(t *testing.T, guards guard.Set) error {
+	t.Helper()
+	ctx := context.Background()
+	p := platformd.NewStore()
+	publishFirst(t, p)
+	id := reviewed(t, p, aoife, secondText)
+	published, err := without(&overtake{Store: p, t: t}, guards).Publish(ctx, aoife, id)
+	if err != nil {
+		return err
+	}
+	require.EqualValues(t, 2, published.Record.Generation)
+	current, err := open(p).Current(ctx)
+	require.NoError(t, err)
+	require.EqualValues(t, 3, current.Generation)
+	require.Len(t, actions(t, p), 9)
+	return nil
+}
+
+// overtake loses the answer of the first publish and lets another one follow.
+type overtake struct {
+	*platformd.Store
+	t    *testing.T
+	done bool
+}
+
+func (o *overtake) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	v, err := o.Store.Put(ctx, p, key, value, expect)
+	if key != CurrentKey || o.done || err != nil {
+		return v, err
+	}
+	o.done = true
+	_, err = open(o.Store).Publish(ctx, ciara, reviewed(o.t, o.Store, ciara, thirdText))
+	require.NoError(o.t, err)
+	return 0, platform.ErrNoAnswer
+}
+
+// The store is down: a publish is refused for certain and leaves no trace.
+func TestPublishInAnOutageIsNotAccepted(t *testing.T) {
+	ctx := context.Background()
+	p := platformd.NewStore()
+	publishFirst(t, p)
+	id := reviewed(t, p, aoife, secondText)
+	p.SetFaults(platformd.Faults{Down: true})
+	_, err := open(p).Publish(ctx, aoife, id)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	p.SetFaults(platformd.Faults{})
+	current, err := open(p).Current(ctx)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, current.Generation)
+	_, err = open(p).Publish(ctx, aoife, id)
+	require.NoError(t, err)
+}
