Answer peers from what a VM has seen, so that zones agree on a frozen primary

All VMs suspected the primary, but each asked the frozen server once more before it answered its peers: up to 800 ms behind an ask already waiting, beyond the 500 ms that a report counts. Ruled out: fencing and terms (never reached), the lease (held), the detector (suspected within 0.6 s on all three). Change: a VM that watches the server answers at once with the age of what it has.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -13,22 +13,20 @@
 type Evidence struct {
 	mu   sync.RWMutex
 	good map[target.ID]control.Answer
-	// first is when the server was first asked.
-	first map[target.ID]clock.Time
+	// ended is when the newest ask of a server ended, with or without an answer.
+	ended map[target.ID]clock.Time
 }
 
 // NewEvidence returns an empty store.
 func NewEvidence() *Evidence {
-	return &Evidence{good: map[target.ID]control.Answer{}, first: map[target.ID]clock.Time{}}
+	return &Evidence{good: map[target.ID]control.Answer{}, ended: map[target.ID]clock.Time{}}
 }
 
 // Add takes the result of one ask.
 func (e *Evidence) Add(id target.ID, a control.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.first[id]; !ok {
-		e.first[id] = a.Asked
-	}
+	e.ended[id] = max(e.ended[id], a.Answered)
 	if err == nil && !a.Asked.Before(e.good[id].Asked) {
 		e.good[id] = a
 	}
@@ -42,10 +40,10 @@
 	return a, ok
 }
 
-// Watched reports whether this VM has asked the server at all.
-func (e *Evidence) Watched(id target.ID) bool {
+// AskedSince reports whether an ask of the server ended at t or later.
+func (e *Evidence) AskedSince(id target.ID, t clock.Time) bool {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
-	_, ok := e.first[id]
-	return ok
+	at, ok := e.ended[id]
+	return ok && !at.Before(t)
 }
--- a/controller/observe.go
+++ b/controller/observe.go
@@ -15,9 +15,10 @@
 	"endivemoor.example/endivemoor/view"
 )
 
-// freshEvidence is the age up to which a peer's own evidence is sent without
-// asking the server again.
-const freshEvidence = 150 * time.Millisecond
+// watchedWithin is how lately an ask of a server must have ended for this VM
+// to answer peers from what it has. It is above two control timeouts: an ask
+// that waits behind one on a frozen server ends after both.
+const watchedWithin = 2*control.DefaultTimeout + 200*time.Millisecond
 
 // AskPeers implements PeerEvidence: the group's other probers are asked at
 // once. They watch its servers and are spread over the availability zones.
@@ -68,9 +69,14 @@
 	Evidence *Evidence
 }
 
-// Observe returns this VM's evidence of each of a group's servers. A server
-// without fresh evidence is asked first, so that a peer that does not watch the
-// group is a witness too.
+// Observe returns this VM's evidence of each of a group's servers.
+//
+// Failure guarded against: the primary freezes, every VM suspects it, and each
+// asks its peers. Were a peer to ask the frozen server once more before it
+// answers, its word would come after the question's time had passed, no two
+// zones would ever agree, and the group would stay without a primary. A VM that
+// watches a server therefore answers at once, with the age of what it has; only
+// one that does not watch it asks first.
 func (o *Observer) Observe(ctx context.Context, name string) []*peerpb.Observation {
 	group := o.Views.Load().Groups[name]
 	if group == nil {
@@ -90,11 +96,10 @@
 }
 
 func (o *Observer) one(ctx context.Context, group string, s view.Server) *peerpb.Observation {
-	newest, ok := o.Evidence.Newest(s.ID)
-	if !ok || o.Clock.Now().Sub(newest.Asked) > freshEvidence {
+	if !o.Evidence.AskedSince(s.ID, o.Clock.Now().Add(-watchedWithin)) {
 		_, _ = o.Links.Of(s).Status(ctx)
-		newest, ok = o.Evidence.Newest(s.ID)
 	}
+	newest, ok := o.Evidence.Newest(s.ID)
 	if !ok {
 		return peer.Observation(group, s.ID, nil, 0)
 	}
