Cut off callers that give no application_name too

Cause: a cut from callers spared connections without an application_name, such as a proxy's pool, so the fault struck only control connections. Found by a test that counts what the cut held back.

--- a/internal/standin/dbd/faults.go
+++ b/internal/standin/dbd/faults.go
@@ -27,10 +27,13 @@
 	Everybody = "*"
 	// Peers is each replica's connection and this server's own replication.
 	Peers = "peers"
-	// Callers is each connection that is not a peer's.
+	// Callers is each connection that is not a peer's, once it has said so.
 	Callers = "callers"
 )
 
+// unknownApplication stands for a connection before its startup message.
+const unknownApplication = "(unknown)"
+
 // Struck counts what faults held back, so that a test can tell a fault that was
 // survived from one that never hit.
 type Struck struct {
@@ -131,7 +134,7 @@
 	case Peers:
 		return peer
 	case Callers:
-		return !peer && application != ""
+		return !peer && application != unknownApplication
 	default:
 		return strings.HasPrefix(application, who)
 	}
@@ -178,7 +181,7 @@
 }
 
 // pause waits while the server is frozen.
-func (f *Faults) pause() { f.wait(nil, "", 0) }
+func (f *Faults) pause() { f.wait(nil, unknownApplication, 0) }
 
 // waitPeers waits while the server is frozen or cut off from its peers.
 func (f *Faults) waitPeers(ctx context.Context) {
@@ -197,7 +200,7 @@
 
 func newFaultConn(c net.Conn, f *Faults) *faultConn {
 	fc := &faultConn{Conn: c, faults: f, done: make(chan struct{})}
-	fc.setApplication("")
+	fc.setApplication(unknownApplication)
 	return fc
 }
 
--- a/internal/standin/dbd/limits_test.go
+++ b/internal/standin/dbd/limits_test.go
@@ -70,6 +70,20 @@
 	require.Equal(t, 1, count(t, dial(t, a)))
 }
 
+// A caller that gives no application_name is cut off like any other.
+func TestCutHoldsUnnamedCallers(t *testing.T) {
+	a := startServer(t, Options{ID: "a", Role: RolePrimary})
+	c, err := pgx.Connect(t.Context(), "postgres://app@"+a.Addr()+"/ledger?sslmode=disable")
+	require.NoError(t, err)
+	defer func() { _ = c.Close(context.Background()) }()
+	a.Faults().Cut(Callers, Answers)
+	done := make(chan error, 1)
+	go func() { done <- c.Ping(context.Background()) }()
+	eventually(t, func() bool { return a.Faults().Struck().Answers > 0 }, "the answer is held back")
+	a.Faults().Heal()
+	require.NoError(t, <-done)
+}
+
 func TestPassword(t *testing.T) {
 	a := startServer(t, Options{ID: "a", Role: RolePrimary, Users: map[string]string{"app": "secret"}})
 	c, err := pgx.Connect(t.Context(), "postgres://app:secret@"+a.Addr()+"/ledger?sslmode=disable")
