Find dead idle connections before a request is sent on them

Cause: a primary that dies leaves idle connections; the next write on each was taken by the kernel, lost, and had to be called unknown although nothing ran. Change: at hand-over the pool peeks at the socket without waiting.

--- a/pool/guards.go
+++ b/pool/guards.go
@@ -10,4 +10,6 @@
 	GuardClean guard.Name = "pool/clean-on-return"
 	// GuardReset makes the target drop a caller's state.
 	GuardReset guard.Name = "pool/reset-proven"
+	// GuardAlive finds idle connections that the target has closed.
+	GuardAlive guard.Name = "pool/alive"
 )
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -137,6 +137,10 @@
 		}
 		c.unproven = false
 	}
+	if !c.alive() && !p.cfg.Guards.Out(GuardAlive) {
+		p.drop(c)
+		return nil
+	}
 	l := &Lease{pool: p, conn: c, token: p.token.Add(1), status: txIdle}
 	c.owner.Store(l.token)
 	return l
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -262,6 +263,11 @@
 	trip *trip
 }
 
+// SyscallConn lets the pool look at the socket.
+func (c *tripConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
 func (c *tripConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if c.trip.strikes(b[:n], false) {
