--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
@@ -39,6 +40,8 @@
 	Log   *zap.Logger
 	// Metrics may be nil.
 	Metrics *Metrics
+	// Guards is set by tests only.
+	Guards guard.Set
 }
 
 // Defaults of Config.
@@ -134,6 +137,10 @@
 		}
 		c.unproven = false
 	}
+	if !c.alive() && !p.cfg.Guards.Out(GuardAlive) {
+		p.drop(c)
+		return nil
+	}
 	l := &Lease{pool: p, conn: c, token: p.token.Add(1), status: txIdle}
 	c.owner.Store(l.token)
 	return l
