--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -1,12 +1,14 @@
 package scenario
 
 import (
+	"bytes"
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/outcome"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/session"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 // requestDeadline is how long a caller waits, and patience what it adds before
@@ -20,8 +22,7 @@
 // proxy, unless it lost it.
 type caller struct {
 	name  string
-	marks session.Marks
-	token bool
+	token string
 }
 
 // Access of a call.
@@ -45,8 +46,8 @@
 	proxy      string
 	invoked    clock.Time
 	deadline   clock.Time
-	floor      session.Marks // what the session had seen when it asked
-	hasToken   bool
+	token      string        // what the session gave with it
+	marks      session.Marks // what the proxy read in the token
 
 	answered clock.Time // 0 while there is no answer
 	outcome  outcome.Outcome
@@ -57,7 +58,7 @@
 func (w *World) caller(name string) *caller {
 	c := w.callers[name]
 	if c == nil {
-		c = &caller{name: name, marks: session.Marks{}, token: true}
+		c = &caller{name: name}
 		w.callers[name] = c
 	}
 	return c
@@ -80,11 +81,8 @@
 	c := &call{
 		id: w.nextID, caller: s, access: r.access, op: r.op, row: r.row, key: r.key,
 		durability: r.durability, statements: max(1, r.statements), proxy: vmName,
-		invoked: w.now, deadline: w.now.Add(requestDeadline), hasToken: s.token,
-		floor: session.Marks{},
-	}
-	if s.token {
-		c.floor.Merge(s.marks)
+		invoked: w.now, deadline: w.now.Add(requestDeadline), token: s.token,
+		marks: session.Marks{},
 	}
 	w.history = append(w.history, c)
 	v := w.vm(vmName)
@@ -100,7 +98,60 @@
 		w.reply(c, outcome.NotRun, 0, time.Second)
 		return
 	}
-	w.runOn(v.node, v.epoch, func() { v.proxy.serve(c) })
+	w.runOn(v.node, v.epoch, func() {
+		if !w.readToken(c) {
+			w.reply(c, outcome.NotRun, 0, 0)
+			return
+		}
+		v.proxy.serve(c)
+	})
+}
+
+// epoch is the wall clock at the start of virtual time.
+var epoch = time.Unix(1_800_000_000, 0)
+
+func (w *World) wallClock() time.Time { return epoch.Add(w.now.Sub(startOfTime)) }
+
+// readToken verifies the caller's token, as a proxy does at connect. A refused
+// token refuses the connection, before anything ran.
+func (w *World) readToken(c *call) bool {
+	if c.token == "" {
+		return true
+	}
+	marks, err := w.keys.Verify(c.token, c.caller.name, w.wallClock())
+	if err != nil {
+		w.logf("%s: %v", c.caller.name, err)
+		return false
+	}
+	c.marks = marks
+	return true
+}
+
+// issueToken gives the session a token that covers a write.
+func (w *World) issueToken(c *call, pos timeline.Position) {
+	marks := session.Marks{}
+	if old, err := w.keys.Verify(c.caller.token, c.caller.name, w.wallClock()); err == nil {
+		marks.Merge(old)
+	}
+	marks.Raise(groupName, pos)
+	token, err := w.keys.Issue(c.caller.name, marks, w.wallClock())
+	if err != nil {
+		panic(err) // one group always fits
+	}
+	c.caller.token = token
+}
+
+// newKeys returns the signing keys of a world.
+func newKeys() *session.Keys {
+	keys, err := session.NewKeys("k1", map[string][]byte{"k1": secret("k1")})
+	if err != nil {
+		panic(err) // the secret is long enough
+	}
+	return keys
+}
+
+func secret(id string) []byte {
+	return bytes.Repeat([]byte(id), session.MinKeyBytes)
 }
 
 // reply gives the caller its answer; only the first one counts.
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -161,7 +161,7 @@
 	{"roaming", "roam", requestSteps(core.StepCommitSent, core.StepCommitted), func(w *World) {
 		w.start("alice", "a", request{op: "setup", row: "alice", key: "k7"})
 		w.Advance(300 * time.Millisecond)
-		w.caller("alice").token = false
+		w.caller("alice").token = ""
 		w.start("alice", "c", request{op: "roam", access: accessRead, row: "alice"})
 	}},
 	{"promotion", "promotion", steps(failover.StepSuspected, failover.StepStarted, failover.StepFenced,
--- a/scenario/proxy.go
+++ b/scenario/proxy.go
@@ -161,7 +161,7 @@
 // raiseMarks gives the session its new token with the answer.
 func (a *attempt) raiseMarks() {
 	if a.c.access == accessWrite {
-		a.c.caller.marks.Raise(groupName, a.write.Position)
+		a.p.v.w.issueToken(a.c, a.write.Position)
 	}
 }
 
--- a/scenario/read.go
+++ b/scenario/read.go
@@ -48,7 +48,7 @@
 		a.routeLater()
 		return
 	}
-	floor := session.FloorOf(a.c.floor, g)
+	floor := session.FloorOf(a.c.marks, g)
 	if floor.Source == session.SourcePrimary && !a.p.v.w.guards.Out(GuardFloor) {
 		a.askFloor(g)
 		return
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -52,7 +52,11 @@
 	case "write", "read", "start":
 		err = w.runRequest(c)
 	case "forget":
-		w.caller(c.word(1)).token = false
+		w.caller(c.word(1)).token = ""
+	case "steal":
+		w.caller(c.word(1)).token = w.caller(c.word(3)).token
+	case "rotate":
+		err = w.rotateKeys(c.word(3))
 	case "shutdown":
 		w.vm(c.word(1)).proxy.shutdown()
 	case "relieve":
@@ -75,6 +79,16 @@
 	return err
 }
 
+// rotateKeys signs with a new key from now on. "rotate keys and keep" verifies
+// the old one as before; "rotate keys and drop" does not.
+func (w *World) rotateKeys(old string) error {
+	keys := map[string][]byte{"k2": secret("k2")}
+	if old == "keep" {
+		keys["k1"] = secret("k1")
+	}
+	return w.keys.Replace("k2", keys)
+}
+
 // runLater carries a line out after some time.
 func (w *World) runLater(c command) error {
 	d, err := time.ParseDuration(c.word(1))
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/guard"
+	"endivemoor.example/endivemoor/session"
 )
 
 // startOfTime is where virtual time begins; the core needs times above zero.
@@ -26,6 +27,7 @@
 	trace  strings.Builder
 
 	store   *fakeStore
+	keys    *session.Keys
 	servers []*server
 	vms     []*vm
 	callers map[string]*caller
@@ -58,6 +60,7 @@
 		nodes:   make(map[string]*node),
 		callers: make(map[string]*caller),
 		guards:  guards,
+		keys:    newKeys(),
 		effects: make(map[string]int),
 	}
 	w.net = newNetwork()
