Script how a configuration spreads and never goes back

Cause: an accepted configuration must not revert, also with the store down. Change: VMs of a scenario read and offer configurations by publication.Accept; a judge for reverted or late ones; the guard's removal turns it red.

--- a/scenario/guards_test.go
+++ b/scenario/guards_test.go
@@ -145,6 +145,16 @@
 		lag s2 30s
 		lag s3 30s
 		write alice order row=alice at a`},
+	// A VM wakes after a pause and offers its old configuration to the others.
+	{GuardGeneration, "reverted", 3, `
+		publish 1
+		advance 1s
+		pause b
+		publish 2
+		advance 2s
+		store down
+		resume b
+		advance 2s`},
 	// The connection breaks after the commit and before its answer.
 	{GuardRepeat, "twice", 1, `
 		on order commit-sent in 800us reset s1
--- a/scenario/judge.go
+++ b/scenario/judge.go
@@ -14,8 +14,8 @@
 
 // Finding is one breach of what must always hold.
 type Finding struct {
-	// Rule is "lost", "twice", "ran", "superseded", "term-twice", "history" or
-	// "no-primary".
+	// Rule is "lost", "twice", "ran", "superseded", "term-twice", "history",
+	// "reverted", "behind" or "no-primary".
 	Rule   string
 	Detail string
 }
@@ -36,6 +36,7 @@
 	found = append(found, w.judgeRan()...)
 	found = append(found, w.judgeSuperseded()...)
 	found = append(found, w.judgeTerms()...)
+	found = append(found, w.judgeConfiguration()...)
 	return append(found, w.judgeHistories(p)...)
 }
 
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -55,6 +55,11 @@
 		w.caller(c.word(1)).token = ""
 	case "steal":
 		w.caller(c.word(1)).token = w.caller(c.word(3)).token
+	case "publish":
+		var generation int
+		if generation, err = strconv.Atoi(c.word(1)); err == nil {
+			err = w.Publish(generation)
+		}
 	case "rotate":
 		err = w.rotateKeys(c.word(3))
 	case "shutdown":
--- a/scenario/vm.go
+++ b/scenario/vm.go
@@ -9,6 +9,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/routing"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
@@ -27,6 +28,8 @@
 	router  *routing.Router
 	proxy   *proxy
 	passed  map[string]bool // steps of this start
+
+	configuration publication.Version // in force on this VM
 }
 
 // Steps of a VM's start, for the fault matrix.
@@ -80,10 +83,12 @@
 	v.router = routing.NewRouter(v.board, routing.Evidence{}, seed)
 	v.proxy = newProxy(v)
 	v.passed = make(map[string]bool)
+	v.configuration = publication.Version{}
 	v.w.after(v.node, 0, func() {
 		v.startStep(stepBooted)
 		v.w.after(v.node, 0, v.tick)
 		v.w.after(v.node, 0, v.watch)
+		v.w.after(v.node, 0, v.spread)
 	})
 }
 
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -32,6 +32,7 @@
 	vms     []*vm
 	callers map[string]*caller
 	history []*call
+	inForce []inForce // configurations put in force, in order
 	nextID  int
 	steps   int            // events run so far
 	effects map[string]int // how often each fault changed something
