Let membership spread suspicions instead of every VM's age

Cause: each exchange carried 64 records in turn. Change: only news travels, a suspicion after unanswered exchanges and what refutes it, in a number of exchanges that grows with the logarithm of the fleet. Without news an exchange carries two records. Also: a sample of a primary no longer copies the map of groups.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/experiment/control"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
@@ -22,8 +23,9 @@
 
 // CLI is the command line.
 type CLI struct {
-	Reads ReadsCmd `cmd:"" help:"Compare the policies that route reads."`
-	Load  LoadCmd  `cmd:"" help:"Compare the policies that hand out slots."`
+	Reads   ReadsCmd   `cmd:"" help:"Compare the policies that route reads."`
+	Load    LoadCmd    `cmd:"" help:"Compare the policies that hand out slots."`
+	Control ControlCmd `cmd:"" help:"Measure membership, and work out the calls to the store."`
 }
 
 // Options are common to the comparisons.
@@ -71,3 +73,16 @@
 	}
 	return load.Compare(env.Out, path, c.Seeds, c.Parallel)
 }
+
+// ControlCmd measures membership and the calls to the store.
+type ControlCmd struct {
+	Parallel int `default:"4" help:"Runs at once."`
+}
+
+// Run implements the command.
+func (c *ControlCmd) Run(env *Env) error {
+	if err := control.StoreCalls(env.Out); err != nil {
+		return err
+	}
+	return control.Membership(env.Out, c.Parallel)
+}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -2,35 +2,27 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"endivemoor.example/endivemoor/clock"
 )
 
-// isolatedShare: below a third of the listed VMs heard, this VM is cut off.
-const isolatedShare = 3
-
-// member is what the Machine knows of one VM.
-type member struct {
-	vm          VM
-	incarnation uint64
-	// heard is the latest instant at which anybody heard the VM; valid if known.
-	heard clock.Time
-	known bool
-	// leaving is the VM's own word, listLeaving the platform's.
-	leaving     bool
-	listLeaving bool
-	listed      bool
-	// live is the present belief; back is since when a VM that was gone is
-	// heard again.
-	live bool
-	back clock.Time
-	gone bool
-	// since is when the member was first seen.
-	since clock.Time
-}
+const (
+	// isolatedShare: with fewer than a third of the listed VMs free of
+	// suspicion, this VM is the one that is cut off.
+	isolatedShare = 3
+	// suspectAfterFailed exchanges in a row a VM is suspected. With one in ten
+	// lost, two in a row still made so much news in a fleet of hundreds that
+	// refutations did not get through in time.
+	suspectAfterFailed = 3
+	// spread times the logarithm of the fleet is how often news is passed on.
+	spread = 3
+	// forgetFactor times UnlistedFor after its last sign a VM that is not
+	// listed is forgotten: no peer tells of it any more.
+	forgetFactor = 2
+)
 
 // Machine holds one VM's belief. It is not safe for concurrent use.
 type Machine struct {
@@ -38,24 +30,30 @@
 	self    VM
 	leaving bool
 	rnd     *rand.Rand
-	members map[string]*member
-	order   []string // sorted ids of members
+	byID    map[string]*member
+	members []*member // sorted by id
 	live    []VM
 	listed  int
-	cursor  int
+	// answered is the instant of the last exchange with anybody.
+	answered clock.Time
+	started  bool
+	// dirty is set when a belief may have changed.
+	dirty    bool
+	partners partners
+	// again are VMs that left one exchange unanswered and are tried at once.
+	again []VM
 }
 
 // New returns a Machine that knows only itself.
 func New(cfg Config, self VM) *Machine {
 	cfg = cfg.withDefaults()
-	m := &Machine{
-		cfg:     cfg,
-		self:    self,
-		rnd:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
-		members: make(map[string]*member),
+	return &Machine{
+		cfg:  cfg,
+		self: self,
+		rnd:  rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
+		byID: make(map[string]*member),
+		live: []VM{self},
 	}
-	m.live = []VM{self}
-	return m
 }
 
 // Live returns the VMs believed to be live, sorted by id. It always has this VM
@@ -67,50 +65,64 @@
 	return Record{VM: m.self, Incarnation: m.cfg.Incarnation, Leaving: m.leaving}
 }
 
-// Step takes an event at now and returns what is to be done.
+// Step takes an event at now and returns what is to be done. The receiver of
+// an exchange steps Exchanged before it takes its answer from Records, so that
+// the answer refutes a suspicion that the sender should not have.
 func (m *Machine) Step(now clock.Time, ev Event) []Action {
+	if !m.started {
+		m.started, m.answered = true, now
+	}
 	var out []Action
 	switch e := ev.(type) {
 	case Tick:
-		out = m.partners()
+		m.dirty = true
+		out = m.round()
 	case Listed:
 		m.list(now, e)
 	case Exchanged:
-		e.From.HeardAge = 0
-		m.learn(now, e.From)
-		for _, r := range e.Others {
-			m.learn(now, r)
-		}
+		m.exchanged(now, e)
+	case Unanswered:
+		m.unanswered(now, e.ID)
 	case Leave:
-		m.leaving = true
+		m.leaving, m.dirty = true, true
 	}
-	if m.refresh(now) {
+	if m.dirty && m.refresh(now) {
 		out = append(out, Changed{})
 	}
 	return out
 }
 
-// Records returns what to tell a partner: this VM, and up to MaxRecords others,
-// going round the fleet so that each exchange tells of other VMs.
+// Records returns what to tell a partner: news first, then one VM heard lately.
 func (m *Machine) Records(now clock.Time) []Record {
-	n := min(len(m.order), m.cfg.MaxRecords)
-	out := make([]Record, 0, n)
-	for range n {
-		m.cursor = (m.cursor + 1) % len(m.order)
-		x := m.members[m.order[m.cursor]]
-		if !x.known || now.Sub(x.heard) > m.deadAfter() {
+	var out []Record
+	n := len(m.members)
+	from := m.rnd.IntN(max(n, 1))
+	for i := range n {
+		x := m.members[(from+i)%n]
+		if x.news == 0 {
 			continue
 		}
-		out = append(out, x.record(now))
+		if len(out) == m.cfg.MaxRecords {
+			break
+		}
+		x.news--
+		if r, ok := x.record(now, m.cfg.SuspectAfter); ok {
+			out = append(out, r)
+		}
 	}
-	return out
+	return m.addAny(now, out)
 }
 
-func (x *member) record(now clock.Time) Record {
-	return Record{
-		VM: x.vm, Incarnation: x.incarnation,
-		HeardAge: now.Sub(x.heard), Leaving: x.leaving,
+// addAny adds one VM at random. It mends what news did not reach.
+func (m *Machine) addAny(now clock.Time, out []Record) []Record {
+	if len(m.members) == 0 || len(out) == m.cfg.MaxRecords {
+		return out
+	}
+	x := m.members[m.rnd.IntN(len(m.members))]
+	if r, ok := x.record(now, m.cfg.SuspectAfter); ok {
+		return append(out, r)
 	}
+	return out
 }
 
 func (m *Machine) list(now clock.Time, e Listed) {
@@ -123,9 +135,22 @@
 			continue
 		}
 		x := m.ensure(now, VM{ID: vm.ID, Zone: vm.Zone, Addr: vm.Addr})
-		x.listed, x.listLeaving = true, vm.Leaving
+		x.listed, x.wasListed, x.listLeaving = true, true, vm.Leaving
 		m.listed++
 	}
+	m.dirty = true
+}
+
+func (m *Machine) exchanged(now clock.Time, e Exchanged) {
+	m.answered = now
+	e.From.HeardAge = 0
+	m.learn(now, e.From)
+	if x := m.byID[e.From.VM.ID]; x != nil {
+		x.failed = 0
+	}
+	for _, r := range e.Others {
+		m.learn(now, r)
+	}
 }
 
 // learn takes a record if it says something newer.
@@ -143,140 +168,119 @@
 		return
 	}
 	if r.Incarnation > x.incarnation {
-		x.incarnation = r.Incarnation
-		x.vm = r.VM
-		x.leaving = false
+		x.incarnation, x.vm = r.Incarnation, r.VM
+		x.leaving, x.suspect = false, false
+		m.tell(x)
 	}
-	x.leaving = x.leaving || r.Leaving
-	at := now.Add(-max(r.HeardAge, 0))
-	if !x.known || at.After(x.heard) {
-		x.heard, x.known = at, true
+	if r.Leaving && !x.leaving {
+		x.leaving = true
+		m.tell(x)
 	}
+	m.weigh(now, x, r)
 }
 
-func (m *Machine) ensure(now clock.Time, vm VM) *member {
-	if x := m.members[vm.ID]; x != nil {
-		return x
+// weigh takes the record's evidence for or against the VM.
+func (m *Machine) weigh(now clock.Time, x *member, r Record) {
+	if r.HeardAge < m.cfg.SuspectAfter {
+		unknown := !x.known && !x.listed
+		if x.hear(now.Add(-max(r.HeardAge, 0))) || unknown {
+			m.tell(x)
+		}
+		return
+	}
+	began := now.Add(m.cfg.SuspectAfter - r.HeardAge)
+	if x.suspectSince(began) || !x.suspect {
+		// A new suspicion, or one that what is known here refutes.
+		m.tell(x)
 	}
-	x := &member{vm: vm, since: now}
-	m.members[vm.ID] = x
-	i, _ := slices.BinarySearch(m.order, vm.ID)
-	m.order = slices.Insert(m.order, i, vm.ID)
-	return x
 }
 
-// deadAfter allows for the time that a record needs around a large fleet: each
-// round passes on Fanout exchanges of MaxRecords.
-func (m *Machine) deadAfter() time.Duration {
-	rounds := len(m.order) / (m.cfg.MaxRecords * m.cfg.Fanout)
-	return m.cfg.DeadAfter + time.Duration(spreadRounds*rounds)*m.cfg.Interval
+// tell makes the VM's record news.
+func (m *Machine) tell(x *member) {
+	x.news = spread * bits.Len(uint(len(m.members)))
+	m.dirty = true
 }
 
-// spreadRounds is how often the whole fleet's records must pass by before a
-// silence means something.
-const spreadRounds = 3
-
-// refresh works out Live and reports whether it changed.
-func (m *Machine) refresh(now clock.Time) bool {
-	isolated := m.isolated(now)
-	for id, x := range m.members {
-		x.live = m.believe(now, x, isolated)
-		if m.forgettable(now, x) {
-			m.forget(id)
-		}
-	}
-	next := make([]VM, 0, len(m.order)+1)
-	if !m.leaving {
-		next = append(next, m.self)
+func (m *Machine) unanswered(now clock.Time, id string) {
+	x := m.byID[id]
+	if x == nil {
+		return
 	}
-	for _, id := range m.order {
-		if x := m.members[id]; x.live {
-			next = append(next, x.vm)
-		}
+	x.failed++
+	if x.failed < suspectAfterFailed {
+		m.again = append(m.again, x.vm)
+		return
 	}
-	slices.SortFunc(next, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
-	if slices.Equal(next, m.live) {
-		return false
+	if !m.isolated(now) && x.suspectSince(now) {
+		m.tell(x)
 	}
-	m.live = next
-	return true
 }
 
-// believe applies the table of the package comment to one VM.
-func (m *Machine) believe(now clock.Time, x *member, isolated bool) bool {
-	if x.leaving || x.listLeaving {
-		return false
-	}
-	if m.heardWithin(now, x) {
-		return m.settled(now, x)
-	}
-	if isolated {
-		return x.live
+func (m *Machine) ensure(now clock.Time, vm VM) *member {
+	if x := m.byID[vm.ID]; x != nil {
+		return x
 	}
-	x.gone, x.back = true, 0
-	return false
+	x := &member{vm: vm, seen: now}
+	m.byID[vm.ID] = x
+	i, _ := slices.BinarySearchFunc(m.members, vm.ID, compareID)
+	m.members = slices.Insert(m.members, i, x)
+	m.dirty = true
+	return x
 }
 
-// heardWithin reports whether the silence is short enough for what the list
-// says. A listed VM that nobody has heard yet gets its time from when it was
-// first seen here.
-func (m *Machine) heardWithin(now clock.Time, x *member) bool {
-	limit := m.cfg.SuspectAfter
-	if x.listed {
-		limit = m.deadAfter()
-	}
-	if !x.known {
-		return x.listed && now.Sub(x.since) < limit
-	}
-	return now.Sub(x.heard) < limit
-}
+func compareID(x *member, id string) int { return cmp.Compare(x.vm.ID, id) }
 
-func (m *Machine) settled(now clock.Time, x *member) bool {
-	if !x.gone {
-		return true
+// refresh works out Live and reports whether it changed.
+func (m *Machine) refresh(now clock.Time) bool {
+	m.dirty = false
+	isolated := m.isolated(now)
+	for _, x := range m.members {
+		x.live = x.believe(now, &m.cfg, isolated)
 	}
-	if x.back == 0 {
-		x.back = now
+	m.members = slices.DeleteFunc(m.members, func(x *member) bool { return m.forget(now, x) })
+	m.partners.sort(m.members, m.self.Zone)
+	next := make([]VM, 0, len(m.live)+1)
+	for _, x := range m.members {
+		if x.live {
+			next = append(next, x.vm)
+		}
+	}
+	if !m.leaving {
+		i, _ := slices.BinarySearchFunc(next, m.self.ID, func(vm VM, id string) int { return cmp.Compare(vm.ID, id) })
+		next = slices.Insert(next, i, m.self)
 	}
-	if now.Sub(x.back) < m.cfg.SettleFor {
+	if slices.Equal(next, m.live) {
 		return false
 	}
-	x.gone, x.back = false, 0
+	m.live = next
 	return true
 }
 
-// isolated reports whether this VM hears so few that it is the one cut off.
+// isolated reports whether this VM is the one that is cut off.
+//
+// Failure guarded against: a VM or an availability zone without network takes
+// the whole fleet for dead and claims all its work. It shows as a storm of
+// takeovers when the cut heals. Who hears nobody, or suspects most, waits.
 func (m *Machine) isolated(now clock.Time) bool {
 	if m.listed == 0 {
 		return false
 	}
-	heard := 0
+	if now.Sub(m.answered) > m.cfg.SuspectAfter {
+		return true
+	}
+	clear := 0
 	for _, x := range m.members {
-		if x.listed && (x.listLeaving || x.leaving || m.heardWithin(now, x)) {
-			heard++
+		if x.listed && !x.suspect {
+			clear++
 		}
 	}
-	return heard*isolatedShare < m.listed
+	return clear*isolatedShare < m.listed
 }
 
-// forgettable reports whether the VM is neither listed nor heard for so long
-// that no peer tells of it any more.
-func (m *Machine) forgettable(now clock.Time, x *member) bool {
-	if x.listed {
+func (m *Machine) forget(now clock.Time, x *member) bool {
+	if x.listed || now.Sub(x.lastSign()) <= forgetFactor*m.cfg.UnlistedFor {
 		return false
 	}
-	last := x.since
-	if x.known {
-		last = x.heard
-	}
-	return now.Sub(last) > forgetFactor*m.deadAfter()
-}
-
-const forgetFactor = 4
-
-func (m *Machine) forget(id string) {
-	delete(m.members, id)
-	if i, ok := slices.BinarySearch(m.order, id); ok {
-		m.order = slices.Delete(m.order, i, i+1)
-	}
+	delete(m.byID, x.vm.ID)
+	return true
 }
--- a/membership/types.go
+++ b/membership/types.go
@@ -19,7 +19,9 @@
 	VM VM
 	// Incarnation grows with every start of the VM's daemon.
 	Incarnation uint64
-	// HeardAge is how long ago the VM was heard of, directly or through others.
+	// HeardAge is how long ago the VM was heard of, directly or through others,
+	// if below Config.SuspectAfter. From there on the VM is suspected, for the
+	// time that HeardAge is longer.
 	HeardAge time.Duration
 	// Leaving is set once the VM drains.
 	Leaving bool
@@ -31,14 +33,17 @@
 	Interval time.Duration
 	// Fanout is the number of partners of a round; default 2.
 	Fanout int
-	// MaxRecords bounds the records of an exchange; default 64.
+	// MaxRecords bounds the records of an exchange; default 32.
 	MaxRecords int
-	// SuspectAfter is the silence after which a VM that the list lacks is gone;
-	// default 2 s.
+	// SuspectAfter divides fresh evidence from suspicion; it must be the same on
+	// all VMs; default 2 s.
 	SuspectAfter time.Duration
-	// DeadAfter is the silence after which a listed VM is gone, in a fleet
-	// whose records fit into one exchange; default 4 s.
+	// DeadAfter is how long a listed VM is suspected before it is gone; default
+	// 3 s.
 	DeadAfter time.Duration
+	// UnlistedFor is how long a VM that was never listed is live after it was
+	// last heard; default 2 min, longer than the list lags.
+	UnlistedFor time.Duration
 	// SettleFor is how long a VM that was gone must be heard; default 2 s.
 	SettleFor time.Duration
 	// Incarnation is this VM's own.
@@ -50,13 +55,14 @@
 func (c Config) withDefaults() Config {
 	setDuration(&c.Interval, 500*time.Millisecond)
 	setDuration(&c.SuspectAfter, 2*time.Second)
-	setDuration(&c.DeadAfter, 4*time.Second)
+	setDuration(&c.DeadAfter, 3*time.Second)
+	setDuration(&c.UnlistedFor, 2*time.Minute)
 	setDuration(&c.SettleFor, 2*time.Second)
 	if c.Fanout <= 0 {
 		c.Fanout = 2
 	}
 	if c.MaxRecords <= 0 {
-		c.MaxRecords = 64
+		c.MaxRecords = 32
 	}
 	return c
 }
--- a/routing/board.go
+++ b/routing/board.go
@@ -17,14 +17,19 @@
 type Board struct {
 	mu      sync.Mutex
 	servers atomic.Pointer[map[target.ID]*evidence]
-	groups  atomic.Pointer[map[string]samples]
+	groups  atomic.Pointer[map[string]*groupSamples]
+}
+
+// groupSamples holds a group's samples; the list in it is replaced as a whole.
+type groupSamples struct {
+	list atomic.Pointer[samples]
 }
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board {
 	b := &Board{}
 	b.servers.Store(&map[target.ID]*evidence{})
-	b.groups.Store(&map[string]samples{})
+	b.groups.Store(&map[string]*groupSamples{})
 	return b
 }
 
@@ -60,12 +65,40 @@
 // ObservePrimary records that the group's primary, when it was asked at asked,
 // had committed up to pos.
 func (b *Board) ObservePrimary(group string, pos timeline.Position, asked clock.Time) {
+	g := b.ensureGroup(group)
+	for {
+		old := g.list.Load()
+		next := old.with(sample{asked: asked, pos: pos})
+		if g.list.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+func (b *Board) ensureGroup(name string) *groupSamples {
+	if g := (*b.groups.Load())[name]; g != nil {
+		return g
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := *b.groups.Load()
-	next := maps.Clone(old)
-	next[group] = old[group].with(sample{asked: asked, pos: pos})
+	if g := (*b.groups.Load())[name]; g != nil {
+		return g
+	}
+	next := maps.Clone(*b.groups.Load())
+	g := &groupSamples{}
+	g.list.Store(&samples{})
+	next[name] = g
 	b.groups.Store(&next)
+	return g
+}
+
+// samplesOf returns the group's samples, which must not be changed.
+func (b *Board) samplesOf(group string) samples {
+	g := (*b.groups.Load())[group]
+	if g == nil {
+		return nil
+	}
+	return *g.list.Load()
 }
 
 // Begin records that a request was sent to the server.
@@ -95,14 +128,14 @@
 	maps.DeleteFunc(servers, func(id target.ID, _ *evidence) bool { return !known[id] })
 	b.servers.Store(&servers)
 	groups := maps.Clone(*b.groups.Load())
-	maps.DeleteFunc(groups, func(name string, _ samples) bool { return v.Groups[name] == nil })
+	maps.DeleteFunc(groups, func(name string, _ *groupSamples) bool { return v.Groups[name] == nil })
 	b.groups.Store(&groups)
 }
 
 // currentAsOf returns the latest instant as of which a server with that report
 // was current: see the package comment.
 func (b *Board) currentAsOf(g *view.Group, rep *report) (clock.Time, bool) {
-	return b.latestCovered(g, (*b.groups.Load())[g.Name], rep.status.Position())
+	return b.latestCovered(g, b.samplesOf(g.Name), rep.status.Position())
 }
 
 // latestCovered returns the instant of the latest witnessed sample that have
--- a/routing/router.go
+++ b/routing/router.go
@@ -110,7 +110,7 @@
 		Waited:   req.waited(),
 		Deadline: req.Kind.Deadline,
 	}
-	all := (*b.groups.Load())[g.Name]
+	all := b.samplesOf(g.Name)
 	for i := range g.Servers {
 		s := &g.Servers[i]
 		if v.Draining[s.ID] {
