--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"endivemoor.example/endivemoor/filter"
@@ -31,7 +33,7 @@
 	if !refers || u.prepared[name] || planned[name] {
 		return
 	}
-	st := u.s.stmts[name]
+	st := u.s.stmts.byName[name]
 	if st == nil {
 		return
 	}
@@ -80,7 +82,7 @@
 	return func(m pgproto3.BackendMessage) {
 		if _, ok := m.(*pgproto3.ParseComplete); ok {
 			u.prepared[p.Name] = true
-			u.s.stmts[p.Name] = p
+			u.s.stmts.keep(p)
 		}
 	}
 }
@@ -89,7 +91,7 @@
 	return func(m pgproto3.BackendMessage) {
 		if _, ok := m.(*pgproto3.CloseComplete); ok {
 			delete(u.prepared, name)
-			delete(u.s.stmts, name)
+			u.s.stmts.drop(name)
 		}
 	}
 }
@@ -108,6 +110,29 @@
 	if u.likelyCommits() {
 		x.add(u.status.step())
 	}
+	u.reset = u.surelyEnds()
+	x.reset = u.reset
+}
+
+// surelyEnds reports whether the connection is free after the chunk, whatever
+// the target answers: there is nothing more to ask, and no statement can open a
+// transaction.
+func (u *unit) surelyEnds() bool {
+	if u.open || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
+		return false
+	}
+	for _, t := range u.s.texts(u.chunk) {
+		if controlsTransaction(t) || !isSingle(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// isSingle reports whether a text is surely one statement: without a semicolon
+// but at its end it cannot be two.
+func isSingle(sql string) bool {
+	return !strings.Contains(strings.TrimRight(sql, "; \t\r\n"), ";")
 }
 
 // likelyCommits guesses. A wrong guess costs a round trip or a needless
