Spread drains by peers; take profiles by publication.Accept

Cause: only the store's watchers, two VMs a zone, heard of a drain; the rest would have sent new work to a leaving target for ever (found by reading). Marks that end were read as drains, and each of up to three events asked for relief. Change: Drains keeps the newest revision of each mark and travels with exchanges; a primary is relieved once a drain. Configuration uses the pure Accept and logs a forked generation. The example script stops when a port is taken.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -8,6 +8,7 @@
 	"endivemoor.example/endivemoor/finding"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/view"
 )
 
@@ -18,6 +19,10 @@
 	Text       []byte
 }
 
+func (p Published) version() publication.Version {
+	return publication.Version{Generation: p.Generation, Digest: p.Digest}
+}
+
 // Configuration holds the newest published set that this VM knows and puts it
 // in force. It is the only writer of view.View.Profiles.
 type Configuration struct {
@@ -40,8 +45,8 @@
 	return c.current
 }
 
-// Offer puts p in force if its generation is above the present one, and reports
-// if it did. The source may be the store or any peer.
+// Offer puts p in force if publication.Accept takes it, and reports if it did.
+// The source may be the store or any peer.
 //
 // Failure guarded against: a daemon that was paused for an hour, or a peer that
 // restarted during an outage, offers an older set, and a retired profile comes
@@ -50,9 +55,17 @@
 func (c *Configuration) Offer(p Published, source string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p.Generation <= c.current.Generation {
-		return false
+	switch publication.Accept(c.current.version(), p.version()) {
+	case publication.Take:
+		return c.take(p, source)
+	case publication.Forked:
+		c.log.Error("configuration_forked",
+			zap.Uint64("generation", uint64(p.Generation)), zap.String("digest", p.Digest), zap.String("source", source))
 	}
+	return false
+}
+
+func (c *Configuration) take(p Published, source string) bool {
 	set, err := c.parse(p)
 	if err != nil {
 		c.log.Error("configuration_refused",
@@ -67,7 +80,7 @@
 }
 
 func (c *Configuration) parse(p Published) (*profile.Set, error) {
-	if inifile.Digest(p.Text) != p.Digest {
+	if profile.Digest(p.Text) != p.Digest {
 		return nil, finding.Findings{{Message: "text does not match its digest", Mend: "publish again"}}
 	}
 	set, found := inifile.Parse("published", p.Text)
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/peer/peerpb"
 	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
 )
@@ -39,9 +40,12 @@
 	clients *peer.Clients
 	store   platform.Store
 	duty    *Duty
+	drains  *Drains
 	log     *zap.Logger
 	// onGroup is told of every group state that a peer sent.
 	onGroup func(*view.Group)
+	// onDrain is told of every drain that a peer knows.
+	onDrain func(id target.ID, draining bool, revision int64)
 	// onChange is told of every change of the live VMs.
 	onChange func(live []membership.VM)
 
@@ -63,8 +67,10 @@
 	Clients  *peer.Clients
 	Store    platform.Store
 	Duty     *Duty
+	Drains   *Drains
 	Log      *zap.Logger
 	OnGroup  func(*view.Group)
+	OnDrain  func(id target.ID, draining bool, revision int64)
 	OnChange func([]membership.VM)
 	Machine  *membership.Machine
 	Rand     *rand.Rand
@@ -73,7 +79,7 @@
 // NewExchange returns the controller.
 func NewExchange(c ExchangeConfig) *Exchange {
 	return &Exchange{
-		clk: c.Clock, views: c.Views, config: c.Config, clients: c.Clients, store: c.Store, duty: c.Duty,
+		clk: c.Clock, views: c.Views, config: c.Config, clients: c.Clients, store: c.Store, duty: c.Duty, drains: c.Drains, onDrain: c.OnDrain,
 		log: c.Log, onGroup: c.OnGroup, onChange: c.OnChange, machine: c.Machine, rng: c.Rand,
 		changed: map[string]clock.Time{}, terms: map[string]timeline.Term{},
 	}
@@ -147,6 +153,7 @@
 	}
 	x.takeMembers(ctx, reply.GetReceiver(), reply.GetMembers())
 	x.takeGroups(reply.GetGroups())
+	x.takeDrains(reply.GetDrains())
 	x.takeConfiguration(reply.GetConfiguration(), vm.ID)
 	x.pushConfiguration(ctx, vm, reply.GetGeneration())
 }
@@ -170,6 +177,7 @@
 		Sender:     self,
 		Members:    others,
 		Groups:     x.news(),
+		Drains:     x.drains.messages(),
 		Generation: uint64(x.config.Current().Generation),
 		WantGroups: len(x.views.Load().Groups) == 0,
 	}
@@ -180,10 +188,11 @@
 	ctx := context.Background()
 	x.takeMembers(ctx, in.GetSender(), in.GetMembers())
 	x.takeGroups(in.GetGroups())
+	x.takeDrains(in.GetDrains())
 	x.takeConfiguration(in.GetConfiguration(), in.GetSender().GetVm())
 	self, others := x.members()
 	current := x.config.Current()
-	reply := &peerpb.ExchangeReply{Receiver: self, Members: others, Groups: x.answerGroups(in), Generation: uint64(current.Generation)}
+	reply := &peerpb.ExchangeReply{Receiver: self, Members: others, Groups: x.answerGroups(in), Drains: x.drains.messages(), Generation: uint64(current.Generation)}
 	if in.GetGeneration() < uint64(current.Generation) {
 		reply.Configuration = configurationMessage(current)
 	}
@@ -204,6 +213,12 @@
 	}
 }
 
+func (x *Exchange) takeDrains(in []*peerpb.Drain) {
+	for _, d := range in {
+		x.onDrain(target.ID(d.GetTarget()), d.GetDraining(), d.GetRevision())
+	}
+}
+
 func (x *Exchange) takeGroups(in []*peerpb.GroupState) {
 	news := false
 	for _, state := range in {
@@ -217,7 +232,7 @@
 	}
 }
 
-// Relay passes news on at once instead of at the next tick. Each VM does so
+// Relay implements PeerEvidence: it passes news on at once instead of at the next tick. Each VM does so
 // once for each piece of news, so it reaches a fleet of n in about log n hops.
 func (x *Exchange) Relay() {
 	for _, vm := range x.some(relayTo) {
@@ -225,9 +240,6 @@
 	}
 }
 
-// Announce implements PeerEvidence.
-func (x *Exchange) Announce(*view.Group) { x.Relay() }
-
 // some returns up to n other live VMs in random order.
 func (x *Exchange) some(n int) []membership.VM {
 	x.mu.Lock()
--- a/controller/exchange_test.go
+++ b/controller/exchange_test.go
@@ -15,7 +15,7 @@
 	"endivemoor.example/endivemoor/peer/peerpb"
 	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
-	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
 
@@ -37,10 +37,12 @@
 	require.NoError(t, err)
 	self := membership.VM{ID: id, Zone: "z", Addr: ln.Addr().String()}
 	views := view.NewHolder()
+	drains := NewDrains(views, zap.NewNop())
 	x := NewExchange(ExchangeConfig{
 		Clock: monotonic.New(), Views: views, Config: NewConfiguration(views, zap.NewNop()),
-		Clients: peer.NewClients(nil), Store: downStore{}, Duty: NewDuty(self), Log: zap.NewNop(),
+		Clients: peer.NewClients(nil), Store: downStore{}, Duty: NewDuty(self), Drains: drains, Log: zap.NewNop(),
 		OnGroup:  func(g *view.Group) { views.Adopt(g) },
+		OnDrain:  func(id target.ID, d bool, rev int64) { drains.Offer(id, d, rev) },
 		OnChange: func([]membership.VM) {},
 		Machine:  membership.New(membership.Config{Incarnation: 1}, self),
 		Rand:     rand.New(rand.NewPCG(1, 2)),
@@ -54,7 +56,7 @@
 
 func published(g profile.Generation, grace string) Published {
 	text := []byte("[p]\ndrain-grace = " + grace + "\n")
-	return Published{Generation: g, Digest: inifile.Digest(text), Text: text}
+	return Published{Generation: g, Digest: profile.Digest(text), Text: text}
 }
 
 // The store is down and a daemon restarts with nothing. It must serve from what
@@ -86,3 +88,19 @@
 	require.False(t, n.config.Offer(p, "peer"))
 	require.Zero(t, n.config.Current().Generation)
 }
+
+// A target is drained for a kernel update and taken back. A VM that heard of the
+// drain only goes on telling it. Nobody may take the drain up again, and the VM
+// that does not watch the store must hear of both.
+func TestDrainsSpreadByPeersAndEndForGood(t *testing.T) {
+	watcher, watcherVM := newNode(t, "p1")
+	watcher.drains.Offer("db-a", true, 10)
+	other, _ := newNode(t, "p2")
+	other.exchangeWith(context.Background(), watcherVM)
+	require.True(t, other.views.Load().Draining["db-a"])
+
+	watcher.drains.Offer("db-a", false, 12)
+	other.exchangeWith(context.Background(), watcherVM)
+	require.False(t, watcher.views.Load().Draining["db-a"], "the late peer's mark is older")
+	require.False(t, other.views.Load().Draining["db-a"])
+}
--- a/controller/group.go
+++ b/controller/group.go
@@ -20,13 +20,13 @@
 // dropped: each one is repeated or replaced by a later one.
 const eventBacklog = 1024
 
-// PeerEvidence asks other VMs what they know of a group's servers. It calls
+// PeerEvidence asks other VMs what they know of a group's servers. AskPeers calls
 // report once for each server that a peer speaks of, and returns when every
 // peer has answered or failed.
 type PeerEvidence interface {
 	AskPeers(ctx context.Context, group string, report func(failover.PeerReport))
-	// Announce tells peers of a group's new state at once.
-	Announce(group *view.Group)
+	// Relay tells peers at once of what this VM has learned.
+	Relay()
 }
 
 // Recorder takes the fleet's own acts for the audit trail and for explain.
@@ -135,7 +135,7 @@
 func (g *Group) announce(a failover.Announce) {
 	group := a.Group
 	g.Views.Adopt(&group)
-	g.Peers.Announce(&group)
+	g.Peers.Relay()
 }
 
 // link returns the control connection to a server of the group, or nil when
--- a/controller/manager.go
+++ b/controller/manager.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/view"
@@ -21,6 +22,8 @@
 	Failover failover.Config
 	// Serve lists the groups; empty means all.
 	Serve []string
+	// Drains is where drain marks go.
+	Drains *Drains
 	// Duty says which groups this VM controls.
 	Duty *Duty
 	// Dropped counts events that a full backlog dropped.
@@ -104,11 +107,11 @@
 func (m *Manager) Watchers(active func() bool) []*Watcher {
 	return []*Watcher{
 		m.watcher(platform.PurposeGroup, groupPrefix, m.onGroups, active),
-		m.watcher(platform.PurposeDrain, DrainPrefix, m.onDrains, active),
+		m.watcher(platform.PurposeDrain, drainstore.Prefix, m.onDrains, active),
 	}
 }
 
-func (m *Manager) watcher(p platform.Purpose, prefix string, handle func(context.Context, []platform.Object), active func() bool) *Watcher {
+func (m *Manager) watcher(p platform.Purpose, prefix string, handle handler, active func() bool) *Watcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Watcher{Store: m.Store, Purpose: p, Prefix: prefix, Handle: handle, Active: active, Rand: rng, Log: m.Log}
 }
--- a/controller/watched.go
+++ b/controller/watched.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"maps"
+	"encoding/json"
 	"strings"
 
 	"go.uber.org/zap"
 
+	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
 
-// DrainPrefix is where operators mark targets that leave.
-const DrainPrefix = "drains/"
-
 // onGroups takes changed group objects from the store.
-func (m *Manager) onGroups(_ context.Context, changed []platform.Object) {
+func (m *Manager) onGroups(_ context.Context, changed []platform.Object, _ int64) {
 	for _, obj := range changed {
 		if obj.Version == 0 {
 			m.Log.Warn("group_object_deleted", zap.String("key", obj.Key))
@@ -43,35 +41,38 @@
 	}
 }
 
-// onDrains takes changed drain marks. A primary that leaves is relieved first.
-func (m *Manager) onDrains(_ context.Context, changed []platform.Object) {
-	marks := map[target.ID]bool{}
+// onDrains takes changed drain marks. A mark that is ending, or gone, lets the
+// target take work again.
+func (m *Manager) onDrains(_ context.Context, changed []platform.Object, revision int64) {
 	for _, obj := range changed {
-		id := target.ID(strings.TrimPrefix(obj.Key, DrainPrefix))
-		marks[id] = obj.Version != 0
-	}
-	m.Views.Update(func(v *view.View) {
-		next := maps.Clone(v.Draining)
-		if next == nil {
-			next = map[target.ID]bool{}
+		draining := false
+		if obj.Version != 0 {
+			var mark drainstore.Mark
+			if err := json.Unmarshal(obj.Value, &mark); err != nil {
+				m.Log.Error("drain_mark_unreadable", zap.String("key", obj.Key), zap.Error(err))
+				continue
+			}
+			draining = !mark.Ending
 		}
-		for id, draining := range marks {
-			next[id] = draining
-		}
-		maps.DeleteFunc(next, func(_ target.ID, draining bool) bool { return !draining })
-		v.Draining = next
-	})
-	for id, draining := range marks {
-		m.Log.Info("target_drain", zap.String("server", string(id)), zap.Bool("draining", draining))
-		m.relieve(id, draining)
+		id := target.ID(strings.TrimPrefix(obj.Key, drainstore.Prefix))
+		m.OnDrain(id, draining, revision)
 	}
 }
 
-// relieve asks the group's controller for a planned change of primary.
-func (m *Manager) relieve(id target.ID, draining bool) {
-	if !draining {
+// OnDrain takes a drain from the store or a peer, and passes news on. A primary
+// that leaves is relieved first.
+func (m *Manager) OnDrain(id target.ID, draining bool, revision int64) {
+	if !m.Drains.Offer(id, draining, revision) {
 		return
 	}
+	m.Peers.Relay()
+	if draining {
+		m.relieve(id)
+	}
+}
+
+// relieve asks the group's controller for a planned change of primary.
+func (m *Manager) relieve(id target.ID) {
 	for name, group := range m.Views.Load().Groups {
 		if group.Primary == id {
 			m.post(name, failover.Relieve{Server: id})
--- a/controller/watcher.go
+++ b/controller/watcher.go
@@ -20,14 +20,17 @@
 	watchRetryMax = 5 * time.Second
 )
 
+// handler takes objects that changed up to a revision of the store; an object of
+// version 0 was deleted.
+type handler func(ctx context.Context, changed []platform.Object, revision int64)
+
 // Watcher follows the objects below one prefix, while this VM is among the few
 // watchers of its availability zone. The rest of the fleet learns from peers.
 type Watcher struct {
 	Store   platform.Store
 	Purpose platform.Purpose
 	Prefix  string
-	// Handle takes changed objects; an object of version 0 was deleted.
-	Handle func(ctx context.Context, changed []platform.Object)
+	Handle  handler
 	// Active says if this VM watches now.
 	Active func() bool
 	Rand   *rand.Rand
@@ -67,7 +70,7 @@
 	}
 	w.since = revision
 	if len(changed) > 0 {
-		w.Handle(ctx, changed)
+		w.Handle(ctx, changed, revision)
 	}
 	return nil
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -36,8 +36,10 @@
 		Clients:  d.clients,
 		Store:    d.store,
 		Duty:     d.duty,
+		Drains:   d.drains,
 		Log:      d.log,
 		OnGroup:  func(g *view.Group) { d.manager.OnPeerGroup(g) },
+		OnDrain:  func(id target.ID, draining bool, rev int64) { d.manager.OnDrain(id, draining, rev) },
 		OnChange: d.onMembers,
 		Machine:  membership.New(membership.Config{Interval: exchangeEvery, Incarnation: d.incarnation, Seed: rng.Uint64()}, self),
 		Rand:     rng,
@@ -79,6 +81,7 @@
 		},
 		Failover: d.failoverConfig(),
 		Serve:    d.set.VM.Groups,
+		Drains:   d.drains,
 		Duty:     d.duty,
 		Dropped:  dropped.Inc,
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	store       *client.Client
 	clients     *peer.Clients
 	config      *controller.Configuration
+	drains      *controller.Drains
 	tokens      *session.Keys
 	users       *users
 	trail       *auditlog.Recorder
@@ -111,6 +112,7 @@
 	}
 	d.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.config = controller.NewConfiguration(d.views, log)
+	d.drains = controller.NewDrains(d.views, log)
 	for _, build := range []func() error{d.buildAuth, d.buildStore, d.buildPeers, d.buildControl, d.buildCallers} {
 		if err := build(); err != nil {
 			return nil, err
--- a/daemon/profiles.go
+++ b/daemon/profiles.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/publication/store"
 )
 
-// currentProfiles is the object that names the published set.
-const currentProfiles = "profiles/current"
-
 // profileWatcher puts published sets in force.
 func (d *daemon) profileWatcher() *controller.Watcher {
 	return &controller.Watcher{
 		Store:   d.store,
 		Purpose: platform.PurposeProfile,
-		Prefix:  currentProfiles,
+		Prefix:  store.CurrentKey,
 		Handle:  d.onProfiles,
 		Active:  d.duty.Watches,
 		Rand:    newRand(),
@@ -27,17 +24,13 @@
 	}
 }
 
-func (d *daemon) onProfiles(_ context.Context, changed []platform.Object) {
+func (d *daemon) onProfiles(_ context.Context, changed []platform.Object, _ int64) {
 	for _, obj := range changed {
 		if obj.Version == 0 {
 			continue
 		}
-		var r struct {
-			Generation profile.Generation `json:"generation"`
-			Digest     string             `json:"digest"`
-			Text       string             `json:"text"`
-		}
-		if err := json.Unmarshal(obj.Value, &r); err != nil {
+		r, err := publication.Decode(obj.Value)
+		if err != nil {
 			d.log.Error("profiles_unreadable", zap.Error(err))
 			continue
 		}
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -68,6 +68,16 @@
 done
 await ctl --daemon "http://$admin" fleet status
 
+# A process that could not listen (a port is taken by another run) has ended by
+# now. Going on would mix two runs.
+for file in "$work"/*.pid; do
+  kill -0 "$(cat "$file")" 2>/dev/null || {
+    echo "$(basename "$file" .pid) did not start:" >&2
+    tail -n 3 "${file%.pid}.log" >&2
+    exit 1
+  }
+done
+
 case "$mode" in
 stay)
   grep -h '^callers' "$conf"/proxy*.ini
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -25,7 +25,7 @@
 var corePackages = []string{
 	"ack", "admission", "audit", "clock", "drain", "failover", "finding",
 	"internal/guard", "membership", "outcome", "ownership", "platform", "profile",
-	"profile/diff", "request", "retry", "routing", "session", "target",
+	"profile/diff", "publication", "request", "retry", "routing", "session", "target",
 	"timeline", "view",
 }
 
