Name the measurements, the matrix and the fuzz targets in the Makefile

Cause: each had a command only its author knew. Change: make gap, measure, matrix, matrix-all, fuzz.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 EXAMPLE ?= demo
 
-.PHONY: demo run test lint build bench measure matrix matrix-all fuzz
+.PHONY: demo run test lint build generate bench gap measure matrix matrix-all fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -28,3 +28,27 @@
 
 bench: build
 	examples/run.sh demo bench
+
+# Breaks the primary of the demo's group again and again under load.
+gap: build
+	examples/run.sh demo gap --faults freeze,cut,answers,cut-peers --rounds 10
+
+# Comparisons in virtual time: fixed seeds, the same figures on every machine.
+measure: build
+	bin/endivemoor-measure reads
+	bin/endivemoor-measure load
+	bin/endivemoor-measure control
+
+# The fault matrix: singles whole and pairs sampled; matrix-all runs every pair.
+matrix:
+	$(GO) test -count=1 -run 'Matrix' -v ./scenario
+
+matrix-all:
+	$(GO) test -count=1 -timeout 90m -run 'Matrix' -v ./scenario -matrix.all
+
+FUZZTIME ?= 30s
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzVerify -fuzztime $(FUZZTIME) ./session
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./profile/inifile
+	$(GO) test -run '^$$' -fuzz FuzzImport -fuzztime $(FUZZTIME) ./audit
+	$(GO) test -run '^$$' -fuzz FuzzFirstBytes -fuzztime $(FUZZTIME) ./proxy
