Take profile and token from the options parameter too

Cause: psql could not name a profile: libpq and JDBC pass settings of one's own only inside 'options', which was ignored. Found by trying the README's claim. Change: startup options of the form -c name=value, parsed by kong; others are refused by name.

--- a/proxy/startup.go
+++ b/proxy/startup.go
@@ -117,7 +117,10 @@
 // admit checks who the caller is, and only then what it asks for: a stranger
 // learns nothing of groups and profiles.
 func (s *caller) admit(m *pgproto3.StartupMessage) *outcome.Error {
-	params := maps.Clone(m.Parameters)
+	params, oerr := startupParams(m.Parameters)
+	if oerr != nil {
+		return oerr
+	}
 	user := params[paramUser]
 	if user == "" {
 		return refuse(outcome.CodeInvalidAuthorization, "no user name was given")
