--- /dev/null
+++ b/internal/e2e/scenario_test.go
@@ -0,0 +1,344 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	// somePurchases is how many are done before and after a fault.
+	somePurchases = 20
+	buyers        = 4
+)
+
+// buyUntil waits until more purchases are done than before.
+func buyUntil(t *testing.T, h *history, more int) {
+	t.Helper()
+	goal := h.done() + more
+	eventually(t, "purchases succeed", func() bool { return h.done() >= goal })
+}
+
+// isReplicaOf waits until a server follows the leader up to its end.
+func isReplicaOf(t *testing.T, s, leader *server) {
+	t.Helper()
+	eventually(t, "the server follows again", func() bool {
+		st, ok := s.status(t)
+		lead, ok2 := leader.status(t)
+		return ok && ok2 && st.Role == target.RoleReplica && st.Term == lead.Term && st.LSN >= lead.LSN
+	})
+}
+
+// At night the primary's process dies while passes are sold. Nobody is awake.
+// The fleet promotes a replica, sales go on, and no paid pass is lost, doubled
+// or wrongly called "not run".
+func TestPrimaryKilled(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.kill(t)
+	f.waitLeaderOtherThan(t, old)
+	buyUntil(t, h, somePurchases)
+	stop()
+	f.judge(t, h)
+}
+
+// The primary hangs: its kernel still accepts connections and takes bytes, and
+// nothing is answered. It must be found, replaced, and when it wakes up its late
+// work must not count; it then follows the new primary.
+func TestPrimaryFrozenThenThawed(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.pause(t)
+	leader := f.waitLeaderOtherThan(t, old)
+	buyUntil(t, h, somePurchases)
+	old.resume(t)
+	isReplicaOf(t, old, leader)
+	buyUntil(t, h, somePurchases)
+	stop()
+	f.judge(t, h)
+}
+
+// The primary is cut off from all callers and proxies, and believes on. Its
+// replicas still reach it. The fleet moves on; after the cut heals, requests
+// that were on their way reach the old primary late and must not count.
+func TestPrimaryCutFromCallers(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.fault(t, "kind", "cut", "who", "callers", "direction", "both")
+	eventually(t, "another server leads", func() bool {
+		for _, s := range f.servers[1:] {
+			if st, ok := s.status(t); ok && st.Role == target.RolePrimary {
+				return true
+			}
+		}
+		return false
+	})
+	buyUntil(t, h, somePurchases)
+	require.Positive(t, old.struck(t).Requests, "the cut took effect")
+	old.fault(t, "kind", "heal")
+	isReplicaOf(t, old, f.waitLeaderOtherThan(t, old))
+	stop()
+	f.judge(t, h)
+}
+
+// Only the primary's answers are lost: it executes and nobody hears of it. Each
+// purchase that ran is unknown to its caller, who asks again with its key
+// elsewhere; it may be charged once.
+func TestPrimaryAnswersLost(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.fault(t, "kind", "cut", "who", "callers", "direction", "answers")
+	buyUntil(t, h, somePurchases)
+	require.Positive(t, old.struck(t).Answers, "the cut took effect")
+	old.fault(t, "kind", "heal")
+	isReplicaOf(t, old, f.waitLeaderOtherThan(t, old))
+	stop()
+	f.judge(t, h)
+}
+
+// A proxy is killed in the middle of a transaction. Nothing of the transaction
+// stays, and the next purchase does not wait for it.
+func TestProxyKilledInTransaction(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	c := mustConnect(t, f.daemons[0], "")
+	exec := func(sql string) error {
+		_, err := c.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol)
+		return err
+	}
+	require.NoError(t, exec("/*endivemoor kind=purchase&key=half*/ BEGIN"))
+	require.NoError(t, exec("INSERT INTO charges VALUES ('half', '12')"))
+	f.daemons[0].kill(t)
+	require.Error(t, exec("COMMIT"))
+	b := &buyer{fleet: f, history: h}
+	eventually(t, "the next purchase succeeds", func() bool {
+		return b.attempt(f.daemons[1], "whole") == outcome.Done
+	})
+	require.Equal(t, map[string]int{"whole": 1}, f.waitLeader(t).rows(t))
+}
+
+// A daemon, which may own the group, is paused; meanwhile the primary dies and
+// the others promote. The daemon wakes with an old picture: its orders must be
+// refused and its callers must still see their purchases.
+func TestDaemonPausedThroughPromotion(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprintf("p%d", i+1), func(t *testing.T) {
+			f := startFleet(t, 3)
+			h := newHistory()
+			b := &buyer{fleet: f, history: h}
+			require.Equal(t, outcome.Done, b.attempt(f.daemons[i], "before"))
+			f.daemons[i].pause(t)
+			old := f.servers[0]
+			old.kill(t)
+			leader := f.waitLeaderOtherThan(t, old)
+			eventually(t, "a purchase through another daemon", func() bool {
+				return b.attempt(f.daemons[(i+1)%3], "during") == outcome.Done
+			})
+			f.daemons[i].resume(t)
+			eventually(t, "a purchase through the daemon that woke", func() bool {
+				return b.attempt(f.daemons[i], "after") == outcome.Done
+			})
+			for _, key := range []string{"before", "during", "after"} {
+				f.sees(t, f.daemons[i], "", "balance", key)
+			}
+			st, ok := leader.status(t)
+			require.True(t, ok)
+			require.Equal(t, st.Promised, st.Term, "the new primary was not deposed by the one that woke")
+			f.judge(t, h)
+		})
+	}
+}
+
+// The platform's store goes down, then the primary dies. The fleet promotes
+// with the term that it reserved while the store was well. The store comes back
+// and learns of it.
+func TestStoreDownAndPrimaryKilled(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	f.storeFaults(t, `{"faults":{"down":true}}`)
+	old := f.servers[0]
+	old.kill(t)
+	leader := f.waitLeaderOtherThan(t, old)
+	buyUntil(t, h, somePurchases)
+	f.storeFaults(t, `{"faults":{}}`)
+	eventually(t, "every daemon names the new primary", func() bool {
+		for _, d := range f.daemons {
+			if d.primary(t) != leader.id {
+				return false
+			}
+		}
+		return true
+	})
+	buyUntil(t, h, somePurchases)
+	stop()
+	f.judge(t, h)
+}
+
+// primary is the group's primary in a daemon's view.
+func (d *daemon) primary(t *testing.T) target.ID {
+	t.Helper()
+	var st struct {
+		Groups map[string]struct {
+			Primary target.ID `json:"primary"`
+		} `json:"groups"`
+	}
+	getJSON(t, "http://"+d.admin+"/status", &st)
+	return st.Groups[groupName].Primary
+}
+
+// A daemon is told to stop while callers use it. Each request that it took is
+// answered whole, an open transaction commits, and the process then ends.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	f := startFleet(t, 3)
+	d := f.daemons[2]
+	c := mustConnect(t, d, "")
+	exec := func(sql string) error {
+		_, err := c.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol)
+		return err
+	}
+	require.NoError(t, exec("/*endivemoor kind=other*/ BEGIN"))
+	require.NoError(t, exec("INSERT INTO charges VALUES ('held', '12')"))
+	d.signal(t, syscall.SIGTERM)
+	eventually(t, "it tells the balancer", func() bool {
+		res, err := http.Get("http://" + d.admin + "/readyz")
+		return err != nil || res.Body.Close() == nil && res.StatusCode != http.StatusOK
+	})
+	require.NoError(t, exec("INSERT INTO charges VALUES ('held too', '12')"))
+	require.NoError(t, exec("COMMIT"))
+	<-d.gone
+	require.NoError(t, d.err, "it ends by itself, with status 0")
+	require.Equal(t, map[string]int{"held": 1, "held too": 1}, f.waitLeader(t).rows(t))
+}
+
+// One purchase is sent through all daemons at the same time, with one key, over
+// and over. It is charged once, and every caller is told so in the end.
+func TestOneKeyThroughAllDaemons(t *testing.T) {
+	const keys = 10
+	f := startFleet(t, 3)
+	h := newHistory()
+	b := &buyer{fleet: f, history: h}
+	var wg sync.WaitGroup
+	for i := range keys {
+		for _, d := range f.daemons {
+			wg.Go(func() {
+				for b.attempt(d, fmt.Sprintf("k%d", i)) != outcome.Done {
+					time.Sleep(retryPause)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	rows := f.waitLeader(t).rows(t)
+	require.Len(t, rows, keys)
+	f.judge(t, h)
+}
+
+// Both replicas fall far behind. A session buys, roams to another daemon with
+// its token and reads what may be a minute old: it must still see its purchase,
+// and so must one that lost its token.
+func TestRoamingSessionSeesItsWriteOnLaggingReplicas(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	b := &buyer{fleet: f, history: h}
+	require.Equal(t, outcome.Done, b.attempt(f.daemons[0], "warm"))
+	for _, s := range f.servers[1:] {
+		s.fault(t, "kind", "delay", "delay", "500ms")
+	}
+	for i := range 5 {
+		key := fmt.Sprintf("roam%d", i)
+		c := mustConnect(t, f.daemons[i%3], "")
+		err := charge(t.Context(), c, key)
+		h.add(key, err)
+		require.NoError(t, err)
+		token := tokenOf(c)
+		require.NotEmpty(t, token)
+		f.sees(t, f.daemons[(i+1)%3], token, "browse", key)
+		f.sees(t, f.daemons[(i+2)%3], "", "balance", key)
+	}
+	f.judge(t, h)
+}
+
+// A published change reaches every daemon. Then the store goes down and a daemon
+// restarts: it must learn the newest generation from its peers, and never
+// serve an older one.
+func TestConfigurationSurvivesRestartDuringOutage(t *testing.T) {
+	f := startFleet(t, 3)
+	before := f.daemons[0].generation(t)
+	f.publish(t, strings.Replace(profiles, "drain-grace = 5s", "drain-grace = 4s", 1))
+	inForce := func(d *daemon) bool { return d.generation(t) > before }
+	for _, d := range f.daemons {
+		eventually(t, "the change is in force", func() bool { return inForce(d) })
+	}
+	f.storeFaults(t, `{"faults":{"down":true}}`)
+	f.daemons[1].kill(t)
+	f.startDaemon(t, 1)
+	f.waitReady(t, f.daemons[1])
+	require.True(t, inForce(f.daemons[1]), "ready means that the newest generation is in force")
+	f.storeFaults(t, `{"faults":{}}`)
+}
+
+func (d *daemon) generation(t *testing.T) uint64 {
+	t.Helper()
+	var st struct {
+		Generation uint64 `json:"generation"`
+	}
+	getJSON(t, "http://"+d.admin+"/status", &st)
+	return st.Generation
+}
+
+// Two faults at once: the daemon that sells dies together with the primary.
+// Callers go on through the others, with the same keys.
+func TestPrimaryAndDaemonKilledTogether(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	f.daemons[0].kill(t)
+	old.kill(t)
+	f.waitLeaderOtherThan(t, old)
+	buyUntil(t, h, somePurchases)
+	stop()
+	f.judge(t, h)
+}
+
+// While nobody can commit, a caller is refused at once with a time to come
+// back, or told "unknown"; what was only ever "not run" must not show up later.
+func TestNotRunDidNotRun(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, false)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.pause(t)
+	leader := f.waitLeaderOtherThan(t, old)
+	buyUntil(t, h, somePurchases)
+	old.resume(t)
+	isReplicaOf(t, old, leader)
+	stop()
+	f.judge(t, h)
+}
