Read each statement once, wait for a connection without a context

Cause: the profile showed regular expressions run up to four times a request and a context with a timer made for each connection, also when one was idle. Change: a chunk keeps what was read of its statements; the pool makes a timer only for those who wait. The benchmark connects all callers before it measures: before, early ones were done while later ones logged in.

--- a/filter/execute.go
+++ b/filter/execute.go
@@ -30,9 +30,7 @@
 }
 
 func (e Executor) connect(ctx context.Context, r *Request) (*pool.Lease, *Failure) {
-	bounded, cancel := r.Bounded(ctx)
-	defer cancel()
-	lease, err := e.Pool.Acquire(bounded, r.Server, r.View.FleetSize)
+	lease, err := e.Pool.Acquire(ctx, r.Server, r.View.FleetSize, r.Left())
 	switch {
 	case err == nil:
 		return lease, nil
--- a/filter/request.go
+++ b/filter/request.go
@@ -169,7 +169,7 @@
 
 // Connections is the pool's side.
 type Connections interface {
-	Acquire(ctx context.Context, srv *view.Server, fleet int) (*pool.Lease, error)
+	Acquire(ctx context.Context, srv *view.Server, fleet int, wait time.Duration) (*pool.Lease, error)
 }
 
 // Gate proves that a commit or a position belongs to the group's history.
--- a/filter/resolve.go
+++ b/filter/resolve.go
@@ -59,9 +59,7 @@
 
 // Handle looks for the key on a connection of its own.
 func (f Searcher) Handle(ctx context.Context, r *Request, _ Handler) *Failure {
-	bounded, cancel := r.Bounded(ctx)
-	defer cancel()
-	lease, err := f.Pool.Acquire(bounded, r.Server, r.View.FleetSize)
+	lease, err := f.Pool.Acquire(ctx, r.Server, r.View.FleetSize, r.Left())
 	if err != nil {
 		return connectFailure(r, err)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -89,31 +89,35 @@
 	}
 }
 
-// Acquire returns a lease on a connection to srv, waiting until ctx ends. When
-// the server cannot be reached the error is an *UnavailableError, at once.
-func (p *Pool) Acquire(ctx context.Context, srv *view.Server, fleet int) (*Lease, error) {
+// Acquire returns a lease on a connection to srv, waiting at most wait and until
+// ctx ends. When the server cannot be reached the error is an
+// *UnavailableError, at once.
+func (p *Pool) Acquire(ctx context.Context, srv *view.Server, fleet int, wait time.Duration) (*Lease, error) {
+	until := time.Now().Add(wait)
 	for {
-		c, err := p.take(ctx, srv, fleet)
+		c, err := p.take(ctx, srv, fleet, until)
 		if err != nil {
 			return nil, err
 		}
-		if l := p.handOver(ctx, c); l != nil {
+		if l := p.handOver(c, until); l != nil {
 			return l, nil
 		}
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+		if time.Now().After(until) {
+			return nil, context.DeadlineExceeded
 		}
 	}
 }
 
 // take returns a connection that nobody owns.
-func (p *Pool) take(ctx context.Context, srv *view.Server, fleet int) (*conn, error) {
+func (p *Pool) take(ctx context.Context, srv *view.Server, fleet int, until time.Time) (*conn, error) {
 	p.mu.Lock()
 	c, w, err := p.ask(srv, fleet)
 	p.mu.Unlock()
 	if c != nil || err != nil {
 		return c, err
 	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	select {
 	case g := <-w.ready:
 		return g.conn, g.err
@@ -128,9 +132,9 @@
 // Failure guarded against: a setting, a temporary table or an unread answer of
 // one caller reaches the next. Nothing is sent for the new owner before the
 // target has confirmed that it dropped the old one's state.
-func (p *Pool) handOver(ctx context.Context, c *conn) *Lease {
+func (p *Pool) handOver(c *conn, until time.Time) *Lease {
 	if c.unproven {
-		if err := c.prove(p.proofLimit(ctx)); err != nil {
+		if err := c.prove(p.proofLimit(until)); err != nil {
 			p.cfg.Log.Warn("connection_reset_failed", zap.String("server", string(c.server.id)), zap.Error(err))
 			p.drop(c)
 			return nil
@@ -147,10 +151,10 @@
 }
 
 // proofLimit bounds the wait for the answer to a reset.
-func (p *Pool) proofLimit(ctx context.Context) time.Time {
+func (p *Pool) proofLimit(until time.Time) time.Time {
 	limit := time.Now().Add(p.cfg.DialTimeout)
-	if t, ok := ctx.Deadline(); ok && t.Before(limit) {
-		return t
+	if until.Before(limit) {
+		return until
 	}
 	return limit
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -143,7 +143,7 @@
 }
 
 func acquire(t *testing.T, p *Pool, f *fakeTarget) *Lease {
-	l, err := p.Acquire(context.Background(), f.server(), 1)
+	l, err := p.Acquire(context.Background(), f.server(), 1, time.Minute)
 	require.NoError(t, err)
 	return l
 }
@@ -246,7 +246,7 @@
 	p := newPool(t, 4, clk)
 	var gone *UnavailableError
 	for range 20 {
-		_, err := p.Acquire(context.Background(), f.server(), 1)
+		_, err := p.Acquire(context.Background(), f.server(), 1, time.Minute)
 		require.ErrorAs(t, err, &gone)
 	}
 	require.Equal(t, time.Minute, gone.RetryAfter)
@@ -264,7 +264,7 @@
 	got := make(chan int, 3)
 	for i := range 3 {
 		go func() {
-			w, err := p.Acquire(context.Background(), f.server(), 1)
+			w, err := p.Acquire(context.Background(), f.server(), 1, time.Minute)
 			if err == nil {
 				got <- i
 				w.Release()
@@ -285,7 +285,7 @@
 	l := acquire(t, p, f)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := p.Acquire(ctx, f.server(), 1)
+	_, err := p.Acquire(ctx, f.server(), 1, time.Minute)
 	require.ErrorIs(t, err, context.Canceled)
 	l.Release()
 	idle(t, p)
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -11,6 +11,8 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
 
+	"endivemoor.example/endivemoor/admission"
+	"endivemoor.example/endivemoor/admission/limiter"
 	"endivemoor.example/endivemoor/internal/standin/dbd"
 )
 
@@ -28,14 +30,17 @@
 	}{
 		{"read/1", benchRead, 1}, {"read/25", benchRead, 25},
 		{"write/1", benchWrite, 1}, {"write/25", benchWrite, 25},
+		{"read/1000", benchRead, 1000},
 	} {
 		b.Run(bench.name, func(b *testing.B) { compare(b, bench.sql, bench.callers) })
 	}
 }
 
 func compare(b *testing.B, sql string, callers int) {
-	cl := startCluster(b, dbd.Options{Connections: 100})
-	r := startProxy(b, cl)
+	cl := startCluster(b, dbd.Options{Connections: 1100})
+	r := startProxy(b, cl, func(c *Config) {
+		c.Limiter = limiter.New(limiter.Config{Queue: admission.Config{MaxQueued: 2 * callers}, Clock: cl.clk})
+	})
 	direct := fmt.Sprintf("postgres://app@%s/ledger?sslmode=disable", cl.servers[0].Addr())
 	exec(b, r.connect(b), "INSERT INTO passes (id, seat) VALUES ('p', 1)")
 	cl.caughtUp(b)
@@ -55,11 +60,15 @@
 func run(b *testing.B, dsn, sql string, callers, n int) float64 {
 	var mu sync.Mutex
 	h := hdrhistogram.New(1, int64(time.Minute), 3)
-	var wg sync.WaitGroup
+	var conns []*pgx.Conn
 	for range callers {
 		c, err := pgx.Connect(context.Background(), dsn)
 		require.NoError(b, err)
 		defer func() { _ = c.Close(context.Background()) }()
+		conns = append(conns, c)
+	}
+	var wg sync.WaitGroup
+	for _, c := range conns {
 		wg.Go(func() {
 			for range n {
 				start := time.Now()
--- a/proxy/chunk.go
+++ b/proxy/chunk.go
@@ -26,6 +26,9 @@
 	msgs []pgproto3.FrontendMessage
 	end  ending
 	size int
+	// statements are kept once they were read.
+	statements []statement
+	read       bool
 }
 
 // perMessage is counted for each message besides its content, in bytes.
@@ -126,10 +129,10 @@
 }
 
 // readTags returns the tags of the statements, in order.
-func readTags(texts []string) ([]filter.Tag, *outcome.Error) {
+func readTags(statements []statement) ([]filter.Tag, *outcome.Error) {
 	var tags []filter.Tag
-	for _, t := range texts {
-		tag, _, err := filter.ParseTag(t)
+	for _, st := range statements {
+		tag, _, err := filter.ParseTag(st.sql)
 		if err != nil {
 			return nil, err
 		}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -62,8 +62,8 @@
 	if u.chunk.end == endFlush {
 		return refuse(codeNotSupported, "Flush is not supported within a keyed request")
 	}
-	for _, t := range u.s.texts(u.chunk) {
-		if controlsTransaction(t) && !u.out(GuardControl) {
+	for _, st := range u.s.statements(u.chunk) {
+		if st.control && !u.out(GuardControl) {
 			return refuse(codeNotSupported, "a keyed request takes plain statements without transaction control")
 		}
 	}
--- a/proxy/keyword.go
+++ b/proxy/keyword.go
@@ -17,36 +17,51 @@
 	"PREPARE": true, "SAVEPOINT": true, "RELEASE": true,
 }
 
-// firstWord returns the first word of a statement in upper case.
+// statement is a text with what is seen of it from outside.
+type statement struct {
+	sql string
+	// word is the first word, in upper case.
+	word string
+	// single says that the text is surely one statement.
+	single bool
+	// control says that it could open or end a transaction.
+	control bool
+}
+
+func newStatement(sql string) statement {
+	head := leading.FindString(sql)
+	st := statement{sql: sql, word: firstWord(sql[len(head):]), single: isSingle(sql)}
+	st.control = controls(head, st.word)
+	return st
+}
+
+func (st statement) opens() bool { return st.word == "BEGIN" || st.word == "START" }
+
+func (st statement) ends() bool { return st.word == "COMMIT" || st.word == "END" }
+
+// firstWord returns the word that a text begins with, in upper case.
 func firstWord(sql string) string {
-	rest := sql[len(leading.FindString(sql)):]
-	end := strings.IndexFunc(rest, func(r rune) bool {
+	end := strings.IndexFunc(sql, func(r rune) bool {
 		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
 	})
 	if end < 0 {
-		end = len(rest)
+		end = len(sql)
 	}
-	return strings.ToUpper(rest[:end])
+	return strings.ToUpper(sql[:end])
 }
 
-func opensTransaction(sql string) bool {
-	w := firstWord(sql)
-	return w == "BEGIN" || w == "START"
+// isSingle reports whether a text is surely one statement: without a semicolon
+// but at its end it cannot be two.
+func isSingle(sql string) bool {
+	return !strings.Contains(strings.TrimRight(sql, "; \t\r\n"), ";")
 }
 
-func endsTransaction(sql string) bool {
-	w := firstWord(sql)
-	return w == "COMMIT" || w == "END"
-}
-
-// controlsTransaction reports whether the statement could open or end one.
-// What cannot be read with certainty is taken for control: no word at all, or
-// a comment within a comment, which the target reads differently.
-func controlsTransaction(sql string) bool {
-	head := leading.FindString(sql)
+// controls reports whether a statement could open or end a transaction. What
+// cannot be read with certainty is taken for control: no word at all, or a
+// comment within a comment, which the target reads differently.
+func controls(head, word string) bool {
 	if strings.Count(head, "/*") != strings.Count(head, "*/") {
 		return true
 	}
-	w := firstWord(sql)
-	return w == "" || controlWords[w]
+	return word == "" || controlWords[word]
 }
--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"strings"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"endivemoor.example/endivemoor/filter"
@@ -121,20 +119,14 @@
 	if u.open || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
 		return false
 	}
-	for _, t := range u.s.texts(u.chunk) {
-		if controlsTransaction(t) || !isSingle(t) {
+	for _, st := range u.s.statements(u.chunk) {
+		if st.control || !st.single {
 			return false
 		}
 	}
 	return true
 }
 
-// isSingle reports whether a text is surely one statement: without a semicolon
-// but at its end it cannot be two.
-func isSingle(sql string) bool {
-	return !strings.Contains(strings.TrimRight(sql, "; \t\r\n"), ";")
-}
-
 // likelyCommits guesses. A wrong guess costs a round trip or a needless
 // question, never the order of things: learn and conclude go by what the
 // target reports.
@@ -142,20 +134,20 @@
 	if !u.r.OnPrimary() || u.r.IsRead() || !u.r.Executes {
 		return false
 	}
-	texts := u.s.texts(u.chunk)
-	if len(texts) == 0 {
+	statements := u.s.statements(u.chunk)
+	if len(statements) == 0 {
 		return false
 	}
 	if u.open {
-		return endsTransaction(texts[len(texts)-1])
+		return statements[len(statements)-1].ends()
 	}
 	return !u.r.Explicit
 }
 
 // newRequest describes the chunk for the filter chain.
 func (s *caller) newRequest(w *work) (*filter.Request, *outcome.Error) {
-	texts := s.texts(w.chunk)
-	tags, oerr := readTags(texts)
+	statements := s.statements(w.chunk)
+	tags, oerr := readTags(statements)
 	if oerr != nil {
 		return nil, oerr
 	}
@@ -168,7 +160,7 @@
 		Executes: w.chunk.executes(),
 		Work:     w,
 	}
-	r.Explicit = r.Executes && len(texts) > 0 && opensTransaction(texts[0])
+	r.Explicit = r.Executes && len(statements) > 0 && statements[0].opens()
 	if r.Executes && !s.pending.IsZero() {
 		r.Tags = append(r.Tags, s.pending)
 		s.pending = filter.Tag{}
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -60,7 +60,7 @@
 // commitsAlone reports whether the chunk is nothing but a COMMIT, so that its
 // answer is known beforehand.
 func (u *unit) commitsAlone() bool {
-	texts := u.s.texts(u.chunk)
-	return u.open && u.keyed && u.chunk.end != endFlush && len(texts) == 1 &&
-		endsTransaction(texts[0]) && isSingle(texts[0])
+	statements := u.s.statements(u.chunk)
+	return u.open && u.keyed && u.chunk.end != endFlush && len(statements) == 1 &&
+		statements[0].ends() && statements[0].single
 }
--- a/proxy/session.go
+++ b/proxy/session.go
@@ -45,7 +45,7 @@
 	counted string
 	state   filter.Session
 
-	stmts statements
+	stmts preparedSet
 	// pending is the tag that a tag-only query left for the next request.
 	pending filter.Tag
 	answer  answer
@@ -63,7 +63,7 @@
 }
 
 func newCaller(srv *Server, conn net.Conn) *caller {
-	s := &caller{srv: srv, secret: newCancelKey(), stmts: newStatements()}
+	s := &caller{srv: srv, secret: newCancelKey(), stmts: newPreparedSet()}
 	s.attach(conn)
 	return s
 }
--- a/proxy/statements.go
+++ b/proxy/statements.go
@@ -6,24 +6,24 @@
 	"endivemoor.example/endivemoor/outcome"
 )
 
-// statements are a caller's prepared statements, by name. They outlive the
+// preparedSet holds a caller's prepared statements, by name. They outlive the
 // connections that they were prepared on.
-type statements struct {
+type preparedSet struct {
 	byName map[string]*pgproto3.Parse
 	bytes  int
 }
 
-func newStatements() statements {
-	return statements{byName: map[string]*pgproto3.Parse{}}
+func newPreparedSet() preparedSet {
+	return preparedSet{byName: map[string]*pgproto3.Parse{}}
 }
 
-func (st *statements) keep(p *pgproto3.Parse) {
+func (st *preparedSet) keep(p *pgproto3.Parse) {
 	st.drop(p.Name)
 	st.byName[p.Name] = p
 	st.bytes += len(p.Query)
 }
 
-func (st *statements) drop(name string) {
+func (st *preparedSet) drop(name string) {
 	if old := st.byName[name]; old != nil {
 		st.bytes -= len(old.Query)
 		delete(st.byName, name)
@@ -48,16 +48,30 @@
 	return nil
 }
 
-// texts returns the statements that the chunk runs, or only prepares if it runs
-// none, in order.
+// statements returns those that the chunk runs, or only prepares if it runs
+// none, in order. They are read once.
+func (s *caller) statements(c *chunk) []statement {
+	if c.read {
+		return c.statements
+	}
+	c.read = true
+	for _, t := range s.texts(c) {
+		c.statements = append(c.statements, newStatement(t))
+	}
+	return c.statements
+}
+
 func (s *caller) texts(c *chunk) []string {
 	var run, prepared []string
-	local := map[string]string{}
+	var local map[string]string
 	for _, m := range c.msgs {
 		switch m := m.(type) {
 		case *pgproto3.Query:
 			run = append(run, m.String)
 		case *pgproto3.Parse:
+			if local == nil {
+				local = map[string]string{}
+			}
 			local[m.Name] = m.Query
 			prepared = append(prepared, m.Query)
 		case *pgproto3.Bind:
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -245,7 +245,7 @@
 // adopt takes what the statements of an open transaction say of its kind and
 // key, if BEGIN said nothing.
 func (u *unit) adopt() *filter.Failure {
-	tags, oerr := readTags(u.s.texts(u.chunk))
+	tags, oerr := readTags(u.s.statements(u.chunk))
 	if oerr != nil {
 		return u.breakOff(oerr)
 	}
