--- a/scenario/script.go
+++ b/scenario/script.go
@@ -52,11 +52,22 @@
 	case "write", "read", "start":
 		err = w.runRequest(c)
 	case "forget":
-		w.caller(c.word(1)).token = false
+		w.caller(c.word(1)).token = ""
+	case "steal":
+		w.caller(c.word(1)).token = w.caller(c.word(3)).token
+	case "publish":
+		var generation int
+		if generation, err = strconv.Atoi(c.word(1)); err == nil {
+			err = w.Publish(generation)
+		}
+	case "rotate":
+		err = w.rotateKeys(c.word(3))
 	case "shutdown":
 		w.vm(c.word(1)).proxy.shutdown()
 	case "relieve":
 		w.Relieve(target.ID(c.word(1)))
+	case "in":
+		err = w.runLater(c)
 	case "on":
 		w.Trap(c.word(1), c.word(2), func(Strike) { err = w.Run(strings.Join(c.words[3:], " ")) })
 	case "settle":
@@ -73,6 +84,28 @@
 	return err
 }
 
+// rotateKeys signs with a new key from now on. "rotate keys and keep" verifies
+// the old one as before; "rotate keys and drop" does not.
+func (w *World) rotateKeys(old string) error {
+	keys := map[string][]byte{"k2": secret("k2")}
+	if old == "keep" {
+		keys["k1"] = secret("k1")
+	}
+	return w.keys.Replace("k2", keys)
+}
+
+// runLater carries a line out after some time.
+func (w *World) runLater(c command) error {
+	d, err := time.ParseDuration(c.word(1))
+	rest := strings.Join(c.words[2:], " ")
+	w.at(w.now.Add(d), func() {
+		if err := w.Run(rest); err != nil {
+			w.logf("%v", err)
+		}
+	})
+	return err
+}
+
 // runRequest makes a request. "start" does not wait for its answer.
 func (w *World) runRequest(c command) error {
 	wait := c.word(0) != "start"
@@ -115,6 +148,10 @@
 		w.Pause(name)
 	case "resume":
 		w.Resume(name)
+	case "reset":
+		w.Reset(name)
+	case "cut-way":
+		w.Cut(name, c.word(3))
 	case "late":
 		w.net.late[name] = true
 	case "duplicate":
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/guard"
+	"endivemoor.example/endivemoor/session"
 )
 
 // startOfTime is where virtual time begins; the core needs times above zero.
@@ -26,12 +27,14 @@
 	trace  strings.Builder
 
 	store   *fakeStore
+	keys    *session.Keys
 	servers []*server
 	vms     []*vm
 	callers map[string]*caller
 	history []*call
+	inForce []inForce // configurations put in force, in order
 	nextID  int
-	steps   int // events run so far
+	steps   int            // events run so far
 	effects map[string]int // how often each fault changed something
 
 	// Hook is called at each named step of the core; see Trap.
@@ -58,6 +61,7 @@
 		nodes:   make(map[string]*node),
 		callers: make(map[string]*caller),
 		guards:  guards,
+		keys:    newKeys(),
 		effects: make(map[string]int),
 	}
 	w.net = newNetwork()
