Let waiting requests share one look at the view

Cause: each queued write looked for a new view every 10 ms by itself; two thousand that wait for a promotion would wake up 200000 times a second. Change: filter.Changes looks for all, and wakes them once. Tests of the retrier with a scripted chain: attempts over requests in an outage, one send of what may not be repeated, final answers. The login test now waits for the sessions to leave: the caller can hear its refusal before the proxy has counted it out. Figures: 1000 failing idempotent requests were sent fewer than 1100 times.

--- a/filter/resolve.go
+++ b/filter/resolve.go
@@ -22,9 +22,10 @@
 // Requests that are one batch need no Resolver: the retrier repeats them under
 // their key.
 type Resolver struct {
-	View   *view.Holder
-	Sleep  Sleeper
-	Lookup Handler
+	View    *view.Holder
+	Changes *Changes
+	Budgets *Budgets
+	Lookup  Handler
 }
 
 // Handle asks for the key until it is found or time runs out.
@@ -33,12 +34,12 @@
 	if fail == nil || !r.Resolvable || !open(fail.Cause) {
 		return fail
 	}
-	for r.Left() > viewPoll {
+	for n := 1; r.Left() > viewPoll; n++ {
 		r.Load(f.View)
 		if f.Lookup(ctx, r) == nil {
 			return nil
 		}
-		if f.Sleep(ctx, viewPoll) != nil {
+		if f.Changes.Wait(ctx, r.View, min(f.Budgets.delay(n), r.Left())) != nil {
 			break
 		}
 	}
--- a/filter/retry.go
+++ b/filter/retry.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// viewPoll is how often a waiting request looks for a new view.
-	viewPoll = 10 * time.Millisecond
 	// retryBase and retryMax bound the jittered wait between attempts.
 	retryBase = 10 * time.Millisecond
 	retryMax  = 250 * time.Millisecond
@@ -23,6 +21,7 @@
 // Retrier makes further attempts where that is safe.
 type Retrier struct {
 	View    *view.Holder
+	Changes *Changes
 	Budgets *Budgets
 	Sleep   Sleeper
 }
@@ -66,22 +65,24 @@
 	if !until.Before(r.Deadline) {
 		return f.awaitTerm(ctx, r)
 	}
-	for r.Clock.Now().Before(until) {
-		if f.renew(r) {
+	for !f.renew(r) {
+		left := until.Sub(r.Clock.Now())
+		if left <= 0 {
 			return true
 		}
-		if f.Sleep(ctx, min(viewPoll, fail.Wait)) != nil {
+		if f.Changes.Wait(ctx, r.View, left) != nil {
 			return false
 		}
 	}
-	f.renew(r)
 	return true
 }
 
-// awaitTerm waits until the view has another term for the group.
+// awaitTerm waits until the view has another term for the group. It reports
+// false if there is no time left to use it.
 func (f Retrier) awaitTerm(ctx context.Context, r *Request) bool {
 	for !f.renew(r) {
-		if r.Left() <= viewPoll || f.Sleep(ctx, viewPoll) != nil {
+		left := r.Left() - viewPoll
+		if left <= 0 || f.Changes.Wait(ctx, r.View, left) != nil {
 			return false
 		}
 	}
--- /dev/null
+++ b/filter/retry_test.go
@@ -0,0 +1,200 @@
+package filter
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/request"
+	"endivemoor.example/endivemoor/retry"
+	"endivemoor.example/endivemoor/timeline"
+	"endivemoor.example/endivemoor/view"
+)
+
+// bench is a Retrier over a scripted rest of the chain.
+type bench struct {
+	views   *view.Holder
+	retrier Retrier
+	sent    int
+}
+
+func newBench(cfg retry.Config) *bench {
+	b := &bench{views: view.NewHolder()}
+	b.publish(1)
+	b.retrier = Retrier{
+		View: b.views, Changes: NewChanges(b.views), Budgets: NewBudgets(cfg, 1),
+		Sleep: func(context.Context, time.Duration) error { return nil },
+	}
+	return b
+}
+
+func (b *bench) publish(term timeline.Term) {
+	b.views.Update(func(v *view.View) {
+		v.Groups = map[string]*view.Group{"g": {Name: "g", Term: term}}
+	})
+}
+
+func (b *bench) request(t request.Terms, left time.Duration) *Request {
+	clk := monotonic.New()
+	r := &Request{
+		Clock: clk, Start: clk.Now(), Deadline: clk.Now().Add(left), Kind: &profile.Kind{},
+		Session: &Session{Group: "g", Profile: &profile.Profile{}},
+	}
+	t.Deadline = r.Deadline
+	r.Machine = request.New(t)
+	r.Load(b.views)
+	return r
+}
+
+// fail returns a rest of the chain that passes step and then fails n times.
+func (b *bench) fail(step request.Step, f request.Failure, n int) Handler {
+	return func(_ context.Context, r *Request) *Failure {
+		r.Machine.Pass(step)
+		if step >= request.StepSent {
+			b.sent++
+		}
+		if n == 0 {
+			return nil
+		}
+		n--
+		return &Failure{Cause: f, Err: outcome.Lost(time.Second, "broken"), Wait: time.Millisecond}
+	}
+}
+
+// A database is down and a thousand idempotent requests fail. If each were sent
+// again, the load would double just when there is least room for it.
+func TestBudgetBoundsAttemptsInAnOutage(t *testing.T) {
+	b := newBench(retry.Config{})
+	const requests = 1000
+	for range requests {
+		r := b.request(request.Terms{Idempotent: true}, time.Hour)
+		fail := b.retrier.Handle(context.Background(), r, b.fail(request.StepSent, request.FailureLost, 1000))
+		require.Equal(t, outcome.Unknown, fail.Err.Outcome)
+	}
+	require.Less(t, b.sent, requests*11/10)
+	require.Greater(t, b.sent, requests)
+}
+
+// A write that may not be repeated is sent once, whatever the budget.
+func TestUnrepeatableWriteIsSentOnce(t *testing.T) {
+	b := newBench(retry.Config{Burst: 100})
+	fail := b.retrier.Handle(context.Background(), b.request(request.Terms{}, time.Hour),
+		b.fail(request.StepSent, request.FailureLost, 1))
+	require.Equal(t, outcome.CodeResolutionUnknown, fail.Err.Code)
+	require.Equal(t, 1, b.sent)
+}
+
+// The answer says "unknown" in its code whenever an earlier attempt may have
+// run, although the last one was refused before it was sent.
+func TestFinalAnswerIsTheMachinesWord(t *testing.T) {
+	b := newBench(retry.Config{Burst: 100})
+	n := 0
+	next := func(_ context.Context, r *Request) *Failure {
+		n++
+		if n == 1 {
+			r.Machine.Pass(request.StepSent)
+			return &Failure{Cause: request.FailureLost, Err: outcome.Lost(0, "broken")}
+		}
+		return Refusal(outcome.Refuse(outcome.CodeOverloaded, time.Second, "shed"))
+	}
+	fail := b.retrier.Handle(context.Background(), b.request(request.Terms{Keyed: true}, time.Hour), next)
+	require.Equal(t, outcome.Unknown, fail.Err.Outcome)
+	require.Equal(t, outcome.CodeResolutionUnknown, fail.Err.Code)
+	require.Positive(t, fail.Err.RetryAfter)
+}
+
+// A primary is gone and the view has not changed. A queued write stays where it
+// is without drawing on the budget, and goes on when a new term is published.
+func TestQueuedWriteWaitsForANewTermWithoutBudget(t *testing.T) {
+	b := newBench(retry.Config{Burst: 1})
+	r := b.request(request.Terms{}, time.Hour)
+	var tries atomic.Int32
+	next := func(_ context.Context, r *Request) *Failure {
+		r.Machine.Pass(request.StepAdmitted)
+		if tries.Add(1); r.Group.Term == 2 {
+			return nil
+		}
+		return &Failure{Cause: request.FailureConnect, Err: outcome.Refuse(outcome.CodeTooManyConnections, 0, "down"), Wait: time.Millisecond}
+	}
+	done := make(chan *Failure, 1)
+	go func() { done <- b.retrier.Handle(context.Background(), r, next) }()
+	for tries.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	b.publish(2)
+	require.Nil(t, <-done)
+	require.Equal(t, 1, r.Machine.Attempts())
+}
+
+// The server's rest outlasts the caller's deadline and no promotion comes: the
+// request is given up as "not run".
+func TestQueuedWriteIsGivenUpAtItsDeadline(t *testing.T) {
+	b := newBench(retry.Config{})
+	next := func(_ context.Context, r *Request) *Failure {
+		return &Failure{Cause: request.FailureConnect, Err: outcome.Refuse(outcome.CodeTooManyConnections, time.Second, "down"), Wait: time.Hour}
+	}
+	fail := b.retrier.Handle(context.Background(), b.request(request.Terms{}, 20*time.Millisecond), next)
+	require.Equal(t, outcome.NotRun, fail.Err.Outcome)
+	require.Equal(t, time.Second, fail.Err.RetryAfter)
+}
+
+func TestWaitersShareOneLook(t *testing.T) {
+	b := newBench(retry.Config{})
+	c := NewChanges(b.views)
+	old := b.views.Load()
+	done := make(chan error, 100)
+	for range cap(done) {
+		go func() { done <- c.Wait(context.Background(), old, time.Hour) }()
+	}
+	waiting := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.waiters
+	}
+	require.Eventually(t, func() bool { return waiting() == cap(done) }, time.Minute, time.Millisecond)
+	b.publish(2)
+	for range cap(done) {
+		require.NoError(t, <-done)
+	}
+	require.NoError(t, c.Wait(context.Background(), old, time.Hour), "the change is in the past")
+}
+
+func TestBounderRefusesAtOnce(t *testing.T) {
+	b := newBench(retry.Config{})
+	r := b.request(request.Terms{}, time.Hour)
+	r.Session.Profile.MaxQueued = 1
+	bounder := &Bounder{}
+	fail := bounder.Handle(context.Background(), r, func(ctx context.Context, r *Request) *Failure {
+		return bounder.Handle(ctx, r, func(context.Context, *Request) *Failure { return nil })
+	})
+	require.Equal(t, outcome.CodeOverloaded, fail.Err.Code)
+	require.Nil(t, bounder.Handle(context.Background(), r, func(context.Context, *Request) *Failure { return nil }))
+}
+
+func TestParseTag(t *testing.T) {
+	for sql, want := range map[string]Tag{
+		"SELECT 1": {},
+		"/*endivemoor kind=a&key=b%20c*/ SELECT 1":    {Kind: "a", Key: "b c"},
+		"  \n/*endivemoor key=k*/SELECT 1":            {Key: "k"},
+		"/* endivemoor kind=a */ SELECT 1":            {},
+		"SELECT 1 /*endivemoor kind=a*/":              {},
+		"/*endivemoor kind=a*/ /*endivemoor key=b*/x": {Kind: "a"},
+	} {
+		got, _, err := ParseTag(sql)
+		require.Nil(t, err, sql)
+		require.Equal(t, want, got, sql)
+	}
+	for _, sql := range []string{
+		"/*endivemoor kind=a", "/*endivemoor kind=*/", "/*endivemoor nope=1*/",
+		"/*endivemoor kind=a&kind=b*/", "/*endivemoor kind=%zz*/",
+	} {
+		_, _, err := ParseTag(sql)
+		require.NotNil(t, err, sql)
+	}
+}
--- a/filter/route.go
+++ b/filter/route.go
@@ -23,8 +23,8 @@
 type Router struct {
 	Chooser Chooser
 	View    *view.Holder
+	Changes *Changes
 	Zone    string
-	Sleep   Sleeper
 }
 
 // Sleeper waits for d or until ctx ends.
@@ -55,7 +55,7 @@
 		if d.Wait <= 0 || d.Wait >= r.Left() {
 			return noServer(r, d)
 		}
-		if f.Sleep(ctx, d.Wait) != nil {
+		if f.Changes.Wait(ctx, r.View, d.Wait) != nil {
 			return canceled()
 		}
 		r.Load(f.View)
--- a/proxy/input_test.go
+++ b/proxy/input_test.go
@@ -162,7 +162,7 @@
 			require.Equal(t, "FATAL", e.Severity)
 		})
 	}
-	require.Zero(t, r.Sessions())
+	require.Eventually(t, func() bool { return r.Sessions() == 0 }, waitLimit, time.Millisecond)
 }
 
 func TestSessionsAreBounded(t *testing.T) {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -69,7 +69,9 @@
 	if s.cfg.Registerer != nil {
 		sinks = append(sinks, filter.NewMetrics(s.cfg.Registerer))
 	}
-	router := filter.Router{Chooser: s.cfg.Router, View: s.cfg.View, Zone: s.cfg.Zone, Sleep: filter.Sleep}
+	changes := filter.NewChanges(s.cfg.View)
+	budgets := filter.NewBudgets(s.cfg.Retry, s.cfg.Seed)
+	router := filter.Router{Chooser: s.cfg.Router, View: s.cfg.View, Changes: changes, Zone: s.cfg.Zone}
 	lookup := filter.Chain(nil,
 		filter.Watermarker{},
 		filter.Acknowledger{Gate: s.cfg.Ack, Guards: s.cfg.Guards},
@@ -85,8 +87,8 @@
 		filter.Timer{},
 		&filter.Bounder{},
 		filter.Floorer{Gate: s.cfg.Ack, Guards: s.cfg.Guards},
-		filter.Retrier{View: s.cfg.View, Budgets: filter.NewBudgets(s.cfg.Retry, s.cfg.Seed), Sleep: filter.Sleep},
-		filter.Resolver{View: s.cfg.View, Sleep: filter.Sleep, Lookup: lookup},
+		filter.Retrier{View: s.cfg.View, Changes: changes, Budgets: budgets, Sleep: filter.Sleep},
+		filter.Resolver{View: s.cfg.View, Changes: changes, Budgets: budgets, Lookup: lookup},
 		filter.Watermarker{},
 		filter.Acknowledger{Gate: s.cfg.Ack, Guards: s.cfg.Guards},
 		router,
