--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -19,8 +19,9 @@
 	fenced  map[target.ID]target.Status
 	orderAt map[target.ID]clock.Time // when an unanswered order is repeated
 
-	candidate target.ID // empty until a majority has promised
-	chosenAt  clock.Time
+	candidate  target.ID  // empty until a majority has promised
+	promisedAt clock.Time // when a majority had; 0 before
+	chosenAt   clock.Time
 }
 
 // startAttempt uses up the term.
@@ -146,6 +147,12 @@
 	if len(a.fenced) < need || !m.replicaReady() {
 		return
 	}
+	if a.promisedAt == 0 {
+		a.promisedAt = m.now
+	}
+	if m.now.Sub(a.promisedAt) < m.cfg.PromoteDelay {
+		return
+	}
 	a.candidate = m.choose()
 	a.chosenAt = m.now
 	clear(a.orderAt)
--- a/failover/config.go
+++ b/failover/config.go
@@ -63,6 +63,10 @@
 	// CandidateTimeout is how long a candidate may take to be promoted before
 	// the next term is tried.
 	CandidateTimeout time.Duration
+	// PromoteDelay is how long a promoter waits after a majority's promise. Zero
+	// for the gates Confirm and Witness; with ack.Lease it must be at least the
+	// duration of a permission on the fastest clock.
+	PromoteDelay time.Duration
 	// HandoverTimeout is how long a planned change waits for a replica to catch
 	// up before it chooses among all servers, the old primary included.
 	HandoverTimeout time.Duration
--- a/failover/reserve.go
+++ b/failover/reserve.go
@@ -198,6 +198,10 @@
 		m.store.pending.kind = writeNone
 		return
 	}
+	if isConflict(err) {
+		// The store is well and somebody else wrote: try again once it is read.
+		m.store.retryAt = m.now
+	}
 	m.readBack()
 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/experiment/failover"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
@@ -24,6 +25,8 @@
 type CLI struct {
 	Reads ReadsCmd `cmd:"" help:"Compare the policies that route reads."`
 	Load  LoadCmd  `cmd:"" help:"Compare the policies that hand out slots."`
+
+	Failover FailoverCmd `cmd:"" help:"Compare the gates of acknowledgement under a failing primary."`
 }
 
 // Options are common to the comparisons.
@@ -71,3 +74,14 @@
 	}
 	return load.Compare(env.Out, path, c.Seeds, c.Parallel)
 }
+
+// FailoverCmd compares the gates of acknowledgement.
+type FailoverCmd struct {
+	Seeds    int `default:"1000" help:"Number of seeds, from 1 on."`
+	Parallel int `default:"4" help:"Runs at once."`
+}
+
+// Run implements the command.
+func (c *FailoverCmd) Run(env *Env) error {
+	return failover.Compare(env.Out, c.Seeds, c.Parallel)
+}
--- a/scenario/caller.go
+++ b/scenario/caller.go
@@ -53,6 +53,7 @@
 	outcome  outcome.Outcome
 	rows     int // what a read returned
 	retry    time.Duration
+	gated    time.Duration // from the commit to the acknowledgement
 }
 
 func (w *World) caller(name string) *caller {
--- a/scenario/proxy.go
+++ b/scenario/proxy.go
@@ -45,9 +45,13 @@
 
 func newProxy(v *vm) *proxy {
 	guards := v.w.guards
+	gate := v.w.gate
+	if gate == nil {
+		gate = ack.Mix{Confirmed: ack.Confirm{Guards: guards}, Rest: ack.Witness{Guards: guards}}
+	}
 	return &proxy{
 		v:        v,
-		gate:     ack.Mix{Confirmed: ack.Confirm{Guards: guards}, Rest: ack.Witness{Guards: guards}},
+		gate:     gate,
 		drain:    drain.New(drain.Config{Notice: 500 * time.Millisecond, Grace: 5 * time.Second, Guards: guards}),
 		inFlight: make(map[*attempt]bool),
 	}
@@ -272,8 +276,10 @@
 func (a *attempt) acknowledge() {
 	v := a.p.v
 	a.proof.SetGroup(v.group)
+	a.proof.Grant(v.permission)
 	switch d := a.p.gate.Decide(a.write, a.proof, v.w.now); d.Verdict {
 	case ack.Ack:
+		a.c.gated = v.w.now.Sub(a.write.Committed)
 		a.passThen(core.StepAcknowledged, func() { a.replied(0) })
 	case ack.Unknown:
 		a.fail(core.FailureUnacknowledged)
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -69,7 +69,7 @@
 	case "in":
 		err = w.runLater(c)
 	case "on":
-		w.Trap(c.word(1), c.word(2), func(Strike) { err = w.Run(strings.Join(c.words[3:], " ")) })
+		w.Trap(c.word(1), c.word(2), func(s Strike) { w.runStruck(c.words[3:], s) })
 	case "settle":
 		w.Settle()
 	default:
@@ -94,6 +94,16 @@
 	return w.keys.Replace("k2", keys)
 }
 
+// runStruck carries a line out at a step. "self" stands for the VM that passed
+// the step, and "its-server" for the server that the step is about.
+func (w *World) runStruck(words []string, s Strike) {
+	line := strings.Join(words, " ")
+	line = strings.NewReplacer("self", s.Node, "its-server", s.Server).Replace(line)
+	if err := w.Run(line); err != nil {
+		w.logf("%v", err)
+	}
+}
+
 // runLater carries a line out after some time.
 func (w *World) runLater(c command) error {
 	d, err := time.ParseDuration(c.word(1))
--- a/scenario/setup.go
+++ b/scenario/setup.go
@@ -22,7 +22,10 @@
 // a, b and c, one of each in each availability zone, and a store, after it has
 // settled.
 func Standard(seed uint64, guards guard.Set) *World {
-	w := New(seed, guards)
+	return standard(New(seed, guards))
+}
+
+func standard(w *World) *World {
 	w.addStore()
 	g := view.Group{Name: groupName, Term: 1, Primary: "s1", Reserved: 1, History: timeline.History{{Term: 1}}}
 	for i, zone := range zones {
--- /dev/null
+++ b/scenario/trial.go
@@ -0,0 +1,179 @@
+package scenario
+
+import (
+	"slices"
+	"time"
+
+	"endivemoor.example/endivemoor/ack"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/outcome"
+	"endivemoor.example/endivemoor/profile"
+)
+
+// Trial is one measured failover: a steady stream of writes through all
+// proxies, and a fault in the middle.
+type Trial struct {
+	// Gate decides acknowledgements.
+	Gate ack.Gate
+	// PromoteDelay is what the gate needs a promoter to wait.
+	PromoteDelay time.Duration
+	// Confirmed is the share of writes whose kind may not be lost, in percent.
+	Confirmed int
+	// ProbeLoss is the share of heartbeats that are lost.
+	ProbeLoss float64
+	// Before are script lines played before the fault; Fault is played at it,
+	// and After some time later.
+	Before, Fault, After []string
+	// AfterDelay is when After is played.
+	AfterDelay time.Duration
+	// Length is how long the stream goes on after the fault.
+	Length time.Duration
+}
+
+// Sample is what a trial showed.
+type Sample struct {
+	// Gap is the longest time without an acknowledged write.
+	Gap time.Duration
+	// Gated is the time from each commit to its acknowledgement.
+	Gated []time.Duration
+	// Done, NotRun and Unknown count the answers.
+	Done, NotRun, Unknown int
+	// LostConfirmed and LostOther count acknowledged writes that are gone.
+	LostConfirmed, LostOther int
+	// Promotions counts changes of primary.
+	Promotions int
+	// Served reports whether the group could commit at the end.
+	Served bool
+	// Findings are what the judges report, but for lost writes.
+	Findings []Finding
+}
+
+const (
+	// writeEvery is the interval between the writes of a trial.
+	writeEvery = 20 * time.Millisecond
+	// beforeFault is how long the stream runs before the fault.
+	beforeFault = 500 * time.Millisecond
+)
+
+// Run plays the trial with a seed. The fault strikes at a time within one
+// heartbeat that depends on the seed.
+func (t Trial) Run(seed uint64) (Sample, error) {
+	w := New(seed, nil)
+	w.gate, w.promoteDelay = t.Gate, t.PromoteDelay
+	standard(w)
+	w.probeLoss = t.ProbeLoss
+	if err := w.runAll(t.Before); err != nil {
+		return Sample{}, err
+	}
+	phase := time.Duration(w.rng.Int64N(int64(w.vms[0].cfg.Heartbeat)))
+	fault := w.now.Add(beforeFault + phase)
+	end := fault.Add(t.Length)
+	w.stream(t.Confirmed, end)
+	w.Advance(fault.Sub(w.now))
+	if err := w.runAll(t.Fault); err != nil {
+		return Sample{}, err
+	}
+	w.Advance(t.AfterDelay)
+	if err := w.runAll(t.After); err != nil {
+		return Sample{}, err
+	}
+	w.Advance(end.Sub(w.now) + requestDeadline + 2*patience)
+	s := Sample{Gap: w.gap(fault, end)}
+	w.Settle()
+	w.sample(&s)
+	return s, nil
+}
+
+func (w *World) runAll(lines []string) error {
+	for _, line := range lines {
+		if err := w.Run(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stream sends writes, each of another row, until end.
+func (w *World) stream(confirmed int, end clock.Time) {
+	n := 0
+	var next func()
+	next = func() {
+		r := request{op: "stream", row: "stream", durability: profile.Witnessed}
+		if w.rng.IntN(100) < confirmed {
+			r.durability = profile.Confirmed
+		}
+		w.start("stream", w.vms[n%len(w.vms)].name, r)
+		n++
+		if at := w.now.Add(writeEvery); at.Before(end) {
+			w.at(at, next)
+		}
+	}
+	w.at(w.now, next)
+}
+
+// gap is the longest time between two acknowledgements after the fault.
+func (w *World) gap(fault, end clock.Time) time.Duration {
+	last, longest := fault, time.Duration(0)
+	for _, at := range w.acknowledgements() {
+		if at.Before(fault) {
+			continue
+		}
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
+	return max(longest, end.Sub(last))
+}
+
+// acknowledgements lists when writes were answered "done", in order.
+func (w *World) acknowledgements() []clock.Time {
+	var times []clock.Time
+	for _, c := range w.history {
+		if c.answered != 0 && c.outcome == outcome.Done {
+			times = append(times, c.answered)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// sample counts answers, losses and promotions.
+func (w *World) sample(s *Sample) {
+	for _, srv := range w.servers {
+		s.Promotions += len(srv.promoted)
+	}
+	p := w.primary()
+	s.Served = p != nil
+	if p == nil {
+		return
+	}
+	kept := map[int]bool{}
+	for _, e := range p.log {
+		kept[e.call] = true
+	}
+	for _, c := range w.history {
+		s.count(c, kept[c.id])
+	}
+	s.Findings = append(w.judgeRan(), w.judgeSuperseded()...)
+	s.Findings = append(s.Findings, w.judgeTerms()...)
+	s.Findings = append(s.Findings, w.judgeTwice(p)...)
+}
+
+func (s *Sample) count(c *call, kept bool) {
+	switch c.outcome {
+	case outcome.Done:
+		s.Done++
+		s.Gated = append(s.Gated, c.gated)
+	case outcome.NotRun:
+		s.NotRun++
+	default:
+		s.Unknown++
+	}
+	if c.outcome != outcome.Done || kept {
+		return
+	}
+	if c.durability == profile.Confirmed {
+		s.LostConfirmed++
+	} else {
+		s.LostOther++
+	}
+}
--- a/scenario/vm.go
+++ b/scenario/vm.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"endivemoor.example/endivemoor/ack"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/platform"
@@ -30,6 +31,7 @@
 	passed  map[string]bool // steps of this start
 
 	configuration publication.Version // in force on this VM
+	permission    ack.Permission      // for the lease gate
 }
 
 // Steps of a VM's start, for the fault matrix.
@@ -57,6 +59,7 @@
 	v.cfg = failover.Default()
 	v.cfg.VM, v.cfg.Zone, v.cfg.Zones = name, zone, zones
 	v.cfg.Guards = w.guards
+	v.cfg.PromoteDelay = w.promoteDelay
 	w.vms = append(w.vms, v)
 	v.boot()
 	return v
@@ -201,8 +204,12 @@
 		}
 		answered = true
 	}
+	lost := v.w.probeLoss > 0 && v.w.rng.Float64() < v.w.probeLoss
 	v.w.call(v.node, s.node, func() func() {
 		st := s.status()
+		if lost {
+			return nil
+		}
 		return func() {
 			answered = true
 			v.observe(a.Asked, st)
@@ -217,11 +224,28 @@
 		v.reports[st.Server] = evidence{asked: asked, status: st}
 	}
 	v.board.Observe(st.Server, st, asked, v.w.now)
+	v.permit(asked, st)
 	if v.group != nil && v.group.Primary == st.Server && st.Role == target.RolePrimary {
 		v.board.ObservePrimary(groupName, st.Position(), asked)
 	}
 }
 
+// permissionTime is how long a replica's word lets a proxy acknowledge writes
+// under the lease gate. It outlasts two lost heartbeats.
+const permissionTime = 350 * time.Millisecond
+
+// permit renews the lease gate's permission by a replica's word. A promoter
+// waits that long after a majority's promises.
+func (v *vm) permit(asked clock.Time, st target.Status) {
+	g := v.group
+	if g == nil || st.Role != target.RoleReplica || st.Promised > g.Term || st.Server == g.Primary {
+		return
+	}
+	if asked.After(v.permission.Asked) {
+		v.permission = ack.Permission{Term: g.Term, Asked: asked, Duration: permissionTime}
+	}
+}
+
 // askPeers asks every other VM; each answers from its own evidence.
 func (v *vm) askPeers(a failover.AskPeers) {
 	for _, peer := range v.w.vms {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"endivemoor.example/endivemoor/ack"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/session"
@@ -28,6 +29,7 @@
 
 	store   *fakeStore
 	keys    *session.Keys
+	gate    ack.Gate // of all proxies; nil for the standard one
 	servers []*server
 	vms     []*vm
 	callers map[string]*caller
@@ -37,6 +39,9 @@
 	steps   int            // events run so far
 	effects map[string]int // how often each fault changed something
 
+	probeLoss    float64       // share of probes that get no answer
+	promoteDelay time.Duration // failover.Config.PromoteDelay of all VMs
+
 	// Hook is called at each named step of the core; see Trap.
 	hook func(Strike)
 }
