Depose a primary that its replicas cannot reach

Ruled out: replicas that are only slow; they follow when they are told to. Change: replicas that stand still are told to follow; when a majority answers that it cannot reach the primary, that one is fenced and not promoted again, and only servers other than it count for the majority.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -16,6 +16,7 @@
 	started clock.Time
 	old     target.ID // primary before the attempt
 	planned bool      // a planned change: the old primary is fenced first
+	exclude target.ID // not to be promoted; empty if none
 	fenced  map[target.ID]target.Status
 	orderAt map[target.ID]clock.Time // when an unanswered order is repeated
 
@@ -35,6 +36,9 @@
 		fenced:  make(map[target.ID]target.Status),
 		orderAt: make(map[target.ID]clock.Time),
 	}
+	if reason == reasonIsolated {
+		m.attempt.exclude = m.group.Primary
+	}
 	m.phase = PhaseFencing
 	m.record(Entry{Step: StepStarted, Term: term, Server: m.group.Primary, Reason: reason})
 	if m.attempt.planned {
@@ -144,7 +148,7 @@
 	if m.cfg.Guards.Out(GuardMajority) {
 		need = 1
 	}
-	if len(a.fenced) < need || !m.replicaReady() {
+	if m.eligible() < need || !m.replicaReady() {
 		return
 	}
 	if a.promisedAt == 0 {
@@ -161,6 +165,18 @@
 	m.order()
 }
 
+// eligible counts the servers that promised and may be promoted. An excluded
+// primary does not count towards the majority either: what it confirmed is on
+// another server, and that one must be among those who are asked.
+func (m *Machine) eligible() int {
+	a := m.attempt
+	n := len(a.fenced)
+	if _, ok := a.fenced[a.exclude]; ok {
+		n--
+	}
+	return n
+}
+
 // replicaReady reports whether a planned change has the promise of a replica
 // that can relieve the primary. Without it the first replica to answer could
 // be one that is behind, and the primary would have to relieve itself.
@@ -185,7 +201,7 @@
 	var best target.ID
 	for _, s := range m.group.Servers {
 		st, ok := a.fenced[s.ID]
-		if !ok {
+		if !ok || s.ID == a.exclude {
 			continue
 		}
 		if best == "" || m.better(st, a.fenced[best], best) {
@@ -334,6 +350,9 @@
 	m.blocked = 0
 	m.stranded = 0
 	m.termAt = m.now
+	for _, s := range m.servers {
+		s.behind, s.astray, s.cutOff = 0, 0, false
+	}
 }
 
 // onNewTerm gives up an attempt that another VM was faster with.
--- a/failover/config.go
+++ b/failover/config.go
@@ -108,6 +108,6 @@
 		BackoffMin:       200 * time.Millisecond,
 		BackoffMax:       3 * time.Second,
 		BlockedAfter:     time.Second,
-		RepairAfter:      3 * time.Second,
+		RepairAfter:      1500 * time.Millisecond,
 	}
 }
--- a/failover/evidence.go
+++ b/failover/evidence.go
@@ -19,6 +19,7 @@
 	missedAsked clock.Time // when the newest failed probe was sent
 	status      target.Status
 	behind      clock.Time // since when it stands still behind its primary; 0 if it does not
+	cutOff      bool       // it was told to follow since then, and could not reach its primary
 	astray      clock.Time // since when it does not follow its primary; 0 if it does
 	followAt    clock.Time // when Follow may be ordered again
 }
@@ -52,6 +53,7 @@
 		s.missed = 0
 		s.missedAsked = m.now
 		s.behind = 0
+		s.cutOff = false
 		s.astray = 0
 	}
 	clear(m.reports)
@@ -112,6 +114,7 @@
 func (m *Machine) noteStatus(s *serverState, st target.Status) {
 	if st.Position() != s.status.Position() {
 		s.behind = 0
+		s.cutOff = false
 	}
 	s.status = st
 }
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -206,10 +206,16 @@
 	if m.isStranded() {
 		return true, "servers fenced at a term without a primary"
 	}
+	if m.isIsolated() {
+		return true, reasonIsolated
+	}
 	m.phase = PhaseWatching
 	return false, ""
 }
 
+// reasonIsolated is why a primary that answers VMs is deposed all the same.
+const reasonIsolated = "primary cut off from its replicas"
+
 // suspect opens a suspicion, and asks peers while it lasts.
 func (m *Machine) suspect() {
 	if m.phase == PhaseWatching {
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -70,7 +70,7 @@
 	if s.behind == 0 {
 		s.behind = m.now
 	}
-	return m.Leads() && m.now.Sub(s.behind) >= m.cfg.RepairAfter
+	return m.now.Sub(s.behind) >= m.cfg.RepairAfter && m.myTurn(s.behind.Add(m.cfg.RepairAfter))
 }
 
 func (m *Machine) onFollowAnswered(ev FollowAnswered) {
@@ -80,8 +80,10 @@
 		return
 	}
 	if ev.Err != nil {
+		s.cutOff = s.behind != 0
 		return
 	}
+	s.cutOff = false
 	step := StepFollowing
 	s.followAt = m.now.Add(2 * m.cfg.Heartbeat)
 	if s.behind != 0 {
@@ -91,6 +93,27 @@
 	m.record(Entry{Step: step, Term: ev.Term, Server: ev.Server, Discarded: ev.Discarded})
 }
 
+// isIsolated reports whether a majority of the servers, all of them replicas,
+// stand still behind the primary and say that they cannot reach it.
+//
+// The failure: the primary is cut off from its peers but not from the VMs. Its
+// heartbeats are well, and yet no write can be confirmed any more, for as long
+// as the cut lasts. A replica that is only slow follows when it is told to, and
+// does not count. What the primary committed alone is discarded and listed; it
+// was never confirmed.
+func (m *Machine) isIsolated() bool {
+	n := 0
+	var began clock.Time
+	for id, s := range m.servers {
+		if id == m.group.Primary || !s.seen || m.silent(s) || s.behind == 0 || !s.cutOff {
+			continue
+		}
+		n++
+		began = max(began, s.behind)
+	}
+	return n >= m.majority() && m.myTurn(began.Add(m.cfg.RepairAfter))
+}
+
 // repairPause is how many times RepairAfter a replica that was told to follow
 // again is left alone: it may just be slow.
 const repairPause = 10
--- a/scenario/setup.go
+++ b/scenario/setup.go
@@ -47,9 +47,14 @@
 	return w
 }
 
+// settleTime is enough for a lease to lapse and for the longest backoff.
+const settleTime = 15 * time.Second
+
 // Settle ends all faults, restarts what was killed, and lets the group recover.
 // It reports whether the group has a primary that commits.
-func (w *World) Settle() bool {
+func (w *World) Settle() bool { return w.settleFor(settleTime) }
+
+func (w *World) settleFor(d time.Duration) bool {
 	w.Heal()
 	w.store.down, w.store.slow, w.store.loseAnswers = false, 0, 0
 	for _, s := range w.servers {
@@ -63,7 +68,7 @@
 			w.Resume(v.name)
 		}
 	}
-	w.Advance(15 * time.Second)
+	w.Advance(d)
 	return w.primary() != nil
 }
 
--- a/scenario/trial.go
+++ b/scenario/trial.go
@@ -53,6 +53,8 @@
 	writeEvery = 20 * time.Millisecond
 	// beforeFault is how long the stream runs before the fault.
 	beforeFault = 500 * time.Millisecond
+	// trialSettle is how long the group may take to recover after a trial.
+	trialSettle = 6 * time.Second
 )
 
 // Run plays the trial with a seed. The fault strikes at a time within one
@@ -79,7 +81,7 @@
 	}
 	w.Advance(end.Sub(w.now) + requestDeadline + 2*patience)
 	s := Sample{Gap: w.gap(fault, end)}
-	w.Settle()
+	w.settleFor(trialSettle)
 	w.sample(&s)
 	return s, nil
 }
