--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/internal/experiment/failover"
+	"endivemoor.example/endivemoor/internal/experiment/control"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
@@ -23,8 +23,9 @@
 
 // CLI is the command line.
 type CLI struct {
-	Reads ReadsCmd `cmd:"" help:"Compare the policies that route reads."`
-	Load  LoadCmd  `cmd:"" help:"Compare the policies that hand out slots."`
+	Reads   ReadsCmd   `cmd:"" help:"Compare the policies that route reads."`
+	Load    LoadCmd    `cmd:"" help:"Compare the policies that hand out slots."`
+	Control ControlCmd `cmd:"" help:"Measure membership, and work out the calls to the store."`
 
 	Failover FailoverCmd `cmd:"" help:"Compare the gates of acknowledgement under a failing primary."`
 }
@@ -75,13 +76,15 @@
 	return load.Compare(env.Out, path, c.Seeds, c.Parallel)
 }
 
-// FailoverCmd compares the gates of acknowledgement.
-type FailoverCmd struct {
-	Seeds    int `default:"1000" help:"Number of seeds, from 1 on."`
+// ControlCmd measures membership and the calls to the store.
+type ControlCmd struct {
 	Parallel int `default:"4" help:"Runs at once."`
 }
 
 // Run implements the command.
-func (c *FailoverCmd) Run(env *Env) error {
-	return failover.Compare(env.Out, c.Seeds, c.Parallel)
+func (c *ControlCmd) Run(env *Env) error {
+	if err := control.StoreCalls(env.Out); err != nil {
+		return err
+	}
+	return control.Membership(env.Out, c.Parallel)
 }
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -166,10 +167,6 @@
 
 func startProxy(t testing.TB, c *cluster, change ...func(*Config)) *rig {
 	r := &rig{c: c, board: &countingBoard{Board: routing.NewBoard()}, trip: &trip{}}
-	r.pool = pool.New(pool.Config{
-		Dial: r.dial, Clock: c.clk, Log: zap.NewNop(), Seed: 1,
-		Backoff: retry.Backoff{Base: time.Millisecond, Max: 20 * time.Millisecond},
-	})
 	verifier, err := NewVerifier(password, "0123456789abcdef", minIterations)
 	require.NoError(t, err)
 	creds, err := ParseVerifier(verifier)
@@ -183,6 +180,11 @@
 	for _, f := range change {
 		f(&cfg)
 	}
+	r.pool = pool.New(pool.Config{
+		Dial: r.dial, Clock: c.clk, Log: zap.NewNop(), Seed: 1, Guards: cfg.Guards,
+		Backoff: retry.Backoff{Base: time.Millisecond, Max: 20 * time.Millisecond},
+	})
+	cfg.Pool = r.pool
 	r.Server = New(cfg)
 	r.observe()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -261,6 +263,11 @@
 	trip *trip
 }
 
+// SyscallConn lets the pool look at the socket.
+func (c *tripConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
 func (c *tripConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if c.trip.strikes(b[:n], false) {
