--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -26,6 +26,8 @@
 	Reads   ReadsCmd   `cmd:"" help:"Compare the policies that route reads."`
 	Load    LoadCmd    `cmd:"" help:"Compare the policies that hand out slots."`
 	Control ControlCmd `cmd:"" help:"Measure membership, and work out the calls to the store."`
+
+	Failover FailoverCmd `cmd:"" help:"Compare the gates of acknowledgement under a failing primary."`
 }
 
 // Options are common to the comparisons.
--- a/scenario/proxy.go
+++ b/scenario/proxy.go
@@ -16,7 +16,7 @@
 	// retryPause is the wait before another attempt at a request.
 	retryPause = 50 * time.Millisecond
 	// askPause is the interval between questions to replicas for the gate.
-	askPause = 10 * time.Millisecond
+	askPause = 5 * time.Millisecond
 	// retryAfter is what a refused caller is told.
 	retryAfter = 500 * time.Millisecond
 )
@@ -45,9 +45,13 @@
 
 func newProxy(v *vm) *proxy {
 	guards := v.w.guards
+	gate := v.w.gate
+	if gate == nil {
+		gate = ack.Mix{Confirmed: ack.Confirm{Guards: guards}, Rest: ack.Witness{Guards: guards}}
+	}
 	return &proxy{
 		v:        v,
-		gate:     ack.Mix{Confirmed: ack.Confirm{Guards: guards}, Rest: ack.Witness{Guards: guards}},
+		gate:     gate,
 		drain:    drain.New(drain.Config{Notice: 500 * time.Millisecond, Grace: 5 * time.Second, Guards: guards}),
 		inFlight: make(map[*attempt]bool),
 	}
@@ -253,57 +257,6 @@
 	})
 }
 
-func (a *attempt) committed(pos timeline.Position) {
-	v := a.p.v
-	a.write = ack.Write{
-		Primary: a.server, Position: pos, Committed: v.w.now,
-		Deadline: a.c.deadline, Durability: a.c.durability,
-	}
-	a.proof = ack.NewEvidence(v.group)
-	for id, e := range v.reports {
-		if id != a.server {
-			a.proof.Observe(ack.Report{Asked: e.asked, Answered: e.asked, Status: e.status})
-		}
-	}
-	a.passThen(core.StepCommitted, a.acknowledge)
-}
-
-// acknowledge asks the gate, and the replicas while it waits.
-func (a *attempt) acknowledge() {
-	v := a.p.v
-	a.proof.SetGroup(v.group)
-	switch d := a.p.gate.Decide(a.write, a.proof, v.w.now); d.Verdict {
-	case ack.Ack:
-		a.passThen(core.StepAcknowledged, func() { a.replied(0) })
-	case ack.Unknown:
-		a.fail(core.FailureUnacknowledged)
-	case ack.Wait:
-		a.askReplicas()
-		n := a.number
-		a.p.after(askPause, func() {
-			if a.live(n) && a.m.Step() == core.StepCommitted {
-				a.acknowledge()
-			}
-		})
-	}
-}
-
-func (a *attempt) askReplicas() {
-	v := a.p.v
-	asked := v.w.now
-	for _, s := range v.w.servers {
-		if s.id == a.server && v.group.Primary == a.server {
-			continue
-		}
-		v.w.call(v.node, s.node, func() func() {
-			st := s.status()
-			return func() {
-				a.proof.Observe(ack.Report{Asked: asked, Answered: v.w.now, Status: st})
-			}
-		}, func() {})
-	}
-}
-
 func (a *attempt) replied(rows int) {
 	a.passThen(core.StepReplied, func() { a.finish(outcome.Done, rows) })
 }
--- a/scenario/setup.go
+++ b/scenario/setup.go
@@ -22,7 +22,10 @@
 // a, b and c, one of each in each availability zone, and a store, after it has
 // settled.
 func Standard(seed uint64, guards guard.Set) *World {
-	w := New(seed, guards)
+	return standard(New(seed, guards))
+}
+
+func standard(w *World) *World {
 	w.addStore()
 	g := view.Group{Name: groupName, Term: 1, Primary: "s1", Reserved: 1, History: timeline.History{{Term: 1}}}
 	for i, zone := range zones {
@@ -44,9 +47,14 @@
 	return w
 }
 
+// settleTime is enough for a lease to lapse and for the longest backoff.
+const settleTime = 15 * time.Second
+
 // Settle ends all faults, restarts what was killed, and lets the group recover.
 // It reports whether the group has a primary that commits.
-func (w *World) Settle() bool {
+func (w *World) Settle() bool { return w.settleFor(settleTime) }
+
+func (w *World) settleFor(d time.Duration) bool {
 	w.Heal()
 	w.store.down, w.store.slow, w.store.loseAnswers = false, 0, 0
 	for _, s := range w.servers {
@@ -60,7 +68,7 @@
 			w.Resume(v.name)
 		}
 	}
-	w.Advance(15 * time.Second)
+	w.Advance(d)
 	return w.primary() != nil
 }
 
--- a/scenario/vm.go
+++ b/scenario/vm.go
@@ -1,11 +1,11 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"endivemoor.example/endivemoor/ack"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/platform"
@@ -30,6 +30,7 @@
 	passed  map[string]bool // steps of this start
 
 	configuration publication.Version // in force on this VM
+	permission    ack.Permission      // for the lease gate
 }
 
 // Steps of a VM's start, for the fault matrix.
@@ -57,6 +58,10 @@
 	v.cfg = failover.Default()
 	v.cfg.VM, v.cfg.Zone, v.cfg.Zones = name, zone, zones
 	v.cfg.Guards = w.guards
+	v.cfg.PromoteDelay = w.promoteDelay
+	if w.heartbeat > 0 {
+		v.cfg = v.cfg.Scaled(w.heartbeat)
+	}
 	w.vms = append(w.vms, v)
 	v.boot()
 	return v
@@ -201,8 +206,12 @@
 		}
 		answered = true
 	}
+	lost := v.w.probeLoss > 0 && v.w.rng.Float64() < v.w.probeLoss
 	v.w.call(v.node, s.node, func() func() {
 		st := s.status()
+		if lost {
+			return nil
+		}
 		return func() {
 			answered = true
 			v.observe(a.Asked, st)
@@ -217,11 +226,28 @@
 		v.reports[st.Server] = evidence{asked: asked, status: st}
 	}
 	v.board.Observe(st.Server, st, asked, v.w.now)
+	v.permit(asked, st)
 	if v.group != nil && v.group.Primary == st.Server && st.Role == target.RolePrimary {
 		v.board.ObservePrimary(groupName, st.Position(), asked)
 	}
 }
 
+// permissionTime is how long a replica's word lets a proxy acknowledge writes
+// under the lease gate. It outlasts two lost heartbeats.
+const permissionTime = 350 * time.Millisecond
+
+// permit renews the lease gate's permission by a replica's word. A promoter
+// waits that long after a majority's promises.
+func (v *vm) permit(asked clock.Time, st target.Status) {
+	g := v.group
+	if g == nil || st.Role != target.RoleReplica || st.Promised > g.Term || st.Server == g.Primary {
+		return
+	}
+	if asked.After(v.permission.Asked) {
+		v.permission = ack.Permission{Term: g.Term, Asked: asked, Duration: permissionTime}
+	}
+}
+
 // askPeers asks every other VM; each answers from its own evidence.
 func (v *vm) askPeers(a failover.AskPeers) {
 	for _, peer := range v.w.vms {
@@ -258,60 +284,3 @@
 	}
 	return fmt.Sprintf(" discarded=%d", len(e.Discarded))
 }
-
-func (v *vm) readLease(asked clock.Time) {
-	v.w.getFrom(v.node, leaseKey(groupName), func(o platform.Object, err error) {
-		if err == platform.ErrNotFound {
-			err = nil
-		}
-		var l leaseValue
-		if len(o.Value) > 0 {
-			mustUnmarshal(o.Value, &l)
-		}
-		v.step(failover.LeaseResult{Holder: l.Holder, Version: o.Version, Asked: asked, Err: err})
-	})
-}
-
-func (v *vm) renewLease(a failover.RenewLease) {
-	value := mustMarshal(leaseValue{Holder: a.Holder})
-	v.w.putFrom(v.node, leaseKey(groupName), value, a.ExpectVersion, func(version platform.Version, err error) {
-		v.step(failover.LeaseResult{Holder: a.Holder, Version: version, Asked: a.Asked, Err: err})
-	})
-}
-
-func (v *vm) readGroup() {
-	v.w.getFrom(v.node, groupKey(groupName), func(o platform.Object, err error) {
-		ev := failover.GroupLearned{Version: o.Version, Err: err}
-		if err == nil {
-			mustUnmarshal(o.Value, &ev.Group)
-		}
-		v.step(ev)
-	})
-}
-
-func (v *vm) putGroup(g view.Group, expect platform.Version, done func(platform.Version, error)) {
-	v.w.putFrom(v.node, groupKey(g.Name), mustMarshal(g), expect, done)
-}
-
-// watchInterval is how often a VM sees the group's object, as a watch would
-// show it.
-const watchInterval = 200 * time.Millisecond
-
-func (v *vm) watch() {
-	v.readGroup()
-	v.w.after(v.node, watchInterval, v.watch)
-}
-
-func mustMarshal(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // the fakes' own values always encode
-	}
-	return b
-}
-
-func mustUnmarshal(b []byte, v any) {
-	if err := json.Unmarshal(b, v); err != nil {
-		panic(err) // the fakes' own values always decode
-	}
-}
