--- /dev/null
+++ b/internal/experiment/capacity/roles.go
@@ -0,0 +1,307 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"endivemoor.example/endivemoor/admission"
+	"endivemoor.example/endivemoor/audit"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/membership"
+	"endivemoor.example/endivemoor/ownership"
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/profile/inifile"
+	"endivemoor.example/endivemoor/routing"
+	"endivemoor.example/endivemoor/session"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+	"endivemoor.example/endivemoor/view"
+)
+
+const origin = clock.Time(time.Hour)
+
+var browse = &profile.Kind{
+	Name: "browse", Access: profile.Read, Worth: 1,
+	MaxAge: 5 * time.Second, Deadline: time.Second,
+}
+
+// fleetView is a view of n groups of three, with fresh evidence on a board.
+func fleetView(n int) (*view.View, *routing.Board) {
+	v := &view.View{Groups: make(map[string]*view.Group, n)}
+	b := routing.NewBoard()
+	for i := range n {
+		g := group(i)
+		v.Groups[g.Name] = g
+		for k := range g.Servers {
+			observe(b, g, k, origin)
+		}
+	}
+	return v, b
+}
+
+func group(i int) *view.Group {
+	g := &view.Group{Name: fmt.Sprintf("group-%04d", i), Term: 1, History: timeline.History{{Term: 1}}}
+	for _, zone := range []string{"a", "b", "c"} {
+		id := target.ID(fmt.Sprintf("group-%04d-%s", i, zone))
+		g.Servers = append(g.Servers, view.Server{ID: id, Zone: zone, Addr: "192.0.2.1:5432"})
+	}
+	g.Primary = g.Servers[0].ID
+	return g
+}
+
+func observe(b *routing.Board, g *view.Group, k int, now clock.Time) {
+	st := status(g, k, now)
+	b.Observe(st.Server, st, now, now)
+	if k == 0 {
+		b.ObservePrimary(g.Name, st.Position(), now)
+	}
+}
+
+func status(g *view.Group, k int, now clock.Time) target.Status {
+	st := target.Status{Server: g.Servers[k].ID, Role: target.RoleReplica, Term: 1, Promised: 1, LSN: timeline.LSN(now)}
+	if k == 0 {
+		st.Role = target.RolePrimary
+	}
+	return st
+}
+
+// routeTime is a read's decision with n groups in the view.
+func routeTime(n int) float64 {
+	v, b := fleetView(n)
+	r := routing.NewRouter(b, routing.Evidence{}, 1)
+	g := v.Groups["group-0000"]
+	req := routing.Request{Kind: browse, Zone: "b", Now: origin + 1}
+	return nanoseconds(func() { r.Route(v, g, req) })
+}
+
+// boardBytes is the memory of the evidence on n groups, samples full.
+func boardBytes(n int) float64 {
+	return heapBytes(func() any {
+		v, b := fleetView(n)
+		for _, g := range v.Groups {
+			for i := range clock.Time(300) {
+				observe(b, g, 0, origin+i*clock.Time(100*time.Millisecond))
+			}
+		}
+		return []any{v, b}
+	})
+}
+
+// probeTime is the work on the evidence of one probe round of n groups.
+func probeTime(n int) float64 {
+	v, b := fleetView(n)
+	now := origin
+	return nanoseconds(func() {
+		now += clock.Time(100 * time.Millisecond)
+		for _, g := range v.Groups {
+			for k := range g.Servers {
+				observe(b, g, k, now)
+			}
+		}
+	})
+}
+
+// queueTime is an admission and its end with n kinds waiting.
+func queueTime(n int) float64 {
+	q := admission.NewQueue(admission.Config{Slots: 1, MaxQueued: n + 1})
+	now, far := origin, origin+clock.Time(time.Hour)
+	q.Offer(now, browse, far)
+	for i := range n {
+		q.Offer(now, &profile.Kind{Name: fmt.Sprint(i), Worth: 1}, far)
+	}
+	var granted []admission.Ticket
+	return nanoseconds(func() {
+		now++
+		q.Offer(now, browse, far)
+		granted = q.Done(now, browse, time.Millisecond, granted[:0])
+	})
+}
+
+func marks(n int) session.Marks {
+	m := session.Marks{}
+	for i := range n {
+		m[fmt.Sprintf("group-%04d", i)] = timeline.Position{Term: 3, LSN: 1 << 40}
+	}
+	return m
+}
+
+// tokenTime is the issue and the check of a token with n groups.
+func tokenTime(n int) float64 {
+	secret := bytes.Repeat([]byte("k"), session.MinKeyBytes)
+	keys, err := session.NewKeys("k", map[string][]byte{"k": secret})
+	if err != nil {
+		return 0
+	}
+	now, m := time.Unix(1_800_000_000, 0), marks(n)
+	return nanoseconds(func() {
+		token, _ := keys.Issue("user", m, now)
+		_, _ = keys.Verify(token, "user", now)
+	})
+}
+
+// ownerTime is one second of n groups' machines: 50 ticks and 30 answers each.
+func ownerTime(n int) float64 {
+	machines, views := owned(n)
+	cfg := failover.Default()
+	now := origin
+	const ticks = 50
+	return nanoseconds(func() {
+		for range ticks {
+			now = now.Add(cfg.Tick)
+			for i, m := range machines {
+				for _, a := range m.Step(now, failover.Tick{}) {
+					answer(m, views[i], a, now)
+				}
+			}
+		}
+	})
+}
+
+// answer gives a machine what a healthy group and store would.
+func answer(m *failover.Machine, g *view.Group, a failover.Action, now clock.Time) {
+	switch a := a.(type) {
+	case failover.Probe:
+		for k := range g.Servers {
+			if g.Servers[k].ID == a.Server {
+				m.Step(now, failover.ProbeAnswered{Server: a.Server, Asked: a.Asked, Status: status(g, k, now)})
+			}
+		}
+	case failover.RenewLease:
+		m.Step(now, failover.LeaseResult{Holder: a.Holder, Version: a.ExpectVersion + 1, Asked: a.Asked})
+	case failover.ReadLease:
+		m.Step(now, failover.LeaseResult{Asked: a.Asked})
+	case failover.Reserve:
+		m.Step(now, failover.ReserveResult{Term: a.Group.Reserved, Version: a.ExpectVersion + 1})
+	case failover.ReadGroup:
+		m.Step(now, failover.GroupLearned{Group: *g, Version: 1})
+	}
+}
+
+func owned(n int) ([]*failover.Machine, []*view.Group) {
+	cfg := failover.Default()
+	cfg.VM, cfg.Zone, cfg.Incarnation = "vm-0000", "a", "vm-0000/1"
+	cfg.Zones = []string{"a", "b", "c"}
+	var machines []*failover.Machine
+	var views []*view.Group
+	for i := range n {
+		g := group(i)
+		m := failover.New(cfg, g.Name, rand.New(rand.NewPCG(1, uint64(i))))
+		m.Step(origin, failover.GroupLearned{Group: *g, Version: 1})
+		machines, views = append(machines, m), append(views, g)
+	}
+	return machines, views
+}
+
+func ownerBytes(n int) float64 {
+	return heapBytes(func() any {
+		machines, views := owned(n)
+		return []any{machines, views}
+	})
+}
+
+// profiles is the text of n profiles of four kinds.
+func profiles(n int) []byte {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "[shop-%d]\nmax-read-age = 10s\ndefault-kind = purchase\n", i)
+		fmt.Fprintf(&b, "[shop-%d.purchase]\nkey = required\nworth = 100\ndeadline = 8s\n", i)
+		fmt.Fprintf(&b, "[shop-%d.confirm]\nworth = 10\ndeadline = 1s\n", i)
+		fmt.Fprintf(&b, "[shop-%d.browse]\naccess = read\nworth = 1\n", i)
+	}
+	return []byte(b.String())
+}
+
+func parseTime(n int) float64 {
+	text := profiles(n)
+	return nanoseconds(func() { inifile.Parse("p.ini", text) })
+}
+
+func profileBytes(n int) float64 {
+	return heapBytes(func() any {
+		text := profiles(n)
+		set, _ := inifile.Parse("p.ini", text)
+		return []any{text, set}
+	})
+}
+
+func vms(n int) []membership.VM {
+	out := make([]membership.VM, 0, n)
+	for i := range n {
+		out = append(out, membership.VM{ID: fmt.Sprintf("vm-%04d", i), Zone: fmt.Sprint("zone-", i%6), Addr: "192.0.2.100:7441"})
+	}
+	return out
+}
+
+func member(n int) *membership.Machine {
+	m := membership.New(membership.Config{Incarnation: 1, Seed: 1}, vms(1)[0])
+	var e membership.Listed
+	for _, vm := range vms(n) {
+		e.VMs = append(e.VMs, platform.VM{ID: vm.ID, Zone: vm.Zone, Addr: vm.Addr})
+	}
+	m.Step(origin, e)
+	return m
+}
+
+// memberTime is one round of a machine in a fleet of n: a tick and four
+// exchanges, two each way.
+func memberTime(n int) float64 {
+	m, all, now := member(n), vms(n), origin
+	return nanoseconds(func() {
+		now += clock.Time(500 * time.Millisecond)
+		m.Step(now, membership.Tick{})
+		for i := range 4 {
+			from := membership.Record{VM: all[(int(now)+i)%n], Incarnation: 1}
+			m.Step(now, membership.Exchanged{From: from})
+			m.Records(now)
+		}
+	})
+}
+
+func memberBytes(n int) float64 {
+	return heapBytes(func() any { return member(n) })
+}
+
+// assignTime is the assignment of n groups after a change among n VMs.
+func assignTime(n int) float64 {
+	all := vms(n)
+	return nanoseconds(func() {
+		ring := ownership.NewRing(all)
+		for i := range n {
+			ring.Probers(fmt.Sprintf("group-%04d", i), 3)
+		}
+	})
+}
+
+// auditTime is the entry of a change after n earlier ones.
+func auditTime(n int) float64 {
+	head, draft := audit.Head{}, change()
+	for range n {
+		e := audit.Next(head, draft)
+		head = audit.Head{Seq: e.Seq, Digest: e.Digest}
+	}
+	return nanoseconds(func() { audit.Next(head, draft) })
+}
+
+func change() audit.Draft {
+	return audit.Draft{
+		ID: "0190f2a0-0000-7000-8000-000000000000", Time: time.Unix(1_800_000_000, 0).UTC(),
+		Actor: "operator", Action: audit.ProfileDrafted, Reason: "raise the worth of a confirmation",
+		Reviewer: "reviewer", Subject: "drafts/passes", From: strings.Repeat("a", 64), To: strings.Repeat("b", 64),
+	}
+}
+
+// auditBytes is the length of n entries as they are kept.
+func auditBytes(n int) float64 {
+	head, entries := audit.Head{}, make([]audit.Entry, 0, n)
+	for range n {
+		e := audit.Next(head, change())
+		head = audit.Head{Seq: e.Seq, Digest: e.Digest}
+		entries = append(entries, e)
+	}
+	return float64(len(audit.Export(entries)))
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/experiment/capacity"
 	"endivemoor.example/endivemoor/internal/experiment/control"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
@@ -23,9 +24,12 @@
 
 // CLI is the command line.
 type CLI struct {
-	Reads   ReadsCmd   `cmd:"" help:"Compare the policies that route reads."`
-	Load    LoadCmd    `cmd:"" help:"Compare the policies that hand out slots."`
-	Control ControlCmd `cmd:"" help:"Measure membership, and work out the calls to the store."`
+	Reads    ReadsCmd    `cmd:"" help:"Compare the policies that route reads."`
+	Load     LoadCmd     `cmd:"" help:"Compare the policies that hand out slots."`
+	Control  ControlCmd  `cmd:"" help:"Measure membership, and work out the calls to the store."`
+	Capacity CapacityCmd `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
+	Daemon   DaemonCmd   `cmd:"" help:"Measure the slopes of a running daemon."`
+	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups."`
 }
 
 // Options are common to the comparisons.
@@ -86,3 +90,32 @@
 	}
 	return control.Membership(env.Out, c.Parallel)
 }
+
+// CapacityCmd measures how each role's work and memory grow.
+type CapacityCmd struct{}
+
+// Run implements the command.
+func (*CapacityCmd) Run(env *Env) error { return capacity.Run(env.Out) }
+
+// DaemonCmd measures a daemon that runs already.
+type DaemonCmd struct {
+	PID       int    `required:"" help:"Process of the daemon."`
+	URL       string `required:"" name:"url" help:"Connection string of a caller."`
+	Statement string `default:"/*endivemoor kind=balance*/ SELECT 1" help:"Statement to run."`
+}
+
+// Run implements the command.
+func (c *DaemonCmd) Run(env *Env) error {
+	return capacity.RunDaemon(env.Out, capacity.Daemon{PID: c.PID, URL: c.URL, Statement: c.Statement})
+}
+
+// ExampleCmd writes an example directory with more groups, for slopes by the
+// number of groups.
+type ExampleCmd struct {
+	Groups int    `required:"" help:"Number of groups."`
+	From   string `default:"examples/demo" help:"Example to copy."`
+	To     string `required:"" help:"Directory to write."`
+}
+
+// Run implements the command.
+func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups) }
