Let any daemon say what every VM has in force

Cause: profile status knew only the daemons that the operator named, and fleet status printed flattened JSON of hundreds of lines.

Change: a member record carries the VM's own word of its generation and the word's age. controller.Fleet keeps the youngest word of the VM's present incarnation; a word passed on keeps its age, so a VM that was cut off shows as behind or silent, never as current. fleet status prints a line a VM and a group, profile status names who is behind or silent.

--- a/controller/doc.go
+++ b/controller/doc.go
@@ -5,6 +5,7 @@
 //	Group      one database group's failover.Machine (view.Group)
 //	Watcher    what the store says of groups, profiles and drains
 //	Exchange   what peers say, and which VMs are live (membership.Machine)
+//	Fleet      which configuration each VM has in force, by its own word
 //	Gate       when a write may be acknowledged (ack), read by requests
 //	Journal    the audit trail, queued while the store is down
 //
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -41,6 +41,7 @@
 	store   platform.Store
 	duty    *Duty
 	drains  *Drains
+	fleet   *Fleet
 	log     *zap.Logger
 	// onGroup is told of every group state that a peer sent.
 	onGroup func(*view.Group)
@@ -82,6 +83,7 @@
 		clk: c.Clock, views: c.Views, config: c.Config, clients: c.Clients, store: c.Store, duty: c.Duty, drains: c.Drains, onDrain: c.OnDrain,
 		log: c.Log, onGroup: c.OnGroup, onChange: c.OnChange, machine: c.Machine, rng: c.Rand,
 		changed: map[string]clock.Time{}, terms: map[string]timeline.Term{},
+		fleet: NewFleet(c.Clock, c.Machine.Self().VM.ID),
 	}
 }
 
@@ -114,6 +116,7 @@
 		if err != nil {
 			x.log.Warn("vm_list_failed", zap.Error(err))
 		} else {
+			x.fleet.List(vms)
 			x.step(ctx, membership.Listed{VMs: vms})
 		}
 		sleep(ctx, listEvery)
@@ -142,6 +145,16 @@
 	return slices.Clone(x.machine.Live())
 }
 
+// Fleet returns what each VM of the fleet has in force, this one included, as
+// far as is known here.
+func (x *Exchange) Fleet() []FleetVM {
+	x.mu.Lock()
+	self := x.machine.Self()
+	x.mu.Unlock()
+	own := FleetVM{VM: self.VM.ID, Zone: self.VM.Zone, Generation: x.config.Current().Generation, Leaving: self.Leaving}
+	return append([]FleetVM{own}, x.fleet.VMs()...)
+}
+
 // exchangeWith pushes what this VM knows and takes in what comes back.
 func (x *Exchange) exchangeWith(ctx context.Context, vm membership.VM) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/controller/exchange_messages.go
+++ b/controller/exchange_messages.go
@@ -19,9 +19,11 @@
 	defer x.mu.Unlock()
 	var others []*peerpb.Member
 	for _, r := range x.machine.Records(x.clk.Now()) {
-		others = append(others, memberMessage(r))
+		others = append(others, x.fleet.said(memberMessage(r)))
 	}
-	return memberMessage(x.machine.Self()), others
+	self := memberMessage(x.machine.Self())
+	self.Said = &peerpb.Said{Generation: uint64(x.config.Current().Generation)}
+	return self, others
 }
 
 func memberMessage(r membership.Record) *peerpb.Member {
@@ -49,7 +51,9 @@
 		return
 	}
 	ev := membership.Exchanged{From: record(from)}
+	x.fleet.Hear(from)
 	for _, m := range others {
+		x.fleet.Hear(m)
 		ev.Others = append(ev.Others, record(m))
 	}
 	x.step(ctx, ev)
--- a/ctl/daemons.go
+++ b/ctl/daemons.go
@@ -93,24 +93,6 @@
 	return nil
 }
 
-type fleetCommands struct {
-	Status fleetStatus `cmd:"" help:"What each daemon named says of itself."`
-}
-
-type fleetStatus struct{}
-
-// Run prints all answers, also when some daemons did not give one.
-func (fleetStatus) Run(r *runner) error {
-	answers, err := r.askAll("/status", nil)
-	if err != nil {
-		return err
-	}
-	if err := r.print(answers, func(w io.Writer) { answersText(w, answers) }); err != nil {
-		return err
-	}
-	return firstError(answers)
-}
-
 func answersText(w io.Writer, answers []answer) {
 	for _, a := range answers {
 		fmt.Fprintf(w, "daemon %s\n", a.Daemon)
--- a/ctl/profileread.go
+++ b/ctl/profileread.go
@@ -164,12 +164,16 @@
 	return r.print(infos, func(w io.Writer) { lines(w, infos) })
 }
 
-type profileStatus struct{}
+type profileStatus struct {
+	Fresh time.Duration `help:"How old a VM's word may be to count." default:"1m"`
+}
 
 // spread says where the set in force has arrived.
 type spread struct {
 	Published *recordInfo `json:"published"`
 	Daemons   []arrival   `json:"daemons"`
+	// VMs is what the daemons have heard of the whole fleet.
+	VMs []vmArrival `json:"vms"`
 }
 
 // arrival is what one daemon has in force.
@@ -193,7 +197,7 @@
 }
 
 // Run asks the daemons, so that no daemon has to write to the store.
-func (profileStatus) Run(r *runner) error {
+func (c *profileStatus) Run(r *runner) error {
 	current, err := r.inForce()
 	if err != nil {
 		return err
@@ -206,15 +210,27 @@
 			return err
 		}
 	}
+	var statuses []daemonStatus
 	for _, a := range answers {
 		s.Daemons = append(s.Daemons, arrivalOf(a, current.Version))
+		statuses = append(statuses, statusOf(a))
 	}
-	if err := r.print(s, func(w io.Writer) { fmt.Fprintln(w, info); lines(w, s.Daemons) }); err != nil {
+	s.VMs = vmArrivals(fleetOf(statuses), current.Generation, c.Fresh)
+	if err := r.print(s, s.text); err != nil {
 		return err
 	}
 	return firstError(answers)
 }
 
+func (s spread) text(w io.Writer) {
+	fmt.Fprintln(w, s.Published)
+	lines(w, s.Daemons)
+	if len(s.VMs) > 0 {
+		lines(w, s.VMs)
+		fmt.Fprintln(w, lagText(s.VMs))
+	}
+}
+
 func arrivalOf(a answer, want publication.Version) arrival {
 	out := arrival{Daemon: a.Daemon, Error: a.Error}
 	status, _ := a.Value.(map[string]any)
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
@@ -22,6 +23,8 @@
 	Live        []membership.VM        `json:"live"`
 	Groups      map[string]*view.Group `json:"groups"`
 	Draining    map[target.ID]bool     `json:"draining"`
+	// Fleet is what every VM has in force, as far as this one has heard.
+	Fleet []controller.FleetVM `json:"fleet"`
 }
 
 func (d *daemon) status() status {
@@ -43,5 +46,6 @@
 		Live:        d.exchange.Live(),
 		Groups:      v.Groups,
 		Draining:    v.Draining,
+		Fleet:       d.exchange.Fleet(),
 	}
 }
