Measure how a configuration spreads over real daemons

Store calls come from endivemoor_platform_calls_total of all daemons.

Store calls are not flat yet: every daemon reads the VM list every 5 s.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -31,6 +32,7 @@
 
 	mu      sync.Mutex
 	current Published
+	since   time.Time
 }
 
 // NewConfiguration returns a holder of nothing.
@@ -45,6 +47,14 @@
 	return c.current
 }
 
+// Since returns by the wall clock when the set in force was put in force here.
+// It is for operators; nothing is decided by it.
+func (c *Configuration) Since() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
+
 // Offer puts p in force if publication.Accept takes it, and reports if it did.
 // The source may be the store or any peer.
 //
@@ -72,7 +82,7 @@
 			zap.Uint64("generation", uint64(p.Generation)), zap.String("source", source), zap.Error(err))
 		return false
 	}
-	c.current = p
+	c.current, c.since = p, time.Now()
 	c.views.Update(func(v *view.View) { v.Profiles = set })
 	c.log.Info("configuration_in_force",
 		zap.Uint64("generation", uint64(p.Generation)), zap.String("digest", p.Digest), zap.String("source", source))
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/target"
@@ -9,20 +11,22 @@
 
 // status is what GET /status shows.
 type status struct {
-	VM          string                 `json:"vm"`
-	Zone        string                 `json:"zone"`
-	Incarnation string                 `json:"incarnation"`
-	Version     string                 `json:"version"`
-	Ready       bool                   `json:"ready"`
-	Reason      string                 `json:"reason,omitempty"`
-	Generation  uint64                 `json:"generation"`
-	Digest      string                 `json:"digest"`
-	Sessions    int                    `json:"sessions"`
-	Watches     bool                   `json:"watches_store"`
-	AuditWaits  int                    `json:"audit_waiting"`
-	Live        []membership.VM        `json:"live"`
-	Groups      map[string]*view.Group `json:"groups"`
-	Draining    map[target.ID]bool     `json:"draining"`
+	VM          string `json:"vm"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	Version     string `json:"version"`
+	Ready       bool   `json:"ready"`
+	Reason      string `json:"reason,omitempty"`
+	Generation  uint64 `json:"generation"`
+	Digest      string `json:"digest"`
+	// InForceSince is when this generation was put in force here, by the VM's wall clock.
+	InForceSince time.Time              `json:"in_force_since"`
+	Sessions     int                    `json:"sessions"`
+	Watches      bool                   `json:"watches_store"`
+	AuditWaits   int                    `json:"audit_waiting"`
+	Live         []membership.VM        `json:"live"`
+	Groups       map[string]*view.Group `json:"groups"`
+	Draining     map[target.ID]bool     `json:"draining"`
 	// Fleet is what every VM has in force, as far as this one has heard.
 	Fleet []controller.FleetVM `json:"fleet"`
 }
@@ -32,20 +36,21 @@
 	current := d.config.Current()
 	v := d.views.Load()
 	return status{
-		VM:          d.set.VM.ID,
-		Zone:        d.set.VM.Zone,
-		Incarnation: d.incarnationName(),
-		Version:     Version,
-		Ready:       ready,
-		Reason:      reason,
-		Generation:  uint64(current.Generation),
-		Digest:      current.Digest,
-		Sessions:    d.callers.Sessions(),
-		Watches:     d.duty.Watches(),
-		AuditWaits:  d.trail.Waiting(),
-		Live:        d.exchange.Live(),
-		Groups:      v.Groups,
-		Draining:    v.Draining,
-		Fleet:       d.exchange.Fleet(),
+		VM:           d.set.VM.ID,
+		Zone:         d.set.VM.Zone,
+		Incarnation:  d.incarnationName(),
+		Version:      Version,
+		Ready:        ready,
+		Reason:       reason,
+		Generation:   uint64(current.Generation),
+		Digest:       current.Digest,
+		InForceSince: d.config.Since(),
+		Sessions:     d.callers.Sessions(),
+		Watches:      d.duty.Watches(),
+		AuditWaits:   d.trail.Waiting(),
+		Live:         d.exchange.Live(),
+		Groups:       v.Groups,
+		Draining:     v.Draining,
+		Fleet:        d.exchange.Fleet(),
 	}
 }
--- /dev/null
+++ b/internal/load/fleet.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/template"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+	"endivemoor.example/endivemoor/view"
+)
+
+// Offsets of a fleet's ports from its first one.
+const (
+	serverPorts  = 100
+	controlShift = 200
+	callerPorts  = 500
+	peerPorts    = 600
+	adminPorts   = 700
+	portsOfAKind = 100
+	serversEach  = 3
+)
+
+// Fleet is the command line that writes the files of a fleet of any size, in
+// the form that examples/run.sh takes. All ports follow one after the other
+// from the first, so that several fleets fit on one machine.
+type Fleet struct {
+	Daemons   int    `default:"9"`
+	Groups    int    `default:"3" help:"database groups of three servers each"`
+	Zones     int    `default:"3" help:"availability zones"`
+	FirstPort int    `default:"9000" help:"a fleet takes 800 ports from here on"`
+	Dir       string `required:"" help:"directory to write to"`
+}
+
+// addr returns the n-th address of a kind of port.
+func (f *Fleet) addr(kind, n int) string {
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(f.FirstPort+kind+n))
+}
+
+func (f *Fleet) zone(n int) string { return fmt.Sprint("z", n%f.Zones+1) }
+
+func vmName(n int) string { return fmt.Sprintf("p%02d", n+1) }
+
+// Run writes the files.
+func (f *Fleet) Run(_ context.Context, out io.Writer) error {
+	if f.Daemons < 1 || f.Daemons > portsOfAKind || f.Groups*serversEach > portsOfAKind || f.Zones < 1 {
+		return errors.Errorf("at most %d daemons and %d groups, at least one zone", portsOfAKind, portsOfAKind/serversEach)
+	}
+	if err := os.MkdirAll(filepath.Join(f.Dir, "objects", "groups"), 0o755); err != nil {
+		return errors.Wrap(err, "fleet")
+	}
+	for n := range f.Groups {
+		g := f.group(n)
+		if err := f.writeJSON(filepath.Join("objects", "groups", g.Name), g); err != nil {
+			return err
+		}
+	}
+	if err := f.writeJSON("vms.json", wire.VMs{VMs: f.vms()}); err != nil {
+		return err
+	}
+	if err := f.writeDaemons(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d daemons and %d groups in %s\n", f.Daemons, f.Groups, f.Dir)
+	return f.write("run.env", runEnv, f.env())
+}
+
+func (f *Fleet) group(n int) view.Group {
+	name := fmt.Sprint("ledger-", n)
+	g := view.Group{Name: name, Term: 1, Primary: target.ID(name + "-a"), Reserved: 1, History: timeline.History{{Term: 1}}}
+	for i := range serversEach {
+		id := target.ID(fmt.Sprintf("%s-%c", name, 'a'+i))
+		g.Servers = append(g.Servers, view.Server{ID: id, Addr: f.addr(serverPorts, serversEach*n+i), Zone: f.zone(i)})
+	}
+	return g
+}
+
+func (f *Fleet) vms() []platform.VM {
+	out := make([]platform.VM, f.Daemons)
+	for n := range out {
+		out[n] = platform.VM{ID: vmName(n), Zone: f.zone(n), Addr: f.addr(peerPorts, n)}
+	}
+	return out
+}
+
+// daemonFile is what one daemon's settings are made from.
+type daemonFile struct {
+	ID, Zone, Zones, Callers, Peers, Admin, Platform string
+}
+
+func (f *Fleet) writeDaemons() error {
+	zones := f.zone(0)
+	for n := 1; n < f.Zones; n++ {
+		zones += ", " + f.zone(n)
+	}
+	for n := range f.Daemons {
+		d := daemonFile{vmName(n), f.zone(n), zones, f.addr(callerPorts, n), f.addr(peerPorts, n), f.addr(adminPorts, n), f.addr(0, 0)}
+		if err := f.write("proxy"+d.ID+".ini", daemonINI, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// envFile is what run.env is made from.
+type envFile struct {
+	Platform, Admin, Admins string
+	ControlShift            int
+}
+
+func (f *Fleet) env() envFile {
+	admins := f.addr(adminPorts, 0)
+	for n := 1; n < f.Daemons; n++ {
+		admins += "," + f.addr(adminPorts, n)
+	}
+	return envFile{f.addr(0, 0), f.addr(adminPorts, 0), admins, controlShift}
+}
+
+func (f *Fleet) writeJSON(name string, v any) error {
+	raw, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(f.Dir, name), raw, 0o644), "fleet")
+}
+
+func (f *Fleet) write(name string, t *template.Template, v any) error {
+	file, err := os.Create(filepath.Join(f.Dir, name))
+	if err != nil {
+		return errors.Wrap(err, "fleet")
+	}
+	defer file.Close()
+	return errors.Wrap(t.Execute(file, v), name)
+}
+
+var daemonINI = template.Must(template.New("ini").Parse(`[vm]
+id = {{.ID}}
+zone = {{.Zone}}
+zones = {{.Zones}}
+
+[listen]
+callers = {{.Callers}}
+peers = {{.Peers}}
+admin = {{.Admin}}
+
+[platform]
+url = http://{{.Platform}}
+
+[targets]
+user = endivemoor
+connections = 60
+slots = 3
+
+[session-keys]
+active = k1
+k1 = demo-only-demo-only-demo-only-demo
+
+[users]
+; password: demo-only
+passapp = SCRAM-SHA-256$4096:9T+h7GemyjUiv2t77Ryftw==$esbem6onS9OKXKg1CTxrssFd/8I7NBYxWUncbvPwXmA=:dxYBp8qG0GuKetFrLVvvV/9NaDCN618EPr+NwrHOW3U=
+`))
+
+var runEnv = template.Must(template.New("env").Parse(`# Written by endivemoor-load fleet, read by examples/fleet.sh.
+platform={{.Platform}}
+admin={{.Admin}}
+admins={{.Admins}}
+control_shift={{.ControlShift}}
+`))
--- /dev/null
+++ b/internal/load/spread.go
@@ -0,0 +1,220 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/platform/client"
+	"endivemoor.example/endivemoor/publication/store"
+)
+
+const (
+	spreadPoll = 100 * time.Millisecond
+	spreadWait = 40 * time.Second
+	callsName  = "endivemoor_platform_calls_total"
+)
+
+// Spread is the command line of the measurement of how a configuration comes
+// into force on a fleet of running daemons. It publishes sets as two operators
+// would, and reads from each daemon when it took them; both by one machine's
+// wall clock. It starts and stops no process.
+type Spread struct {
+	Admins   []string      `required:"" help:"admin addresses of all daemons, ip:port"`
+	Platform string        `required:"" help:"address of the stand-in platform, ip:port"`
+	Profiles string        `required:"" type:"existingfile" help:"published first, and again with other drain graces"`
+	Rounds   int           `default:"10"`
+	Idle     time.Duration `default:"20s" help:"how long store calls are counted without a publication"`
+	Pause    time.Duration `default:"1s" help:"between rounds"`
+	Outage   bool          `help:"publish once more, take the store down at the acceptance and leave it so"`
+}
+
+// Run measures and prints.
+func (s *Spread) Run(ctx context.Context, out io.Writer) error {
+	p, err := client.New("http://"+s.Platform, client.Options{})
+	if err != nil {
+		return err
+	}
+	profiles := store.New(p, time.Now)
+	if _, err = awaitAll(ctx, s.Admins, 1); err != nil {
+		return err
+	}
+	if err = s.count(ctx, out, "idle", func() error { return pause(ctx, s.Idle) }); err != nil {
+		return err
+	}
+	var times []time.Duration
+	err = s.count(ctx, out, "publishing", func() error {
+		times, err = s.rounds(ctx, profiles)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	slices.Sort(times)
+	fmt.Fprintf(out, "daemons=%d rounds=%d in force on all after acceptance: median %s max %s\n",
+		len(s.Admins), len(times), millis(times[len(times)/2]), millis(times[len(times)-1]))
+	if s.Outage {
+		return s.outage(ctx, out, profiles)
+	}
+	return nil
+}
+
+func millis(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func (s *Spread) rounds(ctx context.Context, profiles *store.Store) ([]time.Duration, error) {
+	var times []time.Duration
+	for n := range s.Rounds {
+		generation, accepted, err := s.publish(ctx, profiles, n)
+		if err != nil {
+			return nil, err
+		}
+		last, err := awaitAll(ctx, s.Admins, generation)
+		if err != nil {
+			return nil, err
+		}
+		times = append(times, last.Sub(accepted))
+		if err = pause(ctx, s.Pause); err != nil {
+			return nil, err
+		}
+	}
+	return times, nil
+}
+
+var grace = regexp.MustCompile(`(?m)^drain-grace.*$`)
+
+// publish returns the new generation and an instant before its acceptance: that
+// of the call, so that no time between the store's change and its answer is
+// left out.
+func (s *Spread) publish(ctx context.Context, profiles *store.Store, n int) (uint64, time.Time, error) {
+	text, err := os.ReadFile(s.Profiles)
+	if err != nil {
+		return 0, time.Time{}, err
+	}
+	text = grace.ReplaceAll(text, fmt.Appendf(nil, "drain-grace = %ds", 6+n%20))
+	draft, found, err := profiles.Create(ctx, store.By{Actor: "aoife", Reason: "measure"}, "spread.ini", text)
+	if err == nil {
+		err = found.Err()
+	}
+	if err != nil {
+		return 0, time.Time{}, errors.Wrap(err, "draft")
+	}
+	if _, err = profiles.Review(ctx, store.By{Actor: "brendan", Reason: "measure"}, draft.ID, nil); err != nil {
+		return 0, time.Time{}, errors.Wrap(err, "review")
+	}
+	begin := time.Now()
+	done, err := profiles.Publish(ctx, store.By{Actor: "aoife", Reason: "measure"}, draft.ID)
+	if err != nil {
+		return 0, begin, errors.Wrap(err, "publish")
+	}
+	return uint64(done.Record.Generation), begin, nil
+}
+
+// outage takes the store down as soon as a publication is accepted.
+func (s *Spread) outage(ctx context.Context, out io.Writer, profiles *store.Store) error {
+	generation, accepted, err := s.publish(ctx, profiles, s.Rounds)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+s.Platform+"/fault", "application/json", bytes.NewBufferString(`{"down": true}`))
+	if err != nil {
+		return errors.Wrap(err, "take the store down")
+	}
+	_ = resp.Body.Close()
+	down := time.Now()
+	last, err := awaitAll(ctx, s.Admins, generation)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "daemons=%d store down %s after the publish call; generation %d in force on all after %s\n",
+		len(s.Admins), millis(down.Sub(accepted)), generation, millis(last.Sub(accepted)))
+	return nil
+}
+
+// count prints how many store calls a second the daemons made meanwhile.
+func (s *Spread) count(ctx context.Context, out io.Writer, what string, work func() error) error {
+	before, err := metrics(ctx, s.Admins)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err = work(); err != nil {
+		return err
+	}
+	took := time.Since(begin).Seconds()
+	after, err := metrics(ctx, s.Admins)
+	if err != nil {
+		return err
+	}
+	calls, total := map[string]float64{}, 0.0
+	for i := range after {
+		was := before[i].by(callsName, purposeLabel)
+		for purpose, n := range after[i].by(callsName, purposeLabel) {
+			calls[purpose] += n - was[purpose]
+			total += n - was[purpose]
+		}
+	}
+	fmt.Fprintf(out, "daemons=%d %s for %.0f s, store calls a second: total %.2f", len(s.Admins), what, took, total/took)
+	for _, purpose := range slices.Sorted(maps.Keys(calls)) {
+		fmt.Fprintf(out, " %s %.2f", purpose, calls[purpose]/took)
+	}
+	fmt.Fprintln(out)
+	return nil
+}
+
+// Await is the command line that waits until daemons have a generation, such as
+// those that were started again during an outage.
+type Await struct {
+	Admins     []string `required:"" help:"admin addresses, ip:port"`
+	Generation uint64   `default:"1"`
+}
+
+// Run waits and prints how long it took.
+func (a *Await) Run(ctx context.Context, out io.Writer) error {
+	begin := time.Now()
+	last, err := awaitAll(ctx, a.Admins, a.Generation)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d daemons have generation %d or later, the last after %s\n", len(a.Admins), a.Generation, millis(last.Sub(begin)))
+	return nil
+}
+
+// awaitAll waits until all daemons are ready with the generation, and returns
+// when the last of them took it.
+func awaitAll(ctx context.Context, admins []string, generation uint64) (last time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, spreadWait)
+	defer cancel()
+	for {
+		now, err := states(ctx, admins)
+		late := slices.IndexFunc(now, func(s daemonState) bool { return !s.Ready || s.Generation < generation })
+		if err == nil && late < 0 {
+			for _, s := range now {
+				if s.InForceSince.After(last) {
+					last = s.InForceSince
+				}
+			}
+			return last, nil
+		}
+		if pause(ctx, spreadPoll) != nil {
+			return last, errors.Errorf("generation %d not in force on all after %s: %+v, %v", generation, spreadWait, now, err)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
