Count a VM that watched a dead primary in vain as a witness

Cause: a primary killed within 40 ms of the daemons' start was never replaced: no daemon had ever had an answer from it, so none counted as a witness and two zones never agreed (process test TestDaemonPausedThroughPromotion, red in 2 of 2 runs, once for each of two VMs). Ruled out: the paused daemon (its zone is not needed) and terms (reserved by all). Change: a peer's word that it has asked in vain for 1.5 s or more counts; the observation carries how long.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/control"
@@ -13,19 +14,23 @@
 type Evidence struct {
 	mu   sync.RWMutex
 	good map[target.ID]control.Answer
-	// ended is when the newest ask of a server ended, with or without an answer.
-	ended map[target.ID]clock.Time
+	// began is when the first ask of a server ended, and ended when the newest
+	// did, with or without an answer.
+	began, ended map[target.ID]clock.Time
 }
 
 // NewEvidence returns an empty store.
 func NewEvidence() *Evidence {
-	return &Evidence{good: map[target.ID]control.Answer{}, ended: map[target.ID]clock.Time{}}
+	return &Evidence{good: map[target.ID]control.Answer{}, began: map[target.ID]clock.Time{}, ended: map[target.ID]clock.Time{}}
 }
 
 // Add takes the result of one ask.
 func (e *Evidence) Add(id target.ID, a control.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if _, ok := e.began[id]; !ok {
+		e.began[id] = a.Answered
+	}
 	e.ended[id] = max(e.ended[id], a.Answered)
 	if err == nil && !a.Asked.Before(e.good[id].Asked) {
 		e.good[id] = a
@@ -47,3 +52,14 @@
 	at, ok := e.ended[id]
 	return ok && !at.Before(t)
 }
+
+// WatchedFor returns how long ago the first ask of a server ended.
+func (e *Evidence) WatchedFor(id target.ID, now clock.Time) time.Duration {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	at, ok := e.began[id]
+	if !ok {
+		return 0
+	}
+	return now.Sub(at)
+}
--- a/controller/observe.go
+++ b/controller/observe.go
@@ -50,13 +50,24 @@
 	}
 }
 
+// neverGrace is how long a VM must have watched a server that never answered it
+// to count as a witness of its silence.
+const neverGrace = 1500 * time.Millisecond
+
+// peerReport reads a peer's word.
+//
+// Failure guarded against: the daemons are replaced while the primary is dead.
+// None of them has ever had an answer from it, none counts as a witness, and the
+// group stays without a primary for ever. A VM that has watched in vain for
+// longer than a start takes is a witness as well.
 func peerReport(vm membership.VM, o *peerpb.Observation) failover.PeerReport {
+	age := time.Duration(o.GetGoodAgeMs()) * time.Millisecond
 	return failover.PeerReport{
 		VM:       vm.ID,
 		Zone:     vm.Zone,
 		Server:   target.ID(o.GetServer()),
-		Seen:     !o.GetNever(),
-		LastGood: time.Duration(o.GetGoodAgeMs()) * time.Millisecond,
+		Seen:     !o.GetNever() || age >= neverGrace,
+		LastGood: age,
 		Status:   peer.Status(o),
 	}
 }
@@ -101,7 +112,7 @@
 	}
 	newest, ok := o.Evidence.Newest(s.ID)
 	if !ok {
-		return peer.Observation(group, s.ID, nil, 0)
+		return peer.Observation(group, s.ID, nil, o.Evidence.WatchedFor(s.ID, o.Clock.Now()))
 	}
 	return peer.Observation(group, s.ID, &newest.Status, o.Clock.Now().Sub(newest.Asked))
 }
--- a/controller/observe_test.go
+++ b/controller/observe_test.go
@@ -10,6 +10,8 @@
 
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/membership"
+	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
@@ -43,3 +45,15 @@
 	require.False(t, got[0].GetNever())
 	require.Equal(t, uint64(1), got[0].GetTerm())
 }
+
+// All daemons are replaced while the primary is dead (in a process test, killed
+// within 40 ms of their start). Nobody has ever seen it alive, so nobody counted
+// as a witness and the group had no primary for good.
+func TestAVMThatWatchedInVainIsAWitness(t *testing.T) {
+	vm := membership.VM{ID: "p2", Zone: "z2"}
+	young := peer.Observation("g", "a", nil, 100*time.Millisecond)
+	require.False(t, peerReport(vm, young).Seen, "it may just have started")
+	old := peer.Observation("g", "a", nil, 3*time.Second)
+	require.True(t, peerReport(vm, old).Seen)
+	require.Equal(t, 3*time.Second, peerReport(vm, old).LastGood)
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -48,10 +48,10 @@
 }
 
 // Observation returns the message form of one server's newest good answer; a
-// nil status says that there was none.
+// nil status says that there was none in all the time of age.
 func Observation(group string, id target.ID, st *target.Status, age time.Duration) *peerpb.Observation {
 	if st == nil {
-		return &peerpb.Observation{Group: group, Server: string(id), Never: true}
+		return &peerpb.Observation{Group: group, Server: string(id), Never: true, GoodAgeMs: uint64(max(age, 0).Milliseconds())}
 	}
 	return &peerpb.Observation{
 		Group:     group,
