--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -16,11 +16,13 @@
 	started clock.Time
 	old     target.ID // primary before the attempt
 	planned bool      // a planned change: the old primary is fenced first
+	exclude target.ID // not to be promoted; empty if none
 	fenced  map[target.ID]target.Status
 	orderAt map[target.ID]clock.Time // when an unanswered order is repeated
 
-	candidate target.ID // empty until a majority has promised
-	chosenAt  clock.Time
+	candidate  target.ID  // empty until a majority has promised
+	promisedAt clock.Time // when a majority had; 0 before
+	chosenAt   clock.Time
 }
 
 // startAttempt uses up the term.
@@ -34,6 +36,9 @@
 		fenced:  make(map[target.ID]target.Status),
 		orderAt: make(map[target.ID]clock.Time),
 	}
+	if reason == reasonIsolated {
+		m.attempt.exclude = m.group.Primary
+	}
 	m.phase = PhaseFencing
 	m.record(Entry{Step: StepStarted, Term: term, Server: m.group.Primary, Reason: reason})
 	if m.attempt.planned {
@@ -143,7 +148,13 @@
 	if m.cfg.Guards.Out(GuardMajority) {
 		need = 1
 	}
-	if len(a.fenced) < need || !m.replicaReady() {
+	if m.eligible() < need || !m.replicaReady() {
+		return
+	}
+	if a.promisedAt == 0 {
+		a.promisedAt = m.now
+	}
+	if m.now.Sub(a.promisedAt) < m.cfg.PromoteDelay {
 		return
 	}
 	a.candidate = m.choose()
@@ -154,53 +165,6 @@
 	m.order()
 }
 
-// replicaReady reports whether a planned change has the promise of a replica
-// that can relieve the primary. Without it the first replica to answer could
-// be one that is behind, and the primary would have to relieve itself.
-func (m *Machine) replicaReady() bool {
-	a := m.attempt
-	end, fenced := a.fenced[a.old]
-	if !a.planned || !fenced || m.now.Sub(a.started) >= m.cfg.HandoverTimeout {
-		return true
-	}
-	for id, st := range a.fenced {
-		if id != a.old && !rank(st, m.group.History).Less(rank(end, m.group.History)) {
-			return true
-		}
-	}
-	return false
-}
-
-// choose returns the fenced server with the highest position; of equals, the
-// first in the group's order that was not the primary.
-func (m *Machine) choose() target.ID {
-	a := m.attempt
-	var best target.ID
-	for _, s := range m.group.Servers {
-		st, ok := a.fenced[s.ID]
-		if !ok {
-			continue
-		}
-		if best == "" || m.better(st, a.fenced[best], best) {
-			best = s.ID
-		}
-	}
-	return best
-}
-
-// better reports whether a server at st is a better candidate than best.
-func (m *Machine) better(st, bestStatus target.Status, best target.ID) bool {
-	p := rank(st, m.group.History)
-	q := rank(bestStatus, m.group.History)
-	if m.cfg.Guards.Out(GuardHighest) {
-		return p.Less(q)
-	}
-	if p != q {
-		return q.Less(p)
-	}
-	return best == m.attempt.old
-}
-
 func (m *Machine) onFenceAnswered(ev FenceAnswered) {
 	a := m.attempt
 	if a == nil || ev.Term != a.term {
@@ -327,6 +291,9 @@
 	m.blocked = 0
 	m.stranded = 0
 	m.termAt = m.now
+	for _, s := range m.servers {
+		s.behind, s.astray, s.cutOff = 0, 0, false
+	}
 }
 
 // onNewTerm gives up an attempt that another VM was faster with.
