Give up attempts that nobody answered; learn the branch of a promotion

Cause: a VM cut off at the start of an attempt would fence a healthy group when the cut ends; a term that was promoted and never announced was missing in the history. Change: an attempt without any promise ends after FenceTimeout; a promotion adds the start of its candidate's own term. A property test holds one candidate a term and a majority's promise under any order of events.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -58,9 +58,24 @@
 		m.giveUpCandidate()
 		return
 	}
+	if m.phase == PhaseFencing && len(a.fenced) == 0 && m.now.Sub(a.started) >= m.cfg.FenceTimeout {
+		m.giveUpFencing()
+		return
+	}
 	m.order()
 }
 
+// giveUpFencing ends an attempt that no server has answered.
+//
+// The failure: a VM is cut off just as it starts, its orders wait, and when the
+// cut ends minutes later it fences a group that has long been well. What a lost
+// order may have fenced is found by the probes, and ended as stranded.
+func (m *Machine) giveUpFencing() {
+	m.record(Entry{Step: StepGivenUp, Term: m.attempt.term, Reason: "no server answered"})
+	m.abandon()
+	m.agreed = 0
+}
+
 // order sends the orders of the present phase that are due.
 func (m *Machine) order() {
 	a := m.attempt
@@ -255,7 +270,9 @@
 	m.backoff = 0
 	m.relieve = ""
 	m.startTerm()
-	m.setPrimary(a.candidate, a.term, startOf(a.fenced[a.candidate], st.Start, m.group.History))
+	prior := a.fenced[a.candidate]
+	m.learnBranch(prior)
+	m.setPrimary(a.candidate, a.term, startOf(prior, st.Start, m.group.History))
 	m.record(Entry{Step: StepPromoted, Term: a.term, Server: a.candidate})
 	m.noteAlive(a.candidate, st)
 	m.store.announceAt = m.now
@@ -263,6 +280,14 @@
 	m.followAll()
 }
 
+// learnBranch adds the start of the term that the candidate's log is of, if its
+// promoter died before it could tell anybody.
+func (m *Machine) learnBranch(prior target.Status) {
+	if prior.Term > m.group.History.Last().Term && prior.LSN >= prior.Start {
+		m.group.History = m.group.History.Append(timeline.Start{Term: prior.Term, LSN: prior.Start})
+	}
+}
+
 // setPrimary changes the group to a new term.
 func (m *Machine) setPrimary(id target.ID, term timeline.Term, start timeline.LSN) {
 	m.group.Primary = id
--- a/failover/config.go
+++ b/failover/config.go
@@ -60,6 +60,8 @@
 	// OrderRetry is the interval between repetitions of an unanswered Fence,
 	// Promote or Follow.
 	OrderRetry time.Duration
+	// FenceTimeout is when an attempt that no server has answered is given up.
+	FenceTimeout time.Duration
 	// CandidateTimeout is how long a candidate may take to be promoted before
 	// the next term is tried.
 	CandidateTimeout time.Duration
@@ -103,6 +105,7 @@
 		StoreTimeout:     500 * time.Millisecond,
 		StoreRetry:       500 * time.Millisecond,
 		OrderRetry:       150 * time.Millisecond,
+		FenceTimeout:     time.Second,
 		CandidateTimeout: 600 * time.Millisecond,
 		HandoverTimeout:  1500 * time.Millisecond,
 		BackoffMin:       200 * time.Millisecond,
--- a/failover/entry.go
+++ b/failover/entry.go
@@ -37,6 +37,8 @@
 	StepSteppedBack Step = "stepped-back"
 	// StepCandidateLost: the candidate did not answer; the next term is due.
 	StepCandidateLost Step = "candidate-lost"
+	// StepGivenUp: no server answered an attempt.
+	StepGivenUp Step = "given-up"
 	// StepAdopted: a primary of a later term was found that nobody announced.
 	StepAdopted Step = "adopted"
 	// StepRepaired: a server that follows nobody was told to follow.
--- a/failover/machine_test.go
+++ b/failover/machine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/target"
@@ -83,3 +84,87 @@
 	require.True(t, rank(behind, h).Less(rank(old, h)))
 	require.Equal(t, timeline.LSN(100), startOf(old, 120, h))
 }
+
+// A VM promoted in term 3 and died with its announcement. The next promotion
+// finds a log of that term: its start belongs into the history, or a token with
+// a position of term 3 could not be compared.
+func TestPromotionLearnsTheBranchThatNobodyAnnounced(t *testing.T) {
+	m := newMachine()
+	lead(t, m)
+	m.startAttempt(m.terms.to, "test")
+	term := m.attempt.term
+	for _, id := range []target.ID{"s2", "s3"} {
+		st := target.Status{Server: id, Term: 3, LSN: 50, Start: 40, Promised: term}
+		m.Step(3*ms, FenceAnswered{Server: id, Term: term, Status: st})
+	}
+	require.Equal(t, target.ID("s2"), m.attempt.candidate)
+	m.Step(4*ms, PromoteAnswered{Server: "s2", Term: term, Status: target.Status{Server: "s2", Role: target.RolePrimary, Term: term, LSN: 50, Start: 50}})
+	require.Equal(t, timeline.History{{Term: 1}, {Term: 3, LSN: 40}, {Term: term, LSN: 50}}, m.Group().History)
+}
+
+// An answer to the order of an older attempt comes late. It must not count as a
+// promise or a promotion of the present one.
+func TestLateAnswersOfAnOlderAttemptAreIgnored(t *testing.T) {
+	m := newMachine()
+	lead(t, m)
+	m.startAttempt(m.terms.to, "test")
+	old := m.attempt.term - 1
+	m.Step(3*ms, FenceAnswered{Server: "s2", Term: old})
+	m.Step(3*ms, PromoteAnswered{Server: "s2", Term: old})
+	require.Empty(t, m.attempt.fenced)
+	require.Equal(t, timeline.Term(1), m.Group().Term)
+}
+
+// Whatever answers come, in whatever order and how often, a Machine orders one
+// server at most to be promoted in a term, and only after a majority promised.
+func TestOneCandidatePerTerm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		now := ms
+		m.Step(now, GroupLearned{Group: testGroup(), Version: 1})
+		candidates := map[timeline.Term]target.ID{}
+		for range 200 {
+			now += clock.Time(rapid.Int64Range(1, int64(300*ms)).Draw(t, "wait"))
+			for _, a := range m.Step(now, drawEvent(t, m, now)) {
+				p, ok := a.(Promote)
+				if !ok {
+					continue
+				}
+				if other, taken := candidates[p.Term]; taken {
+					require.Equal(t, other, p.Server)
+				}
+				candidates[p.Term] = p.Server
+				require.GreaterOrEqual(t, len(m.attempt.fenced), 2)
+			}
+		}
+	})
+}
+
+// drawEvent draws an event that a driver might pass, true or false.
+func drawEvent(t *rapid.T, m *Machine, now clock.Time) Event {
+	id := rapid.SampledFrom([]target.ID{"s1", "s2", "s3"}).Draw(t, "server")
+	term := timeline.Term(rapid.Uint64Range(1, 12).Draw(t, "term"))
+	st := target.Status{
+		Server: id, Term: min(term, 3), Promised: term, LSN: timeline.LSN(rapid.Uint64Range(0, 9).Draw(t, "lsn")),
+		Role: rapid.SampledFrom([]target.Role{target.RolePrimary, target.RoleReplica}).Draw(t, "role"),
+	}
+	var err error
+	if rapid.Bool().Draw(t, "failed") {
+		err = &target.FencedError{Server: id, Ordered: term, Promised: term + 1}
+	}
+	reserve := m.store.group
+	reserve.Reserved += 4
+	reserve.ReservedBy = m.cfg.Incarnation
+	return rapid.SampledFrom([]Event{
+		Tick{}, Tick{}, Tick{},
+		ProbeAnswered{Server: id, Asked: now - 1, Status: st},
+		ProbeFailed{Server: id, Asked: now - 1},
+		PeerReport{VM: "vm2", Zone: "b", Server: id, Asked: now - 1, Seen: true, LastGood: time.Second, Status: st},
+		LeaseResult{Holder: m.cfg.Incarnation, Version: m.lease.version + 1, Asked: now - 1},
+		GroupLearned{Group: reserve, Version: m.store.version + 1},
+		FenceAnswered{Server: id, Term: m.terms.used, Status: st, Err: err},
+		FenceAnswered{Server: id, Term: m.terms.used, Status: st},
+		PromoteAnswered{Server: id, Term: m.terms.used, Status: st, Err: err},
+		Relieve{Server: id},
+	}).Draw(t, "event")
+}
