--- a/failover/evidence.go
+++ b/failover/evidence.go
@@ -7,7 +7,6 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/target"
-	"endivemoor.example/endivemoor/timeline"
 )
 
 // serverState is this VM's own evidence of one server.
@@ -19,6 +18,7 @@
 	missedAsked clock.Time // when the newest failed probe was sent
 	status      target.Status
 	behind      clock.Time // since when it stands still behind its primary; 0 if it does not
+	cutOff      bool       // it was told to follow since then, and could not reach its primary
 	astray      clock.Time // since when it does not follow its primary; 0 if it does
 	followAt    clock.Time // when Follow may be ordered again
 }
@@ -52,6 +52,7 @@
 		s.missed = 0
 		s.missedAsked = m.now
 		s.behind = 0
+		s.cutOff = false
 		s.astray = 0
 	}
 	clear(m.reports)
@@ -112,6 +113,7 @@
 func (m *Machine) noteStatus(s *serverState, st target.Status) {
 	if st.Position() != s.status.Position() {
 		s.behind = 0
+		s.cutOff = false
 	}
 	s.status = st
 }
@@ -255,27 +257,3 @@
 		Silent: r.LastGood >= m.agreeAge(), Age: r.LastGood, Status: r.Status,
 	}
 }
-
-// rank is the position by which servers are compared for promotion. A follower
-// that has not reached the start of its term holds entries of an earlier term
-// only, whatever term it follows, and is ranked by the term of its last entry.
-func rank(st target.Status, h timeline.History) timeline.Position {
-	p := st.Position()
-	if p.LSN >= st.Start {
-		return p
-	}
-	p.Term = termOf(h, st)
-	return p
-}
-
-// termOf finds the term of the entry at the end of a log that is shorter than
-// the start of the term it follows.
-func termOf(h timeline.History, st target.Status) timeline.Term {
-	var term timeline.Term
-	for _, s := range h {
-		if s.Term < st.Term && s.LSN <= st.LSN {
-			term = max(term, s.Term)
-		}
-	}
-	return term
-}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -24,6 +24,7 @@
 
 // CLI is the command line.
 type CLI struct {
+	Failover FailoverCmd `cmd:"" help:"Compare the gates of acknowledgement under a failing primary."`
 	Reads    ReadsCmd    `cmd:"" help:"Compare the policies that route reads."`
 	Load     LoadCmd     `cmd:"" help:"Compare the policies that hand out slots."`
 	Control  ControlCmd  `cmd:"" help:"Measure membership, and work out the calls to the store."`
