Name the guards of routing, and show that each one is what holds

Cause: a guard that no test takes out may hold nothing. Change: four guards (floor, age, witness, history); with each one out the server that must not be chosen is chosen.

--- a/routing/board.go
+++ b/routing/board.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -15,6 +17,9 @@
 // Board is the evidence on all servers that this proxy knows. It is safe for
 // concurrent use. Readers take no lock; a lock orders the writers of the maps.
 type Board struct {
+	// Guards takes guards out, for tests only; it is set before the first use.
+	Guards guard.Set
+
 	mu      sync.Mutex
 	servers atomic.Pointer[map[target.ID]*evidence]
 	groups  atomic.Pointer[map[string]*groupSamples]
@@ -163,6 +168,9 @@
 // provenUntil returns the latest instant at which a replica of the group
 // witnessed that no later term than the given one had a majority.
 func (b *Board) provenUntil(g *view.Group, term timeline.Term) (clock.Time, bool) {
+	if b.Guards.Out(GuardWitness) {
+		return math.MaxInt64, true
+	}
 	var latest clock.Time
 	var ok bool
 	for i := range g.Servers {
--- a/routing/router.go
+++ b/routing/router.go
@@ -69,10 +69,10 @@
 // Route chooses the server for r in group g of view v.
 func (r *Router) Route(v *view.View, g *view.Group, req Request) Decision {
 	if req.Kind == nil || req.Kind.Access == profile.Write {
-		return primaryOnly(v, g, req, ReasonWrite)
+		return r.board.primaryOnly(v, g, req, ReasonWrite)
 	}
 	if req.Kind.MaxAge <= 0 {
-		return primaryOnly(v, g, req, ReasonExact)
+		return r.board.primaryOnly(v, g, req, ReasonExact)
 	}
 	c := r.board.candidates(v, g, req)
 	return r.policy.Choose(c, r.random())
@@ -89,9 +89,9 @@
 // primaryOnly routes what only the primary may run. The floor still counts: a
 // superseded primary of an old view cannot cover a session that has seen a
 // later term, so such a session waits for the view to catch up.
-func primaryOnly(v *view.View, g *view.Group, req Request, why Reason) Decision {
+func (b *Board) primaryOnly(v *view.View, g *view.Group, req Request, why Reason) Decision {
 	s := g.Server(g.Primary)
-	if s == nil || v.Draining[s.ID] || !primaryCovers(g, req.Floor) {
+	if s == nil || v.Draining[s.ID] || !b.primaryCovers(g, req.Floor) {
 		return Decision{Wait: askAgain, Reason: ReasonNoPrimary}
 	}
 	return Decision{Server: s, Reason: why}
@@ -99,8 +99,8 @@
 
 // primaryCovers reports whether the primary of the group's term holds floor:
 // it holds all kept writes of its own term and of earlier ones.
-func primaryCovers(g *view.Group, floor timeline.Position) bool {
-	return floor.Term <= g.Term
+func (b *Board) primaryCovers(g *view.Group, floor timeline.Position) bool {
+	return floor.Term <= g.Term || b.Guards.Out(GuardFloor)
 }
 
 // candidates gathers the servers that may serve the read.
@@ -135,17 +135,17 @@
 // notes when it is expected to reach it.
 func (b *Board) weighReplica(c *Candidates, g *view.Group, s *view.Server, e *evidence, all samples, req Request) {
 	rep := e.report.Load()
-	if rep == nil || !replicaOfHistory(g, rep.status) {
+	if rep == nil || !b.replicaOfHistory(g, rep.status) {
 		return
 	}
 	at, ok := b.latestCovered(g, all, rep.status.Position())
 	if ok {
 		e.countLag(rep, at)
 	}
-	if !ok || req.Now.Sub(at) > req.Kind.MaxAge {
+	if !b.Guards.Out(GuardAge) && (!ok || req.Now.Sub(at) > req.Kind.MaxAge) {
 		return
 	}
-	if g.History.Covers(rep.status.Position(), req.Floor) {
+	if g.History.Covers(rep.status.Position(), req.Floor) || b.Guards.Out(GuardFloor) {
 		c.Replicas[c.N] = candidate(s, e, req)
 		c.N++
 		return
@@ -161,7 +161,10 @@
 // serves entries that a promotion discarded. It shows as a read of a write that
 // later never happened. Such a server claims to lead without being the view's
 // primary, or holds a position beyond the start of a later term.
-func replicaOfHistory(g *view.Group, st target.Status) bool {
+func (b *Board) replicaOfHistory(g *view.Group, st target.Status) bool {
+	if b.Guards.Out(GuardHistory) {
+		return true
+	}
 	return st.Role == target.RoleReplica && !g.History.WasDiscarded(st.Position())
 }
 
@@ -170,7 +173,7 @@
 // had a majority. Without the witness the primary may be cut off and its data
 // older than it seems.
 func (b *Board) primaryFresh(g *view.Group, req Request) bool {
-	if !primaryCovers(g, req.Floor) {
+	if !b.primaryCovers(g, req.Floor) {
 		return false
 	}
 	until, ok := b.provenUntil(g, g.Term)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -157,6 +158,47 @@
 	require.Nil(t, f.route(purchase, timeline.Position{}, second).Server)
 }
 
+// Each guard is taken out once; the server that must not be chosen then is.
+func TestEachGuardIsWhatKeepsTheWrongServerOut(t *testing.T) {
+	superseded := target.Status{Server: "b", Role: target.RolePrimary, Term: 1, Promised: 1, LSN: 400}
+	cases := []struct {
+		guard guard.Name
+		floor timeline.Position
+		set   func(f *fixture)
+	}{
+		{GuardFloor, pos(2, 160), func(f *fixture) {
+			f.primary(pos(2, 150), 10*second)
+			f.replica("b", pos(2, 150), 2, 10*second)
+		}},
+		{GuardAge, timeline.Position{}, func(f *fixture) {
+			f.primary(pos(2, 150), second)
+			f.primary(pos(2, 151), 2*second)
+			f.replica("b", pos(2, 150), 2, 10*second)
+		}},
+		{GuardWitness, timeline.Position{}, func(f *fixture) {
+			f.primary(pos(2, 150), 10*second)
+			f.replica("b", pos(2, 150), 3, 10*second)
+		}},
+		{GuardHistory, timeline.Position{}, func(f *fixture) {
+			f.primary(pos(2, 100), 10*second)
+			f.replica("c", pos(1, 90), 2, 10*second)
+			f.board.Observe("b", superseded, 10*second, 10*second)
+		}},
+	}
+	for _, c := range cases {
+		for _, out := range []bool{false, true} {
+			f := newFixture()
+			if out {
+				f.board.Guards = guard.Without(c.guard)
+			}
+			c.set(f)
+			d := f.route(browse, c.floor, 10*second)
+			wrong := d.Server != nil && d.Server.ID == "b"
+			require.Equal(t, out, wrong, "%s out=%v: %s", c.guard, out, d.Reason)
+		}
+	}
+}
+
 // warm lets both replicas show a steady lag of 200 ms up to 10 s.
 func (f *fixture) warm() clock.Time {
 	const step = clock.Time(50 * time.Millisecond)
