Read the VM list within a budget that does not grow with the fleet

Cause: every daemon read the platform's VM list every 5 s, 0.2 calls a second each: the one purpose that grew with the fleet. Watches, leases and groups were ruled out by their figures at 9 and 27 daemons.

Change: watchers keep 5 s; the others read every 30 s or, beyond 900 live VMs, as seldom as their share of ownership.DefaultBudget needs. That stays below the two minutes that membership keeps an unlisted VM live.

--- a/controller/duty_test.go
+++ b/controller/duty_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -56,3 +57,24 @@
 		require.Equal(t, 3*watchersPerZone, watchers)
 	}
 }
+
+// The fleet grows from 9 to 2,900 VMs. Were every VM to read the list as often
+// as a watcher, that alone would be 580 calls a second. All together they stay
+// within the share, and no VM waits longer than its peers' word keeps others live.
+func TestReadsOfTheVMListStayWithinTheirShare(t *testing.T) {
+	for _, n := range []int{3, 9, 27, 900, 2900} {
+		vms := fleet(n, 6)
+		ring := NewDuty(vms[0])
+		ring.Update(vms)
+		perSecond := 0.0
+		for _, vm := range vms {
+			one := &Duty{self: vm.ID}
+			one.ring.Store(ring.ring.Load())
+			one.live.Store(int64(n))
+			perSecond += 1 / one.ListInterval(true).Seconds()
+			require.Less(t, one.ListInterval(true), 2*time.Minute)
+			require.GreaterOrEqual(t, one.ListInterval(false), listEvery, "also while the store is down")
+		}
+		require.Less(t, perSecond, 33.0, "%d VMs", n)
+	}
+}
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -23,8 +23,6 @@
 const (
 	// exchangeTimeout bounds one call to a peer.
 	exchangeTimeout = 800 * time.Millisecond
-	// listEvery is the interval between reads of the platform's VM list.
-	listEvery = 5 * time.Second
 	// newsFor is how long a changed group goes into every exchange.
 	newsFor = 10 * time.Second
 	// relayTo is how many peers hear at once of news that this VM just heard.
@@ -119,7 +117,7 @@
 			x.fleet.List(vms)
 			x.step(ctx, membership.Listed{VMs: vms})
 		}
-		sleep(ctx, listEvery)
+		sleep(ctx, x.duty.ListInterval(err == nil))
 	}
 }
 
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -79,15 +79,6 @@
 	return out, err
 }
 
-// sum adds up a counter or gauge over its labels.
-func (f families) sum(name string) float64 {
-	total := 0.0
-	for _, m := range f[name].GetMetric() {
-		total += value(m)
-	}
-	return total
-}
-
 // by adds up a counter by the values of a label.
 func (f families) by(name, label string) map[string]float64 {
 	out := map[string]float64{}
