--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 EXAMPLE ?= demo
 
-.PHONY: demo run test lint build bench measure matrix matrix-all fuzz
+.PHONY: measure-control measure-spread demo run test lint build bench measure matrix matrix-all fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -28,3 +28,9 @@
 
 bench: build
 	examples/run.sh demo bench
+
+measure-control: build
+	examples/measure-control.sh
+
+measure-spread: build
+	for n in 3 9 27; do examples/fleet.sh spread $$n 3 || exit 1; done
--- /dev/null
+++ b/control/traffic/traffic.go
@@ -0,0 +1,82 @@
+// Package traffic counts the bytes that a daemon's control spends on the
+// network, by plane: to peers, to the platform and on control connections to
+// targets. The count is taken below TLS, so it is what the network carries,
+// without the headers of TCP and IP. Callers' own traffic is not in it.
+package traffic
+
+import (
+	"context"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Planes of the control.
+const (
+	Peers    = "peers"
+	Platform = "platform"
+	Targets  = "targets"
+)
+
+// Meter makes connections that count.
+type Meter struct {
+	bytes *prometheus.CounterVec
+}
+
+// NewMeter returns a meter with its metric endivemoor_control_bytes_total.
+func NewMeter(r prometheus.Registerer) (*Meter, error) {
+	m := &Meter{bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivemoor_control_bytes_total",
+		Help: "Bytes that control sent and received, by plane (peers, platform, targets).",
+	}, []string{"plane", "direction"})}
+	return m, r.Register(m.bytes)
+}
+
+// Dial returns a dial function of the plane.
+func (m *Meter) Dial(plane string, d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return m.conn(plane, c), nil
+	}
+}
+
+// Listen returns ln with its connections counted.
+func (m *Meter) Listen(plane string, ln net.Listener) net.Listener { return &listener{ln, m, plane} }
+
+func (m *Meter) conn(plane string, c net.Conn) net.Conn {
+	return &conn{c, m.bytes.WithLabelValues(plane, "received"), m.bytes.WithLabelValues(plane, "sent")}
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+	plane string
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.conn(l.plane, c), nil
+}
+
+type conn struct {
+	net.Conn
+	received, sent prometheus.Counter
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(float64(n))
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(float64(n))
+	return n, err
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/control/traffic"
 	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/membership"
@@ -27,6 +28,7 @@
 		return err
 	}
 	d.clients = peer.NewClients(clientTLS)
+	d.clients.DialBy(d.traffic.Dial(traffic.Peers, peer.Dialer()))
 	self := membership.VM{ID: d.set.VM.ID, Zone: d.set.VM.Zone, Addr: d.set.Listen.Peers}
 	rng := newRand()
 	d.exchange = controller.NewExchange(controller.ExchangeConfig{
@@ -102,7 +104,8 @@
 
 // dialControl opens the control connection to a server.
 func (d *daemon) dialControl(ctx context.Context, id target.ID, addr string) (target.Database, error) {
-	return pgtarget.Dial(ctx, id, d.connString(addr, controlDatabase))
+	dial := d.traffic.Dial(traffic.Targets, &net.Dialer{})
+	return pgtarget.DialBy(ctx, id, d.connString(addr, controlDatabase), dial)
 }
 
 // connString is the login to a server as a URL.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/control/traffic"
 	"endivemoor.example/endivemoor/controller"
 	"endivemoor.example/endivemoor/explain"
 	"endivemoor.example/endivemoor/membership"
@@ -56,6 +57,7 @@
 	board       *routing.Board
 	evidence    *controller.Evidence
 	links       *control.Links
+	traffic     *traffic.Meter
 	store       *client.Client
 	clients     *peer.Clients
 	config      *controller.Configuration
@@ -130,7 +132,14 @@
 }
 
 func (d *daemon) buildStore() (err error) {
-	options := client.Options{Timeout: d.set.Platform.Timeout, Registerer: d.metrics}
+	if d.traffic, err = traffic.NewMeter(d.metrics); err != nil {
+		return err
+	}
+	options := client.Options{
+		Timeout:    d.set.Platform.Timeout,
+		Registerer: d.metrics,
+		Dial:       d.traffic.Dial(traffic.Platform, &net.Dialer{}),
+	}
 	if d.store, err = client.New(d.set.Platform.URL, options); err != nil {
 		return err
 	}
@@ -172,7 +181,7 @@
 		run  func(net.Listener) error
 	}{
 		{d.set.Listen.Admin, d.admin.Serve},
-		{d.set.Listen.Peers, func(ln net.Listener) error { return peer.Serve(d.peers, ln) }},
+		{d.set.Listen.Peers, func(ln net.Listener) error { return peer.Serve(d.peers, d.traffic.Listen(traffic.Peers, ln)) }},
 		{d.set.Listen.Callers, d.callers.Serve},
 	}
 	listeners := make([]net.Listener, len(serve))
--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 mode=$1 daemons=$2 groups=$3
 shift 3
-bin=./bin
+bin=${BIN:-./bin}
 work=$(mktemp -d "${TMPDIR:-/tmp}/endivemoor-fleet.XXXXXX")
 conf=$work/fleet
 declare -A pids=()
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -10,11 +10,13 @@
 )
 
 type commands struct {
-	Bench  Bench  `cmd:"" help:"Compare a daemon with the server behind it."`
-	Gap    Gap    `cmd:"" help:"Measure the failover gap and look for lost writes."`
-	Fleet  Fleet  `cmd:"" help:"Write the files of a fleet of any size."`
-	Spread Spread `cmd:"" help:"Measure how a configuration comes into force on a fleet."`
-	Await  Await  `cmd:"" help:"Wait until daemons have a generation."`
+	Bench   Bench   `cmd:"" help:"Compare a daemon with the server behind it."`
+	Gap     Gap     `cmd:"" help:"Measure the failover gap and look for lost writes."`
+	Fleet   Fleet   `cmd:"" help:"Write the files of a fleet of any size."`
+	Spread  Spread  `cmd:"" help:"Measure how a configuration comes into force on a fleet."`
+	Await   Await   `cmd:"" help:"Wait until daemons have a generation."`
+	Control Control `cmd:"" help:"Measure what idle daemons spend on control."`
+	Slopes  Slopes  `cmd:"" help:"Fit lines to what control noted."`
 }
 
 // Main runs the command line and returns the exit code.
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -93,3 +93,12 @@
 }
 
 func value(m *dto.Metric) float64 { return m.GetCounter().GetValue() + m.GetGauge().GetValue() }
+
+// sum adds up a counter or gauge over its labels.
+func (f families) sum(name string) float64 {
+	total := 0.0
+	for _, m := range f[name].GetMetric() {
+		total += value(m)
+	}
+	return total
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -22,8 +23,9 @@
 
 // Clients makes and keeps a client for each peer address.
 type Clients struct {
-	http   *http.Client
-	scheme string
+	http      *http.Client
+	transport *http.Transport
+	scheme    string
 
 	mu   sync.Mutex
 	byIP map[string]peerpb.Peer
@@ -34,7 +36,7 @@
 func NewClients(config *tls.Config) *Clients {
 	tr := &http.Transport{
 		TLSClientConfig:     config,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         Dialer().DialContext,
 		MaxConnsPerHost:     connsPerPeer,
 		MaxIdleConns:        maxIdlePeers,
 		MaxIdleConnsPerHost: connsPerPeer,
@@ -44,9 +46,17 @@
 	if config != nil {
 		scheme = "https://"
 	}
-	return &Clients{http: &http.Client{Transport: tr}, scheme: scheme, byIP: map[string]peerpb.Peer{}}
+	return &Clients{http: &http.Client{Transport: tr}, transport: tr, scheme: scheme, byIP: map[string]peerpb.Peer{}}
 }
 
+// DialBy makes the clients connect by dial. It must be called before At.
+func (c *Clients) DialBy(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
+	c.transport.DialContext = dial
+}
+
+// Dialer returns the dialer that connections are made with.
+func Dialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout} }
+
 // At returns the client of the daemon that serves peers at addr (ip:port).
 func (c *Clients) At(addr string) peerpb.Peer {
 	c.mu.Lock()
--- a/target/pgtarget/pgtarget.go
+++ b/target/pgtarget/pgtarget.go
@@ -66,10 +66,18 @@
 
 // Dial is New, and connects at once.
 func Dial(ctx context.Context, id target.ID, connString string) (target.Database, error) {
+	return DialBy(ctx, id, connString, nil)
+}
+
+// DialBy is Dial over connections that dial opens; nil takes the usual ones.
+func DialBy(ctx context.Context, id target.ID, connString string, dial pgconn.DialFunc) (target.Database, error) {
 	d, err := New(id, connString)
 	if err != nil {
 		return nil, err
 	}
+	if dial != nil {
+		d.config.DialFunc = dial
+	}
 	if d.conn, err = pgconn.ConnectConfig(ctx, d.config); err != nil {
 		return nil, errors.Wrapf(err, "connect to server %s", id)
 	}
