Let a stand-in's rewind outlive its order, and say why replication stops

The storage still held a request key that the log no longer had: the order was given up after 400 ms while 3,000 entries were replayed, with the log cut before the storage was rebuilt. Ruled out: two promotions of one term (histories agree), a key inserted twice (none in any log), connection limits (replication is exempt). Change: the storage is rebuilt first, whatever becomes of the order. Replication says once why it stops.

--- a/internal/load/gap.go
+++ b/internal/load/gap.go
@@ -172,7 +172,7 @@
 		return 0, false, err
 	}
 	if err = g.awaitFollowing(ctx, control); err != nil {
-		return 0, false, err
+		return 0, false, errors.Wrap(err, describe(controls))
 	}
 	time.Sleep(g.Settle)
 	return gap, promoted, nil
@@ -208,6 +208,21 @@
 	}
 }
 
+// describe returns every server's own account, for the report of a failure.
+func describe(controls map[string]string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var out []string
+	for id, addr := range controls {
+		var st json.RawMessage
+		if err := getJSON(ctx, "http://"+addr+"/status", &st); err != nil {
+			st = json.RawMessage(err.Error())
+		}
+		out = append(out, id+" "+string(st))
+	}
+	return strings.Join(out, "\n")
+}
+
 // groupState is the part of a daemon's status that is needed here.
 type groupState struct {
 	Term    uint64 `json:"term"`
--- a/internal/standin/dbd/failure_test.go
+++ b/internal/standin/dbd/failure_test.go
@@ -344,3 +344,35 @@
 	}
 	return l
 }
+
+// The proxy that ordered an old primary to follow gives up while the server
+// rebuilds its storage. The log was cut and the storage was not, so the server
+// never followed again: each new order found a log that fits, and replication
+// failed for ever on a key that the storage still held (seen under load, after
+// 3,000 entries).
+func TestRewindOutlivesItsOrder(t *testing.T) {
+	a, b, c := startGroup(t)
+	a.Faults().Cut(Peers, Both)
+	mustExec(t, dial(t, a), "INSERT INTO passes (id) VALUES ('k1')")
+	for _, s := range []*Server{b, c} {
+		_, err := s.node.fence(2)
+		require.NoError(t, err)
+	}
+	_, err := c.node.promote(2)
+	require.NoError(t, err)
+	mustExec(t, dial(t, c), "INSERT INTO passes (id) VALUES ('k1')")
+	theirs, err := c.node.history(2)
+	require.NoError(t, err)
+	require.NoError(t, a.node.yieldTo(2))
+
+	gaveUp, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.node.mu.Lock()
+	_ = a.node.rewindLocked(gaveUp, theirs, 2)
+	a.node.mu.Unlock()
+
+	a.Faults().Heal()
+	_, err = a.node.follow(t.Context(), c.Addr(), 2)
+	require.NoError(t, err)
+	eventually(t, func() bool { return a.Status().Position() == c.Status().Position() }, "the old primary follows")
+}
--- a/internal/standin/dbd/follow.go
+++ b/internal/standin/dbd/follow.go
@@ -75,25 +75,38 @@
 
 // rewindLocked drops what the primary's log does not have, and rebuilds the
 // storage from the rest.
+//
+// Failure stopped here: whoever ordered the rewind gives up while the storage is
+// rebuilt, the log is cut and the storage is not. Every later order finds a log
+// that fits, and the replica fails for ever on the first entry that repeats a
+// row it should have dropped. The rebuild therefore outlives its order, and the
+// log is cut only when the storage stands.
 func (n *node) rewindLocked(ctx context.Context, theirs primaryHistory, term timeline.Term) error {
 	common := commonEnd(n.entries.history, n.entries.end().LSN, theirs.starts, theirs.end)
 	if common >= n.entries.end().LSN {
 		return nil
 	}
+	if err := n.rebuildLocked(context.WithoutCancel(ctx), common); err != nil {
+		return err
+	}
 	dropped := n.entries.truncate(common)
 	for _, e := range dropped {
 		n.discarded[term] = append(n.discarded[term], target.Entry{Position: e.Position, Statement: summarize(e.Statements)})
 	}
 	n.log.Warn("rewound", zap.Uint64("lsn", uint64(common)), zap.Int("discarded", len(dropped)))
-	return n.rebuildLocked(ctx)
+	return nil
 }
 
-func (n *node) rebuildLocked(ctx context.Context) error {
+// rebuildLocked replaces the storage by one made of the entries up to end.
+func (n *node) rebuildLocked(ctx context.Context, end timeline.LSN) error {
 	fresh, err := newEngine(ctx)
 	if err != nil {
 		return err
 	}
 	for _, e := range n.entries.entries {
+		if e.Position.LSN > end {
+			break
+		}
 		if err := fresh.replay(ctx, e.Statements); err != nil {
 			return err
 		}
@@ -117,13 +130,17 @@
 
 // replicate pulls entries until the follower is stopped.
 func (n *node) replicate(ctx context.Context, f *follower) {
+	last := ""
 	for ctx.Err() == nil {
 		err := n.pull(ctx, f)
 		if errors.Is(err, errStopped) {
 			return
 		}
 		if err != nil && ctx.Err() == nil {
-			n.log.Debug("replication-interrupted", zap.String("primary", f.primary), zap.Error(err))
+			if err.Error() != last {
+				last = err.Error()
+				n.log.Warn("replication-interrupted", zap.String("primary", f.primary), zap.Error(err))
+			}
 			sleep(ctx, retryPause)
 		}
 	}
--- a/internal/standin/dbd/writetx.go
+++ b/internal/standin/dbd/writetx.go
@@ -31,6 +31,9 @@
 	// Statements start out as reads: one that writes fails at first, before it
 	// has any effect, and is thereby known to belong in the log.
 	if err := execAll(ctx, e.head, "BEGIN IMMEDIATE", "PRAGMA query_only=1"); err != nil {
+		// A caller that gave up between the two would leave the storage inside
+		// a transaction that nobody owns, and every later one would fail.
+		_ = execAll(context.WithoutCancel(ctx), e.head, "ROLLBACK")
 		<-e.writeLock
 		if errors.Is(err, sql.ErrConnDone) {
 			err = errClosed
