Judge roaming sessions too; cut from peers, majority lost

Cause: the judge looked at writes only. Change: each purchase that was done is read back through any daemon with its session's token, as a read that may be a minute old; a process that panics or reports a data race fails its test; two scenarios more.

Not held by a test, and open: while the primary is cut off from its replicas only, nothing is wrongly done, but no promotion follows either, for as long as the cut lasts.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +23,8 @@
 	// callTimeout ends a caller's wait; it is longer than any deadline of the
 	// profile, so that a proxy that lives has answered before.
 	callTimeout = 15 * time.Second
+	// lookTimeout bounds a look through a daemon that may be paused.
+	lookTimeout = 3 * time.Second
 	// retryPause is how long a caller waits that was not told when to come back.
 	retryPause = 50 * time.Millisecond
 )
@@ -90,6 +93,10 @@
 	mu       sync.Mutex
 	attempts map[string][]outcome.Outcome
 	errors   map[string][]string
+	// unseen lists keys that their own session did not see after it roamed.
+	unseen []string
+	// seen counts the keys that it saw.
+	seen int
 }
 
 func newHistory() *history {
@@ -120,6 +127,21 @@
 	return n
 }
 
+// told counts the attempts that were answered so.
+func (h *history) told(o outcome.Outcome) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, list := range h.attempts {
+		for _, got := range list {
+			if got == o {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func has(list []outcome.Outcome, o outcome.Outcome) bool {
 	for _, got := range list {
 		if got == o {
@@ -163,7 +185,39 @@
 		return outcome.NotRun
 	}
 	defer func() { _ = c.Close(ctx) }()
-	return b.history.add(key, charge(ctx, c, key))
+	o := b.history.add(key, charge(ctx, c, key))
+	if token := tokenOf(c); o == outcome.Done && token != "" {
+		b.lookElsewhere(ctx, token, key)
+	}
+	return o
+}
+
+// lookElsewhere reads the purchase back through any daemon, with the session's
+// token, as a read that may be a minute old. No answer proves nothing; an answer
+// without the purchase is a breach.
+func (b *buyer) lookElsewhere(ctx context.Context, token, key string) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	d := b.fleet.daemons[rand.IntN(len(b.fleet.daemons))]
+	c, err := d.connect(ctx, token)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close(ctx) }()
+	n, err := charged(ctx, c, "browse", key)
+	if err == nil {
+		b.history.look(key, n)
+	}
+}
+
+func (h *history) look(key string, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n == 0 {
+		h.unseen = append(h.unseen, key)
+		return
+	}
+	h.seen++
 }
 
 // load runs buyers until the returned function is called, which waits for them.
--- a/internal/e2e/judge_test.go
+++ b/internal/e2e/judge_test.go
@@ -41,6 +41,8 @@
 	for _, wrong := range verdict(h.attempts, leader.rows(t)) {
 		t.Errorf("%s: %s; told %v", wrong.key, wrong.what, h.errors[wrong.key])
 	}
+	require.Empty(t, h.unseen, "sessions that did not see their own purchase")
+	require.Positive(t, h.seen, "sessions looked at all")
 }
 
 func (f *fleet) waitLeader(t *testing.T) *server {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"sync"
 	"syscall"
 	"testing"
@@ -74,25 +75,25 @@
 	return p
 }
 
+// damage is what a process must never write: the Go runtime's own findings.
+var damage = regexp.MustCompile(`(?m)^(panic:|fatal error:|WARNING: DATA RACE)`)
+
 // end kills the process, paused or not, and prints its log if the test failed.
 func (p *process) end(t *testing.T) {
 	p.once.Do(func() {
 		_ = p.cmd.Process.Kill()
 		<-p.gone
+		text, err := os.ReadFile(p.log)
+		require.NoError(t, err)
+		if damage.Match(text) {
+			t.Errorf("%s was damaged", p.name)
+		}
 		if t.Failed() {
-			t.Logf("%s: %v\n%s", p.name, p.err, p.tail())
+			t.Logf("%s: %v\n%s", p.name, p.err, text[max(0, len(text)-logTail):])
 		}
 	})
 }
 
-func (p *process) tail() string {
-	text, err := os.ReadFile(p.log)
-	if err != nil {
-		return err.Error()
-	}
-	return string(text[max(0, len(text)-logTail):])
-}
-
 func (p *process) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
 	require.NoError(t, p.cmd.Process.Signal(s), p.name)
--- a/internal/e2e/scenario_test.go
+++ b/internal/e2e/scenario_test.go
@@ -48,13 +48,23 @@
 	stop := f.load(t, h, buyers, true)
 	buyUntil(t, h, somePurchases)
 	old := f.servers[0]
+	began := time.Now()
 	old.kill(t)
+	buyUntil(t, h, buyers+1)
+	logGap(t, began)
 	f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
 	stop()
 	f.judge(t, h)
 }
 
+// logGap writes down how long it took until one purchase more succeeded than
+// can have been under way when the fault struck. It judges nothing.
+func logGap(t *testing.T, began time.Time) {
+	t.Helper()
+	t.Logf("gap=%s", time.Since(began).Round(time.Millisecond))
+}
+
 // The primary hangs: its kernel still accepts connections and takes bytes, and
 // nothing is answered. It must be found, replaced, and when it wakes up its late
 // work must not count; it then follows the new primary.
@@ -64,7 +74,10 @@
 	stop := f.load(t, h, buyers, true)
 	buyUntil(t, h, somePurchases)
 	old := f.servers[0]
+	began := time.Now()
 	old.pause(t)
+	buyUntil(t, h, buyers+1)
+	logGap(t, began)
 	leader := f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
 	old.resume(t)
@@ -118,6 +131,60 @@
 	f.judge(t, h)
 }
 
+// The primary's replicas are cut off from it, while callers and proxies reach all
+// servers. Nothing that it writes alone may be told "done", since no replica has
+// it. When the cut heals, sales go on.
+func TestPrimaryCutFromPeers(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	old := f.servers[0]
+	old.fault(t, "kind", "cut", "who", "peers", "direction", "both")
+	eventually(t, "the cut takes effect", func() bool {
+		struck := old.struck(t)
+		return struck.Requests+struck.Answers > 0
+	})
+	before := h.told(outcome.Unknown)
+	eventually(t, "a purchase is not done, or another server leads", func() bool {
+		return h.told(outcome.Unknown) > before || f.leader(t) != old
+	})
+	old.fault(t, "kind", "heal")
+	buyUntil(t, h, somePurchases)
+	stop()
+	f.judge(t, h)
+}
+
+// The primary dies, the fleet promotes, then the new primary dies too. A server
+// is left that may not promote alone; the first one comes back without its
+// storage and follows nobody who leads. Nothing may be told "done" meanwhile.
+func TestMajorityLostThenNothingIsDone(t *testing.T) {
+	f := startFleet(t, 3)
+	h := newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	f.servers[0].kill(t)
+	second := f.waitLeaderOtherThan(t, f.servers[0])
+	buyUntil(t, h, somePurchases)
+	second.kill(t)
+	before := h.told(outcome.Unknown) + h.told(outcome.NotRun)
+	eventually(t, "callers are told that it is not done", func() bool {
+		return h.told(outcome.Unknown)+h.told(outcome.NotRun) > before+buyers
+	})
+	stop()
+	last := f.servers[1]
+	if last == second {
+		last = f.servers[2]
+	}
+	rows := last.rows(t)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, wrong := range verdict(h.attempts, rows) {
+		t.Errorf("%s: %s; told %v", wrong.key, wrong.what, h.errors[wrong.key])
+	}
+	require.Empty(t, h.unseen)
+}
+
 // A proxy is killed in the middle of a transaction. Nothing of the transaction
 // stays, and the next purchase does not wait for it.
 func TestProxyKilledInTransaction(t *testing.T) {
