--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -19,6 +19,8 @@
 	held int
 	// streamed says that a part went to the caller.
 	streamed bool
+	// until bounds the time in which the caller takes a streamed part.
+	until time.Time
 }
 
 func (a *answer) reset() {
@@ -63,6 +65,11 @@
 }
 
 // stream writes what may leave.
+//
+// Failure guarded against: a caller asks for a large answer and reads it slowly
+// or not at all, while its request holds a scarce connection. The request's own
+// deadline ends that; a buffered answer is written after the connection went
+// back.
 func (s *caller) stream() error {
 	a := &s.answer
 	n := a.free()
@@ -70,7 +77,7 @@
 		return nil
 	}
 	a.streamed = true
-	if err := s.write(a.buf[:n]); err != nil {
+	if err := s.writeUntil(a.until, a.buf[:n]); err != nil {
 		return errCallerGone
 	}
 	a.buf = a.buf[:copy(a.buf, a.buf[n:])]
@@ -81,7 +88,11 @@
 }
 
 func (s *caller) write(b []byte) error {
-	if err := s.raw.SetWriteDeadline(time.Now().Add(s.srv.cfg.Limits.Message)); err != nil {
+	return s.writeUntil(time.Now().Add(s.srv.cfg.Limits.Message), b)
+}
+
+func (s *caller) writeUntil(until time.Time, b []byte) error {
+	if err := s.raw.SetWriteDeadline(until); err != nil {
 		return err
 	}
 	_, err := s.raw.Write(b)
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -86,3 +88,40 @@
 	wg.Wait()
 	return float64(h.ValueAtQuantile(50)) / float64(time.Microsecond)
 }
+
+// BenchmarkIdleSession reports the memory that one idle caller holds, from the
+// slope between two numbers of callers.
+func BenchmarkIdleSession(b *testing.B) {
+	const few, many = 100, 600
+	r := startProxy(b, startCluster(b, dbd.Options{}))
+	for b.Loop() {
+		small := r.heapWith(b, few)
+		large := r.heapWith(b, many)
+		b.ReportMetric(float64(large-small)/float64(many-few), "B/session")
+	}
+}
+
+// heapWith returns the memory in use, stacks included, while n callers that
+// have run a statement are idle.
+func (r *rig) heapWith(b *testing.B, n int) int64 {
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		require.Eventually(b, func() bool { return r.Sessions() == 0 }, waitLimit, time.Millisecond)
+	}()
+	for range n {
+		c, err := pgx.Connect(context.Background(), r.dsn(""))
+		require.NoError(b, err)
+		exec(b, c, "/*endivemoor kind=balance*/ SELECT 1")
+		h, err := c.PgConn().Hijack()
+		require.NoError(b, err)
+		conns = append(conns, h.Conn)
+	}
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
@@ -145,3 +146,30 @@
 	require.Equal(t, rows, n)
 	require.NotEmpty(t, token(c), "the end of the answer waited for the gate")
 }
+
+// A caller asks for a large answer and does not read it. Its request must not
+// keep the connection to the target beyond its deadline.
+func TestSlowReaderLosesItsConnection(t *testing.T) {
+	cl := startCluster(t, dbd.Options{})
+	startScripted(t, cl, func(b *pgproto3.Backend, sql string) {
+		if sql == "SELECT 1" {
+			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")})
+			return
+		}
+		row := &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Repeat("x", 1<<20))}}
+		b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25}}})
+		for range 64 {
+			b.Send(row)
+		}
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 64")})
+	})
+	r := startProxy(t, cl)
+	c := r.connect(t, simple).PgConn()
+	buf, err := (&pgproto3.Query{String: "/*endivemoor kind=brief*/ SELECT v"}).Encode(nil)
+	require.NoError(t, err)
+	_, err = c.Conn().Write(buf)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.pool.Stats("a").Open == 1 }, waitLimit, time.Millisecond)
+	require.Eventually(t, func() bool { return r.pool.Stats("a").Open == 0 }, waitLimit, time.Millisecond)
+	exec(t, r.connect(t, simple), "SELECT 1")
+}
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -114,7 +114,9 @@
 	r := u.r
 	r.Machine.Pass(s)
 	start := r.Clock.Now()
-	if err := u.lease.SetDeadline(time.Now().Add(r.Deadline.Sub(start))); err != nil {
+	until := time.Now().Add(r.Deadline.Sub(start))
+	u.s.answer.until = until
+	if err := u.lease.SetDeadline(until); err != nil {
 		return err
 	}
 	board := u.s.srv.cfg.Board
