Break every read and write of every operation, and promote there

Change: the resolver stops at once there, and after six looks (about half a second) at the same primary. New tests strike at each single read and write on the way to the target: message lost, answer lost, and promotion of another server with the old primary cut off but believing, the connection broken or alive; four operations; the product's own gate; judged by the new primary's rows.

--- a/filter/request.go
+++ b/filter/request.go
@@ -132,6 +132,8 @@
 	Wait time.Duration
 	// Fatal ends the caller's connection: its transaction is gone.
 	Fatal bool
+	// Missing says that a lookup reached the primary and found no key.
+	Missing bool
 	// Gone says that the caller is not there to be told.
 	Gone bool
 }
--- a/filter/resolve.go
+++ b/filter/resolve.go
@@ -16,8 +16,9 @@
 // before the answer. The caller would hear "unknown" although the target knows.
 // The key's row is part of the transaction, so finding it at the current
 // primary proves the commit, and the gate then proves the primary. Not finding
-// it proves nothing: the COMMIT may still be on its way. Then the outcome stays
-// unknown.
+// it proves nothing at the same primary: the COMMIT may still be on its way, so
+// the proxy looks again a few times. At the primary of a later term it will not
+// be found any more. Either way the caller then hears "unknown" at once.
 //
 // Requests that are one batch need no Resolver: the retrier repeats them under
 // their key.
@@ -28,17 +29,27 @@
 	Lookup  Handler
 }
 
-// Handle asks for the key until it is found or time runs out.
+// maxLookups bounds the looks for a key that is not there; with the waits
+// between them they last about half a second.
+const maxLookups = 6
+
+// Handle asks for the key until it is found, is not to be found, or time runs
+// out.
 func (f Resolver) Handle(ctx context.Context, r *Request, next Handler) *Failure {
 	fail := next(ctx, r)
 	if fail == nil || !r.Resolvable || !open(fail.Cause) {
 		return fail
 	}
+	sentUnder := r.Term
 	for n := 1; r.Left() > viewPoll; n++ {
 		r.Load(f.View)
-		if f.Lookup(ctx, r) == nil {
+		looked := f.Lookup(ctx, r)
+		if looked == nil {
 			return nil
 		}
+		if looked.Missing && (n >= maxLookups || r.Term > sentUnder) {
+			break
+		}
 		if f.Changes.Wait(ctx, r.View, min(f.Budgets.delay(n), r.Left())) != nil {
 			break
 		}
@@ -71,8 +82,9 @@
 // Missing says that a lookup did not find the key.
 func Missing() *Failure {
 	return &Failure{
-		Cause: request.FailureLost,
-		Err:   outcome.Lost(askAgainAfter, "the key is not at the primary"),
+		Cause:   request.FailureLost,
+		Err:     outcome.Lost(askAgainAfter, "the key is not at the primary"),
+		Missing: true,
 	}
 }
 
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -235,6 +235,26 @@
 	// out loses the message that contains the text, before it arrives.
 	out  bool
 	hits int
+	// skip strikes the read or write after that many, whatever it contains.
+	skip int
+	// also runs at the strike; keep lets the connection live.
+	also func()
+	keep bool
+}
+
+// armAt strikes the n-th write (out) or read from now on, n counted from 1.
+func (t *trip) armAt(n int, out bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text, t.out, t.skip = "", out, n
+}
+
+// disarm reports whether the trip struck.
+func (t *trip) disarm() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text, t.skip = "", 0
+	return t.hits > 0
 }
 
 func (t *trip) arm(text string) { t.set(text, false) }
@@ -250,6 +270,16 @@
 func (t *trip) strikes(b []byte, out bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.skip > 0 && t.out == out && len(b) > 0 {
+		t.skip--
+		if t.skip == 0 {
+			t.hits++
+			if t.also != nil {
+				t.also()
+			}
+			return !t.keep
+		}
+	}
 	if t.text == "" || t.out != out || !strings.Contains(string(b), t.text) {
 		return false
 	}
@@ -369,11 +399,23 @@
 
 func (c *cluster) control(t testing.TB, id int, sql string) {
 	t.Helper()
+	require.NoError(t, c.order(id, sql), sql)
+}
+
+func (c *cluster) order(id int, sql string) error {
 	conn, err := pgx.Connect(context.Background(), "postgres://control@"+c.servers[id].Addr()+"/endivemoor?sslmode=disable")
-	require.NoError(t, err)
+	if err != nil {
+		return err
+	}
 	defer func() { _ = conn.Close(context.Background()) }()
 	_, err = conn.Exec(context.Background(), sql)
-	require.NoError(t, err, sql)
+	return err
+}
+
+func (c *cluster) close() {
+	for _, s := range c.servers {
+		s.Close()
+	}
 }
 
 func (c *cluster) publish(g view.Group) {
