--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 EXAMPLE ?= demo
 
-.PHONY: demo run test lint build generate bench gap measure matrix matrix-all fuzz
+.PHONY: demo run test lint build generate bench gap measure measure-control measure-spread matrix matrix-all fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -52,3 +52,9 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./profile/inifile
 	$(GO) test -run '^$$' -fuzz FuzzImport -fuzztime $(FUZZTIME) ./audit
 	$(GO) test -run '^$$' -fuzz FuzzFirstBytes -fuzztime $(FUZZTIME) ./proxy
+
+measure-control: build
+	examples/measure-control.sh
+
+measure-spread: build
+	for n in 3 9 27; do examples/fleet.sh spread $$n 3 || exit 1; done
