Do not send the reset behind what a Flush left open

Cause: a driver that binds BEGIN, flushes and then executes it got its new transaction failed by DISCARD ALL, and the answer to that would have been read as part of the next one's: after a Flush the chunk shows no statement, so it was taken for one that surely ends. Found by reading; the test was red before. Change: nothing is sure after a Flush, and a transaction that is open after all ends the connection.

--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/internal/standin/dbd"
@@ -161,3 +162,39 @@
 	}
 	require.NoError(t, res.Close())
 }
+
+// A driver binds BEGIN, flushes, and executes it in the next part of the batch.
+// The transaction must stay open, with its connection, until it is committed.
+func TestBeginBoundBeforeAFlush(t *testing.T) {
+	r := startProxy(t, startCluster(t, dbd.Options{}))
+	c := r.connect(t, simple)
+	f := c.PgConn().Frontend()
+	f.SendParse(&pgproto3.Parse{Query: "BEGIN"})
+	f.SendBind(&pgproto3.Bind{})
+	f.Send(&pgproto3.Flush{})
+	f.SendExecute(&pgproto3.Execute{})
+	f.SendSync(&pgproto3.Sync{})
+	require.NoError(t, f.Flush())
+	require.Equal(t, byte(txOpen), awaitReady(t, f))
+	f.SendQuery(&pgproto3.Query{String: "INSERT INTO passes (id, seat) VALUES ('b', 1)"})
+	require.NoError(t, f.Flush())
+	require.Equal(t, byte(txOpen), awaitReady(t, f))
+	f.SendQuery(&pgproto3.Query{String: "COMMIT"})
+	require.NoError(t, f.Flush())
+	require.Equal(t, byte(txIdle), awaitReady(t, f))
+	require.Equal(t, 1, queryInt(t, r.connect(t), "SELECT count(*) FROM passes"))
+}
+
+func awaitReady(t *testing.T, f *pgproto3.Frontend) byte {
+	t.Helper()
+	for {
+		m, err := f.Receive()
+		require.NoError(t, err)
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			t.Fatalf("%s (%s)", m.Message, m.Code)
+		case *pgproto3.ReadyForQuery:
+			return m.TxStatus
+		}
+	}
+}
--- a/proxy/plan.go
+++ b/proxy/plan.go
@@ -114,9 +114,10 @@
 
 // surelyEnds reports whether the connection is free after the chunk, whatever
 // the target answers: there is nothing more to ask, and no statement can open a
-// transaction.
+// transaction. After a Flush the chunk may run what was bound before it, so
+// nothing is sure.
 func (u *unit) surelyEnds() bool {
-	if u.open || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
+	if u.open || u.flushed || u.r.Explicit || (u.r.OnPrimary() && u.r.IsRead()) {
 		return false
 	}
 	for _, st := range u.s.statements(u.chunk) {
--- a/proxy/unit.go
+++ b/proxy/unit.go
@@ -37,6 +37,8 @@
 	// reset says that the connection's reset was sent along: nothing more can be
 	// asked on it.
 	reset bool
+	// flushed says that an earlier part of the batch was closed by a Flush.
+	flushed bool
 	// status answers what was asked along with the last chunk.
 	status statusReader
 	// drainSeen is when the server was first seen to drain; 0 is never.
@@ -101,7 +103,11 @@
 	if fail := u.fenced(x); fail != nil {
 		return 0, fail
 	}
+	if u.reset && x.status != txIdle {
+		return 0, u.lost(errStray)
+	}
 	u.learn(x)
+	u.flushed = u.flushed || u.chunk.end == endFlush
 	u.skipping = u.chunk.end == endFlush && (u.skipping || x.failure != nil)
 	if !u.open && x.status == txOpen && u.wantsKey() {
 		return u.insertOpeningKey()
