Fuzz the messages after the login

Cause: only the first bytes were fuzzed. Change: a fuzz target with a committed corpus for anything sent by a caller that has logged in; the next caller must be served.

--- a/proxy/input_test.go
+++ b/proxy/input_test.go
@@ -260,3 +260,34 @@
 	_, err := c.Prepare(context.Background(), "s4", "SELECT 1")
 	require.Equal(t, "54000", pgError(t, err).Code)
 }
+
+// FuzzMessages sends anything after the login. The proxy must neither panic nor
+// keep the session, and its connections to the target must stay usable.
+func FuzzMessages(f *testing.F) {
+	r := startProxy(f, startCluster(f, dbd.Options{}))
+	encode := func(ms ...pgproto3.FrontendMessage) (buf []byte) {
+		for _, m := range ms {
+			buf, _ = m.Encode(buf)
+		}
+		return buf
+	}
+	query := &pgproto3.Query{String: "SELECT 1"}
+	bind, execute, sync := &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}
+	f.Add(encode(query, &pgproto3.Terminate{}))
+	f.Add(encode(&pgproto3.Parse{Query: "SELECT 1"}, bind, &pgproto3.Describe{ObjectType: 'P'}, execute, sync))
+	f.Add(encode(&pgproto3.Parse{Name: "s", Query: "BEGIN"}, &pgproto3.Flush{}, bind, execute, &pgproto3.Flush{}, sync))
+	f.Add(encode(&pgproto3.Describe{ObjectType: 'x', Name: "s"}, &pgproto3.Close{ObjectType: 'y'}, execute, sync, query))
+	f.Add(encode(&pgproto3.CopyData{Data: []byte("x")}, &pgproto3.CopyDone{}, &pgproto3.CopyFail{}, sync))
+	f.Add(encode(&pgproto3.Query{String: "/*endivemoor kind=balance&key=%zz"}, &pgproto3.Query{String: "/*endivemoor kind=note*/"}))
+	f.Add([]byte{'p', 0, 0, 0, 5, 0, 'S', 0, 0, 0, 4, 'Q', 0, 0, 0, 4})
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		h, err := r.connect(t).PgConn().Hijack()
+		require.NoError(t, err)
+		_, _ = h.Conn.Write(messages)
+		_ = h.Conn.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, io.LimitReader(h.Conn, 1<<20))
+		_ = h.Conn.Close()
+		require.Eventually(t, func() bool { return r.Sessions() == 0 }, waitLimit, time.Millisecond)
+		exec(t, r.connect(t), "SELECT 1")
+	})
+}
