--- a/scenario/matrix_test.go
+++ b/scenario/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"runtime"
 	"slices"
@@ -171,7 +172,8 @@
 func TestFaultMatrix(t *testing.T) {
 	totals := map[string]*tally{}
 	failed := 0
-	for _, r := range runCells(selectedCells(), *matrixSeed, nil) {
+	results := runCells(selectedCells(), *matrixSeed, nil)
+	for _, r := range results {
 		for _, name := range []string{r.cell.op.name, "all"} {
 			if totals[name] == nil {
 				totals[name] = &tally{}
@@ -186,10 +188,25 @@
 	for _, op := range operationCases {
 		printTally(op.name, totals[op.name])
 	}
+	printNotStruck(results)
 	printTally("all", totals["all"])
 	require.Zero(t, failed, "cells failed")
 }
 
+// printNotStruck prints which single faults never took effect, and where: a
+// fault of something that the operation does not use is no proof of anything.
+func printNotStruck(results []result) {
+	count := map[string]int{}
+	for _, r := range results {
+		if !r.struck && len(r.cell.faults) == 1 {
+			count[r.cell.faults[0].name+" at "+r.cell.op.name]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(count)) {
+		fmt.Fprintf(os.Stdout, "not struck: %s, %d steps\n", name, count[name])
+	}
+}
+
 // tally counts cells. A failed cell counts as failed also if not struck.
 type tally struct{ tried, passed, failed, notStruck int }
 
--- a/scenario/server.go
+++ b/scenario/server.go
@@ -144,6 +144,9 @@
 func (s *server) pull() {
 	defer s.pullLater()
 	p := s.w.server(s.follows)
+	if p != nil && !s.reaches(p) && p.up && !p.paused && len(p.log) > len(s.log) {
+		s.w.effects[effectCut]++
+	}
 	if !s.up || s.paused || !s.reaches(p) || p.term != s.term || s.promised > p.term {
 		return
 	}
