Tell replicas that are far behind to follow without filling the trail

Change: a confirmed order is repeated after RepairAfter and recorded once; servers not yet of the term count for isolation like those that stand still.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -318,6 +318,7 @@
 	m.termAt = m.now
 	for _, s := range m.servers {
 		s.behind, s.astray, s.cutOff = 0, 0, false
+		s.followAt = 0
 	}
 }
 
--- a/failover/evidence.go
+++ b/failover/evidence.go
@@ -7,6 +7,7 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 // serverState is this VM's own evidence of one server.
@@ -17,10 +18,11 @@
 	missed      int        // failed probes since the newest answer
 	missedAsked clock.Time // when the newest failed probe was sent
 	status      target.Status
-	behind      clock.Time // since when it stands still behind its primary; 0 if it does not
-	cutOff      bool       // it was told to follow since then, and could not reach its primary
-	astray      clock.Time // since when it does not follow its primary; 0 if it does
-	followAt    clock.Time // when Follow may be ordered again
+	behind      clock.Time    // since when it stands still behind its primary; 0 if it does not
+	cutOff      bool          // it was told to follow since then, and could not reach its primary
+	astray      clock.Time    // since when it does not follow its primary; 0 if it does
+	followAt    clock.Time    // when Follow may be ordered again
+	followed    timeline.Term // newest term in which it confirmed to follow
 }
 
 // resetServers begins the observation of servers that are new in the group.
--- a/failover/repair.go
+++ b/failover/repair.go
@@ -79,19 +79,28 @@
 		return
 	}
 	if ev.Err != nil {
-		s.cutOff = s.behind != 0
+		s.cutOff = s.apart() != 0
 		return
 	}
 	s.cutOff = false
+	s.followAt = m.now.Add(m.cfg.RepairAfter)
 	step := StepFollowing
-	s.followAt = m.now.Add(2 * m.cfg.Heartbeat)
 	if s.behind != 0 {
 		step = StepRepaired
 		s.followAt = m.now.Add(repairPause * m.cfg.RepairAfter)
 	}
+	// A replica that is far behind is told again and again; the trail says so once.
+	if again := s.followed == ev.Term; again && step == StepFollowing && len(ev.Discarded) == 0 {
+		return
+	}
+	s.followed = ev.Term
 	m.record(Entry{Step: step, Term: ev.Term, Server: ev.Server, Discarded: ev.Discarded})
 }
 
+// apart is since when a server does not move on with its primary: it stands
+// still behind it, or is not yet of its term. It is 0 if it does.
+func (s *serverState) apart() clock.Time { return max(s.behind, s.astray) }
+
 // isIsolated reports whether a majority of the servers, all of them replicas,
 // stand still behind the primary and say that they cannot reach it.
 //
@@ -104,13 +113,14 @@
 	n := 0
 	var began clock.Time
 	for id, s := range m.servers {
-		if id == m.group.Primary || !s.seen || m.silent(s) || s.behind == 0 || !s.cutOff {
+		if id == m.group.Primary || !s.seen || m.silent(s) || s.apart() == 0 || !s.cutOff {
 			continue
 		}
 		n++
-		began = max(began, s.behind)
+		began = max(began, s.apart())
 	}
-	return n >= m.majority() && m.myTurn(began.Add(m.cfg.RepairAfter))
+	due := began.Add(m.cfg.RepairAfter)
+	return n >= m.majority() && !m.now.Before(due) && m.myTurn(due)
 }
 
 // repairPause is how many times RepairAfter a replica that was told to follow
