Measure replica reads while a zone is cut off with the old primary

Cause: the age rule's witness was shown by unit tests only. Change: a scenario in which three of eight proxies see only a superseded primary that answers that all is well; judged by the true log.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -51,6 +51,7 @@
 // ReadsCmd compares the policies that route reads.
 type ReadsCmd struct {
 	Options
+	Only string `help:"Only the scenarios whose name holds this, without the sweep of lags."`
 }
 
 // Run implements the command.
@@ -59,7 +60,8 @@
 	if err != nil {
 		return err
 	}
-	if err := reads.Compare(env.Out, c.Seeds, c.Parallel); err != nil {
+	err = reads.Compare(env.Out, c.Only, c.Seeds, c.Parallel)
+	if err != nil || c.Only != "" {
 		return err
 	}
 	return reads.Sweep(env.Out, path, c.Seeds, c.Parallel)
--- a/internal/experiment/reads/attempt.go
+++ b/internal/experiment/reads/attempt.go
@@ -31,12 +31,8 @@
 	}
 	w := a.w
 	now := w.s.Now()
-	floor := a.floor
-	if w.setup.IgnoreFloor {
-		floor = timeline.Position{}
-	}
-	d := a.p.router.Route(w.view, w.group, routing.Request{
-		Kind: w.kind, Floor: floor, Zone: a.p.zone, Now: now, Since: a.since,
+	d := a.p.router.Route(w.view, a.p.group, routing.Request{
+		Kind: browse, Floor: a.floor, Zone: a.p.zone, Now: now, Since: a.since,
 	})
 	if d.Server == nil {
 		w.s.After(max(d.Wait, time.Millisecond), a.route)
@@ -49,8 +45,8 @@
 // answer within the deadline.
 func (a *attempt) send(srv *view.Server, routed clock.Time) {
 	w, hop, answered := a.w, a.w.hop(a.p, srv), false
-	isReplica := srv.ID != w.group.Primary
-	stale := isReplica && w.log.age(w.position(srv.ID), routed) > browse.MaxAge
+	isReplica := srv.ID != a.p.group.Primary
+	stale := w.log.age(w.place(srv.ID).LSN, routed) > browse.MaxAge
 	a.p.board.Begin(srv.ID, routed)
 	finish := func(ok bool) {
 		if answered {
@@ -61,6 +57,9 @@
 		a.end(ok, isReplica)
 	}
 	w.s.After(browse.Deadline, func() { finish(false) })
+	if !w.reaches(a.p, srv.ID) {
+		return
+	}
 	w.s.After(hop, func() {
 		check := func() { a.judge(srv.ID, stale) }
 		w.servers[srv.ID].do(readTime, check, func(ok bool) {
@@ -77,7 +76,7 @@
 	if stale {
 		a.w.tally.Stale++
 	}
-	if a.w.position(id) < a.floor.LSN {
+	if a.w.place(id).LSN < a.floor.LSN {
 		a.w.tally.Unread++
 	}
 }
--- a/internal/experiment/reads/reads_test.go
+++ b/internal/experiment/reads/reads_test.go
@@ -6,27 +6,25 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/routing"
 )
 
 // The judges must be able to go red: with a guard taken out they find what it
-// let through, and with it in they find nothing.
+// let through, and with all in they find nothing.
 func TestJudgesFindWhatAGuardTakenOutLetsThrough(t *testing.T) {
-	behind := Scenarios()[2]
-	good := Setup{Policy: routing.Evidence{}, Lag: Typical, Seed: 1}
-	with := Run(behind, good)
-	require.Zero(t, with.Stale)
-	require.Zero(t, with.Unread)
-
-	ageless := good
-	ageless.IgnoreAge = true
-	without := Run(behind, ageless)
-	require.Positive(t, without.Stale)
-
-	floorless := good
-	floorless.IgnoreFloor = true
-	without = Run(behind, floorless)
-	require.Positive(t, without.Unread)
+	run := func(sc Scenario, out ...guard.Name) Tally {
+		return Run(sc, Setup{Policy: routing.Evidence{}, Lag: Typical, Seed: 1, Guards: guard.Without(out...)})
+	}
+	behind, cutOff := Scenarios()[2], Scenarios()[6]
+	for _, sc := range []Scenario{behind, cutOff} {
+		got := run(sc)
+		require.Zero(t, got.Stale, sc.Name)
+		require.Zero(t, got.Unread, sc.Name)
+	}
+	require.Positive(t, run(behind, routing.GuardAge).Stale)
+	require.Positive(t, run(behind, routing.GuardFloor).Unread)
+	require.Positive(t, run(cutOff, routing.GuardWitness).Stale)
 }
 
 func TestSameSeedGivesTheSameRun(t *testing.T) {
--- a/internal/experiment/reads/run.go
+++ b/internal/experiment/reads/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -59,6 +60,7 @@
 		inject("b", faultSlow).named("replica slow"),
 		inject("b", faultSilent).named("replica silent"),
 		inject("b", faultFailing).named("replica failing fast"),
+		{Name: "a zone cut off with the old primary", set: (*world).cutOff, reset: (*world).heal},
 	}
 }
 
@@ -68,11 +70,12 @@
 	w.start()
 	w.s.Run(warmUp)
 	w.recording = true
-	busy := w.servers[w.group.Primary].busy
+	primary := w.servers[w.group.Primary]
+	busy := primary.busy
 	w.s.After(faultAt, func() { sc.set(w) })
 	w.s.After(faultAt+faultLasts, func() { sc.reset(w) })
 	w.s.Run(measured)
-	used := w.servers[w.group.Primary].busy - busy
+	used := primary.busy - busy
 	w.tally.PrimaryBusy = float64(used) / float64(slots*measured)
 	return w.tally
 }
@@ -118,9 +121,12 @@
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
 
-// Compare prints a table for each scenario.
-func Compare(out io.Writer, seeds, parallel int) error {
+// Compare prints a table for each scenario whose name holds only.
+func Compare(out io.Writer, only string, seeds, parallel int) error {
 	for _, sc := range Scenarios() {
+		if !strings.Contains(sc.Name, only) {
+			continue
+		}
 		table := report.Table{
 			Title: "Reads: " + sc.Name,
 			Header: []string{"policy", "by replicas", "failed", "stale", "own write unread",
--- a/internal/experiment/reads/world.go
+++ b/internal/experiment/reads/world.go
@@ -7,6 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"endivemoor.example/endivemoor/internal/experiment/sim"
+	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/routing"
 	"endivemoor.example/endivemoor/target"
@@ -38,9 +39,9 @@
 	// Lag is the replicas' usual lag.
 	Lag  time.Duration
 	Seed uint64
-	// IgnoreFloor and IgnoreAge take a guard out, to see that its judge finds
-	// what it let through.
-	IgnoreFloor, IgnoreAge bool
+	// Guards takes guards of routing out, to see that a judge finds what they
+	// let through.
+	Guards guard.Set
 }
 
 // browse is the read kind under test.
@@ -66,12 +67,14 @@
 	// recording is set after the warm-up.
 	recording bool
 	setup     Setup
-	kind      *profile.Kind
+	cut       *cut
 }
 
 // proxy is one VM's board and router.
 type proxy struct {
-	zone   string
+	zone string
+	// group is the group as the proxy knows it.
+	group  *view.Group
 	board  *routing.Board
 	router *routing.Router
 }
@@ -101,12 +104,7 @@
 		s: sim.New(), rnd: rnd, log: &log{},
 		servers: map[target.ID]*server{},
 		replays: map[target.ID]*replication{},
-		setup:   setup, kind: browse,
-	}
-	if setup.IgnoreAge {
-		ageless := *browse
-		ageless.MaxAge = time.Hour
-		w.kind = &ageless
+		setup:   setup,
 	}
 	w.tally.ReadLatency, w.tally.WriteLatency = newHistogram(), newHistogram()
 	w.group = &view.Group{Name: "g", Term: 1, Primary: "a", History: timeline.History{{Term: 1}}}
@@ -114,17 +112,25 @@
 		w.servers[id] = &server{s: w.s, rnd: rnd}
 		w.group.Servers = append(w.group.Servers, view.Server{ID: id, Zone: zone(i)})
 		if i > 0 {
-			w.replays[id] = &replication{log: w.log, rnd: rnd, mean: setup.Lag, lag: setup.Lag}
+			w.replays[id] = w.replica()
 		}
 	}
-	w.view = &view.View{Groups: map[string]*view.Group{"g": w.group}}
+	w.view = &view.View{}
 	for i := range proxies {
 		b := routing.NewBoard()
-		w.proxies = append(w.proxies, &proxy{zone: zone(i), board: b, router: routing.NewRouter(b, setup.Policy, setup.Seed+uint64(i))})
+		b.Guards = setup.Guards
+		w.proxies = append(w.proxies, &proxy{
+			zone: zone(i), board: b, group: w.group,
+			router: routing.NewRouter(b, setup.Policy, setup.Seed+uint64(i)),
+		})
 	}
 	return w
 }
 
+func (w *world) replica() *replication {
+	return &replication{log: w.log, rnd: w.rnd, mean: w.setup.Lag, lag: w.setup.Lag}
+}
+
 func zone(i int) string { return string(rune('1' + i%3)) }
 
 // hop is the one-way time between a proxy and a server.
@@ -137,8 +143,10 @@
 
 func (w *world) start() {
 	w.s.Every(lagStep, func() {
-		for _, id := range ids[1:] {
-			w.replays[id].step(w.s.Now())
+		for _, id := range ids {
+			if r := w.replays[id]; r != nil {
+				r.step(w.s.Now())
+			}
 		}
 	})
 	for i, p := range w.proxies {
@@ -147,7 +155,7 @@
 		})
 	}
 	w.arrivals(readRate, func() { w.anyRead() })
-	w.arrivals(writeRate, func() { w.write(w.anyProxy(), func(timeline.Position) {}) })
+	w.arrivals(writeRate, func() { w.write(w.writer(), func(timeline.Position) {}) })
 }
 
 // arrivals calls f at the instants of a Poisson process.
@@ -160,11 +168,23 @@
 
 func (w *world) anyProxy() *proxy { return w.proxies[w.rnd.IntN(len(w.proxies))] }
 
+// writer is a proxy that reaches the primary.
+func (w *world) writer() *proxy {
+	for {
+		if p := w.anyProxy(); w.reaches(p, w.group.Primary) {
+			return p
+		}
+	}
+}
+
 // poll asks each server for its status, as the control connections do.
 func (w *world) poll(p *proxy) {
 	asked := w.s.Now()
 	for i := range w.group.Servers {
 		srv := &w.group.Servers[i]
+		if !w.reaches(p, srv.ID) {
+			continue
+		}
 		hop := w.hop(p, srv)
 		w.s.After(hop, func() {
 			st := w.status(srv.ID)
@@ -179,29 +199,38 @@
 }
 
 func (w *world) status(id target.ID) target.Status {
-	st := target.Status{Server: id, Role: target.RolePrimary, Term: 1, Promised: 1, LSN: w.position(id)}
-	if id != w.group.Primary {
-		st.Role = target.RoleReplica
+	at := w.place(id)
+	st := target.Status{Server: id, Role: target.RoleReplica, Term: at.Term, Promised: at.Term, LSN: at.LSN}
+	if id == w.group.Primary || w.cut.isolates(id) {
+		st.Role = target.RolePrimary
 	}
 	return st
 }
 
-func (w *world) position(id target.ID) timeline.LSN {
-	if id == w.group.Primary {
-		return timeline.LSN(len(w.log.commits))
+// place is the server's true position.
+func (w *world) place(id target.ID) timeline.Position {
+	switch {
+	case w.cut.isolates(id):
+		return w.cut.kept
+	case id == w.group.Primary:
+		return timeline.Position{Term: w.group.Term, LSN: timeline.LSN(len(w.log.commits))}
+	default:
+		return timeline.Position{Term: w.group.Term, LSN: w.replays[id].applied}
 	}
-	return w.replays[id].applied
 }
 
 // write runs a write at the primary and tells its position.
 func (w *world) write(p *proxy, done func(timeline.Position)) {
 	began := w.s.Now()
+	if w.cut.refusesWrites(began) {
+		return
+	}
 	primary := w.group.Server(w.group.Primary)
 	hop := w.hop(p, primary)
 	p.board.Begin(primary.ID, began)
 	w.s.After(hop, func() {
 		w.servers[primary.ID].do(writeTime, func() {}, func(bool) {
-			at := timeline.Position{Term: 1, LSN: w.log.append(w.s.Now())}
+			at := timeline.Position{Term: w.group.Term, LSN: w.log.append(w.s.Now())}
 			w.s.After(hop, func() {
 				p.board.End(primary.ID, w.s.Now(), w.s.Now().Sub(began), false)
 				if w.recording {
@@ -224,7 +253,7 @@
 		w.read(w.anyProxy(), timeline.Position{})
 		return
 	}
-	w.write(w.anyProxy(), func(at timeline.Position) {
+	w.write(w.writer(), func(at timeline.Position) {
 		think := time.Duration(w.rnd.ExpFloat64() * float64(thinkTime))
 		w.s.After(think, func() { w.read(w.anyProxy(), at) })
 	})
