Ask for as many witnesses as a group's majority needs

Cause: one witness proves a primary's word in a group of three only; in one of five the other three may have promised a later term. Found by reading; groups have three servers today. Change: the instant of the needed witness counts; a group of one needs none.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -35,7 +35,6 @@
 
 // Options are common to the comparisons.
 type Options struct {
-	Seeds    int    `default:"20" help:"Number of seeds, from 1 on."`
 	Parallel int    `default:"4" help:"Runs at once."`
 	Plots    string `default:"out" help:"Directory for the plots."`
 }
@@ -51,7 +50,8 @@
 // ReadsCmd compares the policies that route reads.
 type ReadsCmd struct {
 	Options
-	Only string `help:"Only the scenarios whose name holds this, without the sweep of lags."`
+	Seeds int    `default:"20" help:"Number of seeds, from 1 on."`
+	Only  string `help:"Only the scenarios whose name holds this, without the sweep of lags."`
 }
 
 // Run implements the command.
@@ -70,6 +70,7 @@
 // LoadCmd compares the policies that hand out slots.
 type LoadCmd struct {
 	Options
+	Seeds int `default:"10" help:"Number of seeds, from 1 on."`
 }
 
 // Run implements the command.
--- a/routing/board.go
+++ b/routing/board.go
@@ -165,29 +165,50 @@
 	return 0, false
 }
 
-// provenUntil returns the latest instant at which a replica of the group
-// witnessed that no later term than the given one had a majority.
+// provenUntil returns the latest instant at which so many replicas witnessed
+// that they had promised no later term than the given one that, with the
+// primary, they made a majority: one in a group of three.
 func (b *Board) provenUntil(g *view.Group, term timeline.Term) (clock.Time, bool) {
-	if b.Guards.Out(GuardWitness) {
+	needed := len(g.Servers) / 2
+	if needed == 0 || b.Guards.Out(GuardWitness) {
 		return math.MaxInt64, true
 	}
-	var latest clock.Time
-	var ok bool
+	var latest [MaxCandidates]clock.Time // in descending order
+	n := 0
 	for i := range g.Servers {
 		id := g.Servers[i].ID
-		e := b.find(id)
-		if e == nil || (id == g.Primary && term == g.Term) {
+		if id == g.Primary && term == g.Term {
 			continue
 		}
-		rep := e.report.Load()
-		if rep == nil {
+		at, ok := b.witnessed(id, term)
+		if !ok || n == MaxCandidates {
 			continue
 		}
-		if at, seen := rep.witnessed(term); seen && (!ok || at > latest) {
-			latest, ok = at, true
+		k := n
+		for ; k > 0 && latest[k-1] < at; k-- {
+			latest[k] = latest[k-1]
 		}
+		latest[k] = at
+		n++
 	}
-	return latest, ok
+	if n < needed {
+		return 0, false
+	}
+	return latest[needed-1], true
+}
+
+// witnessed is the server's latest word as a replica that it had promised
+// nothing above term.
+func (b *Board) witnessed(id target.ID, term timeline.Term) (clock.Time, bool) {
+	e := b.find(id)
+	if e == nil {
+		return 0, false
+	}
+	rep := e.report.Load()
+	if rep == nil {
+		return 0, false
+	}
+	return rep.witnessed(term)
 }
 
 // Age returns how old the server's data may be at now, and whether it is known.
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -25,8 +25,8 @@
 //
 // A sample counts only if it is witnessed: a replica that was asked at or after
 // the sample's instant had not promised a later term. With the primary itself
-// that makes two of three servers, so no majority was fenced and no later
-// primary existed at that instant. Without this, a proxy that is cut off
+// that makes two of three servers (a larger group needs more witnesses), so no
+// majority was fenced and no later primary existed at that instant. Without this, a proxy that is cut off
 // together with a superseded primary would call its old data fresh.
 //
 // # Which of them is chosen
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -125,6 +125,18 @@
 	require.Nil(t, f.route(browse, timeline.Position{}, 5*second).Server)
 }
 
+// In a group of five one witness is not enough: the other three may have
+// promised a later term and made a primary of it.
+func TestLargerGroupNeedsMoreWitnesses(t *testing.T) {
+	f := newFixture()
+	f.group.Servers = append(f.group.Servers, view.Server{ID: "d"}, view.Server{ID: "e"})
+	f.primary(pos(2, 150), second)
+	f.replica("b", pos(2, 150), 2, second)
+	require.Nil(t, f.route(browse, timeline.Position{}, second).Server)
+	f.replica("c", pos(2, 150), 2, second)
+	require.NotNil(t, f.route(browse, timeline.Position{}, second).Server)
+}
+
 // The old primary comes back after a promotion at 100 and still claims to
 // lead, with a log up to 400. Its entries beyond 100 never happened.
 func TestSupersededPrimaryAndItsFollowerNeverQualify(t *testing.T) {
