Measure replica reads on running daemons

Cause: the share was known in virtual time only. Change: endivemoor-measure live: callers that roam with their token between daemons, a judge that looks for their own rows, the share from the daemons' metrics.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -13,6 +13,7 @@
 
 	"endivemoor.example/endivemoor/internal/experiment/capacity"
 	"endivemoor.example/endivemoor/internal/experiment/control"
+	"endivemoor.example/endivemoor/internal/experiment/live"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
@@ -30,6 +31,7 @@
 	Control  ControlCmd  `cmd:"" help:"Measure membership, and work out the calls to the store."`
 	Capacity CapacityCmd `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
 	Daemon   DaemonCmd   `cmd:"" help:"Measure the slopes of a running daemon."`
+	Live     LiveCmd     `cmd:"" help:"Measure replica reads on running daemons."`
 	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups."`
 }
 
@@ -123,3 +125,16 @@
 
 // Run implements the command.
 func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups) }
+
+// LiveCmd measures replica reads on daemons that run already.
+type LiveCmd struct {
+	URLs    []string `required:"" name:"urls" help:"Connection strings, one for each daemon."`
+	Metrics []string `required:"" help:"Metrics pages, in the same order."`
+	Reads   int      `default:"8000" help:"Number of reads."`
+	Seed    uint64   `default:"1" help:"Seed of the callers."`
+}
+
+// Run implements the command.
+func (c *LiveCmd) Run(env *Env) error {
+	return live.Run(env.Out, live.Config{URLs: c.URLs, Metrics: c.Metrics, Reads: c.Reads, Seed: c.Seed})
+}
