--- a/internal/experiment/capacity/capacity_test.go
+++ b/internal/experiment/capacity/capacity_test.go
@@ -17,11 +17,11 @@
 	require.InDelta(t, 8710, l.At(2900), 1e-3)
 }
 
-func TestExampleHasTheGroupsAskedFor(t *testing.T) {
+func TestExampleHasTheGroupsAndVMsAskedFor(t *testing.T) {
 	to := filepath.Join(t.TempDir(), "groups-4")
-	require.NoError(t, WriteExample("../../../examples/demo", to, 4))
+	require.NoError(t, WriteExample("../../../examples/demo", to, 4, 9))
 	groups, err := os.ReadDir(filepath.Join(to, groupsDir))
 	require.NoError(t, err)
 	require.Len(t, groups, 4)
-	require.FileExists(t, filepath.Join(to, "proxy1.ini"))
+	require.FileExists(t, filepath.Join(to, "proxy9.ini"))
 }
--- a/internal/experiment/capacity/example.go
+++ b/internal/experiment/capacity/example.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
 
+	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -17,43 +20,99 @@
 	// firstPort is the first server's; examples/run.sh puts each server's
 	// faults on a port of its own, chosen by the stand-in.
 	firstPort = 20411
-	groupsDir = "objects/groups"
+	// callersPort, peersPort and adminPort are those of the VMs but the first.
+	callersPort = 21000
+	peersPort   = 21100
+	adminPort   = 21200
+	groupsDir   = "objects/groups"
 )
 
 // WriteExample writes an example directory for examples/run.sh: a copy of the
-// one in from, with n groups of three servers.
-func WriteExample(from, to string, n int) error {
+// one in from, with so many groups of three servers and so many VMs.
+func WriteExample(from, to string, groups, vms int) error {
 	if err := os.RemoveAll(to); err != nil {
 		return errors.Wrap(err, "clear the example")
 	}
 	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
 		return errors.Wrap(err, "copy the example")
 	}
-	if err := os.RemoveAll(filepath.Join(to, groupsDir)); err != nil {
+	if err := writeGroups(to, groups); err != nil {
+		return err
+	}
+	return writeVMs(to, vms)
+}
+
+func writeGroups(to string, n int) error {
+	dir := filepath.Join(to, groupsDir)
+	if err := os.RemoveAll(dir); err != nil {
 		return errors.Wrap(err, "clear the groups")
 	}
-	if err := os.MkdirAll(filepath.Join(to, groupsDir), 0o755); err != nil {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errors.Wrap(err, "make the groups")
 	}
 	for i := range n {
 		g := exampleGroup(i)
-		text, err := json.MarshalIndent(g, "", " ")
-		if err != nil {
-			return errors.Wrap(err, "encode a group")
-		}
-		if err := os.WriteFile(filepath.Join(to, groupsDir, g.Name), text, 0o644); err != nil {
-			return errors.Wrap(err, "write a group")
+		if err := writeJSON(filepath.Join(dir, g.Name), g); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func writeJSON(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	return errors.Wrap(os.WriteFile(path, text, 0o644), "write")
+}
+
+// writeVMs writes the settings of n VMs, the first as the example has it, and
+// the platform's list of them.
+func writeVMs(to string, n int) error {
+	template := filepath.Join(to, "proxy1.ini")
+	first, err := ini.Load(template)
+	if err != nil {
+		return errors.Wrap(err, "read the first VM's settings")
+	}
+	list := struct {
+		VMs []platform.VM `json:"vms"`
+	}{}
+	for i := range n {
+		vm := platform.VM{ID: fmt.Sprintf("p%d", i+1), Zone: exampleZones[i%len(exampleZones)]}
+		vm.Addr = fmt.Sprintf("127.0.0.1:%d", peersPort+i)
+		if i == 0 {
+			vm.Addr = first.Section("listen").Key("peers").String()
+		} else if err := writeVM(template, to, vm, i); err != nil {
+			return err
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	return writeJSON(filepath.Join(to, "vms.json"), list)
+}
+
+func writeVM(template, to string, vm platform.VM, i int) error {
+	settings, err := ini.Load(template)
+	if err != nil {
+		return errors.Wrap(err, "read the first VM's settings")
+	}
+	settings.Section("vm").Key("id").SetValue(vm.ID)
+	settings.Section("vm").Key("zone").SetValue(vm.Zone)
+	listen := settings.Section("listen")
+	listen.Key("callers").SetValue(fmt.Sprintf("127.0.0.1:%d", callersPort+i))
+	listen.Key("peers").SetValue(vm.Addr)
+	listen.Key("admin").SetValue(fmt.Sprintf("127.0.0.1:%d", adminPort+i))
+	return errors.Wrap(settings.SaveTo(filepath.Join(to, "proxy"+strconv.Itoa(i+1)+".ini")), "write a VM's settings")
+}
+
+var exampleZones = []string{"z1", "z2", "z3"}
+
 func exampleGroup(i int) *view.Group {
 	g := &view.Group{
 		Name: fmt.Sprintf("ledger-%d", i), Term: 1, Reserved: 1,
 		History: timeline.History{{Term: 1}},
 	}
-	for k, zone := range []string{"z1", "z2", "z3"} {
+	for k, zone := range exampleZones {
 		g.Servers = append(g.Servers, view.Server{
 			ID:   target.ID(g.Name + "-" + string(rune('a'+k))),
 			Addr: fmt.Sprintf("127.0.0.1:%d", firstPort+10*i+k),
--- a/internal/experiment/control/run.go
+++ b/internal/experiment/control/run.go
@@ -108,13 +108,16 @@
 var storeSizes = []int{3, 9, 30, 100, 300, 1000, 2900}
 
 const (
-	// leaseRenew, listEvery and watchWait are the daemon's settings.
+	// These are the daemon's settings: leases are renewed, and read by the
+	// group's other probers, every leaseRenew; watchers read the list every
+	// listEvery and the other VMs no more often than every listSeldom.
 	leaseRenew = 2 * time.Second
+	listSeldom = 30 * time.Second
 	watchWait  = 20 * time.Second
 	// perZone VMs of each zone watch, prefixes each.
 	perZone  = 2
 	prefixes = 3
-	probers  = 3
+	probers  = 5
 	// changesPerNode is the letter's 6,500 changes a day over 2,900 nodes.
 	changesPerNode = 6500.0 / 2900 / 86400
 	// writesPerChange are the store writes of one change: draft, review,
@@ -122,24 +125,25 @@
 	writesPerChange = 6
 )
 
-// StoreCalls prints the calls a second by purpose as VMs and groups grow, with
-// fixed intervals and with those of the budget.
+// StoreCalls prints the calls a second by purpose as VMs and groups grow.
 func StoreCalls(out io.Writer) error {
 	table := report.Table{
 		Title: "Calls to the store a second (worked out from the settings)",
-		Header: []string{"VMs and groups", "lease, every 2 s", "lease, budget", "VM list, every 5 s",
-			"VM list, budget", "watches, every VM", "watches, 2 a zone", "changes", "sum with budget"},
+		Header: []string{"VMs and groups", "lease, every 2 s", "lease, budget", "VM list", "watches",
+			"changes", "sum, lease every 2 s", "sum, lease by budget"},
 	}
 	b := ownership.DefaultBudget()
 	for _, n := range storeSizes {
-		fixedLease := float64(n*probers) / leaseRenew.Seconds()
-		lease := calls(b, platform.PurposeLease, n*probers, leaseRenew)
-		list := calls(b, platform.PurposeVMs, n, listEvery)
-		everyVM := float64(n*prefixes) / watchWait.Seconds()
-		watches := float64(watchersOf(n)*prefixes) / watchWait.Seconds()
+		askers := n * min(n, probers)
+		fixed := float64(askers) / leaseRenew.Seconds()
+		lease := calls(b, platform.PurposeLease, askers, leaseRenew)
+		watching := watchersOf(n)
+		list := float64(watching)/listEvery.Seconds() +
+			float64(n-watching)/b.Interval(platform.PurposeVMs, n, listSeldom).Seconds()
+		watches := float64(watching*prefixes) / watchWait.Seconds()
 		changes := float64(n) * changesPerNode * writesPerChange
-		table.Add(n, fixedLease, lease, float64(n)/listEvery.Seconds(), list, everyVM, watches, changes,
-			lease+list+watches+changes)
+		rest := list + watches + changes
+		table.Add(n, fixed, lease, list, watches, changes, fixed+rest, lease+rest)
 	}
 	return table.Print(out)
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -32,7 +32,7 @@
 	Capacity CapacityCmd `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
 	Daemon   DaemonCmd   `cmd:"" help:"Measure the slopes of a running daemon."`
 	Live     LiveCmd     `cmd:"" help:"Measure replica reads on running daemons."`
-	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups."`
+	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups or VMs."`
 }
 
 // Options are common to the comparisons.
@@ -115,16 +115,17 @@
 	return capacity.RunDaemon(env.Out, capacity.Daemon{PID: c.PID, URL: c.URL, Statement: c.Statement})
 }
 
-// ExampleCmd writes an example directory with more groups, for slopes by the
-// number of groups.
+// ExampleCmd writes an example directory with more groups or more VMs, for
+// slopes by their number.
 type ExampleCmd struct {
-	Groups int    `required:"" help:"Number of groups."`
+	Groups int    `default:"1" help:"Number of groups."`
+	VMs    int    `default:"3" name:"vms" help:"Number of VMs, each with a daemon."`
 	From   string `default:"examples/demo" help:"Example to copy."`
 	To     string `required:"" help:"Directory to write."`
 }
 
 // Run implements the command.
-func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups) }
+func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups, c.VMs) }
 
 // LiveCmd measures replica reads on daemons that run already.
 type LiveCmd struct {
