--- a/internal/experiment/capacity/run.go
+++ b/internal/experiment/capacity/run.go
@@ -14,9 +14,9 @@
 	// second over all nodes.
 	callersPerNode    = 6_200_000.0 / nodes
 	statementsPerNode = 1_200_000.0 / nodes
-	// probers each watch a group, and so many groups are watched by a node that
-	// there are as many groups as nodes.
-	groupsPerNode = 3
+	// groupsPerNode are those that a node probes: five nodes probe each group,
+	// and there are as many groups as nodes.
+	groupsPerNode = 5
 )
 
 // measure is one function of the core at several sizes.
