--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -13,6 +13,7 @@
 
 	"endivemoor.example/endivemoor/internal/experiment/capacity"
 	"endivemoor.example/endivemoor/internal/experiment/control"
+	"endivemoor.example/endivemoor/internal/experiment/live"
 	"endivemoor.example/endivemoor/internal/experiment/load"
 	"endivemoor.example/endivemoor/internal/experiment/reads"
 )
@@ -30,12 +31,12 @@
 	Control  ControlCmd  `cmd:"" help:"Measure membership, and work out the calls to the store."`
 	Capacity CapacityCmd `cmd:"" help:"Measure the slopes of docs/CAPACITY.md."`
 	Daemon   DaemonCmd   `cmd:"" help:"Measure the slopes of a running daemon."`
-	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups."`
+	Live     LiveCmd     `cmd:"" help:"Measure replica reads on running daemons."`
+	Example  ExampleCmd  `cmd:"" help:"Write an example directory with more groups or VMs."`
 }
 
 // Options are common to the comparisons.
 type Options struct {
-	Seeds    int    `default:"20" help:"Number of seeds, from 1 on."`
 	Parallel int    `default:"4" help:"Runs at once."`
 	Plots    string `default:"out" help:"Directory for the plots."`
 }
@@ -51,6 +52,8 @@
 // ReadsCmd compares the policies that route reads.
 type ReadsCmd struct {
 	Options
+	Seeds int    `default:"20" help:"Number of seeds, from 1 on."`
+	Only  string `help:"Only the scenarios whose name holds this, without the sweep of lags."`
 }
 
 // Run implements the command.
@@ -59,7 +62,8 @@
 	if err != nil {
 		return err
 	}
-	if err := reads.Compare(env.Out, c.Seeds, c.Parallel); err != nil {
+	err = reads.Compare(env.Out, c.Only, c.Seeds, c.Parallel)
+	if err != nil || c.Only != "" {
 		return err
 	}
 	return reads.Sweep(env.Out, path, c.Seeds, c.Parallel)
@@ -68,6 +72,7 @@
 // LoadCmd compares the policies that hand out slots.
 type LoadCmd struct {
 	Options
+	Seeds int `default:"10" help:"Number of seeds, from 1 on."`
 }
 
 // Run implements the command.
@@ -110,13 +115,27 @@
 	return capacity.RunDaemon(env.Out, capacity.Daemon{PID: c.PID, URL: c.URL, Statement: c.Statement})
 }
 
-// ExampleCmd writes an example directory with more groups, for slopes by the
-// number of groups.
+// ExampleCmd writes an example directory with more groups or more VMs, for
+// slopes by their number.
 type ExampleCmd struct {
-	Groups int    `required:"" help:"Number of groups."`
+	Groups int    `default:"1" help:"Number of groups."`
+	VMs    int    `default:"3" name:"vms" help:"Number of VMs, each with a daemon."`
 	From   string `default:"examples/demo" help:"Example to copy."`
 	To     string `required:"" help:"Directory to write."`
 }
 
 // Run implements the command.
-func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups) }
+func (c *ExampleCmd) Run(*Env) error { return capacity.WriteExample(c.From, c.To, c.Groups, c.VMs) }
+
+// LiveCmd measures replica reads on daemons that run already.
+type LiveCmd struct {
+	URLs    []string `required:"" name:"urls" help:"Connection strings, one for each daemon."`
+	Metrics []string `required:"" help:"Metrics pages, in the same order."`
+	Reads   int      `default:"8000" help:"Number of reads."`
+	Seed    uint64   `default:"1" help:"Seed of the callers."`
+}
+
+// Run implements the command.
+func (c *LiveCmd) Run(env *Env) error {
+	return live.Run(env.Out, live.Config{URLs: c.URLs, Metrics: c.Metrics, Reads: c.Reads, Seed: c.Seed})
+}
