Ask a server's status by a prepared statement

Cause: two thirds of a daemon's control bytes were probes: 281 bytes each, over half of it the description of the answer's columns. Exchanges with peers (7 KB/s) and the store (under 1 KB/s) were ruled out as the main part by the counts of each plane.

Change: the control connection prepares the query once; a probe is Bind and Execute alone. A server that refuses the prepared form costs the connection, and the next one prepares anew.

--- a/target/pgtarget/pgtarget.go
+++ b/target/pgtarget/pgtarget.go
@@ -33,6 +33,7 @@
 
 // The control functions, one statement each.
 const (
+	statusName   = "s"
 	statusQuery  = "SELECT * FROM endivemoor_status()"
 	fenceQuery   = "SELECT * FROM endivemoor_fence($1)"
 	promoteQuery = "SELECT * FROM endivemoor_promote($1)"
@@ -47,6 +48,8 @@
 	// turn holds one token: the right to use conn.
 	turn chan struct{}
 	conn *pgconn.PgConn
+	// status is the status query as conn has prepared it; nil if it has not.
+	status *pgconn.StatementDescription
 }
 
 var _ target.Database = (*Database)(nil)
@@ -175,7 +178,10 @@
 		if err != nil {
 			return nil, err
 		}
-		d.conn = conn
+		d.conn, d.status = conn, nil
+	}
+	if query == statusQuery {
+		return d.askStatus(ctx)
 	}
 	params := make([][]byte, len(args))
 	for i, a := range args {
@@ -185,6 +191,25 @@
 	return res.Rows, res.Err
 }
 
+// askStatus asks by a prepared statement. It is asked many times a second on
+// each control connection, and the description of its columns would be over half
+// of the bytes. A server that no longer takes the prepared form, as after a
+// change of the function, costs the connection; the next one prepares anew.
+func (d *Database) askStatus(ctx context.Context) ([][][]byte, error) {
+	if d.status == nil {
+		prepared, err := d.conn.Prepare(ctx, statusName, statusQuery, nil)
+		if err != nil {
+			return nil, err
+		}
+		d.status = prepared
+	}
+	res := d.conn.ExecStatement(ctx, d.status, nil, nil, nil).Read()
+	if res.Err != nil {
+		_ = d.conn.Close(ctx)
+	}
+	return res.Rows, res.Err
+}
+
 // typed turns a refusal into a *target.FencedError and names the server in any
 // other error.
 func (d *Database) typed(err error, ordered timeline.Term) error {
