Send groups to peers only while their digests differ

Cause: every exchange carried one group in turn each way, so that a VM that missed the news catches up. It cost most of the message, and at 2,900 groups a VM would still wait six minutes for its turn.

Change: exchanges carry a digest of all groups' terms and versions, worked out once a view. While two VMs agree no group travels; when they differ the answer brings two in turn, which is no more than before. Clients no longer offer gzip for messages of 300 bytes.

Test: a VM that was cut off until a change of primary was no news learns it, and after that nothing is sent.

With partners drawn from thousands of VMs almost every connection is opened anew; membership should keep its partners.

--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -23,8 +23,6 @@
 const (
 	// exchangeTimeout bounds one call to a peer.
 	exchangeTimeout = 800 * time.Millisecond
-	// newsFor is how long a changed group goes into every exchange.
-	newsFor = 10 * time.Second
 	// relayTo is how many peers hear at once of news that this VM just heard.
 	relayTo = 4
 )
@@ -51,8 +49,10 @@
 	mu      sync.Mutex
 	machine *membership.Machine
 	rng     *rand.Rand
-	// turn is the place in the list of groups that the next exchange sends.
-	turn int
+	// groups is the newest view's; turn is the place among them of the next that
+	// goes to a peer that knows others.
+	groups knownGroups
+	turn   int
 	// changed is when a group last got a new term here, and terms which one.
 	changed map[string]clock.Time
 	terms   map[string]timeline.Term
@@ -184,13 +184,15 @@
 
 func (x *Exchange) request() *peerpb.ExchangeRequest {
 	self, others := x.members()
+	groups, digest := x.news()
 	return &peerpb.ExchangeRequest{
-		Sender:     self,
-		Members:    others,
-		Groups:     x.news(),
-		Drains:     x.drains.messages(),
-		Generation: uint64(x.config.Current().Generation),
-		WantGroups: len(x.views.Load().Groups) == 0,
+		Sender:       self,
+		Members:      others,
+		Groups:       groups,
+		Drains:       x.drains.messages(),
+		Generation:   uint64(x.config.Current().Generation),
+		WantGroups:   len(x.views.Load().Groups) == 0,
+		GroupsDigest: digest,
 	}
 }
 
--- a/controller/exchange_messages.go
+++ b/controller/exchange_messages.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
-	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/membership"
-	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/view"
 )
 
 // members returns this VM's own record and a bounded number of others.
@@ -58,46 +53,3 @@
 	}
 	x.step(ctx, ev)
 }
-
-// news returns the groups that changed lately and one more in turn, so that an
-// exchange stays small however many groups there are, and a lost piece of news
-// still gets around.
-func (x *Exchange) news() []*peerpb.GroupState {
-	groups := x.views.Load().Groups
-	names := slices.Sorted(maps.Keys(groups))
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := x.clk.Now()
-	var out []*peerpb.GroupState
-	for _, name := range names {
-		if x.isNews(groups[name], now) {
-			out = append(out, peer.GroupState(groups[name]))
-		}
-	}
-	if len(names) > len(out) {
-		x.turn = (x.turn + 1) % len(names)
-		out = append(out, peer.GroupState(groups[names[x.turn]]))
-	}
-	return out
-}
-
-func (x *Exchange) isNews(g *view.Group, now clock.Time) bool {
-	if x.terms[g.Name] != g.Term {
-		x.terms[g.Name] = g.Term
-		x.changed[g.Name] = now
-	}
-	return now.Sub(x.changed[g.Name]) < newsFor
-}
-
-// answerGroups returns all groups to a VM that has just started, also while
-// the store is down, and the news to others.
-func (x *Exchange) answerGroups(in *peerpb.ExchangeRequest) []*peerpb.GroupState {
-	if !in.GetWantGroups() {
-		return x.news()
-	}
-	var out []*peerpb.GroupState
-	for _, g := range x.views.Load().Groups {
-		out = append(out, peer.GroupState(g))
-	}
-	return out
-}
--- a/controller/exchange_test.go
+++ b/controller/exchange_test.go
@@ -104,3 +104,28 @@
 	require.False(t, watcher.views.Load().Draining["db-a"], "the late peer's mark is older")
 	require.False(t, other.views.Load().Draining["db-a"])
 }
+
+// A VM is cut off from everybody while a primary changes, and comes back long
+// after that was news. It must learn of the new primary from peers. Once all
+// agree, exchanges carry no group: 2,900 groups would cost every VM its bytes.
+func TestLateVMCatchesUpAndThenNothingIsSent(t *testing.T) {
+	knows, knowsVM := newNode(t, "p1")
+	late, _ := newNode(t, "p2")
+	for _, name := range []string{"g1", "g2", "g3", "g4", "g5"} {
+		knows.views.Adopt(&view.Group{Name: name, Term: 5, Primary: "b", Servers: []view.Server{{ID: "b"}}})
+		late.views.Adopt(&view.Group{Name: name, Term: 4, Primary: "a", Servers: []view.Server{{ID: "b"}}})
+	}
+	knows.request()
+	for name := range knows.changed {
+		knows.changed[name] = knows.clk.Now().Add(-newsFor)
+	}
+	for range 3 {
+		late.exchangeWith(context.Background(), knowsVM)
+	}
+	for name, g := range late.views.Load().Groups {
+		require.EqualValues(t, "b", g.Primary, name)
+	}
+	ask := late.request()
+	ask.Groups = nil
+	require.Empty(t, knows.answerGroups(ask))
+}
--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -41,7 +41,7 @@
 
 ctl() { "$bin/endivemoorctl" --platform "http://$platform" "$@"; }
 
-"$bin/endivemoor-load" fleet --daemons "$daemons" --groups "$groups" --first-port "${FIRST_PORT:-9000}" --dir "$conf"
+"$bin/endivemoor-load" fleet --daemons "$daemons" --groups "$groups" --first-port "${FIRST_PORT:-9000}" --dir "$conf" ${FLEET_FLAGS:-}
 . "$conf/run.env"
 start platform "$bin/standin" platform --listen "$platform" --seed-dir "$conf/objects" --vms "$conf/vms.json"
 for group in "$conf"/objects/groups/*; do
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"text/template"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -35,11 +36,13 @@
 // the form that examples/run.sh takes. All ports follow one after the other
 // from the first, so that several fleets fit on one machine.
 type Fleet struct {
-	Daemons   int    `default:"9"`
-	Groups    int    `default:"3" help:"database groups of three servers each"`
-	Zones     int    `default:"3" help:"availability zones"`
-	FirstPort int    `default:"9000" help:"a fleet takes 800 ports from here on"`
-	Dir       string `required:"" help:"directory to write to"`
+	Daemons      int           `default:"9"`
+	Groups       int           `default:"3" help:"database groups of three servers each"`
+	Zones        int           `default:"3" help:"availability zones"`
+	FirstPort    int           `default:"9000" help:"a fleet takes 800 ports from here on"`
+	Heartbeat    time.Duration `default:"100ms"`
+	SuspectAfter time.Duration `default:"500ms"`
+	Dir          string        `required:"" help:"directory to write to"`
 }
 
 // addr returns the n-th address of a kind of port.
@@ -96,6 +99,7 @@
 // daemonFile is what one daemon's settings are made from.
 type daemonFile struct {
 	ID, Zone, Zones, Callers, Peers, Admin, Platform string
+	Heartbeat, SuspectAfter                          time.Duration
 }
 
 func (f *Fleet) writeDaemons() error {
@@ -104,7 +108,7 @@
 		zones += ", " + f.zone(n)
 	}
 	for n := range f.Daemons {
-		d := daemonFile{vmName(n), f.zone(n), zones, f.addr(callerPorts, n), f.addr(peerPorts, n), f.addr(adminPorts, n), f.addr(0, 0)}
+		d := daemonFile{vmName(n), f.zone(n), zones, f.addr(callerPorts, n), f.addr(peerPorts, n), f.addr(adminPorts, n), f.addr(0, 0), f.Heartbeat, f.SuspectAfter}
 		if err := f.write("proxy"+d.ID+".ini", daemonINI, d); err != nil {
 			return err
 		}
@@ -161,6 +165,10 @@
 connections = 60
 slots = 3
 
+[failover]
+heartbeat = {{.Heartbeat}}
+suspect-after = {{.SuspectAfter}}
+
 [session-keys]
 active = k1
 k1 = demo-only-demo-only-demo-only-demo
--- a/peer/client.go
+++ b/peer/client.go
@@ -41,6 +41,8 @@
 		MaxIdleConns:        maxIdlePeers,
 		MaxIdleConnsPerHost: connsPerPeer,
 		IdleConnTimeout:     idleTimeout,
+		// Messages are small; offering gzip would only add a header to each.
+		DisableCompression: true,
 	}
 	scheme := "http://"
 	if config != nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -23,7 +23,7 @@
 	cert *x509.Certificate
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t testing.TB) *authority {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
 	tmpl := &x509.Certificate{
@@ -37,7 +37,7 @@
 	return &authority{key, cert}
 }
 
-func (a *authority) config(t *testing.T) *tls.Config {
+func (a *authority) config(t testing.TB) *tls.Config {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
 	tmpl := &x509.Certificate{
@@ -65,7 +65,7 @@
 func (e *echo) OnObserve(*peerpb.ObserveRequest) *peerpb.ObserveReply { return &peerpb.ObserveReply{} }
 func (e *echo) OnCancel(uint32, []byte) bool                          { return true }
 
-func serve(t *testing.T, h Handler, config *tls.Config) string {
+func serve(t testing.TB, h Handler, config *tls.Config) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	srv := NewServer(h, config)
