--- a/failover/config.go
+++ b/failover/config.go
@@ -60,9 +60,15 @@
 	// OrderRetry is the interval between repetitions of an unanswered Fence,
 	// Promote or Follow.
 	OrderRetry time.Duration
+	// FenceTimeout is when an attempt that no server has answered is given up.
+	FenceTimeout time.Duration
 	// CandidateTimeout is how long a candidate may take to be promoted before
 	// the next term is tried.
 	CandidateTimeout time.Duration
+	// PromoteDelay is how long a promoter waits after a majority's promise. Zero
+	// for the gates Confirm and Witness; with ack.Lease it must be at least the
+	// duration of a permission on the fastest clock.
+	PromoteDelay time.Duration
 	// HandoverTimeout is how long a planned change waits for a replica to catch
 	// up before it chooses among all servers, the old primary included.
 	HandoverTimeout time.Duration
@@ -99,11 +105,26 @@
 		StoreTimeout:     500 * time.Millisecond,
 		StoreRetry:       500 * time.Millisecond,
 		OrderRetry:       150 * time.Millisecond,
+		FenceTimeout:     time.Second,
 		CandidateTimeout: 600 * time.Millisecond,
 		HandoverTimeout:  1500 * time.Millisecond,
 		BackoffMin:       200 * time.Millisecond,
 		BackoffMax:       3 * time.Second,
 		BlockedAfter:     time.Second,
-		RepairAfter:      3 * time.Second,
+		RepairAfter:      1500 * time.Millisecond,
 	}
 }
+
+// Scaled returns c with another heartbeat, and with the times that go by it in
+// proportion. A longer heartbeat costs less and finds failures later.
+func (c Config) Scaled(heartbeat time.Duration) Config {
+	scale := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * float64(heartbeat) / float64(c.Heartbeat))
+	}
+	c.ProbeTimeout = scale(c.ProbeTimeout)
+	c.SuspectAfter = scale(c.SuspectAfter)
+	c.ReportTTL = scale(c.ReportTTL)
+	c.AskEvery = scale(c.AskEvery)
+	c.Heartbeat = heartbeat
+	return c
+}
