--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -30,7 +30,7 @@
 type Control struct {
 	Admins []string      `required:"" help:"admin addresses of all daemons, ip:port"`
 	Groups int           `required:"" help:"number of groups, noted in the result"`
-	Settle time.Duration `default:"8s" help:"before the count starts"`
+	Settle time.Duration `default:"15s" help:"before the count starts: what a start brought is news for 10 s"`
 	For    time.Duration `default:"20s" help:"how long is counted"`
 	CSV    string        `help:"file that a line of the result is added to"`
 }
