--- a/controller/manager.go
+++ b/controller/manager.go
@@ -26,6 +26,8 @@
 	Drains *Drains
 	// Duty says which groups this VM controls.
 	Duty *Duty
+	// Forget drops what is kept of servers that a view no longer has.
+	Forget func(*view.View)
 	// Dropped counts events that a full backlog dropped.
 	Dropped func()
 
--- a/controller/watched.go
+++ b/controller/watched.go
@@ -35,7 +35,9 @@
 	if !m.serves(group.Name) {
 		return
 	}
-	m.Views.Adopt(group)
+	if m.Views.Adopt(group) {
+		m.Forget(m.Views.Load())
+	}
 	if c := m.control(group); c != nil {
 		c.Post(failover.GroupLearned{Group: *group, Version: version})
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -88,6 +88,7 @@
 	return limiter.New(limiter.Config{
 		Queue: admission.Config{Slots: d.set.Targets.Slots, Seed: newRand().Uint64()},
 		Clock: d.clk,
+		Fleet: func() int { return d.views.Load().FleetSize },
 	})
 }
 
