Measure the failover gap on real processes by new purchases

Cause: the load's own callers wait on what they sent to the frozen server, so their next success says nothing of how long writes are unavailable. Change: a new purchase starts every 50 ms until one succeeds; the gap is logged and judges nothing.

Not mended here: a request that was already sent to the stopped server ends only at its deadline.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -166,7 +166,10 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		key := fmt.Sprintf("%s-%d", b.name, i)
 		for try := 0; ctx.Err() == nil; try++ {
-			o := b.attempt(b.fleet.daemons[(i+try)%len(b.fleet.daemons)], key)
+			o, token := b.purchase(b.fleet.daemons[(i+try)%len(b.fleet.daemons)], key)
+			if o == outcome.Done && token != "" {
+				b.lookElsewhere(token, key)
+			}
 			if o == outcome.Done || !b.repeat {
 				break
 			}
@@ -178,25 +181,28 @@
 // attempt makes one purchase on a connection of its own, and is not cut off by
 // the end of the test's load.
 func (b *buyer) attempt(d *daemon, key string) outcome.Outcome {
+	o, _ := b.purchase(d, key)
+	return o
+}
+
+// purchase is an attempt that also returns the session's token.
+func (b *buyer) purchase(d *daemon, key string) (outcome.Outcome, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	c, err := d.connect(ctx, "")
 	if err != nil {
-		return outcome.NotRun
+		return outcome.NotRun, ""
 	}
 	defer func() { _ = c.Close(ctx) }()
 	o := b.history.add(key, charge(ctx, c, key))
-	if token := tokenOf(c); o == outcome.Done && token != "" {
-		b.lookElsewhere(ctx, token, key)
-	}
-	return o
+	return o, tokenOf(c)
 }
 
 // lookElsewhere reads the purchase back through any daemon, with the session's
 // token, as a read that may be a minute old. No answer proves nothing; an answer
 // without the purchase is a breach.
-func (b *buyer) lookElsewhere(ctx context.Context, token, key string) {
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+func (b *buyer) lookElsewhere(token, key string) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 	defer cancel()
 	d := b.fleet.daemons[rand.IntN(len(b.fleet.daemons))]
 	c, err := d.connect(ctx, token)
@@ -232,6 +238,11 @@
 	stop = func() {
 		cancel()
 		wg.Wait()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.seen == 0 {
+			t.Error("no session looked for its own purchase")
+		}
 	}
 	t.Cleanup(stop)
 	return stop
--- a/internal/e2e/judge_test.go
+++ b/internal/e2e/judge_test.go
@@ -42,7 +42,6 @@
 		t.Errorf("%s: %s; told %v", wrong.key, wrong.what, h.errors[wrong.key])
 	}
 	require.Empty(t, h.unseen, "sessions that did not see their own purchase")
-	require.Positive(t, h.seen, "sessions looked at all")
 }
 
 func (f *fleet) waitLeader(t *testing.T) *server {
--- a/internal/e2e/scenario_test.go
+++ b/internal/e2e/scenario_test.go
@@ -50,19 +50,42 @@
 	old := f.servers[0]
 	began := time.Now()
 	old.kill(t)
-	buyUntil(t, h, buyers+1)
-	logGap(t, began)
+	f.logGap(t, h, began)
 	f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
 	stop()
 	f.judge(t, h)
 }
 
-// logGap writes down how long it took until one purchase more succeeded than
-// can have been under way when the fault struck. It judges nothing.
-func logGap(t *testing.T, began time.Time) {
+// probeEvery is the interval of new purchases while a gap is measured.
+const probeEvery = 50 * time.Millisecond
+
+// logGap writes down how long after began the first of many new purchases
+// succeeded: what was under way when the fault struck does not count. It judges
+// nothing.
+func (f *fleet) logGap(t *testing.T, h *history, began time.Time) {
 	t.Helper()
-	t.Logf("gap=%s", time.Since(began).Round(time.Millisecond))
+	done := make(chan time.Time, 1)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	b := &buyer{fleet: f, history: h}
+	for i := 0; ; i++ {
+		wg.Go(func() {
+			if b.attempt(f.daemons[i%len(f.daemons)], fmt.Sprintf("probe%d", i)) == outcome.Done {
+				select {
+				case done <- time.Now():
+				default:
+				}
+			}
+		})
+		select {
+		case at := <-done:
+			t.Logf("gap=%s", at.Sub(began).Round(time.Millisecond))
+			return
+		case <-time.After(probeEvery):
+		}
+		require.Less(t, time.Since(began), waitLimit, "no purchase succeeds")
+	}
 }
 
 // The primary hangs: its kernel still accepts connections and takes bytes, and
@@ -76,8 +99,7 @@
 	old := f.servers[0]
 	began := time.Now()
 	old.pause(t)
-	buyUntil(t, h, buyers+1)
-	logGap(t, began)
+	f.logGap(t, h, began)
 	leader := f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
 	old.resume(t)
