Let a VM's new run silence the word of its former one

Cause: a record of a later incarnation without a word of its own changed nothing, so for up to a minute profile status could count the former run's generation as in force.

Change: the later incarnation alone takes the old word away.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -63,7 +63,7 @@
 // age travels with the word, a word without one counts for nothing, and of one
 // incarnation only a greater generation or a younger word replaces what is known.
 func (f *Fleet) Hear(m *peerpb.Member) {
-	if m.GetVm() == "" || m.GetVm() == f.self || m.GetSaid() == nil {
+	if m.GetVm() == "" || m.GetVm() == f.self {
 		return
 	}
 	f.mu.Lock()
@@ -75,6 +75,9 @@
 	if m.GetIncarnation() > w.incarnation {
 		*w = word{zone: m.GetZone(), incarnation: m.GetIncarnation()}
 	}
+	if m.GetSaid() == nil {
+		return
+	}
 	w.generation = max(w.generation, m.GetSaid().GetGeneration())
 	w.leaving = w.leaving || m.GetLeaving()
 	at := f.clk.Now().Add(-time.Duration(m.GetSaid().GetAgeMs()) * time.Millisecond)
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -50,6 +50,8 @@
 	f.Hear(says("p3", 2, 0, 0))
 	f.Hear(says("p3", 1, 6, 0))
 	require.Zero(t, f.VMs()[0].Generation)
+	f.Hear(&peerpb.Member{Vm: "p3", Zone: "z", Incarnation: 3})
+	require.EqualValues(t, -1, f.VMs()[0].HeardMS, "it is known to have started again, not what it has")
 	require.Nil(t, f.said(&peerpb.Member{Vm: "p3", Incarnation: 1}).GetSaid(), "no word goes with another run's record")
 }
 
