--- a/filter/execute.go
+++ b/filter/execute.go
@@ -15,7 +15,10 @@
 
 // Executor owns a connection for the time of the transaction. It is the last
 // filter of the chain.
-type Executor struct{ Pool Connections }
+type Executor struct {
+	Pool    Connections
+	Running *Running
+}
 
 // Handle runs the request's protocol work and gives the connection back. The
 // pool takes it only if it is proven clean.
@@ -26,6 +29,7 @@
 	}
 	r.Machine.Pass(request.StepConnected)
 	defer lease.Release()
+	defer e.Running.Enter(r, lease)()
 	return r.Work.Run(ctx, r, lease)
 }
 
--- a/internal/load/gap.go
+++ b/internal/load/gap.go
@@ -49,15 +49,17 @@
 	unknown int
 	notRun  int
 	other   map[string]int
-	// worst is the longest time without an acknowledgement since reset.
-	worst time.Duration
+	// worst is the longest time without an acknowledgement since reset, and
+	// longest the time that the slowest purchase took.
+	worst, longest time.Duration
 }
 
-func (b *buyers) ack(id string) {
+func (b *buyers) ack(id string, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.worst = max(b.worst, now.Sub(b.last))
+	b.longest = max(b.longest, took)
 	b.last = now
 	b.acked = append(b.acked, id)
 }
@@ -80,14 +82,16 @@
 func (b *buyers) reset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.worst = 0
+	b.worst, b.longest = 0, 0
 	b.last = time.Now()
 }
 
-func (b *buyers) gap() time.Duration {
+// gap returns the longest time without an acknowledgement, and what the slowest
+// purchase took.
+func (b *buyers) gap() (none, slowest time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(b.worst, time.Since(b.last))
+	return max(b.worst, time.Since(b.last)), b.longest
 }
 
 // Run strikes, mends and reports.
@@ -108,7 +112,8 @@
 		}()
 	}
 	time.Sleep(g.Settle)
-	fmt.Fprintf(out, "%-10s %6s | %9s %9s %9s | %s\n", "fault", "rounds", "gap p50", "p99", "max", "promotions")
+	fmt.Fprintf(out, "%-10s %6s | %9s %9s %9s | %9s %9s | %s\n", "fault", "rounds",
+		"gap p50", "p99", "max", "slow p50", "slow max", "promotions")
 	for _, fault := range g.Faults {
 		if err := g.strikeAll(ctx, out, b, controls, fault); err != nil {
 			return err
@@ -133,49 +138,52 @@
 
 func (g *Gap) strikeAll(ctx context.Context, out io.Writer, b *buyers, controls map[string]string, fault string) error {
 	gaps := hdrhistogram.New(minLatency, maxLatency, latencyDigits)
+	waits := hdrhistogram.New(minLatency, maxLatency, latencyDigits)
 	promotions := 0
 	for range g.Rounds {
-		gap, promoted, err := g.strike(ctx, b, controls, fault)
+		promoted, err := g.strike(ctx, b, controls, fault)
 		if err != nil {
 			return errors.Wrap(err, fault)
 		}
+		gap, slowest := b.gap()
 		_ = gaps.RecordValue(gap.Nanoseconds())
+		_ = waits.RecordValue(slowest.Nanoseconds())
 		if promoted {
 			promotions++
 		}
 	}
-	q := func(p float64) time.Duration {
-		return time.Duration(gaps.ValueAtQuantile(p)).Round(time.Millisecond)
+	q := func(h *hdrhistogram.Histogram, p float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(p)).Round(time.Millisecond)
 	}
-	fmt.Fprintf(out, "%-10s %6d | %9s %9s %9s | %d\n", fault, g.Rounds, q(50), q(99), q(100), promotions)
+	fmt.Fprintf(out, "%-10s %6d | %9s %9s %9s | %9s %9s | %d\n", fault, g.Rounds,
+		q(gaps, 50), q(gaps, 99), q(gaps, 100), q(waits, 50), q(waits, 100), promotions)
 	return nil
 }
 
 // strike breaks the present primary, waits for the next acknowledgement after
 // a promotion, mends the server, and waits until it follows.
-func (g *Gap) strike(ctx context.Context, b *buyers, controls map[string]string, fault string) (time.Duration, bool, error) {
+func (g *Gap) strike(ctx context.Context, b *buyers, controls map[string]string, fault string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, mendTimeout)
 	defer cancel()
 	before, err := g.group(ctx)
 	if err != nil {
-		return 0, false, err
+		return false, err
 	}
 	control := controls[before.Primary]
 	b.reset()
 	if err = apply(control, fault); err != nil {
-		return 0, false, err
+		return false, err
 	}
 	promoted := g.awaitPromotion(ctx, before.Term)
 	time.Sleep(g.Settle / 2)
-	gap := b.gap()
 	if err = mend(control); err != nil {
-		return 0, false, err
+		return false, err
 	}
 	if err = g.awaitFollowing(ctx, control); err != nil {
-		return 0, false, errors.Wrap(err, describe(controls))
+		return false, errors.Wrap(err, describe(controls))
 	}
 	time.Sleep(g.Settle)
-	return gap, promoted, nil
+	return promoted, nil
 }
 
 // awaitPromotion gives up after a while: some faults need none.
@@ -295,10 +303,11 @@
 	var conn *pgx.Conn
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("gap-%d-%d-%d", run, caller, n)
+		begin := time.Now()
 		for ctx.Err() == nil {
 			err := g.buyOnce(ctx, &conn, id, (caller+n)%len(g.Proxies))
 			if err == nil {
-				b.ack(id)
+				b.ack(id, time.Since(begin))
 				break
 			}
 			if ctx.Err() == nil {
--- a/pool/lease.go
+++ b/pool/lease.go
@@ -11,7 +11,7 @@
 )
 
 // Lease is the ownership of one connection for one transaction. It is used by
-// one goroutine; only Cancel may come from another.
+// one goroutine; only Cancel and Break may come from another.
 type Lease struct {
 	pool  *Pool
 	conn  *conn
@@ -138,6 +138,13 @@
 	return !l.failed.Load() && l.pending == 0 && l.status == txIdle && !l.conn.tainted.Load()
 }
 
+// Break ends the connection under the feet of its owner, whose next read or write
+// fails. It may come from another goroutine, but not after Release has begun.
+func (l *Lease) Break() {
+	l.failed.Store(true)
+	l.conn.shut()
+}
+
 // Discard closes the connection. A late answer to what was sent on it dies
 // with it. A second call does nothing.
 func (l *Lease) Discard() {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -29,9 +29,13 @@
 type Server struct {
 	cfg     Config
 	chain   filter.Handler
-	metrics *metrics
-	secret  []byte
-	request atomic.Uint64
+	running *filter.Running
+	// watch starts running once; over ends it, closed by endWatch.
+	watch, endWatch sync.Once
+	over            chan struct{}
+	metrics         *metrics
+	secret          []byte
+	request         atomic.Uint64
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -57,6 +61,8 @@
 	// crypto/rand.Read never fails: it ends the process instead.
 	_, _ = rand.Read(s.secret)
 	s.metrics = newMetrics(cfg.Registerer)
+	s.running = filter.NewRunning(cfg.View)
+	s.over = make(chan struct{})
 	s.chain = s.newChain()
 	return s
 }
@@ -94,7 +100,7 @@
 		router,
 		filter.Witness{Gate: s.cfg.Ack},
 		filter.Admitter{Limiter: s.cfg.Limiter},
-		filter.Executor{Pool: s.cfg.Pool},
+		filter.Executor{Pool: s.cfg.Pool, Running: s.running},
 	)
 }
 
@@ -106,6 +112,8 @@
 	}
 	stop := s.sweep()
 	defer stop()
+	// It goes on while the sessions of a drain end.
+	s.watch.Do(func() { go s.running.Run(s.over) })
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -225,6 +233,7 @@
 	}
 	s.mu.Unlock()
 	s.cfg.Log.Info("proxy_draining", zap.Int("sessions", s.Sessions()))
+	defer s.endWatch.Do(func() { close(s.over) })
 	return s.awaitSessions(ctx)
 }
 
