--- a/internal/standin/dbd/failure_test.go
+++ b/internal/standin/dbd/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
@@ -376,3 +377,21 @@
 	require.NoError(t, err)
 	eventually(t, func() bool { return a.Status().Position() == c.Status().Position() }, "the old primary follows")
 }
+
+// A proxy gives up its BEGIN at a frozen primary, which is thawed and told to
+// follow. The storage stayed read-only, so the server never followed again (seen
+// in CI: "attempt to write a readonly database"). Wherever the BEGIN is given
+// up, the next transaction must get on.
+func TestAbandonedBeginLeavesTheStorageWritable(t *testing.T) {
+	e, err := newEngine(t.Context())
+	require.NoError(t, err)
+	defer e.close()
+	for i := range 2000 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%200)*time.Microsecond)
+		if tx, err := e.begin(ctx, 1); err == nil {
+			tx.rollback()
+		}
+		cancel()
+		require.NoError(t, e.replay(t.Context(), []Statement{{SQL: "CREATE TABLE IF NOT EXISTS t (id TEXT)"}}))
+	}
+}
--- a/internal/standin/dbd/writetx.go
+++ b/internal/standin/dbd/writetx.go
@@ -32,8 +32,9 @@
 	// has any effect, and is thereby known to belong in the log.
 	if err := execAll(ctx, e.head, "BEGIN IMMEDIATE", "PRAGMA query_only=1"); err != nil {
 		// A caller that gave up between the two would leave the storage inside
-		// a transaction that nobody owns, and every later one would fail.
-		_ = execAll(context.WithoutCancel(ctx), e.head, "ROLLBACK")
+		// a transaction that nobody owns, or read-only, and neither a writer nor
+		// replication would ever get on.
+		_ = execAll(context.WithoutCancel(ctx), e.head, "PRAGMA query_only=0", "ROLLBACK")
 		<-e.writeLock
 		if errors.Is(err, sql.ErrConnDone) {
 			err = errClosed
