Let a queue grow until deadlines refuse, not a count of 64

Cause: at 1,000 callers the daemon refused most requests as 'full' (1.4 million refusals in 8 s, callers asking again at once), although the queue would have been served within 25 ms. Ruled out: slots (64 here) and the pool. Change: 4,096 may wait for a server; a request whose deadline cannot be met is still refused at once.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -18,6 +18,10 @@
 	"endivemoor.example/endivemoor/routing"
 )
 
+// maxQueued bounds the requests that wait for one server. It only guards
+// memory: long before, a request is refused because its deadline cannot be met.
+const maxQueued = 4096
+
 // controlPerServer is the number of connections kept for control at a server.
 const controlPerServer = 1
 
@@ -86,7 +90,7 @@
 
 func (d *daemon) newLimiter() *limiter.Limiter {
 	return limiter.New(limiter.Config{
-		Queue: admission.Config{Slots: d.set.Targets.Slots, Seed: newRand().Uint64()},
+		Queue: admission.Config{Slots: d.set.Targets.Slots, MaxQueued: maxQueued, Seed: newRand().Uint64()},
 		Clock: d.clk,
 		Fleet: func() int { return d.views.Load().FleetSize },
 	})
