--- a/daemon/control.go
+++ b/daemon/control.go
@@ -111,16 +111,16 @@
 
 // connString is the login to a server as a URL.
 func (d *daemon) connString(addr, database string) string {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		host, port = addr, ""
+	query := url.Values{"sslmode": {d.set.Targets.TLS}}
+	if d.set.Targets.CA != "" {
+		query.Set("sslrootcert", d.set.Targets.CA)
 	}
 	u := url.URL{
 		Scheme:   "postgres",
 		User:     url.UserPassword(d.set.Targets.User, d.set.Targets.Password),
-		Host:     net.JoinHostPort(host, port),
+		Host:     addr,
 		Path:     "/" + database,
-		RawQuery: "sslmode=disable",
+		RawQuery: query.Encode(),
 	}
 	return u.String()
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -148,6 +148,8 @@
 	return Targets{
 		User:        s.Required("user", "name the login to database servers"),
 		Password:    s.String("password", ""),
+		TLS:         s.Choice("tls", "disable", "disable", "require", "verify-full"),
+		CA:          s.String("ca", ""),
 		Connections: s.Int("connections", 25, 4, 10000),
 		Slots:       s.Int("slots", 3, 1, 1000),
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,10 @@
 type Targets struct {
 	User     string
 	Password string
+	// TLS is a PostgreSQL sslmode: disable, require or verify-full.
+	TLS string
+	// CA is the PEM authority of the servers; empty means the system's.
+	CA string
 	// Connections is one server's limit for the whole fleet.
 	Connections int
 	// Slots is how many statements one server runs at once.
