Remove two functions that nobody calls

Cause: on re-reading, inifile.Digest was an alias left from before profile.Digest, and peer.Clients.Forget was never called, so it only looked as if the clients of VMs that are gone were dropped. Change: both removed; behaviour is the same. Clients keeps one small client for each peer address it ever met, which is to be bounded by the live VMs.

--- a/peer/client.go
+++ b/peer/client.go
@@ -71,13 +71,6 @@
 	return p
 }
 
-// Forget drops the client of a VM that is gone.
-func (c *Clients) Forget(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.byIP, addr)
-}
-
 // terse leaves out the header that names the program: exchanges are many and
 // small, and half of their bytes are headers.
 type terse struct{ http.RoundTripper }
--- a/profile/inifile/parse.go
+++ b/profile/inifile/parse.go
@@ -14,9 +14,6 @@
 // name is what profiles and kinds may be called; a dot separates the two.
 var name = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
-// Digest is the hex SHA-256 of a set's text, as in profile.Digest.
-func Digest(text []byte) string { return profile.Digest(text) }
-
 // Parse checks the text and returns its profiles, without a generation. The
 // set is nil if any finding is an Error; the findings may hold warnings beside
 // a set. The file name is used in findings only.
