--- a/audit/log/bench_test.go
+++ b/audit/log/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // weighed counts the bytes written.
@@ -15,7 +15,7 @@
 	bytes int
 }
 
-func (w *weighed) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (w *weighed) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	w.bytes += len(value)
 	return w.Store.Put(ctx, p, key, value, expect)
 }
--- a/audit/log/find.go
+++ b/audit/log/find.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/audit"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // search remembers which acts are not in the trail, and up to which full
@@ -86,8 +86,8 @@
 }
 
 func (l *Log) hint(ctx context.Context) (int, error) {
-	o, err := l.store.Get(ctx, platform.PurposeAudit, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := l.store.Get(ctx, store.PurposeAudit, HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return firstSegment, nil
 	}
 	if err != nil {
@@ -102,8 +102,8 @@
 
 // read returns a segment, with version 0 if it does not exist.
 func (l *Log) read(ctx context.Context, number int) (stored, error) {
-	o, err := l.store.Get(ctx, platform.PurposeAudit, segmentKey(number))
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := l.store.Get(ctx, store.PurposeAudit, segmentKey(number))
+	if errors.Is(err, store.ErrNotFound) {
 		return stored{segment: segment{Number: number}}, nil
 	}
 	if err != nil {
--- a/audit/log/log.go
+++ b/audit/log/log.go
@@ -9,13 +9,13 @@
 
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 // Log appends to the trail and reads it. It is safe for concurrent use.
 type Log struct {
-	store platform.Store
+	store store.Store
 	// pause is the time between two read-backs, and after a lost race.
 	pause time.Duration
 	// guards are taken out by tests only.
@@ -32,7 +32,7 @@
 )
 
 // New returns a log in the store.
-func New(s platform.Store) *Log { return &Log{store: s, pause: readback.DefaultPause} }
+func New(s store.Store) *Log { return &Log{store: s, pause: readback.DefaultPause} }
 
 // WithPause returns the log with another pause between tries.
 func (l *Log) WithPause(d time.Duration) *Log {
@@ -119,7 +119,7 @@
 		}
 		// Lost: another writer was first. Chain behind it.
 		if !readback.Pause(ctx, l.pause) {
-			return errors.WithMessage(platform.ErrUnavailable, "other writers were first until the time ran out")
+			return errors.WithMessage(store.ErrUnavailable, "other writers were first until the time ran out")
 		}
 	}
 }
@@ -145,14 +145,14 @@
 		return readback.Result{Outcome: readback.NotSent}, errors.Wrap(err, "encode audit segment")
 	}
 	return readback.Put(ctx, l.store, readback.Write{
-		Purpose: platform.PurposeAudit,
+		Purpose: store.PurposeAudit,
 		Key:     segmentKey(last.Number),
 		Value:   value,
 		Expect:  last.version,
 		Pause:   l.pause,
 		// A later writer only adds to the segment, so our entries tell. They are
 		// judged by ID: a racing command may have recorded the very same act.
-		Mine: func(o platform.Object) bool {
+		Mine: func(o store.Object) bool {
 			s, err := decode(o, last.Number)
 			return err == nil && s.hasAll(entries[len(last.Entries):]) && !l.guards.Out(GuardReadBack)
 		},
@@ -165,13 +165,13 @@
 	if last.version != 0 {
 		return
 	}
-	o, err := l.store.Get(ctx, platform.PurposeAudit, HeadKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	o, err := l.store.Get(ctx, store.PurposeAudit, HeadKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return
 	}
 	value, err := json.Marshal(hint{Segment: last.Number})
 	if err != nil {
 		return
 	}
-	_, _ = l.store.Put(ctx, platform.PurposeAudit, HeadKey, value, o.Version)
+	_, _ = l.store.Put(ctx, store.PurposeAudit, HeadKey, value, o.Version)
 }
--- a/audit/log/log_test.go
+++ b/audit/log/log_test.go
@@ -16,7 +16,7 @@
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 var at = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
@@ -25,7 +25,7 @@
 	return Act(id, at, "vm-1", audit.GroupPromoted, "primary lost", "ledger-0", "1", "2")
 }
 
-func open(s platform.Store) *Log { return New(s).WithPause(time.Millisecond) }
+func open(s store.Store) *Log { return New(s).WithPause(time.Millisecond) }
 
 func requireTrail(t *testing.T, s *platformd.Store, ids int) []audit.Entry {
 	t.Helper()
@@ -52,7 +52,7 @@
 	_, struck := s.Faults()
 	require.Positive(t, struck.LostAnswers)
 	requireTrail(t, s, writers*each)
-	segments, err := s.List(ctx, platform.PurposeAudit, SegmentPrefix)
+	segments, err := s.List(ctx, store.PurposeAudit, SegmentPrefix)
 	require.NoError(t, err)
 	require.Greater(t, len(segments), 2)
 	tail, err := open(s).Tail(ctx, 100)
@@ -182,9 +182,9 @@
 	s := platformd.NewStore()
 	l := open(s)
 	require.NoError(t, appendMany(ctx, l, "x", 200))
-	o, err := s.Get(ctx, platform.PurposeAudit, segmentKey(2))
+	o, err := s.Get(ctx, store.PurposeAudit, segmentKey(2))
 	require.NoError(t, err)
-	require.NoError(t, s.Delete(ctx, platform.PurposeAudit, o.Key, o.Version))
+	require.NoError(t, s.Delete(ctx, store.PurposeAudit, o.Key, o.Version))
 	entries, err := l.All(ctx)
 	require.NoError(t, err)
 	faults := audit.Verify(entries)
@@ -212,7 +212,7 @@
 	cancel func()
 }
 
-func (o outageAfterPut) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (o outageAfterPut) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	v, err := o.Store.Put(ctx, p, key, value, expect)
 	o.SetFaults(platformd.Faults{Down: true})
 	o.cancel()
--- a/audit/log/recorder.go
+++ b/audit/log/recorder.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/audit"
-	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 // queueLimit bounds the acts that wait in memory.
--- a/audit/log/segment.go
+++ b/audit/log/segment.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/audit"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // Keys of the trail.
@@ -18,11 +18,11 @@
 )
 
 // SegmentBytes is the size from which a segment is full. Each append writes
-// its whole segment, so it is far below platform.MaxValue.
+// its whole segment, so it is far below store.MaxValue.
 const SegmentBytes = 48 << 10
 
 // batchBytes bounds one append, so that a segment stays below
-// platform.MaxValue also after the append that fills it.
+// store.MaxValue also after the append that fills it.
 const batchBytes = 256 << 10
 
 // firstSegment is the number of the trail's first segment.
@@ -37,7 +37,7 @@
 // stored is a segment as read, Version 0 when it does not exist yet.
 type stored struct {
 	segment
-	version platform.Version
+	version store.Version
 	size    int
 }
 
@@ -55,7 +55,7 @@
 
 func (s stored) head() audit.Head { return s.Entries[len(s.Entries)-1].Head() }
 
-func decode(o platform.Object, number int) (stored, error) {
+func decode(o store.Object, number int) (stored, error) {
 	s := stored{version: o.Version, size: len(o.Value)}
 	if err := json.Unmarshal(o.Value, &s.segment); err != nil {
 		return s, errors.Wrapf(err, "audit segment %d", number)
--- a/controller/duty.go
+++ b/controller/duty.go
@@ -7,7 +7,7 @@
 
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/ownership"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 const (
@@ -78,7 +78,7 @@
 	if !known {
 		least = listEvery
 	}
-	return ownership.DefaultBudget().Interval(platform.PurposeVMs, int(d.live.Load()), least)
+	return ownership.DefaultBudget().Interval(store.PurposeVMs, int(d.live.Load()), least)
 }
 
 func (d *Duty) among(vms []membership.VM) bool {
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -13,8 +13,8 @@
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -34,7 +34,7 @@
 	views   *view.Holder
 	config  *Configuration
 	clients *peer.Clients
-	store   platform.Store
+	store   store.Store
 	duty    *Duty
 	drains  *Drains
 	fleet   *Fleet
@@ -64,7 +64,7 @@
 	Views    *view.Holder
 	Config   *Configuration
 	Clients  *peer.Clients
-	Store    platform.Store
+	Store    store.Store
 	Duty     *Duty
 	Drains   *Drains
 	Log      *zap.Logger
--- a/controller/exchange_test.go
+++ b/controller/exchange_test.go
@@ -13,16 +13,16 @@
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
 
 // downStore answers no call.
-type downStore struct{ platform.Store }
+type downStore struct{ store.Store }
 
-func (downStore) VMs(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable }
+func (downStore) VMs(context.Context) ([]store.VM, error) { return nil, store.ErrUnavailable }
 
 type node struct {
 	*Exchange
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -9,8 +9,8 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/store"
 )
 
 // forgetUnlisted is how long a VM that the platform does not list stays in the
@@ -87,7 +87,7 @@
 }
 
 // List takes the platform's list: a VM on it is shown also if it never spoke.
-func (f *Fleet) List(vms []platform.VM) {
+func (f *Fleet) List(vms []store.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.listed)
--- a/controller/fleet_test.go
+++ b/controller/fleet_test.go
@@ -9,8 +9,8 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
+	"endivemoor.example/endivemoor/store"
 )
 
 // handClock shows what a test sets.
@@ -36,7 +36,7 @@
 	clk.now = clk.now.Add(time.Hour)
 	f.Hear(says("p3", 1, 5, uint64(time.Hour.Milliseconds())))
 	f.Hear(&peerpb.Member{Vm: "p3", Zone: "z", Incarnation: 1})
-	f.List([]platform.VM{{ID: "p3", Zone: "z"}})
+	f.List([]store.VM{{ID: "p3", Zone: "z"}})
 	require.Equal(t, []FleetVM{{VM: "p3", Zone: "z", Generation: 5, HeardMS: time.Hour.Milliseconds()}}, f.VMs())
 	m := f.said(&peerpb.Member{Vm: "p3", Incarnation: 1})
 	require.EqualValues(t, time.Hour.Milliseconds(), m.GetSaid().GetAgeMs(), "and passes it on with its age")
@@ -69,10 +69,10 @@
 func TestReplacedVMsAreForgotten(t *testing.T) {
 	f, clk := newFleet()
 	f.Hear(says("gone", 1, 6, 0))
-	f.List([]platform.VM{{ID: "p0"}, {ID: "new", Zone: "z"}})
+	f.List([]store.VM{{ID: "p0"}, {ID: "new", Zone: "z"}})
 	require.Len(t, f.VMs(), 2, "the list lags, so a word alone counts for a while")
 	clk.now = clk.now.Add(forgetUnlisted + time.Second)
-	f.List([]platform.VM{{ID: "new", Zone: "z"}})
+	f.List([]store.VM{{ID: "new", Zone: "z"}})
 	require.Equal(t, []FleetVM{{VM: "new", Zone: "z", HeardMS: -1}}, f.VMs())
 }
 
--- a/controller/group.go
+++ b/controller/group.go
@@ -10,7 +10,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/control"
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -39,7 +39,7 @@
 	Clock    clock.Clock
 	Views    *view.Holder
 	Links    *control.Links
-	Store    platform.Store
+	Store    store.Store
 	Peers    PeerEvidence
 	Recorder Recorder
 	Log      *zap.Logger
--- a/controller/manager.go
+++ b/controller/manager.go
@@ -10,7 +10,7 @@
 
 	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/view"
 )
 
@@ -88,7 +88,7 @@
 	c := NewGroup(m.Deps, group, m.Failover, rng, m.Dropped)
 	m.groups[group.Name] = running{c, stop}
 	go c.Run(ctx)
-	c.Post(failover.GroupLearned{Group: *group, Version: platform.Version(group.Version)})
+	c.Post(failover.GroupLearned{Group: *group, Version: store.Version(group.Version)})
 	m.Log.Info("group_served", zap.String("group", group.Name), zap.Uint64("term", uint64(group.Term)))
 	return c
 }
@@ -108,12 +108,12 @@
 // Watchers returns the watchers of groups and drains.
 func (m *Manager) Watchers(active func() bool) []*Watcher {
 	return []*Watcher{
-		m.watcher(platform.PurposeGroup, groupPrefix, m.onGroups, active),
-		m.watcher(platform.PurposeDrain, drainstore.Prefix, m.onDrains, active),
+		m.watcher(store.PurposeGroup, groupPrefix, m.onGroups, active),
+		m.watcher(store.PurposeDrain, drainstore.Prefix, m.onDrains, active),
 	}
 }
 
-func (m *Manager) watcher(p platform.Purpose, prefix string, handle handler, active func() bool) *Watcher {
+func (m *Manager) watcher(p store.Purpose, prefix string, handle handler, active func() bool) *Watcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Watcher{Store: m.Store, Purpose: p, Prefix: prefix, Handle: handle, Active: active, Rand: rng, Log: m.Log}
 }
--- a/controller/store.go
+++ b/controller/store.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/view"
 )
 
@@ -29,8 +29,8 @@
 func (g *Group) groupKey() string { return groupPrefix + g.name }
 
 func (g *Group) readLease(ctx context.Context, a failover.ReadLease) {
-	obj, err := g.Store.Get(ctx, platform.PurposeLease, g.leaseKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := g.Store.Get(ctx, store.PurposeLease, g.leaseKey())
+	if errors.Is(err, store.ErrNotFound) {
 		g.Post(failover.LeaseResult{Asked: a.Asked})
 		return
 	}
@@ -47,7 +47,7 @@
 		g.Post(failover.LeaseResult{Asked: a.Asked, Err: err})
 		return
 	}
-	version, err := g.Store.Put(ctx, platform.PurposeLease, g.leaseKey(), value, a.ExpectVersion)
+	version, err := g.Store.Put(ctx, store.PurposeLease, g.leaseKey(), value, a.ExpectVersion)
 	if err != nil {
 		g.Post(failover.LeaseResult{Asked: a.Asked, Err: err})
 		return
@@ -66,8 +66,8 @@
 }
 
 // ReadGroup returns a group's object and its version.
-func ReadGroup(ctx context.Context, store platform.Store, name string) (*view.Group, platform.Version, error) {
-	obj, err := store.Get(ctx, platform.PurposeGroup, groupPrefix+name)
+func ReadGroup(ctx context.Context, objects store.Store, name string) (*view.Group, store.Version, error) {
+	obj, err := objects.Get(ctx, store.PurposeGroup, groupPrefix+name)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -75,19 +75,19 @@
 	return group, obj.Version, err
 }
 
-func decodeGroup(obj platform.Object) (*view.Group, error) {
+func decodeGroup(obj store.Object) (*view.Group, error) {
 	group := &view.Group{}
 	err := json.Unmarshal(obj.Value, group)
 	group.Version = int64(obj.Version)
 	return group, errors.Wrap(err, obj.Key)
 }
 
-func (g *Group) putGroup(ctx context.Context, group view.Group, expect platform.Version) (platform.Version, error) {
+func (g *Group) putGroup(ctx context.Context, group view.Group, expect store.Version) (store.Version, error) {
 	value, err := json.Marshal(group)
 	if err != nil {
 		return 0, errors.Wrap(err, "group")
 	}
-	version, err := g.Store.Put(ctx, platform.PurposeGroup, g.groupKey(), value, expect)
+	version, err := g.Store.Put(ctx, store.PurposeGroup, g.groupKey(), value, expect)
 	g.Log.Info("group_put",
 		zap.String("group", g.name),
 		zap.Uint64("term", uint64(group.Term)),
--- a/controller/watched.go
+++ b/controller/watched.go
@@ -10,13 +10,13 @@
 
 	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
 
 // onGroups takes changed group objects from the store.
-func (m *Manager) onGroups(_ context.Context, changed []platform.Object, _ int64) {
+func (m *Manager) onGroups(_ context.Context, changed []store.Object, _ int64) {
 	for _, obj := range changed {
 		if obj.Version == 0 {
 			m.Log.Warn("group_object_deleted", zap.String("key", obj.Key))
@@ -32,7 +32,7 @@
 }
 
 // learn adopts a group and tells its controller.
-func (m *Manager) learn(group *view.Group, version platform.Version) {
+func (m *Manager) learn(group *view.Group, version store.Version) {
 	if !m.serves(group.Name) {
 		return
 	}
@@ -46,7 +46,7 @@
 
 // onDrains takes changed drain marks. A mark that is ending, or gone, lets the
 // target take work again.
-func (m *Manager) onDrains(_ context.Context, changed []platform.Object, revision int64) {
+func (m *Manager) onDrains(_ context.Context, changed []store.Object, revision int64) {
 	for _, obj := range changed {
 		draining := false
 		if obj.Version != 0 {
--- a/controller/watcher.go
+++ b/controller/watcher.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 const (
@@ -22,13 +22,13 @@
 
 // handler takes objects that changed up to a revision of the store; an object of
 // version 0 was deleted.
-type handler func(ctx context.Context, changed []platform.Object, revision int64)
+type handler func(ctx context.Context, changed []store.Object, revision int64)
 
 // Watcher follows the objects below one prefix, while this VM is among the few
 // watchers of its availability zone. The rest of the fleet learns from peers.
 type Watcher struct {
-	Store   platform.Store
-	Purpose platform.Purpose
+	Store   store.Store
+	Purpose store.Purpose
 	Prefix  string
 	Handle  handler
 	// Active says if this VM watches now.
--- a/ctl/audit.go
+++ b/ctl/audit.go
@@ -12,7 +12,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
-	"endivemoor.example/endivemoor/publication/store"
+	pubstore "endivemoor.example/endivemoor/publication/store"
 )
 
 type auditCommands struct {
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	act := auditlog.Act(store.NewID(), time.Now(), by.Actor, audit.Action(c.Action), by.Reason, c.Subject, c.From, c.To)
+	act := auditlog.Act(pubstore.NewID(), time.Now(), by.Actor, audit.Action(c.Action), by.Reason, c.Subject, c.From, c.To)
 	act.Since = since
 	err = r.trail().Append(r.ctx, act)
 	if isType[*auditlog.UnknownError](err) {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/view"
 )
 
@@ -129,18 +129,18 @@
 	g := view.Group{Name: "ledger-0", Term: 3, Primary: "ledger-0-a", Reserved: 4, Servers: []view.Server{{ID: "ledger-0-a", Addr: "127.0.0.1:1", Zone: "z1"}, {ID: "ledger-0-b", Addr: "127.0.0.1:2", Zone: "z2"}}}
 	value, err := json.Marshal(g)
 	require.NoError(b.t, err)
-	_, err = b.store.Put(context.Background(), platform.PurposeGroup, "groups/ledger-0", value, 0)
+	_, err = b.store.Put(context.Background(), store.PurposeGroup, "groups/ledger-0", value, 0)
 	require.NoError(b.t, err)
 }
 
 // tamper edits the first audit segment behind the commands' back.
 func (b *bench) tamper(from, to string) {
 	ctx := context.Background()
-	o, err := b.store.Get(ctx, platform.PurposeAudit, "audit/segments/00000001")
+	o, err := b.store.Get(ctx, store.PurposeAudit, "audit/segments/00000001")
 	require.NoError(b.t, err)
 	edited := strings.Replace(string(o.Value), from, to, 1)
 	require.NotEqual(b.t, string(o.Value), edited)
-	_, err = b.store.Put(ctx, platform.PurposeAudit, o.Key, []byte(edited), o.Version)
+	_, err = b.store.Put(ctx, store.PurposeAudit, o.Key, []byte(edited), o.Version)
 	require.NoError(b.t, err)
 }
 
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -8,9 +8,9 @@
 
 	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/finding"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
-	"endivemoor.example/endivemoor/publication/store"
+	pubstore "endivemoor.example/endivemoor/publication/store"
+	"endivemoor.example/endivemoor/store"
 )
 
 // ExitCode is what a command tells the shell.
@@ -63,7 +63,7 @@
 // unknown: a store that stops answering while an earlier command's entry is
 // recovered leaves this one undone.
 var exitRules = []exitRule{
-	{ExitUnknown, isType[*store.UnknownError]},
+	{ExitUnknown, isType[*pubstore.UnknownError]},
 	{ExitUnknown, isType[*drainstore.UnknownError]},
 	{ExitUnknown, isType[*unknownNoteError]},
 	{ExitBadInput, isType[finding.Findings]},
@@ -85,6 +85,6 @@
 }
 
 func isUnavailable(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNoAnswer) ||
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrNoAnswer) ||
 		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || isType[*daemonError](err)
 }
--- a/ctl/groups.go
+++ b/ctl/groups.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	drainstore "endivemoor.example/endivemoor/drain/store"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
@@ -44,7 +44,7 @@
 }
 
 func (r *runner) groups(name string) ([]view.Group, error) {
-	objects, err := r.platform.List(r.ctx, platform.PurposeCommand, groupPrefix)
+	objects, err := r.platform.List(r.ctx, store.PurposeCommand, groupPrefix)
 	if err != nil {
 		return nil, err
 	}
--- a/ctl/killed_test.go
+++ b/ctl/killed_test.go
@@ -14,7 +14,7 @@
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/publication/store"
+	pubstore "endivemoor.example/endivemoor/publication/store"
 )
 
 // asCommand makes the test binary run as endivemoorctl.
@@ -44,9 +44,9 @@
 
 		draft(t, p, "dora", "[shop]\n[shop.pay]\nworth = 4\n")
 		ctx := context.Background()
-		current, err := store.New(p, time.Now).Current(ctx)
+		current, err := pubstore.New(p, time.Now).Current(ctx)
 		require.NoError(t, err)
-		drafts, err := store.New(p, time.Now).Drafts(ctx)
+		drafts, err := pubstore.New(p, time.Now).Drafts(ctx)
 		require.NoError(t, err)
 		entries, err := auditlog.New(p).All(ctx)
 		require.NoError(t, err)
@@ -77,7 +77,7 @@
 	t.Helper()
 	ctx := context.Background()
 	first := draft(t, p, "aoife", "[shop]\n[shop.pay]\nworth = 2\n")
-	_, err := store.New(p, time.Now).Publish(ctx, store.By{Actor: "aoife", Reason: "first"}, first)
+	_, err := pubstore.New(p, time.Now).Publish(ctx, pubstore.By{Actor: "aoife", Reason: "first"}, first)
 	require.NoError(t, err)
 	return draft(t, p, "aoife", "[shop]\n[shop.pay]\nworth = 3\n")
 }
@@ -86,10 +86,10 @@
 func draft(t *testing.T, p *platformd.Store, author, text string) string {
 	t.Helper()
 	ctx := context.Background()
-	s := store.New(p, time.Now)
-	d, _, err := s.Create(ctx, store.By{Actor: author, Reason: "change"}, "f.ini", []byte(text))
+	s := pubstore.New(p, time.Now)
+	d, _, err := s.Create(ctx, pubstore.By{Actor: author, Reason: "change"}, "f.ini", []byte(text))
 	require.NoError(t, err)
-	_, err = s.Review(ctx, store.By{Actor: "brian", Reason: "read"}, d.ID, nil)
+	_, err = s.Review(ctx, pubstore.By{Actor: "brian", Reason: "read"}, d.ID, nil)
 	require.NoError(t, err)
 	return d.ID
 }
--- a/ctl/runner.go
+++ b/ctl/runner.go
@@ -12,9 +12,9 @@
 
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	drainstore "endivemoor.example/endivemoor/drain/store"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/client"
-	"endivemoor.example/endivemoor/publication/store"
+	pubstore "endivemoor.example/endivemoor/publication/store"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/client"
 )
 
 const formJSON = "json"
@@ -30,7 +30,7 @@
 	form     string
 	actor    string
 	daemons  []string
-	platform platform.Store
+	platform store.Store
 }
 
 func newRunner(ctx context.Context, c *cli, out io.Writer) (*runner, error) {
@@ -41,19 +41,19 @@
 	return &runner{ctx: ctx, out: out, form: c.Output, actor: strings.TrimSpace(c.Actor), daemons: c.Daemon, platform: p}, nil
 }
 
-func (r *runner) profiles() *store.Store    { return store.New(r.platform, time.Now) }
+func (r *runner) profiles() *pubstore.Store { return pubstore.New(r.platform, time.Now) }
 func (r *runner) drains() *drainstore.Store { return drainstore.New(r.platform, time.Now) }
 func (r *runner) trail() *auditlog.Log      { return auditlog.New(r.platform) }
 
 // by returns who acts and why, both of which a change must have.
-func (r *runner) by(reason string) (store.By, error) {
+func (r *runner) by(reason string) (pubstore.By, error) {
 	if r.actor == "" {
-		return store.By{}, &inputError{message: "name who acts by --actor or ENDIVEMOOR_ACTOR"}
+		return pubstore.By{}, &inputError{message: "name who acts by --actor or ENDIVEMOOR_ACTOR"}
 	}
 	if strings.TrimSpace(reason) == "" {
-		return store.By{}, &inputError{message: "give a --reason"}
+		return pubstore.By{}, &inputError{message: "give a --reason"}
 	}
-	return store.By{Actor: r.actor, Reason: reason}, nil
+	return pubstore.By{Actor: r.actor, Reason: reason}, nil
 }
 
 // print writes v as JSON, or what text writes.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,11 +23,11 @@
 	"endivemoor.example/endivemoor/explain"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer"
-	"endivemoor.example/endivemoor/platform/client"
 	"endivemoor.example/endivemoor/proxy"
 	"endivemoor.example/endivemoor/routing"
 	"endivemoor.example/endivemoor/session"
 	"endivemoor.example/endivemoor/settings"
+	"endivemoor.example/endivemoor/store/client"
 	"endivemoor.example/endivemoor/view"
 )
 
--- a/daemon/profiles.go
+++ b/daemon/profiles.go
@@ -6,17 +6,17 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/controller"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
-	"endivemoor.example/endivemoor/publication/store"
+	pubstore "endivemoor.example/endivemoor/publication/store"
+	"endivemoor.example/endivemoor/store"
 )
 
 // profileWatcher puts published sets in force.
 func (d *daemon) profileWatcher() *controller.Watcher {
 	return &controller.Watcher{
 		Store:   d.store,
-		Purpose: platform.PurposeProfile,
-		Prefix:  store.CurrentKey,
+		Purpose: store.PurposeProfile,
+		Prefix:  pubstore.CurrentKey,
 		Handle:  d.onProfiles,
 		Active:  d.duty.Watches,
 		Rand:    newRand(),
@@ -24,7 +24,7 @@
 	}
 }
 
-func (d *daemon) onProfiles(_ context.Context, changed []platform.Object, _ int64) {
+func (d *daemon) onProfiles(_ context.Context, changed []store.Object, _ int64) {
 	for _, obj := range changed {
 		if obj.Version == 0 {
 			continue
--- a/drain/store/store.go
+++ b/drain/store/store.go
@@ -19,8 +19,8 @@
 
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -79,14 +79,14 @@
 
 // Store writes marks.
 type Store struct {
-	platform platform.Store
+	platform store.Store
 	log      *auditlog.Log
 	now      func() time.Time
 	pause    time.Duration
 }
 
 // New returns a store in the platform. now gives the wall clock.
-func New(p platform.Store, now func() time.Time) *Store {
+func New(p store.Store, now func() time.Time) *Store {
 	return &Store{platform: p, log: auditlog.New(p), now: now, pause: readback.DefaultPause}
 }
 
@@ -136,7 +136,7 @@
 
 // Marks returns the present marks.
 func (s *Store) Marks(ctx context.Context) ([]Mark, error) {
-	objects, err := s.platform.List(ctx, platform.PurposeDrain, Prefix)
+	objects, err := s.platform.List(ctx, store.PurposeDrain, Prefix)
 	if err != nil {
 		return nil, err
 	}
@@ -151,7 +151,7 @@
 
 // Recover records the acts that killed commands left, and deletes ended marks.
 func (s *Store) Recover(ctx context.Context) error {
-	objects, err := s.platform.List(ctx, platform.PurposeDrain, Prefix)
+	objects, err := s.platform.List(ctx, store.PurposeDrain, Prefix)
 	if err != nil {
 		return err
 	}
@@ -163,12 +163,12 @@
 	return nil
 }
 
-func (s *Store) begin(ctx context.Context, id target.ID) (*Mark, platform.Version, error) {
+func (s *Store) begin(ctx context.Context, id target.ID) (*Mark, store.Version, error) {
 	if err := s.Recover(ctx); err != nil {
 		return nil, 0, err
 	}
-	o, err := s.platform.Get(ctx, platform.PurposeDrain, Prefix+string(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := s.platform.Get(ctx, store.PurposeDrain, Prefix+string(id))
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -190,14 +190,14 @@
 
 // write makes the update that decides, and then settles it. A store that fails
 // only in settling does not fail the order: the next command settles it.
-func (s *Store) write(ctx context.Context, m Mark, expect platform.Version) error {
+func (s *Store) write(ctx context.Context, m Mark, expect store.Version) error {
 	value, err := json.Marshal(m)
 	if err != nil {
 		return errors.Wrap(err, "encode mark")
 	}
 	r, err := readback.Put(ctx, s.platform, readback.Write{
-		Purpose: platform.PurposeDrain, Key: Prefix + string(m.Target), Value: value, Expect: expect, Pause: s.pause,
-		Mine: func(o platform.Object) bool {
+		Purpose: store.PurposeDrain, Key: Prefix + string(m.Target), Value: value, Expect: expect, Pause: s.pause,
+		Mine: func(o store.Object) bool {
 			var present Mark
 			return json.Unmarshal(o.Value, &present) == nil && present.Act.ID == m.Act.ID
 		},
@@ -218,7 +218,7 @@
 // resolveLost tells an order that lost a race from one that another command
 // settled, or ended, before its lost answer could be read back: such an order
 // stands in the audit trail, for nobody changes a mark before its act does.
-func (s *Store) resolveLost(ctx context.Context, m Mark, seen platform.Object) error {
+func (s *Store) resolveLost(ctx context.Context, m Mark, seen store.Object) error {
 	recorded, err := s.log.Has(ctx, m.Act)
 	if err != nil {
 		return &UnknownError{Target: m.Target, Cause: err}
@@ -236,7 +236,7 @@
 	return &StateError{Target: m.Target, Present: present}
 }
 
-func (s *Store) settle(ctx context.Context, o platform.Object) error {
+func (s *Store) settle(ctx context.Context, o store.Object) error {
 	var m Mark
 	if err := json.Unmarshal(o.Value, &m); err != nil {
 		return errors.Wrapf(err, "mark %s", o.Key)
@@ -257,16 +257,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encode mark")
 	}
-	_, err = s.platform.Put(ctx, platform.PurposeDrain, o.Key, value, o.Version)
+	_, err = s.platform.Put(ctx, store.PurposeDrain, o.Key, value, o.Version)
 	return ignoreRace(err)
 }
 
 // remove deletes an ended mark. A lost answer is resolved by deleting the same
 // version again.
-func (s *Store) remove(ctx context.Context, o platform.Object) error {
+func (s *Store) remove(ctx context.Context, o store.Object) error {
 	for {
-		err := s.platform.Delete(ctx, platform.PurposeDrain, o.Key, o.Version)
-		if !errors.Is(err, platform.ErrNoAnswer) {
+		err := s.platform.Delete(ctx, store.PurposeDrain, o.Key, o.Version)
+		if !errors.Is(err, store.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
 		if !readback.Pause(ctx, s.pause) {
@@ -278,8 +278,8 @@
 // ignoreRace forgives that another command settled the same mark, and a lost
 // answer: the mark of a recorded act only saves reads.
 func ignoreRace(err error) error {
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrNoAnswer) {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrNoAnswer) {
 		return nil
 	}
 	return err
--- a/drain/store/store_test.go
+++ b/drain/store/store_test.go
@@ -10,19 +10,19 @@
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 var order = Order{Target: "ledger-0-a", Actor: "aoife", Reason: "new disk", Grace: 10 * time.Second}
 
-func open(p platform.Store) *Store {
+func open(p store.Store) *Store {
 	s := New(p, func() time.Time { return time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC) })
 	s.pause = time.Millisecond
 	s.log = s.log.WithPause(time.Millisecond)
 	return s
 }
 
-func trail(t *testing.T, p platform.Store) []audit.Action {
+func trail(t *testing.T, p store.Store) []audit.Action {
 	t.Helper()
 	entries, err := auditlog.New(p).All(context.Background())
 	require.NoError(t, err)
@@ -66,20 +66,20 @@
 
 func (m *mortal) spend() bool { m.left--; return m.left >= 0 }
 
-func (m *mortal) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (m *mortal) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	if !m.spend() {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	v, err := m.Store.Put(ctx, p, key, value, expect)
 	if m.lose && err == nil {
-		return 0, platform.ErrNoAnswer
+		return 0, store.ErrNoAnswer
 	}
 	return v, err
 }
 
-func (m *mortal) Delete(ctx context.Context, p platform.Purpose, key string, expect platform.Version) error {
+func (m *mortal) Delete(ctx context.Context, p store.Purpose, key string, expect store.Version) error {
 	if !m.spend() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return m.Store.Delete(ctx, p, key, expect)
 }
--- a/failover/action.go
+++ b/failover/action.go
@@ -2,7 +2,7 @@
 
 import (
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -35,7 +35,7 @@
 // the version ExpectVersion (0: absent).
 type RenewLease struct {
 	Holder        string
-	ExpectVersion platform.Version
+	ExpectVersion store.Version
 	Asked         clock.Time
 }
 
@@ -46,14 +46,14 @@
 // ExpectVersion. It reserves the terms up to Group.Reserved.
 type Reserve struct {
 	Group         view.Group
-	ExpectVersion platform.Version
+	ExpectVersion store.Version
 }
 
 // Publish writes Group to the object "groups/<name>" if that has the version
 // ExpectVersion. It makes a promotion lasting.
 type Publish struct {
 	Group         view.Group
-	ExpectVersion platform.Version
+	ExpectVersion store.Version
 }
 
 // Fence orders target.Database.Fence.
--- a/failover/event.go
+++ b/failover/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -54,7 +54,7 @@
 // Version 0, as a peer announced it. A failed ReadGroup reports Err alone.
 type GroupLearned struct {
 	Group   view.Group
-	Version platform.Version
+	Version store.Version
 	Err     error
 }
 
@@ -64,11 +64,11 @@
 	// there is none.
 	Holder string
 	// Version is the lease object's version after the call.
-	Version platform.Version
+	Version store.Version
 	// Asked is the time that the action carried.
 	Asked clock.Time
 	// Err is nil, or a failure of the store. A driver that loses a RenewLease
-	// to a *platform.ConflictError may report the error as it is.
+	// to a *store.ConflictError may report the error as it is.
 	Err error
 }
 
@@ -77,7 +77,7 @@
 	// Term is the action's Group.Reserved.
 	Term timeline.Term
 	// Version is the object's new version when Err is nil.
-	Version platform.Version
+	Version store.Version
 	Err     error
 }
 
@@ -111,7 +111,7 @@
 	// Term is the action's Group.Term.
 	Term timeline.Term
 	// Version is the object's new version when Err is nil.
-	Version platform.Version
+	Version store.Version
 	Err     error
 }
 
--- a/failover/lease.go
+++ b/failover/lease.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // leaseState is what is known of the group's lease. The lease keeps VMs from
@@ -12,7 +12,7 @@
 type leaseState struct {
 	until   clock.Time // end of the own lease; 0 if not held
 	holder  string
-	version platform.Version
+	version store.Version
 	since   clock.Time // when this version was first seen
 	known   bool
 	nextAt  clock.Time
--- a/failover/reserve.go
+++ b/failover/reserve.go
@@ -4,7 +4,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
 )
@@ -12,9 +12,9 @@
 // storeState is what is known of the group's object in the store. At most one
 // write of it is under way.
 type storeState struct {
-	group   view.Group       // the object's value at version
-	version platform.Version // 0: not read yet
-	down    bool             // the newest call was not answered
+	group   view.Group    // the object's value at version
+	version store.Version // 0: not read yet
+	down    bool          // the newest call was not answered
 	pending pendingWrite
 	readAt  clock.Time // when ReadGroup is due; 0 if it is not
 	retryAt clock.Time // no write starts before
@@ -47,11 +47,11 @@
 func (s *storeState) noteAnswer() { s.down = false }
 
 func (s *storeState) noteError(err error) {
-	s.down = !isConflict(err) && !errors.Is(err, platform.ErrNotFound)
+	s.down = !isConflict(err) && !errors.Is(err, store.ErrNotFound)
 }
 
 func isConflict(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	return errors.As(err, &conflict)
 }
 
@@ -177,7 +177,7 @@
 
 // onWriteResult takes the answer to the pending write; an answer to an older
 // one is ignored, because its outcome was read back.
-func (m *Machine) onWriteResult(kind writeKind, term timeline.Term, version platform.Version, err error) {
+func (m *Machine) onWriteResult(kind writeKind, term timeline.Term, version store.Version, err error) {
 	p := m.store.pending
 	if p.kind != kind || pendingTerm(p) != term {
 		return
@@ -200,7 +200,7 @@
 }
 
 func (m *Machine) onWriteError(err error) {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, store.ErrUnavailable) {
 		m.store.pending.kind = writeNone
 		return
 	}
@@ -228,7 +228,7 @@
 }
 
 // learnStore takes the object's value at a version.
-func (m *Machine) learnStore(g view.Group, version platform.Version) {
+func (m *Machine) learnStore(g view.Group, version store.Version) {
 	s := &m.store
 	if version < s.version {
 		return
--- a/internal/experiment/capacity/example.go
+++ b/internal/experiment/capacity/example.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -76,10 +76,10 @@
 		return errors.Wrap(err, "read the first VM's settings")
 	}
 	list := struct {
-		VMs []platform.VM `json:"vms"`
+		VMs []store.VM `json:"vms"`
 	}{}
 	for i := range n {
-		vm := platform.VM{ID: fmt.Sprintf("p%d", i+1), Zone: exampleZones[i%len(exampleZones)]}
+		vm := store.VM{ID: fmt.Sprintf("p%d", i+1), Zone: exampleZones[i%len(exampleZones)]}
 		vm.Addr = fmt.Sprintf("127.0.0.1:%d", peersPort+i)
 		if i == 0 {
 			vm.Addr = first.Section("listen").Key("peers").String()
@@ -91,7 +91,7 @@
 	return writeJSON(filepath.Join(to, "vms.json"), list)
 }
 
-func writeVM(template, to string, vm platform.VM, i int) error {
+func writeVM(template, to string, vm store.VM, i int) error {
 	settings, err := ini.Load(template)
 	if err != nil {
 		return errors.Wrap(err, "read the first VM's settings")
--- a/internal/experiment/capacity/roles.go
+++ b/internal/experiment/capacity/roles.go
@@ -13,11 +13,11 @@
 	"endivemoor.example/endivemoor/failover"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/ownership"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/profile/inifile"
 	"endivemoor.example/endivemoor/routing"
 	"endivemoor.example/endivemoor/session"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -241,7 +241,7 @@
 	m := membership.New(membership.Config{Incarnation: 1, Seed: 1}, vms(1)[0])
 	var e membership.Listed
 	for _, vm := range vms(n) {
-		e.VMs = append(e.VMs, platform.VM{ID: vm.ID, Zone: vm.Zone, Addr: vm.Addr})
+		e.VMs = append(e.VMs, store.VM{ID: vm.ID, Zone: vm.Zone, Addr: vm.Addr})
 	}
 	m.Step(origin, e)
 	return m
--- a/internal/experiment/control/fleet.go
+++ b/internal/experiment/control/fleet.go
@@ -11,7 +11,7 @@
 	"endivemoor.example/endivemoor/internal/experiment/sim"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer/peerpb"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 const (
@@ -89,7 +89,7 @@
 		if at, gone := f.dead[y.self.ID]; gone && f.s.Now().Sub(at) > listLag {
 			continue
 		}
-		e.VMs = append(e.VMs, platform.VM{ID: y.self.ID, Zone: y.self.Zone, Addr: y.self.Addr})
+		e.VMs = append(e.VMs, store.VM{ID: y.self.ID, Zone: y.self.Zone, Addr: y.self.Addr})
 	}
 	f.step(x, e)
 }
--- a/internal/experiment/control/run.go
+++ b/internal/experiment/control/run.go
@@ -11,7 +11,7 @@
 	"endivemoor.example/endivemoor/internal/experiment/report"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/ownership"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // Result is what a fleet of one size showed when one of its VMs died.
@@ -136,10 +136,10 @@
 	for _, n := range storeSizes {
 		askers := n * min(n, probers)
 		fixed := float64(askers) / leaseRenew.Seconds()
-		lease := calls(b, platform.PurposeLease, askers, leaseRenew)
+		lease := calls(b, store.PurposeLease, askers, leaseRenew)
 		watching := watchersOf(n)
 		list := float64(watching)/listEvery.Seconds() +
-			float64(n-watching)/b.Interval(platform.PurposeVMs, n, listSeldom).Seconds()
+			float64(n-watching)/b.Interval(store.PurposeVMs, n, listSeldom).Seconds()
 		watches := float64(watching*prefixes) / watchWait.Seconds()
 		changes := float64(n) * changesPerNode * writesPerChange
 		rest := list + watches + changes
@@ -148,7 +148,7 @@
 	return table.Print(out)
 }
 
-func calls(b ownership.Budget, p platform.Purpose, n int, least time.Duration) float64 {
+func calls(b ownership.Budget, p store.Purpose, n int, least time.Duration) float64 {
 	return float64(n) / b.Interval(p, n, least).Seconds()
 }
 
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -14,8 +14,8 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/wire"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -88,10 +88,10 @@
 	return g
 }
 
-func (f *Fleet) vms() []platform.VM {
-	out := make([]platform.VM, f.Daemons)
+func (f *Fleet) vms() []store.VM {
+	out := make([]store.VM, f.Daemons)
 	for n := range out {
-		out[n] = platform.VM{ID: vmName(n), Zone: f.zone(n), Addr: f.addr(peerPorts, n)}
+		out[n] = store.VM{ID: vmName(n), Zone: f.zone(n), Addr: f.addr(peerPorts, n)}
 	}
 	return out
 }
--- a/internal/load/spread.go
+++ b/internal/load/spread.go
@@ -14,8 +14,8 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform/client"
 	"endivemoor.example/endivemoor/publication/store"
+	"endivemoor.example/endivemoor/store/client"
 )
 
 const (
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -24,8 +24,8 @@
 // core packages of this module.
 var corePackages = []string{
 	"ack", "admission", "audit", "clock", "drain", "failover", "finding",
-	"internal/guard", "membership", "outcome", "ownership", "platform", "profile",
-	"profile/diff", "publication", "request", "retry", "routing", "session", "target",
+	"internal/guard", "membership", "outcome", "ownership", "profile",
+	"profile/diff", "publication", "request", "retry", "routing", "session", "store", "target",
 	"timeline", "view",
 }
 
--- a/internal/standin/platformd/command.go
+++ b/internal/standin/platformd/command.go
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/wire"
 )
 
 const headerTimeout = 5 * time.Second
@@ -130,6 +130,6 @@
 }
 
 func (s *Store) seed(key string, value []byte) error {
-	_, err := s.state.put(key, value, platform.Version(0))
+	_, err := s.state.put(key, value, store.Version(0))
 	return errors.Wrapf(err, "seed object %s", key)
 }
--- a/internal/standin/platformd/doc.go
+++ b/internal/standin/platformd/doc.go
@@ -1,6 +1,6 @@
 // Package platformd is a small stand-in for the platform's object API, for
 // tests and the demo. Store keeps the state in memory and implements
-// platform.Store within the process; Server puts the same Store behind HTTP.
+// store.Store within the process; Server puts the same Store behind HTTP.
 //
 // Versions are revisions of the whole store: an object that is deleted and
 // written again never gets an old version back. Faults are set by Go methods
--- a/internal/standin/platformd/meter.go
+++ b/internal/standin/platformd/meter.go
@@ -6,11 +6,11 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // errGaveUp marks a call whose caller left while the store was slow.
-var errGaveUp = errors.WithMessage(platform.ErrUnavailable, "gave up on a slow store")
+var errGaveUp = errors.WithMessage(store.ErrUnavailable, "gave up on a slow store")
 
 type op string
 
@@ -60,7 +60,7 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
-func (m *meter) take(p platform.Purpose, o op) bool {
+func (m *meter) take(p store.Purpose, o op) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	of := m.counts.ByPurpose[string(p)]
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/wire"
 )
 
 // Paths of the control calls, beside the object API of package wire.
@@ -142,29 +142,29 @@
 	answer(w, body, nil)
 }
 
-func purposeOf(r *http.Request) platform.Purpose {
-	return platform.Purpose(r.Header.Get(wire.HeaderPurpose))
+func purposeOf(r *http.Request) store.Purpose {
+	return store.Purpose(r.Header.Get(wire.HeaderPurpose))
 }
 
-func expectOf(w http.ResponseWriter, r *http.Request) (platform.Version, bool) {
+func expectOf(w http.ResponseWriter, r *http.Request) (store.Version, bool) {
 	n, err := strconv.ParseInt(r.FormValue(wire.ParamExpect), 10, 64)
 	if err != nil {
 		http.Error(w, "bad "+wire.ParamExpect, http.StatusBadRequest)
 		return 0, false
 	}
-	return platform.Version(n), true
+	return store.Version(n), true
 }
 
 func answer(w http.ResponseWriter, v any, err error) {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	var tooLarge *wire.TooLargeError
 	switch {
 	case err == nil:
 		reply(w, http.StatusOK, v)
-	case errors.Is(err, platform.ErrNoAnswer):
+	case errors.Is(err, store.ErrNoAnswer):
 		// Cuts the connection without a response: the caller cannot know.
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		reply(w, http.StatusNotFound, nil)
 	case errors.As(err, &conflict):
 		reply(w, http.StatusConflict, wire.Written{Version: conflict.Current})
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -6,10 +6,10 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
-// Store is the stand-in's state as an in-process platform.Store with faults.
+// Store is the stand-in's state as an in-process store.Store with faults.
 type Store struct {
 	state  *state
 	faults faultBox
@@ -18,7 +18,7 @@
 	clock  clock.Clock
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ store.Store = (*Store)(nil)
 
 // NewStore returns an empty store that is well.
 func NewStore() *Store { return NewStoreWith(monotonic.New()) }
@@ -41,7 +41,7 @@
 func (s *Store) Release() { s.faults.release() }
 
 // SetVMs replaces the VM list; callers see it after the list's lag.
-func (s *Store) SetVMs(vms []platform.VM) { s.vms.set(vms, s.clock.Now()) }
+func (s *Store) SetVMs(vms []store.VM) { s.vms.set(vms, s.clock.Now()) }
 
 // SetVMLag sets how long a change of the VM list stays unseen.
 func (s *Store) SetVMLag(lag time.Duration) { s.vms.setLag(lag) }
@@ -54,15 +54,15 @@
 func (s *Store) SetLimits(writes, reads float64) { s.meter.setLimits(writes, reads) }
 
 // Get returns one object.
-func (s *Store) Get(ctx context.Context, p platform.Purpose, key string) (platform.Object, error) {
+func (s *Store) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
 	if err := s.arrive(ctx, p, opGet); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.state.get(key)
 }
 
 // List returns the objects below prefix in key order.
-func (s *Store) List(ctx context.Context, p platform.Purpose, prefix string) ([]platform.Object, error) {
+func (s *Store) List(ctx context.Context, p store.Purpose, prefix string) ([]store.Object, error) {
 	if err := s.arrive(ctx, p, opList); err != nil {
 		return nil, err
 	}
@@ -70,8 +70,8 @@
 }
 
 // Put writes value if the object's version is expect.
-func (s *Store) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	var version platform.Version
+func (s *Store) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
+	var version store.Version
 	err := s.change(ctx, p, opPut, func() (err error) {
 		version, err = s.state.put(key, value, expect)
 		return err
@@ -83,12 +83,12 @@
 }
 
 // Delete removes the object if its version is expect.
-func (s *Store) Delete(ctx context.Context, p platform.Purpose, key string, expect platform.Version) error {
+func (s *Store) Delete(ctx context.Context, p store.Purpose, key string, expect store.Version) error {
 	return s.change(ctx, p, opDelete, func() error { return s.state.remove(key, expect) })
 }
 
 // Watch waits for changes below prefix after the revision since.
-func (s *Store) Watch(ctx context.Context, p platform.Purpose, prefix string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (s *Store) Watch(ctx context.Context, p store.Purpose, prefix string, since int64, wait time.Duration) ([]store.Object, int64, error) {
 	if err := s.arrive(ctx, p, opWatch); err != nil {
 		return nil, since, err
 	}
@@ -112,8 +112,8 @@
 }
 
 // VMs returns the list as it was one lag ago.
-func (s *Store) VMs(ctx context.Context) ([]platform.VM, error) {
-	if err := s.arrive(ctx, platform.PurposeVMs, opVMs); err != nil {
+func (s *Store) VMs(ctx context.Context) ([]store.VM, error) {
+	if err := s.arrive(ctx, store.PurposeVMs, opVMs); err != nil {
 		return nil, err
 	}
 	return s.vms.get(s.clock.Now()), nil
@@ -121,13 +121,13 @@
 
 // arrive counts a call, refuses it when the store is down or over its rate,
 // and delays it when the store is slow.
-func (s *Store) arrive(ctx context.Context, p platform.Purpose, o op) error {
+func (s *Store) arrive(ctx context.Context, p store.Purpose, o op) error {
 	if !s.meter.take(p, o) {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	refused, delay := s.faults.arrive()
 	if refused || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	if delay > 0 && !sleep(ctx, delay) {
 		return errGaveUp
@@ -137,11 +137,11 @@
 
 // change runs apply under the faults. A caller that gives up on a slow store
 // leaves its change behind: it takes effect all the same.
-func (s *Store) change(ctx context.Context, p platform.Purpose, o op, apply func() error) error {
+func (s *Store) change(ctx context.Context, p store.Purpose, o op, apply func() error) error {
 	err := s.arrive(ctx, p, o)
 	if err == errGaveUp {
 		_ = apply()
-		return platform.ErrNoAnswer
+		return store.ErrNoAnswer
 	}
 	if err != nil {
 		return err
@@ -149,12 +149,12 @@
 	switch s.faults.change() {
 	case fateHold:
 		s.faults.hold(func() { _ = apply() })
-		return platform.ErrNoAnswer
+		return store.ErrNoAnswer
 	case fateLoseRequest:
-		return platform.ErrNoAnswer
+		return store.ErrNoAnswer
 	case fateLoseAnswer:
 		_ = apply()
-		return platform.ErrNoAnswer
+		return store.ErrNoAnswer
 	default:
 		return apply()
 	}
--- a/internal/standin/platformd/store_test.go
+++ b/internal/standin/platformd/store_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 type stepClock struct{ now clock.Time }
@@ -21,25 +21,25 @@
 	c := &stepClock{}
 	s := NewStoreWith(c)
 	s.SetVMLag(10 * time.Second)
-	s.SetVMs([]platform.VM{{ID: "a"}})
+	s.SetVMs([]store.VM{{ID: "a"}})
 	vms, err := s.VMs(context.Background())
 	require.NoError(t, err)
 	require.Empty(t, vms)
 	c.now = c.now.Add(10 * time.Second)
 	vms, err = s.VMs(context.Background())
 	require.NoError(t, err)
-	require.Equal(t, []platform.VM{{ID: "a"}}, vms)
+	require.Equal(t, []store.VM{{ID: "a"}}, vms)
 }
 
 func TestSilentWatchTellsNothing(t *testing.T) {
 	ctx := context.Background()
 	s := NewStore()
-	_, rev, err := s.Watch(ctx, platform.PurposeGroup, "", 0, 0)
+	_, rev, err := s.Watch(ctx, store.PurposeGroup, "", 0, 0)
 	require.NoError(t, err)
 	s.SetFaults(Faults{WatchSilent: true})
-	_, err = s.Put(ctx, platform.PurposeGroup, "k", nil, 0)
+	_, err = s.Put(ctx, store.PurposeGroup, "k", nil, 0)
 	require.NoError(t, err)
-	objects, next, err := s.Watch(ctx, platform.PurposeGroup, "", rev, time.Millisecond)
+	objects, next, err := s.Watch(ctx, store.PurposeGroup, "", rev, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, objects)
 	require.Equal(t, rev, next)
@@ -48,10 +48,10 @@
 func TestCallsAboveTheRateAreRefused(t *testing.T) {
 	s := NewStore()
 	s.SetLimits(0.001, 0)
-	_, err := s.Put(context.Background(), platform.PurposeGroup, "a", nil, 0)
+	_, err := s.Put(context.Background(), store.PurposeGroup, "a", nil, 0)
 	require.NoError(t, err)
-	_, err = s.Put(context.Background(), platform.PurposeGroup, "b", nil, 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = s.Put(context.Background(), store.PurposeGroup, "b", nil, 0)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	require.EqualValues(t, 1, s.Stats().Refused)
 }
 
@@ -66,7 +66,7 @@
 	s := NewStore()
 	c := Command{VMs: vms, VMLag: time.Hour, SeedFile: seed, SeedDir: filepath.Join(dir, "objects")}
 	require.NoError(t, c.prepare(s))
-	list, err := s.List(context.Background(), platform.PurposeGroup, "")
+	list, err := s.List(context.Background(), store.PurposeGroup, "")
 	require.NoError(t, err)
 	require.Len(t, list, 2)
 	require.Equal(t, "groups/a", list[0].Key)
--- a/internal/standin/platformd/vms.go
+++ b/internal/standin/platformd/vms.go
@@ -6,19 +6,19 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 type vmChange struct {
 	at  clock.Time
-	vms []platform.VM
+	vms []store.VM
 }
 
 // vmList shows every change only after the lag.
 type vmList struct {
 	mu      sync.Mutex
 	lag     time.Duration
-	visible []platform.VM
+	visible []store.VM
 	pending []vmChange
 }
 
@@ -28,13 +28,13 @@
 	l.lag = lag
 }
 
-func (l *vmList) set(vms []platform.VM, now clock.Time) {
+func (l *vmList) set(vms []store.VM, now clock.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pending = append(l.pending, vmChange{at: now, vms: slices.Clone(vms)})
 }
 
-func (l *vmList) get(now clock.Time) []platform.VM {
+func (l *vmList) get(now clock.Time) []store.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.pending) > 0 && now.Sub(l.pending[0].at) >= l.lag {
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"endivemoor.example/endivemoor/clock"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 const tick = clock.Time(500 * time.Millisecond)
@@ -23,7 +23,7 @@
 	var e Listed
 	for _, i := range ids {
 		v := vm(i)
-		e.VMs = append(e.VMs, platform.VM{ID: v.ID, Zone: v.Zone, Addr: v.Addr})
+		e.VMs = append(e.VMs, store.VM{ID: v.ID, Zone: v.Zone, Addr: v.Addr})
 	}
 	return e
 }
--- a/membership/types.go
+++ b/membership/types.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // VM is a member of the fleet.
@@ -81,7 +81,7 @@
 
 // Listed is the platform's list of VMs. A read that failed is no event: the
 // last list stands.
-type Listed struct{ VMs []platform.VM }
+type Listed struct{ VMs []store.VM }
 
 // Exchanged is what a peer said of itself and of others in an exchange, in
 // either direction.
--- a/ownership/budget.go
+++ b/ownership/budget.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // Budget is the number of calls a second that the whole fleet makes to the
@@ -13,7 +13,7 @@
 	// Total is in calls a second; default 200, a tenth of the store's reads.
 	Total float64
 	// Shares are parts of Total by purpose, with a sum of at most 1.
-	Shares map[platform.Purpose]float64
+	Shares map[store.Purpose]float64
 }
 
 // DefaultBudget is what a daemon uses unless it is set otherwise. Writes
@@ -22,15 +22,15 @@
 func DefaultBudget() Budget {
 	return Budget{
 		Total: 200,
-		Shares: map[platform.Purpose]float64{
-			platform.PurposeLease:   0.20,
-			platform.PurposeGroup:   0.20,
-			platform.PurposeProfile: 0.20,
-			platform.PurposeVMs:     0.15,
-			platform.PurposeAudit:   0.05,
-			platform.PurposeDrain:   0.10,
-			platform.PurposeKey:     0.05,
-			platform.PurposeCommand: 0.05,
+		Shares: map[store.Purpose]float64{
+			store.PurposeLease:   0.20,
+			store.PurposeGroup:   0.20,
+			store.PurposeProfile: 0.20,
+			store.PurposeVMs:     0.15,
+			store.PurposeAudit:   0.05,
+			store.PurposeDrain:   0.10,
+			store.PurposeKey:     0.05,
+			store.PurposeCommand: 0.05,
 		},
 	}
 }
@@ -38,7 +38,7 @@
 // Interval returns how long each of n callers of the purpose waits between two
 // calls, so that all together stay within the share; never less than least.
 // A purpose without a share gets the longest wait.
-func (b Budget) Interval(p platform.Purpose, n int, least time.Duration) time.Duration {
+func (b Budget) Interval(p store.Purpose, n int, least time.Duration) time.Duration {
 	rate := b.Total * b.Shares[p]
 	if rate <= 0 {
 		return maxInterval
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"endivemoor.example/endivemoor/membership"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 func fleet(n, zones int) []membership.VM {
@@ -88,7 +88,7 @@
 			require.LessOrEqual(t, rate, 1.001*b.Total*share)
 		}
 	}
-	require.Equal(t, time.Second, b.Interval(platform.PurposeLease, 9, time.Second))
+	require.Equal(t, time.Second, b.Interval(store.PurposeLease, 9, time.Second))
 }
 
 func BenchmarkProbersOfAllGroups(b *testing.B) {
--- a/publication/store/guards_test.go
+++ b/publication/store/guards_test.go
@@ -10,8 +10,8 @@
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
 )
 
 // A publish is between its recovery and its reading when another one takes
@@ -58,7 +58,7 @@
 	act func()
 }
 
-func (b *beforeDraft) Get(ctx context.Context, p platform.Purpose, key string) (platform.Object, error) {
+func (b *beforeDraft) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
 	if act := b.act; act != nil && len(key) > len(DraftPrefix) && key[:len(DraftPrefix)] == DraftPrefix {
 		b.act = nil
 		act()
@@ -72,7 +72,7 @@
 	cancel func()
 }
 
-func (a *afterReplace) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (a *afterReplace) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	v, err := a.Store.Put(ctx, p, key, value, expect)
 	if key == CurrentKey {
 		a.cancel()
--- a/publication/store/matrix_test.go
+++ b/publication/store/matrix_test.go
@@ -12,8 +12,8 @@
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
 )
 
 // fault is what strikes a command at one of its calls to the store.
@@ -49,7 +49,7 @@
 
 // faulty strikes at the calls given, in order.
 type faulty struct {
-	platform.Store
+	store.Store
 	left  []strike
 	calls int
 	// gone counts the calls since the command ended, or the store did.
@@ -75,7 +75,7 @@
 		if f.last != lostThenDown || *f.gone == patience {
 			f.cancel()
 		}
-		return false, platform.ErrUnavailable
+		return false, store.ErrUnavailable
 	}
 	if f.allStruck() || f.left[0].at != n {
 		return true, nil
@@ -86,37 +86,37 @@
 	}
 	switch f.last {
 	case killedAfter, lostThenDown, lostAnswer:
-		return true, platform.ErrNoAnswer
+		return true, store.ErrNoAnswer
 	case lostRequest:
-		return false, platform.ErrNoAnswer
+		return false, store.ErrNoAnswer
 	default:
-		return false, platform.ErrUnavailable
+		return false, store.ErrUnavailable
 	}
 }
 
 // read is a call without effect: whatever strikes it, it is unavailable.
 func (f *faulty) read() error {
 	if _, err := f.next(); err != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-func (f *faulty) Get(ctx context.Context, p platform.Purpose, key string) (platform.Object, error) {
+func (f *faulty) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
 	if err := f.read(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return f.Store.Get(ctx, p, key)
 }
 
-func (f *faulty) List(ctx context.Context, p platform.Purpose, prefix string) ([]platform.Object, error) {
+func (f *faulty) List(ctx context.Context, p store.Purpose, prefix string) ([]store.Object, error) {
 	if err := f.read(); err != nil {
 		return nil, err
 	}
 	return f.Store.List(ctx, p, prefix)
 }
 
-func (f *faulty) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (f *faulty) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	reaches, struck := f.next()
 	if !reaches {
 		return 0, struck
@@ -128,7 +128,7 @@
 	return v, err
 }
 
-func (f *faulty) Delete(ctx context.Context, p platform.Purpose, key string, expect platform.Version) error {
+func (f *faulty) Delete(ctx context.Context, p store.Purpose, key string, expect store.Version) error {
 	reaches, struck := f.next()
 	if !reaches {
 		return struck
@@ -233,7 +233,7 @@
 
 // judge compares what was told with what stands. It knows the objects and the
 // trail, and nothing of how the command works.
-func judge(t *testing.T, p platform.Store, c command, told error, before []audit.Action) (string, error) {
+func judge(t *testing.T, p store.Store, c command, told error, before []audit.Action) (string, error) {
 	t.Helper()
 	current, drafts := state(t, p)
 	took := c.took(current, drafts)
@@ -263,7 +263,7 @@
 }
 
 // state returns what is in force, and the drafts but that of the next operator.
-func state(t *testing.T, p platform.Store) (*publication.Record, []publication.Draft) {
+func state(t *testing.T, p store.Store) (*publication.Record, []publication.Draft) {
 	t.Helper()
 	current, err := open(p).Current(context.Background())
 	require.NoError(t, err)
--- a/publication/store/publish.go
+++ b/publication/store/publish.go
@@ -5,9 +5,9 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 // Published is an accepted publish. Settled is false while its audit entry
@@ -51,14 +51,14 @@
 }
 
 // replace makes the one update that decides.
-func (s *Store) replace(ctx context.Context, next *publication.Record, expect platform.Version) error {
+func (s *Store) replace(ctx context.Context, next *publication.Record, expect store.Version) error {
 	value, err := next.Encode()
 	if err != nil {
 		return err
 	}
 	r, err := readback.Put(ctx, s.platform, readback.Write{
-		Purpose: platform.PurposeProfile, Key: CurrentKey, Value: value, Expect: expect, Pause: s.pause,
-		Mine: func(o platform.Object) bool { return isRecord(o, next) && !s.guards.Out(GuardReadBack) },
+		Purpose: store.PurposeProfile, Key: CurrentKey, Value: value, Expect: expect, Pause: s.pause,
+		Mine: func(o store.Object) bool { return isRecord(o, next) && !s.guards.Out(GuardReadBack) },
 	})
 	switch r.Outcome {
 	case readback.Won:
@@ -72,7 +72,7 @@
 	}
 }
 
-func isRecord(o platform.Object, next *publication.Record) bool {
+func isRecord(o store.Object, next *publication.Record) bool {
 	r, err := publication.Decode(o.Value)
 	return err == nil && r.Act.ID == next.Act.ID
 }
@@ -81,7 +81,7 @@
 // and was followed by another before it could be read back. Without it the
 // operator would be told "refused" of a set that was in force. The archive
 // decides: nobody overwrites a record before it stands there.
-func (s *Store) resolveLost(ctx context.Context, next *publication.Record, seen platform.Object) error {
+func (s *Store) resolveLost(ctx context.Context, next *publication.Record, seen store.Object) error {
 	winner, err := publication.Decode(seen.Value)
 	if err != nil {
 		return err
@@ -110,7 +110,7 @@
 	if err := s.settle(ctx, current); err != nil {
 		return err
 	}
-	objects, err := s.platform.List(ctx, platform.PurposeProfile, DraftPrefix)
+	objects, err := s.platform.List(ctx, store.PurposeProfile, DraftPrefix)
 	if err != nil {
 		return err
 	}
@@ -149,8 +149,8 @@
 		return err
 	}
 	result, err := readback.Put(ctx, s.platform, readback.Write{
-		Purpose: platform.PurposeProfile, Key: setKey(r.Generation), Value: value, Pause: s.pause,
-		Mine: func(o platform.Object) bool { return isRecord(o, r) },
+		Purpose: store.PurposeProfile, Key: setKey(r.Generation), Value: value, Pause: s.pause,
+		Mine: func(o store.Object) bool { return isRecord(o, r) },
 	})
 	if result.Outcome == readback.Lost {
 		return errors.Errorf("profile generation %d is archived with another content", r.Generation)
--- a/publication/store/settle.go
+++ b/publication/store/settle.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 
 	auditlog "endivemoor.example/endivemoor/audit/log"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 func pending(acts ...publication.Act) []auditlog.Pending {
@@ -38,7 +38,7 @@
 	return s.remove(ctx, r.Draft, version)
 }
 
-func (s *Store) settleObject(ctx context.Context, o platform.Object) error {
+func (s *Store) settleObject(ctx context.Context, o store.Object) error {
 	var d publication.Draft
 	if err := json.Unmarshal(o.Value, &d); err != nil {
 		return errors.Wrapf(err, "draft %s", o.Key)
@@ -48,7 +48,7 @@
 
 // settleDraft records the acts of a draft that are not known to stand in the
 // trail, and removes a retired draft.
-func (s *Store) settleDraft(ctx context.Context, d publication.Draft, version platform.Version) error {
+func (s *Store) settleDraft(ctx context.Context, d publication.Draft, version store.Version) error {
 	if d.Recorded < len(d.Acts) {
 		if err := s.log.Append(ctx, pending(d.Acts[d.Recorded:]...)...); err != nil {
 			return err
@@ -65,8 +65,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode draft")
 	}
-	_, err = s.platform.Put(ctx, platform.PurposeProfile, DraftPrefix+d.ID, value, version)
-	if errors.Is(err, platform.ErrNoAnswer) {
+	_, err = s.platform.Put(ctx, store.PurposeProfile, DraftPrefix+d.ID, value, version)
+	if errors.Is(err, store.ErrNoAnswer) {
 		// The mark only saves the next command some reads.
 		return nil
 	}
@@ -76,10 +76,10 @@
 // remove deletes a draft whose acts are recorded. Whoever changed it meanwhile
 // settles it. A lost answer is resolved by deleting the same version again: it
 // is gone, or goes now, and a later draft has another version.
-func (s *Store) remove(ctx context.Context, id string, version platform.Version) error {
+func (s *Store) remove(ctx context.Context, id string, version store.Version) error {
 	for {
-		err := s.platform.Delete(ctx, platform.PurposeProfile, DraftPrefix+id, version)
-		if !errors.Is(err, platform.ErrNoAnswer) {
+		err := s.platform.Delete(ctx, store.PurposeProfile, DraftPrefix+id, version)
+		if !errors.Is(err, store.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
 		if !readback.Pause(ctx, s.pause) {
@@ -90,8 +90,8 @@
 
 // ignoreRace forgives that another command was first.
 func ignoreRace(err error) error {
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) || errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	return err
--- a/publication/store/steps.go
+++ b/publication/store/steps.go
@@ -7,10 +7,10 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/finding"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
 	"endivemoor.example/endivemoor/profile/inifile"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 // By is who takes a step and why.
@@ -103,15 +103,15 @@
 // write stores a draft after a step, with the step's act in it, and then
 // records the act. When the recording fails the step stands all the same, and
 // the next command records it.
-func (s *Store) write(ctx context.Context, d publication.Draft, expect platform.Version) error {
+func (s *Store) write(ctx context.Context, d publication.Draft, expect store.Version) error {
 	value, err := json.Marshal(d)
 	if err != nil {
 		return errors.Wrap(err, "encode draft")
 	}
 	own := d.Acts[len(d.Acts)-1].ID
 	r, err := readback.Put(ctx, s.platform, readback.Write{
-		Purpose: platform.PurposeProfile, Key: DraftPrefix + d.ID, Value: value, Expect: expect, Pause: s.pause,
-		Mine: func(o platform.Object) bool { return draftHasAct(o, own) && !s.guards.Out(GuardReadBack) },
+		Purpose: store.PurposeProfile, Key: DraftPrefix + d.ID, Value: value, Expect: expect, Pause: s.pause,
+		Mine: func(o store.Object) bool { return draftHasAct(o, own) && !s.guards.Out(GuardReadBack) },
 	})
 	switch r.Outcome {
 	case readback.Won:
@@ -127,7 +127,7 @@
 
 // settleWritten records the acts of the draft as it stands now. The step was
 // accepted, so a store that fails only here does not fail the step.
-func (s *Store) settleWritten(ctx context.Context, o platform.Object) error {
+func (s *Store) settleWritten(ctx context.Context, o store.Object) error {
 	var d publication.Draft
 	if err := json.Unmarshal(o.Value, &d); err != nil {
 		return errors.Wrap(err, "draft")
@@ -136,7 +136,7 @@
 	return nil
 }
 
-func draftHasAct(o platform.Object, id string) bool {
+func draftHasAct(o store.Object, id string) bool {
 	var d publication.Draft
 	if json.Unmarshal(o.Value, &d) != nil {
 		return false
@@ -150,7 +150,7 @@
 }
 
 // lostDraft tells who changed the draft first.
-func lostDraft(id string, o platform.Object) error {
+func lostDraft(id string, o store.Object) error {
 	var d publication.Draft
 	if o.Version == 0 || json.Unmarshal(o.Value, &d) != nil || len(d.Acts) == 0 {
 		return &publication.RefusedError{Rule: publication.RuleState, Message: "draft " + id + " was published or retired meanwhile"}
--- a/publication/store/store.go
+++ b/publication/store/store.go
@@ -13,12 +13,12 @@
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/finding"
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/profile/diff"
 	"endivemoor.example/endivemoor/profile/inifile"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 // Keys of the objects.
@@ -50,7 +50,7 @@
 
 // Store holds drafts and records.
 type Store struct {
-	platform platform.Store
+	platform store.Store
 	log      *auditlog.Log
 	now      func() time.Time
 	pause    time.Duration
@@ -76,7 +76,7 @@
 )
 
 // New returns a store in the platform. now gives the wall clock.
-func New(p platform.Store, now func() time.Time) *Store {
+func New(p store.Store, now func() time.Time) *Store {
 	return &Store{platform: p, log: auditlog.New(p), now: now, pause: readback.DefaultPause, newID: NewID}
 }
 
@@ -114,9 +114,9 @@
 	return r, err
 }
 
-func (s *Store) current(ctx context.Context) (*publication.Record, platform.Version, error) {
-	o, err := s.platform.Get(ctx, platform.PurposeProfile, CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func (s *Store) current(ctx context.Context) (*publication.Record, store.Version, error) {
+	o, err := s.platform.Get(ctx, store.PurposeProfile, CurrentKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -128,8 +128,8 @@
 
 // Set returns the archived record of a generation, nil if it is not there.
 func (s *Store) Set(ctx context.Context, g profile.Generation) (*publication.Record, error) {
-	o, err := s.platform.Get(ctx, platform.PurposeProfile, setKey(g))
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := s.platform.Get(ctx, store.PurposeProfile, setKey(g))
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -156,7 +156,7 @@
 
 // Drafts returns the open drafts.
 func (s *Store) Drafts(ctx context.Context) ([]publication.Draft, error) {
-	objects, err := s.platform.List(ctx, platform.PurposeProfile, DraftPrefix)
+	objects, err := s.platform.List(ctx, store.PurposeProfile, DraftPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -175,10 +175,10 @@
 	return d, err
 }
 
-func (s *Store) draft(ctx context.Context, id string) (publication.Draft, platform.Version, error) {
+func (s *Store) draft(ctx context.Context, id string) (publication.Draft, store.Version, error) {
 	var d publication.Draft
-	o, err := s.platform.Get(ctx, platform.PurposeProfile, DraftPrefix+id)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := s.platform.Get(ctx, store.PurposeProfile, DraftPrefix+id)
+	if errors.Is(err, store.ErrNotFound) {
 		return d, 0, errors.WithMessagef(ErrNoDraft, "draft %s", id)
 	}
 	if err != nil {
--- a/publication/store/store_test.go
+++ b/publication/store/store_test.go
@@ -13,8 +13,8 @@
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/internal/guard"
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
 )
 
 const (
@@ -33,17 +33,17 @@
 
 func noon() time.Time { return time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC) }
 
-func open(p platform.Store) *Store { return New(p, noon).WithPause(time.Millisecond) }
+func open(p store.Store) *Store { return New(p, noon).WithPause(time.Millisecond) }
 
 // without opens the store with some guards taken out.
-func without(p platform.Store, guards guard.Set) *Store {
+func without(p store.Store, guards guard.Set) *Store {
 	s := open(p)
 	s.guards = guards
 	return s
 }
 
 // reviewed leaves a reviewed draft of text by the author.
-func reviewed(t *testing.T, p platform.Store, author By, text string) string {
+func reviewed(t *testing.T, p store.Store, author By, text string) string {
 	t.Helper()
 	ctx := context.Background()
 	d, _, err := open(p).Create(ctx, author, "f.ini", []byte(text))
@@ -53,14 +53,14 @@
 	return d.ID
 }
 
-func publishFirst(t *testing.T, p platform.Store) {
+func publishFirst(t *testing.T, p store.Store) {
 	t.Helper()
 	_, err := open(p).Publish(context.Background(), aoife, reviewed(t, p, aoife, firstText))
 	require.NoError(t, err)
 }
 
 // trail returns the trail's actions in order, and what Verify says of it.
-func trail(t *testing.T, p platform.Store) ([]audit.Action, []audit.Fault) {
+func trail(t *testing.T, p store.Store) ([]audit.Action, []audit.Fault) {
 	t.Helper()
 	entries, err := auditlog.New(p).All(context.Background())
 	require.NoError(t, err)
@@ -71,7 +71,7 @@
 	return out, audit.Verify(entries)
 }
 
-func actions(t *testing.T, p platform.Store) []audit.Action {
+func actions(t *testing.T, p store.Store) []audit.Action {
 	t.Helper()
 	out, faults := trail(t, p)
 	require.Empty(t, faults)
@@ -177,7 +177,7 @@
 	done bool
 }
 
-func (o *overtake) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (o *overtake) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	v, err := o.Store.Put(ctx, p, key, value, expect)
 	if key != CurrentKey || o.done || err != nil {
 		return v, err
@@ -185,7 +185,7 @@
 	o.done = true
 	_, err = open(o.Store).Publish(ctx, ciara, reviewed(o.t, o.Store, ciara, thirdText))
 	require.NoError(o.t, err)
-	return 0, platform.ErrNoAnswer
+	return 0, store.ErrNoAnswer
 }
 
 // The store is down: a publish is refused for certain and leaves no trace.
@@ -196,7 +196,7 @@
 	id := reviewed(t, p, aoife, secondText)
 	p.SetFaults(platformd.Faults{Down: true})
 	_, err := open(p).Publish(ctx, aoife, id)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	p.SetFaults(platformd.Faults{})
 	current, err := open(p).Current(ctx)
 	require.NoError(t, err)
--- a/scenario/configuration.go
+++ b/scenario/configuration.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/publication"
+	"endivemoor.example/endivemoor/store"
 )
 
 // GuardGeneration is the rule that a VM takes no older configuration.
@@ -37,7 +37,7 @@
 
 // spread lets a VM read the store's configuration and offer its own to a peer.
 func (v *vm) spread() {
-	v.w.getFrom(v.node, configurationKey, func(o platform.Object, err error) {
+	v.w.getFrom(v.node, configurationKey, func(o store.Object, err error) {
 		if err == nil {
 			var stored publication.Version
 			mustUnmarshal(o.Value, &stored)
--- a/scenario/store.go
+++ b/scenario/store.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // fakeStore is the platform's object API with its faults.
 type fakeStore struct {
 	*node
-	objects map[string]platform.Object
-	last    platform.Version
+	objects map[string]store.Object
+	last    store.Version
 	down    bool
 	slow    time.Duration
 	// loseAnswers is how many answers to writes are lost after the effect.
@@ -19,42 +19,42 @@
 }
 
 func (w *World) addStore() *fakeStore {
-	w.store = &fakeStore{node: w.addNode("store"), objects: make(map[string]platform.Object), effects: w.effects}
+	w.store = &fakeStore{node: w.addNode("store"), objects: make(map[string]store.Object), effects: w.effects}
 	return w.store
 }
 
-func (s *fakeStore) get(key string) (platform.Object, error) {
+func (s *fakeStore) get(key string) (store.Object, error) {
 	if s.down {
 		s.effects[effectDown]++
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	}
 	o, ok := s.objects[key]
 	if !ok {
-		return platform.Object{Key: key}, platform.ErrNotFound
+		return store.Object{Key: key}, store.ErrNotFound
 	}
 	return o, nil
 }
 
-func (s *fakeStore) put(key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s *fakeStore) put(key string, value []byte, expect store.Version) (store.Version, error) {
 	if s.down {
 		s.effects[effectDown]++
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	if current := s.objects[key].Version; current != expect {
-		return 0, &platform.ConflictError{Key: key, Current: current}
+		return 0, &store.ConflictError{Key: key, Current: current}
 	}
 	s.last++
-	s.objects[key] = platform.Object{Key: key, Version: s.last, Value: value}
+	s.objects[key] = store.Object{Key: key, Version: s.last, Value: value}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
 		s.effects[effectLost]++
-		return 0, platform.ErrNoAnswer
+		return 0, store.ErrNoAnswer
 	}
 	return s.last, nil
 }
 
 // getFrom reads an object over the network.
-func (w *World) getFrom(from *node, key string, done func(platform.Object, error)) {
+func (w *World) getFrom(from *node, key string, done func(store.Object, error)) {
 	w.storeCall(from, func() func() {
 		o, err := w.store.get(key)
 		return func() { done(o, err) }
@@ -62,10 +62,10 @@
 }
 
 // putFrom writes an object over the network.
-func (w *World) putFrom(from *node, key string, value []byte, expect platform.Version, done func(platform.Version, error)) {
+func (w *World) putFrom(from *node, key string, value []byte, expect store.Version, done func(store.Version, error)) {
 	w.storeCall(from, func() func() {
 		v, err := w.store.put(key, value, expect)
-		if err == platform.ErrNoAnswer {
+		if err == store.ErrNoAnswer {
 			return nil
 		}
 		return func() { done(v, err) }
--- a/scenario/vm.go
+++ b/scenario/vm.go
@@ -8,9 +8,9 @@
 	"endivemoor.example/endivemoor/ack"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
 	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/routing"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
 )
@@ -152,11 +152,11 @@
 	case failover.ReadGroup:
 		v.readGroup()
 	case failover.Reserve:
-		v.putGroup(a.Group, a.ExpectVersion, func(version platform.Version, err error) {
+		v.putGroup(a.Group, a.ExpectVersion, func(version store.Version, err error) {
 			v.step(failover.ReserveResult{Term: a.Group.Reserved, Version: version, Err: err})
 		})
 	case failover.Publish:
-		v.putGroup(a.Group, a.ExpectVersion, func(version platform.Version, err error) {
+		v.putGroup(a.Group, a.ExpectVersion, func(version store.Version, err error) {
 			v.step(failover.PublishResult{Term: a.Group.Term, Version: version, Err: err})
 		})
 	default:
--- a/scenario/vmstore.go
+++ b/scenario/vmstore.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/failover"
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/view"
 	"time"
 )
 
 func (v *vm) readLease(asked clock.Time) {
-	v.w.getFrom(v.node, leaseKey(groupName), func(o platform.Object, err error) {
-		if err == platform.ErrNotFound {
+	v.w.getFrom(v.node, leaseKey(groupName), func(o store.Object, err error) {
+		if err == store.ErrNotFound {
 			err = nil
 		}
 		var l leaseValue
@@ -24,13 +24,13 @@
 
 func (v *vm) renewLease(a failover.RenewLease) {
 	value := mustMarshal(leaseValue{Holder: a.Holder})
-	v.w.putFrom(v.node, leaseKey(groupName), value, a.ExpectVersion, func(version platform.Version, err error) {
+	v.w.putFrom(v.node, leaseKey(groupName), value, a.ExpectVersion, func(version store.Version, err error) {
 		v.step(failover.LeaseResult{Holder: a.Holder, Version: version, Asked: a.Asked, Err: err})
 	})
 }
 
 func (v *vm) readGroup() {
-	v.w.getFrom(v.node, groupKey(groupName), func(o platform.Object, err error) {
+	v.w.getFrom(v.node, groupKey(groupName), func(o store.Object, err error) {
 		ev := failover.GroupLearned{Version: o.Version, Err: err}
 		if err == nil {
 			mustUnmarshal(o.Value, &ev.Group)
@@ -39,7 +39,7 @@
 	})
 }
 
-func (v *vm) putGroup(g view.Group, expect platform.Version, done func(platform.Version, error)) {
+func (v *vm) putGroup(g view.Group, expect store.Version, done func(store.Version, error)) {
 	v.w.putFrom(v.node, groupKey(g.Name), mustMarshal(g), expect, done)
 }
 
--- a/platform/client/client.go
+++ b/store/client/client.go
@@ -1,10 +1,10 @@
 // Package client is the HTTP/JSON client of the platform's object API. It
-// implements platform.Store and counts every call by purpose and result.
+// implements store.Store and counts every call by purpose and result.
 //
 // The one decision it takes is which error a failed change is reported as. A
 // change that reached no connection, or that the store refused, surely had no
-// effect: platform.ErrUnavailable. Once a connection was handed the request it
-// may have taken effect, whatever failed later: platform.ErrNoAnswer. Reads
+// effect: store.ErrUnavailable. Once a connection was handed the request it
+// may have taken effect, whatever failed later: store.ErrNoAnswer. Reads
 // have no effect, so they fail as ErrUnavailable only.
 package client
 
@@ -24,8 +24,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/wire"
 )
 
 // DefaultTimeout bounds one call when Options.Timeout is zero.
@@ -45,7 +45,7 @@
 	Transport http.RoundTripper
 }
 
-// Client implements platform.Store over HTTP.
+// Client implements store.Store over HTTP.
 type Client struct {
 	base    string
 	timeout time.Duration
@@ -53,7 +53,7 @@
 	calls   *prometheus.CounterVec
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ store.Store = (*Client)(nil)
 
 // New returns a client of the API at base, such as "http://10.0.0.9:7070".
 func New(base string, o Options) (*Client, error) {
@@ -82,21 +82,21 @@
 }
 
 // Get returns one object.
-func (c *Client) Get(ctx context.Context, p platform.Purpose, key string) (platform.Object, error) {
-	var o platform.Object
+func (c *Client) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+	var o store.Object
 	err := c.read(ctx, p, wire.PathObject, url.Values{wire.ParamKey: {key}}, c.timeout, &o)
 	return o, err
 }
 
 // List returns the objects below prefix in key order.
-func (c *Client) List(ctx context.Context, p platform.Purpose, prefix string) ([]platform.Object, error) {
+func (c *Client) List(ctx context.Context, p store.Purpose, prefix string) ([]store.Object, error) {
 	var l wire.Objects
 	err := c.read(ctx, p, wire.PathList, url.Values{wire.ParamPrefix: {prefix}}, c.timeout, &l)
 	return l.Objects, err
 }
 
 // Watch waits for changes below prefix after the revision since.
-func (c *Client) Watch(ctx context.Context, p platform.Purpose, prefix string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (c *Client) Watch(ctx context.Context, p store.Purpose, prefix string, since int64, wait time.Duration) ([]store.Object, int64, error) {
 	q := url.Values{
 		wire.ParamPrefix: {prefix},
 		wire.ParamSince:  {strconv.FormatInt(since, 10)},
@@ -110,15 +110,15 @@
 }
 
 // VMs returns the platform's lagging list.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) VMs(ctx context.Context) ([]store.VM, error) {
 	var l wire.VMs
-	err := c.read(ctx, platform.PurposeVMs, wire.PathVMs, nil, c.timeout, &l)
+	err := c.read(ctx, store.PurposeVMs, wire.PathVMs, nil, c.timeout, &l)
 	return l.VMs, err
 }
 
 // Put writes value if the object's version is expect.
-func (c *Client) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	if len(value) > platform.MaxValue {
+func (c *Client) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
+	if len(value) > store.MaxValue {
 		return 0, c.count(p, &wire.TooLargeError{Key: key, Size: len(value)})
 	}
 	body, err := json.Marshal(wire.PutBody{Value: value})
@@ -131,24 +131,24 @@
 }
 
 // Delete removes the object if its version is expect.
-func (c *Client) Delete(ctx context.Context, p platform.Purpose, key string, expect platform.Version) error {
+func (c *Client) Delete(ctx context.Context, p store.Purpose, key string, expect store.Version) error {
 	return c.change(ctx, p, http.MethodDelete, key, expect, nil, &wire.Written{})
 }
 
-func (c *Client) read(ctx context.Context, p platform.Purpose, path string, q url.Values, timeout time.Duration, into any) error {
+func (c *Client) read(ctx context.Context, p store.Purpose, path string, q url.Values, timeout time.Duration, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, body, err := c.send(ctx, p, http.MethodGet, path, q, nil, into)
 	if err == nil {
 		err = statusError(status, q.Get(wire.ParamKey), body)
 	}
-	if errors.Is(err, platform.ErrNoAnswer) {
-		err = errors.WithMessage(platform.ErrUnavailable, err.Error())
+	if errors.Is(err, store.ErrNoAnswer) {
+		err = errors.WithMessage(store.ErrUnavailable, err.Error())
 	}
 	return c.count(p, err)
 }
 
-func (c *Client) change(ctx context.Context, p platform.Purpose, method, key string, expect platform.Version, body []byte, into *wire.Written) error {
+func (c *Client) change(ctx context.Context, p store.Purpose, method, key string, expect store.Version, body []byte, into *wire.Written) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	q := url.Values{wire.ParamKey: {key}, wire.ParamExpect: {strconv.FormatInt(int64(expect), 10)}}
@@ -161,7 +161,7 @@
 
 // send makes one exchange. An answer of 200 is decoded into the value; others
 // are returned raw.
-func (c *Client) send(ctx context.Context, p platform.Purpose, method, path string, q url.Values, body []byte, into any) (int, []byte, error) {
+func (c *Client) send(ctx context.Context, p store.Purpose, method, path string, q url.Values, body []byte, into any) (int, []byte, error) {
 	// The guard of "surely no effect": a request that was never given a
 	// connection cannot have reached the store. Without it a refused dial would
 	// be "unknown", and every change in an outage would need a read-back.
@@ -174,10 +174,10 @@
 	req.Header.Set(wire.HeaderPurpose, string(p))
 	resp, err := c.http.Do(req)
 	if err != nil && !connected.Load() {
-		return 0, nil, errors.WithMessage(platform.ErrUnavailable, err.Error())
+		return 0, nil, errors.WithMessage(store.ErrUnavailable, err.Error())
 	}
 	if err != nil {
-		return 0, nil, errors.WithMessage(platform.ErrNoAnswer, err.Error())
+		return 0, nil, errors.WithMessage(store.ErrNoAnswer, err.Error())
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
@@ -185,7 +185,7 @@
 		err = json.Unmarshal(raw, into)
 	}
 	if err != nil {
-		return 0, nil, errors.WithMessage(platform.ErrNoAnswer, err.Error())
+		return 0, nil, errors.WithMessage(store.ErrNoAnswer, err.Error())
 	}
 	return resp.StatusCode, raw, nil
 }
@@ -197,18 +197,18 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case http.StatusRequestEntityTooLarge:
 		return &wire.TooLargeError{Key: key}
 	case http.StatusConflict:
 		var w wire.Written
 		if err := json.Unmarshal(body, &w); err != nil {
-			return errors.WithMessage(platform.ErrNoAnswer, err.Error())
+			return errors.WithMessage(store.ErrNoAnswer, err.Error())
 		}
-		return &platform.ConflictError{Key: key, Current: w.Version}
+		return &store.ConflictError{Key: key, Current: w.Version}
 	default:
-		return errors.WithMessagef(platform.ErrNoAnswer, "status %d", status)
+		return errors.WithMessagef(store.ErrNoAnswer, "status %d", status)
 	}
 }
--- a/platform/client/metrics.go
+++ b/store/client/metrics.go
@@ -4,8 +4,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/wire"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/wire"
 )
 
 // Result labels a finished call in the metric.
@@ -40,22 +40,22 @@
 	return calls, errors.Wrap(err, "register calls metric")
 }
 
-func (c *Client) count(p platform.Purpose, err error) error {
+func (c *Client) count(p store.Purpose, err error) error {
 	c.calls.WithLabelValues(string(p), string(resultOf(err))).Inc()
 	return err
 }
 
 func resultOf(err error) Result {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	var tooLarge *wire.TooLargeError
 	switch {
 	case err == nil:
 		return ResultOK
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return ResultNotFound
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return ResultUnavailable
-	case errors.Is(err, platform.ErrNoAnswer):
+	case errors.Is(err, store.ErrNoAnswer):
 		return ResultNoAnswer
 	case errors.As(err, &conflict):
 		return ResultConflict
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the client side of the platform's object API: versioned
+// Package store is the client side of the platform's object API: versioned
 // values, conditional updates, lists and watches, and the lagging list of VMs.
 // It is the only place where anything of endivemoor lasts. Each call names its
 // purpose, so that the fixed budget of calls can be seen and shared.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/readback/readback.go
+++ b/store/readback/readback.go
@@ -17,7 +17,7 @@
 
 	"github.com/pkg/errors"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // Outcome is what became of an update.
@@ -54,14 +54,14 @@
 
 // Write is one conditional update.
 type Write struct {
-	Purpose platform.Purpose
+	Purpose store.Purpose
 	Key     string
 	Value   []byte
-	Expect  platform.Version
+	Expect  store.Version
 	// Mine reports whether an object that has moved on from Expect carries this
 	// update. Nil compares whole values, which tells two writers apart only if
 	// their values differ, and misses an update that was overwritten since.
-	Mine func(platform.Object) bool
+	Mine func(store.Object) bool
 	// Pause is the time between two read-backs.
 	Pause time.Duration
 }
@@ -72,7 +72,7 @@
 	// Current is the object as last seen. For Won it is this update or a later
 	// one that still carries it; for Lost it is whose change came first, with
 	// Version 0 if the object is gone.
-	Current platform.Object
+	Current store.Object
 	// ReadBack says that an answer was lost on the way to the outcome.
 	ReadBack bool
 }
@@ -80,7 +80,7 @@
 // Put makes the update and resolves a lost answer. The error is nil for Won
 // and Lost; for NotSent and Unknown it is why the store did not answer. Other
 // errors, such as a value too large, are NotSent.
-func Put(ctx context.Context, s platform.Store, w Write) (Result, error) {
+func Put(ctx context.Context, s store.Store, w Write) (Result, error) {
 	if w.Pause <= 0 {
 		w.Pause = DefaultPause
 	}
@@ -98,17 +98,17 @@
 }
 
 // attempt sends the update once and, if that leaves a doubt, reads back once.
-func attempt(ctx context.Context, s platform.Store, w Write, r *Result) (bool, error) {
+func attempt(ctx context.Context, s store.Store, w Write, r *Result) (bool, error) {
 	version, err := s.Put(ctx, w.Purpose, w.Key, w.Value, w.Expect)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	switch {
 	case err == nil:
 		r.Outcome = Won
-		r.Current = platform.Object{Key: w.Key, Version: version, Value: w.Value}
+		r.Current = store.Object{Key: w.Key, Version: version, Value: w.Value}
 		return true, nil
 	case errors.As(err, &conflict):
 		return settle(ctx, s, w, r)
-	case errors.Is(err, platform.ErrNoAnswer):
+	case errors.Is(err, store.ErrNoAnswer):
 		r.ReadBack = true
 		return settle(ctx, s, w, r)
 	case r.ReadBack:
@@ -121,10 +121,10 @@
 }
 
 // settle reads the object and decides, unless it is as it was before.
-func settle(ctx context.Context, s platform.Store, w Write, r *Result) (bool, error) {
+func settle(ctx context.Context, s store.Store, w Write, r *Result) (bool, error) {
 	o, err := s.Get(ctx, w.Purpose, w.Key)
-	if errors.Is(err, platform.ErrNotFound) {
-		o, err = platform.Object{Key: w.Key}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		o, err = store.Object{Key: w.Key}, nil
 	}
 	if err != nil {
 		// The conflict is an answer, but to whom it was lost must still be read.
@@ -132,7 +132,7 @@
 		return false, err
 	}
 	if o.Version == w.Expect {
-		return false, platform.ErrNoAnswer
+		return false, store.ErrNoAnswer
 	}
 	r.Current = o
 	r.Outcome = Lost
@@ -142,7 +142,7 @@
 	return true, nil
 }
 
-func (w Write) mine(o platform.Object) bool {
+func (w Write) mine(o store.Object) bool {
 	if w.Mine != nil {
 		return w.Mine(o)
 	}
--- a/platform/readback/readback_test.go
+++ b/store/readback/readback_test.go
@@ -8,14 +8,14 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/internal/standin/platformd"
-	"endivemoor.example/endivemoor/platform"
-	"endivemoor.example/endivemoor/platform/readback"
+	"endivemoor.example/endivemoor/store"
+	"endivemoor.example/endivemoor/store/readback"
 )
 
 const key = "profiles/current"
 
-func write(value string, expect platform.Version) readback.Write {
-	return readback.Write{Purpose: platform.PurposeProfile, Key: key, Value: []byte(value), Expect: expect, Pause: time.Millisecond}
+func write(value string, expect store.Version) readback.Write {
+	return readback.Write{Purpose: store.PurposeProfile, Key: key, Value: []byte(value), Expect: expect, Pause: time.Millisecond}
 }
 
 // The store applies the update and its answer is lost. A writer that repeated
@@ -53,10 +53,10 @@
 	r, err := readback.Put(ctx, s, write("mine", 0))
 	require.NoError(t, err)
 	require.Equal(t, readback.Won, r.Outcome)
-	_, err = s.Put(ctx, platform.PurposeProfile, key, []byte("later"), r.Current.Version)
+	_, err = s.Put(ctx, store.PurposeProfile, key, []byte("later"), r.Current.Version)
 	require.NoError(t, err)
 	s.Release()
-	o, err := s.Get(ctx, platform.PurposeProfile, key)
+	o, err := s.Get(ctx, store.PurposeProfile, key)
 	require.NoError(t, err)
 	require.Equal(t, "later", string(o.Value))
 }
@@ -65,7 +65,7 @@
 func TestLoserLearnsTheWinner(t *testing.T) {
 	ctx := context.Background()
 	s := platformd.NewStore()
-	_, err := s.Put(ctx, platform.PurposeProfile, key, []byte("theirs"), 0)
+	_, err := s.Put(ctx, store.PurposeProfile, key, []byte("theirs"), 0)
 	require.NoError(t, err)
 	r, err := readback.Put(ctx, s, write("mine", 0))
 	require.NoError(t, err)
@@ -79,7 +79,7 @@
 	s := platformd.NewStore()
 	s.SetFaults(platformd.Faults{Down: true})
 	r, err := readback.Put(context.Background(), s, write("mine", 0))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	require.Equal(t, readback.NotSent, r.Outcome)
 }
 
@@ -90,7 +90,7 @@
 	cancel func()
 }
 
-func (d downAfterPut) Put(ctx context.Context, p platform.Purpose, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (d downAfterPut) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	v, err := d.Store.Put(ctx, p, key, value, expect)
 	d.SetFaults(platformd.Faults{Down: true})
 	d.cancel()
@@ -104,7 +104,7 @@
 	s.SetFaults(platformd.Faults{LoseAnswers: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	r, err := readback.Put(ctx, downAfterPut{s, cancel}, write("mine", 0))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	require.Equal(t, readback.Unknown, r.Outcome)
 	s.SetFaults(platformd.Faults{})
 	r, err = readback.Put(context.Background(), s, write("mine", 0))
--- a/platform/wire/wire.go
+++ b/store/wire/wire.go
@@ -6,7 +6,7 @@
 import (
 	"fmt"
 
-	"endivemoor.example/endivemoor/platform"
+	"endivemoor.example/endivemoor/store"
 )
 
 // Paths of the object API.
@@ -27,12 +27,12 @@
 	ParamWait = "wait-ms"
 )
 
-// HeaderPurpose carries the call's platform.Purpose.
+// HeaderPurpose carries the call's store.Purpose.
 const HeaderPurpose = "Endivemoor-Purpose"
 
 // MaxBody bounds a request or response body of one object, in bytes: a value
 // in base64 and its envelope.
-const MaxBody = platform.MaxValue*4/3 + 4096
+const MaxBody = store.MaxValue*4/3 + 4096
 
 // PutBody is the body of PUT /v1/object.
 type PutBody struct {
@@ -42,22 +42,22 @@
 // Written answers a PUT with the new version, and a conflict with the version
 // that the object has.
 type Written struct {
-	Version platform.Version `json:"version"`
+	Version store.Version `json:"version"`
 }
 
 // Objects answers a list or a watch.
 type Objects struct {
-	Objects []platform.Object `json:"objects"`
+	Objects []store.Object `json:"objects"`
 	// Revision is where the next watch goes on from.
 	Revision int64 `json:"revision"`
 }
 
 // VMs is the platform's list.
 type VMs struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []store.VM `json:"vms"`
 }
 
-// TooLargeError refuses a value above platform.MaxValue before it is sent.
+// TooLargeError refuses a value above store.MaxValue before it is sent.
 type TooLargeError struct {
 	Key  string
 	Size int
@@ -65,5 +65,5 @@
 
 // Error names the key and both sizes in bytes.
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("value of %s is %d bytes, the platform holds at most %d", e.Key, e.Size, platform.MaxValue)
+	return fmt.Sprintf("value of %s is %d bytes, the platform holds at most %d", e.Key, e.Size, store.MaxValue)
 }
