--- a/daemon/command.go
+++ b/daemon/command.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/edge"
 	"endivemoor.example/endivemoor/finding"
 	"endivemoor.example/endivemoor/proxy"
 	"endivemoor.example/endivemoor/settings"
@@ -29,6 +30,7 @@
 
 // commands is the command line.
 type commands struct {
+	Edge        edgeCommand   `cmd:"" help:"Run the daemon on the platform, with the settings file that it lays out, until SIGTERM."`
 	Serve       serveCommand  `cmd:"" help:"Run the daemon until SIGTERM, then shut down gracefully."`
 	CheckConfig checkCommand  `cmd:"" name:"check-config" help:"Check a settings file as a whole and print every finding."`
 	ScramSecret secretCommand `cmd:"" name:"scram-secret" help:"Read a password from standard input and print its SCRAM-SHA-256 secret for [users]."`
@@ -75,6 +77,13 @@
 	return exitFailed
 }
 
+// edgeCommand has no argument: the platform names the settings file in the
+// environment.
+type edgeCommand struct{}
+
+// Run serves until SIGTERM or SIGINT.
+func (edgeCommand) Run() error { return edge.Run(context.Background()) }
+
 // Run serves until SIGTERM or SIGINT.
 func (c *serveCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/edge/doc.go
@@ -0,0 +1,228 @@
+// Package edge is the daemon that serves on the users' platform: one symmetric
+// program on every VM, with no disk and no VM set aside for control.
+//
+// It wires the session engine to the platform's adapter: watches of the object
+// store feed the catalog, the catalog feeds the lanes and the groups, and
+// consumers' connections are served from there. What lasts is in the store.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock/boottime"
+	"endivemoor.example/endivemoor/engine"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/logging"
+	"endivemoor.example/endivemoor/placing"
+	"endivemoor.example/endivemoor/platform/boot"
+	"endivemoor.example/endivemoor/platform/duty"
+	"endivemoor.example/endivemoor/platform/line"
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	// memoryPart is the part of the process's memory limit at which the
+	// collector works harder: the rest is for the runtime's own needs and for
+	// bytes that the kernel holds.
+	memoryPart = 0.6
+	// greetTimeout bounds opening a connection to a target: the way, a slot
+	// behind a full queue, and the work of accepting it, 12 ms.
+	greetTimeout = 700 * time.Millisecond
+	// trimEvery is how often idle connections beyond the allowance are closed.
+	trimEvery = 250 * time.Millisecond
+)
+
+// Edge is one running daemon.
+type Edge struct {
+	set         *boot.Settings
+	log         *zap.Logger
+	metrics     *prometheus.Registry
+	clk         boottime.Clock
+	incarnation string
+	catalog     *catalog.Holder
+	store       *objects.Client
+	duty        *duty.Client
+	pool        *lane.Pool
+	groups      *groups.Registry
+	placing     *placing.Board
+	engine      *engine.Engine
+	fleet       *fleet
+	sessions    *sessions
+	ends        ends
+}
+
+// Run serves until SIGTERM, then ends gracefully.
+func Run(ctx context.Context) error {
+	set, err := boot.Load()
+	if err != nil {
+		return err
+	}
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	level := zap.NewAtomicLevelAt(zap.InfoLevel)
+	log := logging.New(out, level).With(zap.String("vm", set.Node), zap.String("zone", set.Zone))
+	if set.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
+	}
+	return newEdge(set, log).run(ctx)
+}
+
+func newEdge(set *boot.Settings, log *zap.Logger) *Edge {
+	e := &Edge{
+		set:         set,
+		log:         log,
+		metrics:     prometheus.NewRegistry(),
+		incarnation: newIncarnation(set.Node),
+		catalog:     catalog.NewHolder(),
+		store:       objects.New(set.Platform.Addr, newTransport()),
+		duty:        duty.New(set.Duty.Addr, newTransport()),
+		placing:     placing.NewBoard(),
+	}
+	e.pool = lane.NewPool(e.clk, e.dialer)
+	e.groups = groups.NewRegistry(groups.Config{
+		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Log: log,
+	})
+	e.engine = engine.New(engine.Config{
+		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
+		Log: log, Metrics: engine.NewMetrics(e.metrics), Zone: set.Zone,
+	})
+	e.fleet = &fleet{edge: e}
+	e.sessions = newSessions(e)
+	return e
+}
+
+// dialer opens links to a target.
+func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
+	d := newDialer()
+	return func(ctx context.Context) (lane.Link, error) {
+		link, err := line.Dial(ctx, d, t.Addr, t.Service, e.set.Node, t.ID, greetTimeout)
+		if err != nil {
+			return nil, err
+		}
+		return link, nil
+	}
+}
+
+func (e *Edge) run(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings may change under a running process, and SIGHUP may say so:
+	// what can change without a restart is read anew by those who use it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := make(chan error, 2)
+	if err := e.listen(failed); err != nil {
+		return err
+	}
+	e.startWatches(work)
+	go e.follow(work)
+	go e.fleet.join(work)
+	go e.maintain(work)
+	e.log.Info("serving", zap.String("consumers", e.set.Listen.Consumers), zap.String("incarnation", e.incarnation))
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-hup:
+			e.reload()
+		case <-ctx.Done():
+			e.end(work)
+			return nil
+		}
+	}
+}
+
+// reload reads the settings anew after SIGHUP.
+func (e *Edge) reload() {
+	next, err := boot.Load()
+	if err != nil {
+		e.log.Warn("settings-refused", zap.Error(err))
+		return
+	}
+	if next.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(next.Limits.MemoryMB<<20) * memoryPart))
+	}
+	e.log.Info("settings-reloaded", zap.Int64("memory-mb", next.Limits.MemoryMB))
+}
+
+func (e *Edge) listen(failed chan<- error) error {
+	ready, err := net.Listen("tcp", e.set.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	consumers, err := net.Listen("tcp", e.set.Listen.Consumers)
+	if err != nil {
+		return errors.Wrap(err, "listen for consumers")
+	}
+	go func() { failed <- http.Serve(ready, e.readyHandler()) }()
+	go func() { failed <- e.sessions.accept(consumers) }()
+	return nil
+}
+
+// follow passes each new catalog to those who act on it.
+func (e *Edge) follow(ctx context.Context) {
+	for {
+		changed := e.catalog.Changed()
+		c := e.catalog.Load()
+		e.pool.Update(c)
+		e.groups.Update(c)
+		e.placing.Keep(func(id target.ID) bool { return c.Targets[id] != nil })
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// maintain does what is due from time to time.
+func (e *Edge) maintain(ctx context.Context) {
+	tick := time.NewTicker(trimEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.pool.Trim()
+			e.keepEvidence(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// evidenceAge is the age at which evidence is renewed by a question of our own,
+// if requests have not done so: a third of the least accepted age of the users'
+// routes, 1.5 s, so that replicas still hold the oldest position that counts.
+const evidenceAge = 400 * time.Millisecond
+
+// keepEvidence renews the evidence of services in use before reads have to
+// wait for it.
+func (e *Edge) keepEvidence(ctx context.Context) {
+	for _, g := range e.groups.All() {
+		if !g.Used() {
+			continue
+		}
+		if age, ok := g.Freshness.Age(e.clk.Now()); ok && age < evidenceAge {
+			continue
+		}
+		go g.Refresh(ctx)
+	}
+}
--- /dev/null
+++ b/edge/fleet.go
@@ -0,0 +1,166 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/target"
+)
+
+// kindFleet is the fleet's own kind of objects: its VMs and the reigns of its
+// services. One kind takes one watch.
+const kindFleet = "endivemoor"
+
+// Prefixes of names within kindFleet.
+const (
+	prefixVM    = "vm."
+	prefixReign = "reign."
+)
+
+// vmRecord is a VM's entry.
+type vmRecord struct {
+	Zone        string `json:"zone"`
+	Peer        string `json:"peer"`
+	Incarnation string `json:"incarnation"`
+}
+
+// reignRecord is a service's leadership, as the fleet ordered it.
+type reignRecord struct {
+	Primary target.ID      `json:"primary,omitempty"`
+	Attempt *attemptRecord `json:"attempt,omitempty"`
+}
+
+type attemptRecord struct {
+	Holder  string    `json:"holder"`
+	Nonce   string    `json:"nonce"`
+	Deposed target.ID `json:"deposed"`
+}
+
+func newIncarnation(node string) string { return node + "-" + rand.Text()[:8] }
+
+// fleet keeps this VM's own entry.
+type fleet struct{ edge *Edge }
+
+// joinRetry is the pause between two tries to write the entry.
+const joinRetry = 500 * time.Millisecond
+
+// join writes this VM's entry, until it is there.
+func (f *fleet) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.write(ctx)
+		if err == nil {
+			return
+		}
+		f.edge.log.Warn("entry-unwritten", zap.Error(err))
+		select {
+		case <-time.After(joinRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *fleet) write(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e := f.edge
+	record := vmRecord{Zone: e.set.Zone, Peer: e.set.Listen.Control, Incarnation: e.incarnation}
+	name := prefixVM + e.set.Node
+	_, err := e.store.Create(ctx, kindFleet, name, record)
+	var conflict *objects.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	_, err = e.store.Replace(ctx, kindFleet, name, conflict.Current.Meta.Revision, record)
+	return err
+}
+
+// leave takes this VM's entry away.
+func (f *fleet) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := f.edge.store.Delete(ctx, kindFleet, prefixVM+f.edge.set.Node, 0); err != nil && !errors.Is(err, objects.ErrNotFound) {
+		f.edge.log.Warn("entry-left-behind", zap.Error(err))
+	}
+}
+
+// fleetFollower takes over the fleet's own records.
+type fleetFollower struct {
+	edge   *Edge
+	vms    map[string]catalog.VM
+	reigns map[string]*catalog.Reign
+}
+
+func newFleetFollower(e *Edge) *fleetFollower {
+	return &fleetFollower{edge: e, vms: make(map[string]catalog.VM), reigns: make(map[string]*catalog.Reign)}
+}
+
+func (f *fleetFollower) replace(items map[string]*objects.Object) {
+	clear(f.vms)
+	for _, o := range items {
+		f.apply(o, false)
+	}
+}
+
+func (f *fleetFollower) apply(o *objects.Object, deleted bool) {
+	if node, ok := strings.CutPrefix(o.Meta.Name, prefixVM); ok {
+		f.applyVM(node, o, deleted)
+		return
+	}
+	service, ok := strings.CutPrefix(o.Meta.Name, prefixReign)
+	if !ok || deleted {
+		return
+	}
+	r, err := decodeReign(service, o)
+	if err != nil {
+		f.edge.log.Error("record-refused", zap.String("name", o.Meta.Name), zap.Error(err))
+		return
+	}
+	if old := f.reigns[service]; old == nil || old.Revision < r.Revision {
+		f.reigns[service] = r
+	}
+}
+
+func (f *fleetFollower) applyVM(node string, o *objects.Object, deleted bool) {
+	if deleted {
+		delete(f.vms, node)
+		return
+	}
+	var r vmRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		f.edge.log.Error("record-refused", zap.String("name", o.Meta.Name), zap.Error(err))
+		return
+	}
+	f.vms[node] = catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation}
+}
+
+func decodeReign(service string, o *objects.Object) (*catalog.Reign, error) {
+	var r reignRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return nil, errors.Wrap(err, "decode reign")
+	}
+	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary}
+	if r.Attempt != nil {
+		out.Attempt = &catalog.Attempt{Holder: r.Attempt.Holder, Nonce: r.Attempt.Nonce, Deposed: r.Attempt.Deposed}
+	}
+	return out, nil
+}
+
+func (f *fleetFollower) settle() {
+	vms := make([]catalog.VM, 0, len(f.vms))
+	for _, vm := range f.vms {
+		vms = append(vms, vm)
+	}
+	reigns := make(map[string]*catalog.Reign, len(f.reigns))
+	for service, r := range f.reigns {
+		reigns[service] = r
+	}
+	f.edge.catalog.SetFleet(vms, reigns)
+}
--- /dev/null
+++ b/edge/followers.go
@@ -0,0 +1,142 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/platform/published"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	kindConfig  = published.KindConfig
+	kindTargets = published.KindTargets
+)
+
+// configFollower takes over the operator's configuration.
+type configFollower struct{ edge *Edge }
+
+func (f *configFollower) replace(items map[string]*objects.Object) {
+	if o := items[published.NameConfig]; o != nil {
+		f.apply(o, false)
+	}
+}
+
+func (f *configFollower) apply(o *objects.Object, deleted bool) {
+	if o.Meta.Name != published.NameConfig || deleted {
+		return
+	}
+	c, err := published.Config(o)
+	if err != nil {
+		f.edge.log.Error("configuration-refused", zap.Int64("revision", o.Meta.Revision), zap.Error(err))
+		return
+	}
+	if f.edge.catalog.SetConfig(c) {
+		f.edge.log.Info("configuration", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
+	}
+}
+
+func (f *configFollower) settle() {}
+
+// lostGrace is how long a target whose entry vanished without notice is kept.
+//
+// Failure guarded against: entries lapse while the store is down, though their
+// targets live, and are back about two seconds after its return. Without the
+// grace every session would lose all targets of its service at once.
+const lostGrace = 2500 * time.Millisecond
+
+// targetFollower takes over the entries of targets.
+type targetFollower struct {
+	edge    *Edge
+	mu      sync.Mutex
+	targets map[target.ID]*catalog.Target
+	lost    map[target.ID]*time.Timer
+}
+
+func newTargetFollower(e *Edge) *targetFollower {
+	return &targetFollower{edge: e, targets: make(map[target.ID]*catalog.Target), lost: make(map[target.ID]*time.Timer)}
+}
+
+func (f *targetFollower) replace(items map[string]*objects.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.targets {
+		if items[string(id)] == nil {
+			f.lose(id)
+		}
+	}
+	for _, o := range items {
+		f.take(o)
+	}
+}
+
+func (f *targetFollower) apply(o *objects.Object, deleted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if deleted {
+		f.lose(target.ID(o.Meta.Name))
+		return
+	}
+	f.take(o)
+}
+
+func (f *targetFollower) take(o *objects.Object) {
+	t, err := published.Target(o)
+	if err != nil {
+		f.edge.log.Error("target-refused", zap.String("target", o.Meta.Name), zap.Error(err))
+		return
+	}
+	if timer := f.lost[t.ID]; timer != nil {
+		timer.Stop()
+		delete(f.lost, t.ID)
+	}
+	old := f.targets[t.ID]
+	f.targets[t.ID] = t
+	if old == nil || *old != *t {
+		f.edge.log.Info("target", zap.String("target", string(t.ID)), zap.String("service", t.Service), zap.String("addr", t.Addr),
+			zap.String("at", t.Zone), zap.Bool("draining", t.Draining), zap.Stringer("role", t.Role))
+	}
+}
+
+// lose takes a target out: at once if it had said that it leaves, and else
+// after the grace.
+func (f *targetFollower) lose(id target.ID) {
+	t := f.targets[id]
+	if t == nil || f.lost[id] != nil {
+		return
+	}
+	if t.Draining {
+		f.remove(id, "left")
+		return
+	}
+	f.lost[id] = time.AfterFunc(lostGrace, func() {
+		f.mu.Lock()
+		if f.lost[id] == nil {
+			f.mu.Unlock()
+			return
+		}
+		f.remove(id, "lost")
+		f.mu.Unlock()
+		f.settle()
+	})
+}
+
+func (f *targetFollower) remove(id target.ID, why string) {
+	delete(f.targets, id)
+	delete(f.lost, id)
+	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", why))
+}
+
+func (f *targetFollower) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[target.ID]*catalog.Target, len(f.targets))
+	for id, t := range f.targets {
+		out[id] = t
+	}
+	f.edge.catalog.SetTargets(out)
+}
--- /dev/null
+++ b/edge/watch.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/retry"
+)
+
+const (
+	// watchWait is how long one watch call waits. A call that returns without
+	// news costs as much as one with.
+	watchWait = 15 * time.Second
+	// callTimeout bounds a call to the store beyond its waiting time.
+	callTimeout = 2 * time.Second
+)
+
+// watchBackoff spreads the calls of VMs that lost the store together.
+var watchBackoff = retry.Backoff{Base: 50 * time.Millisecond, Max: time.Second}
+
+// follower takes over what a watch of one kind has learned.
+type follower interface {
+	// replace takes over all objects, after a list.
+	replace(items map[string]*objects.Object)
+	// apply takes over one change.
+	apply(o *objects.Object, deleted bool)
+	// settle is called after each list and each set of changes.
+	settle()
+}
+
+// watch keeps one kind of objects in step with the store.
+type watch struct {
+	kind     string
+	store    *objects.Client
+	log      *zap.Logger
+	follower follower
+	revision int64
+	failures int
+}
+
+// run follows the kind until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for ctx.Err() == nil {
+		err := w.step(ctx)
+		if err == nil {
+			w.note(nil)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		w.note(err)
+		timer := time.NewTimer(watchBackoff.Delay(w.failures, rnd))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// note logs the loss of the store and its return, once each.
+func (w *watch) note(err error) {
+	if err == nil {
+		if w.failures > 0 {
+			w.log.Info("store-regained", zap.String("kind", w.kind), zap.Int("failures", w.failures), zap.Int64("revision", w.revision))
+		}
+		w.failures = 0
+		return
+	}
+	if w.failures == 0 {
+		w.log.Warn("store-lost", zap.String("kind", w.kind), zap.Int64("revision", w.revision), zap.Error(err))
+	}
+	w.failures++
+}
+
+// step makes one call: a list if nothing is known, and else a watch.
+func (w *watch) step(ctx context.Context) error {
+	if w.revision == 0 {
+		return w.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	p, err := w.store.Watch(ctx, w.kind, w.revision, watchWait)
+	if errors.Is(err, objects.ErrHistoryGone) {
+		w.log.Info("history-gone", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
+		w.revision = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for i := range p.Events {
+		w.follower.apply(&p.Events[i].Object, p.Events[i].Deleted)
+	}
+	if len(p.Events) > 0 {
+		w.follower.settle()
+	}
+	w.revision = max(w.revision, p.Revision)
+	return nil
+}
+
+// list reads all objects. The watch goes on from the revision of the first
+// page: what changes while further pages are read is then told again.
+func (w *watch) list(ctx context.Context) error {
+	items := make(map[string]*objects.Object)
+	after, first := "", int64(0)
+	for {
+		p, err := w.page(ctx, after)
+		if err != nil {
+			return err
+		}
+		if first == 0 {
+			first = p.Revision
+		}
+		for i := range p.Items {
+			items[p.Items[i].Meta.Name] = &p.Items[i]
+		}
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
+		after = p.Items[len(p.Items)-1].Meta.Name
+	}
+	w.follower.replace(items)
+	w.follower.settle()
+	w.revision = first
+	return nil
+}
+
+func (w *watch) page(ctx context.Context, after string) (*objects.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return w.store.List(ctx, w.kind, after, false)
+}
+
+// startWatches follows the kinds that the catalog is made of.
+func (e *Edge) startWatches(ctx context.Context) {
+	for _, w := range []*watch{
+		{kind: kindConfig, follower: &configFollower{edge: e}},
+		{kind: kindTargets, follower: newTargetFollower(e)},
+		{kind: kindFleet, follower: newFleetFollower(e)},
+	} {
+		w.store, w.log = e.store, e.log
+		go w.run(ctx)
+	}
+}
--- /dev/null
+++ b/engine/metrics.go
@@ -0,0 +1,61 @@
+package engine
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/statement"
+)
+
+// Metrics counts operations and their latency. A nil Metrics counts nothing.
+type Metrics struct {
+	operations *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	reads      *prometheus.CounterVec
+}
+
+// latencyBuckets in seconds, around the latency objectives of 0.15, 0.25 and
+// 0.5 s.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .15, .25, .5, 1, 2}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		operations: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivemoor_operations_total", Help: "Operations by freshness of the route, access and result."},
+			[]string{"freshness", "access", "result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "endivemoor_operation_seconds", Help: "Time from the first byte to the answer.", Buckets: latencyBuckets},
+			[]string{"freshness", "access"}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivemoor_aged_reads_total", Help: "Reads that accept an age, by the role of the target."},
+			[]string{"role"}),
+	}
+	r.MustRegister(m.operations, m.latency, m.reads)
+	return m
+}
+
+func (m *Metrics) done(route *catalog.Route, w *work, a *statement.Answer, now clock.Time) {
+	if m == nil {
+		return
+	}
+	access := "read"
+	if w.writes {
+		access = "write"
+	}
+	freshness := route.Freshness.String()
+	m.operations.WithLabelValues(freshness, access, a.Code.String()).Inc()
+	m.latency.WithLabelValues(freshness, access).Observe(now.Sub(w.arrived).Seconds())
+}
+
+func (m *Metrics) placed(_ *catalog.Route, atPrimary bool) {
+	if m == nil {
+		return
+	}
+	role := "replica"
+	if atPrimary {
+		role = "primary"
+	}
+	m.reads.WithLabelValues(role).Inc()
+}
--- /dev/null
+++ b/engine/transaction.go
@@ -0,0 +1,344 @@
+package engine
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// transaction is a session's open one.
+type transaction struct {
+	route    *catalog.Route
+	group    *groups.Group
+	readOnly bool
+	// began is when its first byte arrived: its reads must see what had been
+	// acknowledged by then.
+	began clock.Time
+	// conn is nil until the first statement.
+	conn   *lane.Conn
+	belief leadership.Belief
+	// wrote is set once a write was sent.
+	wrote bool
+	// proof delivers whether the primary led after the transaction began. It
+	// is nil for routes that need no proof, and once it was taken.
+	proof <-chan bool
+}
+
+// begin opens a transaction here; the target hears of it with the first
+// statement. The route is taken now and holds until the transaction ends.
+func (s *Session) begin(st *statement.Statement) *statement.Answer {
+	if s.state == statement.InTransaction {
+		return s.failStatement(statement.Failure(statement.Malformed, "a transaction is open already", s.state))
+	}
+	route := s.engine.cfg.Catalog.Load().Route(s.database)
+	if route == nil {
+		return statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
+	}
+	s.tx = &transaction{
+		route: route, readOnly: st.ReadOnly, began: s.engine.cfg.Clock.Now(),
+		group: s.engine.cfg.Groups.Group(route.Service),
+	}
+	s.tx.group.Touch()
+	s.state = statement.InTransaction
+	return statement.Success(s.state)
+}
+
+// rollback ends a transaction. The consumer need not wait for the target: the
+// connection is given back once the target has answered.
+func (s *Session) rollback() *statement.Answer {
+	s.abandon()
+	s.state = statement.Idle
+	return statement.Success(s.state)
+}
+
+// abandon leaves the open transaction, which keeps nothing.
+func (s *Session) abandon() {
+	if s.state == statement.InTransaction {
+		s.state = statement.FailedTransaction
+	}
+	if s.tx == nil {
+		return
+	}
+	c := s.tx.conn
+	s.tx = nil
+	if c != nil {
+		go settle(c)
+	}
+}
+
+// settle rolls back what is open on a connection and gives it back.
+func settle(c *lane.Conn) {
+	c.QueueRollback()
+	if err := c.Flush(settleTimeout); err != nil {
+		c.Discard()
+		return
+	}
+	a, err := c.Receive(settleTimeout)
+	if err != nil || a.State != statement.Idle {
+		c.Discard()
+		return
+	}
+	c.Release()
+}
+
+// Close ends the session; an open transaction is rolled back.
+func (s *Session) Close() { s.abandon() }
+
+// Expire ends a transaction that was idle for too long. The consumer learns it
+// with its next statement.
+func (s *Session) Expire() {
+	if s.tx != nil {
+		s.engine.cfg.Log.Info("transaction-idle", zap.String("route", s.tx.route.Name), zap.Bool("wrote", s.tx.wrote))
+	}
+	s.abandon()
+}
+
+// Expired is the answer to the first statement after Expire.
+func (s *Session) Expired() *statement.Answer {
+	return statement.Failure(statement.Aborted, "the transaction was idle for too long and is rolled back", s.state)
+}
+
+// runInTransaction serves a read or a write of the open transaction.
+func (s *Session) runInTransaction(ctx context.Context, w *work) *statement.Answer {
+	tx := s.tx
+	w.route = tx.route
+	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(s.engine.cfg.Clock.Now()))
+	defer cancel()
+	if tx.conn == nil {
+		if failure := s.open(ctx, tx, w); failure != nil {
+			return s.failStatement(failure)
+		}
+	}
+	return s.send(ctx, tx, w)
+}
+
+// send runs a statement on the transaction's connection.
+func (s *Session) send(ctx context.Context, tx *transaction, w *work) *statement.Answer {
+	name, _, err := tx.conn.Setup(s.values, w.prepared, nil)
+	if err != nil {
+		return s.breakOff(tx, w, err)
+	}
+	tx.wrote = tx.wrote || w.writes
+	for {
+		w.tries++
+		sent := s.engine.cfg.Clock.Now()
+		a, err := exchange(tx.conn, w, timeline.Position{}, name, left(ctx))
+		if err != nil {
+			return s.breakOff(tx, w, err)
+		}
+		tx.group.Health.Answered(tx.conn.Target)
+		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
+			continue
+		}
+		return s.conclude(tx, w, a, sent)
+	}
+}
+
+// conclude takes over the answer of a transaction's statement.
+func (s *Session) conclude(tx *transaction, w *work, a *statement.Answer, sent clock.Time) *statement.Answer {
+	now := s.engine.cfg.Clock.Now()
+	if a.Code == statement.ReadOnly {
+		tx.group.Refused(tx.conn.Target)
+	}
+	if a.State != statement.InTransaction || a.Code == statement.Busy {
+		s.abandon()
+		a.State = s.state
+		return a
+	}
+	if a.Code != statement.OK {
+		return a
+	}
+	s.engine.cfg.Placing.Served(tx.conn.Target, now, now.Sub(sent))
+	if tx.belief.Primary == tx.conn.Target {
+		tx.group.Freshness.Sample(tx.belief.Term, sent, a.Position)
+	}
+	if !w.writes && tx.proof != nil {
+		if !<-tx.proof {
+			return s.failStatement(refuse(statement.Aborted, comeBack, "the primary may have been replaced", s.state))
+		}
+		tx.proof = nil
+	}
+	return a
+}
+
+// breakOff ends a transaction whose connection failed before its commit was
+// sent. The connection is closed, so that the target rolls back; nothing was
+// kept, and the consumer may repeat all of it.
+func (s *Session) breakOff(tx *transaction, w *work, err error) *statement.Answer {
+	id := tx.conn.Target
+	tx.conn.Discard()
+	tx.conn = nil
+	s.engine.failed(tx.group, id, false)
+	s.engine.cfg.Log.Info("transaction-broken", zap.String("request", w.st.ID), zap.String("target", string(id)),
+		zap.Bool("timeout", isTimeout(err)), zap.Error(err))
+	return s.failStatement(refuse(statement.Aborted, 0, "the target did not answer; the transaction is rolled back", s.state))
+}
+
+// commit ends a transaction and keeps its writes.
+func (s *Session) commit(ctx context.Context, st *statement.Statement) *statement.Answer {
+	if s.state != statement.InTransaction {
+		return statement.Failure(statement.Malformed, "no transaction is open", s.state)
+	}
+	tx := s.tx
+	w := &work{st: st, route: tx.route, arrived: s.engine.cfg.Clock.Now()}
+	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(w.arrived))
+	defer cancel()
+	if tx.conn == nil {
+		if failure := s.open(ctx, tx, w); failure != nil {
+			s.abandon()
+			s.state, failure.State = statement.Idle, statement.Idle
+			return failure
+		}
+	}
+	a := s.sendCommit(ctx, tx, w)
+	s.engine.cfg.Metrics.done(tx.route, &work{arrived: tx.began, writes: tx.wrote, route: tx.route}, a, s.engine.cfg.Clock.Now())
+	return a
+}
+
+func (s *Session) sendCommit(ctx context.Context, tx *transaction, w *work) *statement.Answer {
+	for {
+		w.tries++
+		sent := s.engine.cfg.Clock.Now()
+		a, err := exchange(tx.conn, w, timeline.Position{}, "", left(ctx))
+		if err != nil {
+			return s.commitLost(ctx, tx, w)
+		}
+		tx.group.Health.Answered(tx.conn.Target)
+		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
+			continue
+		}
+		return s.concludeCommit(tx, a, sent)
+	}
+}
+
+// concludeCommit takes over the target's answer to a commit.
+func (s *Session) concludeCommit(tx *transaction, a *statement.Answer, sent clock.Time) *statement.Answer {
+	if a.Code == statement.ReadOnly {
+		tx.group.Refused(tx.conn.Target)
+	}
+	if a.State != statement.Idle {
+		s.abandon()
+		s.state, a.State = statement.Idle, statement.Idle
+		return a
+	}
+	if a.Code == statement.OK && tx.belief.Primary == tx.conn.Target {
+		tx.group.Freshness.Sample(tx.belief.Term, sent, a.Position)
+	}
+	if a.Code == statement.OK && tx.wrote {
+		s.remember(tx.route.Service, a.Position)
+	}
+	tx.conn.Release()
+	s.tx, s.state = nil, statement.Idle
+	return a
+}
+
+// commitLost answers a commit whose own answer was lost. A transaction that
+// wrote nothing keeps nothing either way.
+func (s *Session) commitLost(ctx context.Context, tx *transaction, w *work) *statement.Answer {
+	id := tx.conn.Target
+	tx.conn.Discard()
+	tx.conn = nil
+	wrote := tx.wrote
+	s.tx, s.state = nil, statement.Idle
+	s.engine.failed(tx.group, id, false)
+	if wrote {
+		return s.inDoubt(ctx, w, id)
+	}
+	return refuse(statement.Aborted, 0, "the answer was lost; the transaction wrote nothing", statement.Idle)
+}
+
+// open starts the transaction at a target. A non-nil answer says why it could
+// not: nothing has run.
+func (s *Session) open(ctx context.Context, tx *transaction, w *work) *statement.Answer {
+	tried := make(map[target.ID]bool, 3)
+	for {
+		after, ok := timeline.Position{}, true
+		if tx.route.Freshness != catalog.Exact {
+			after, ok = s.floor(ctx, tx.group, tx.route)
+		}
+		id, err := s.placeTransaction(ctx, tx, tried, ok)
+		if err != nil {
+			return s.giveUpOpening(w, "no target")
+		}
+		if s.openAt(ctx, tx, w, id, after) {
+			return nil
+		}
+		tried[id] = true
+		if !s.pause(ctx, w) {
+			return s.giveUpOpening(w, "no target took the transaction in time")
+		}
+	}
+}
+
+func (s *Session) giveUpOpening(w *work, why string) *statement.Answer {
+	a := s.giveUp(w, statement.Busy, why)
+	a.State = s.state
+	return a
+}
+
+// placeTransaction chooses the target. Only the primary takes a transaction
+// that may write; exact reads go there too, and what has no evidence of age.
+func (s *Session) placeTransaction(ctx context.Context, tx *transaction, tried map[target.ID]bool, proven bool) (target.ID, error) {
+	if tx.readOnly && tx.route.Freshness != catalog.Exact && proven {
+		tx.belief = tx.group.Leadership.Believed()
+		if id, _ := s.place(tx.group, tried); id != "" {
+			return id, nil
+		}
+	}
+	b, err := tx.group.Primary(ctx)
+	if err != nil {
+		return "", err
+	}
+	tx.belief = b
+	if tx.route.Freshness == catalog.Exact || !proven {
+		tx.proof = s.prove(ctx, tx.group, b, tx.began)
+	}
+	return b.Primary, nil
+}
+
+// openAt starts the transaction at one target.
+func (s *Session) openAt(ctx context.Context, tx *transaction, w *work, id target.ID, after timeline.Position) bool {
+	w.tries++
+	e := s.engine
+	c, err := e.cfg.Pool.Acquire(ctx, id, order(tx.route, tx.began), left(ctx))
+	if err != nil {
+		s.noConnection(tx.group, id, err)
+		return false
+	}
+	_, a, err := c.Setup(s.values, nil, &lane.Begin{ReadOnly: tx.readOnly, After: after})
+	if err != nil {
+		c.Discard()
+		e.failed(tx.group, id, false)
+		return false
+	}
+	tx.group.Health.Answered(id)
+	if a.Code == statement.OK && a.State == statement.InTransaction {
+		tx.conn = c
+		return true
+	}
+	s.learnRefusal(tx.group, id, a)
+	if a.State != statement.Idle {
+		c.Discard()
+	} else {
+		c.Release()
+	}
+	return false
+}
+
+func (s *Session) learnRefusal(g *groups.Group, id target.ID, a *statement.Answer) {
+	switch a.Code {
+	case statement.ReadOnly:
+		g.Refused(id)
+	case statement.Lagging:
+		s.engine.cfg.Placing.Lagged(id, s.engine.cfg.Clock.Now())
+	}
+}
--- /dev/null
+++ b/freshness/freshness.go
@@ -0,0 +1,124 @@
+// Package freshness decides which log position a read must see, from evidence
+// of where a service's primary stood at a known moment.
+//
+// Evidence is a sample and a witness. A sample is a position that the primary
+// of a term gave in answer to a question sent at some moment: every commit that
+// it had acknowledged before that moment is at or below the position. A witness
+// is a replica that, asked at a later moment, still followed that term and had
+// not been paused for a later one. A promotion pauses every replica first, so
+// no later primary can have acknowledged anything before the witness was asked.
+// Both together prove that a log which holds the position lacks no commit
+// acknowledged before the sample's question was sent.
+//
+// A sample alone proves nothing: a superseded primary that is cut off from its
+// peers still answers, and a newer primary may have acknowledged commits that
+// it will never see.
+//
+// The package is pure.
+package freshness
+
+import (
+	"sync"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+const (
+	// maxSamples bounds a service's samples. With sampleEvery they span the
+	// longest age that routes are known to accept, 2.5 s, and some more.
+	maxSamples = 64
+	// sampleEvery is the least time between two samples.
+	sampleEvery = 50 * time.Millisecond
+	// margin is taken off the accepted age: the read's own way to the target.
+	margin = 50 * time.Millisecond
+)
+
+type sample struct {
+	sent     clock.Time
+	position timeline.Position
+}
+
+// Board keeps one service's evidence. It is safe for concurrent use.
+type Board struct {
+	mu        sync.Mutex
+	term      timeline.Term
+	samples   []sample
+	witnessed clock.Time
+}
+
+// Sample records that the primary of a term stood at a position when it
+// answered a question sent at the given moment.
+func (b *Board) Sample(term timeline.Term, sent clock.Time, p timeline.Position) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.enter(term) || p.IsZero() {
+		return
+	}
+	n := len(b.samples)
+	if n > 0 && sent.Sub(b.samples[n-1].sent) < sampleEvery {
+		return
+	}
+	if n == maxSamples {
+		copy(b.samples, b.samples[1:])
+		b.samples = b.samples[:n-1]
+	}
+	b.samples = append(b.samples, sample{sent: sent, position: p})
+}
+
+// Witness records that a replica, asked at the given moment, followed the term
+// and was not paused for a later one.
+func (b *Board) Witness(term timeline.Term, asked clock.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.enter(term) && asked.After(b.witnessed) {
+		b.witnessed = asked
+	}
+}
+
+// enter moves on to a later term, whose evidence starts anew. It reports
+// whether evidence of the given term counts.
+func (b *Board) enter(term timeline.Term) bool {
+	if term > b.term {
+		b.term, b.samples, b.witnessed = term, b.samples[:0], 0
+	}
+	return term == b.term
+}
+
+// Term is the latest term that evidence was seen of.
+func (b *Board) Term() timeline.Term {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.term
+}
+
+// Floor returns the lowest position that proves an age of at most maxAge. The
+// oldest sample that is young enough is taken: replicas most likely hold it.
+func (b *Board) Floor(now clock.Time, maxAge time.Duration) (timeline.Position, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	oldest := now.Add(margin - maxAge)
+	for _, s := range b.samples {
+		if s.sent.Before(oldest) {
+			continue
+		}
+		if s.sent.After(b.witnessed) {
+			break
+		}
+		return s.position, true
+	}
+	return timeline.Position{}, false
+}
+
+// Age returns how old the newest proven sample is; false if there is none.
+func (b *Board) Age(now clock.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := len(b.samples) - 1; i >= 0; i-- {
+		if !b.samples[i].sent.After(b.witnessed) {
+			return now.Sub(b.samples[i].sent), true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/lane/pool.go
@@ -0,0 +1,159 @@
+package lane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// Pool holds the lanes to all targets. It is safe for concurrent use.
+type Pool struct {
+	clk  clock.Clock
+	dial func(t *catalog.Target) Dialer
+
+	mu    sync.RWMutex
+	lanes map[target.ID]*Lane
+}
+
+// NewPool returns a Pool that opens links by dial.
+func NewPool(clk clock.Clock, dial func(t *catalog.Target) Dialer) *Pool {
+	return &Pool{clk: clk, dial: dial, lanes: make(map[target.ID]*Lane)}
+}
+
+// spareShare is the part of a target's limit that is left for the fleet's own
+// questions and orders, which open connections beyond the lanes' allowances.
+const spareShare = 0.1
+
+// Allowance is a VM's part of a target's connection limit.
+func Allowance(limit, vms int) int {
+	usable := float64(limit) * (1 - spareShare)
+	return max(int(usable)/max(vms, 1), 1)
+}
+
+// Update makes the lanes fit a catalog: new targets get one, lost targets lose
+// theirs, and every allowance follows the fleet's size.
+func (p *Pool) Update(c *catalog.Catalog) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, t := range c.Targets {
+		allowance := 1
+		if s := c.Service(t.Service); s != nil {
+			allowance = Allowance(s.MaxConnections, len(c.VMs))
+		}
+		if l := p.lanes[id]; l != nil {
+			l.setAllowance(allowance)
+			continue
+		}
+		p.lanes[id] = newLane(id, p.dial(t), p.clk, allowance)
+	}
+	for id, l := range p.lanes {
+		if c.Targets[id] == nil {
+			l.close()
+			delete(p.lanes, id)
+		}
+	}
+}
+
+// Lane returns the lane to a target, or nil.
+func (p *Pool) Lane(id target.ID) *Lane {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.lanes[id]
+}
+
+// Trim closes connections that are kept beyond need.
+func (p *Pool) Trim() {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, l := range p.lanes {
+		l.trim()
+	}
+}
+
+// Acquire returns a connection to a target.
+func (p *Pool) Acquire(ctx context.Context, id target.ID, o Order, timeout time.Duration) (*Conn, error) {
+	l := p.Lane(id)
+	if l == nil {
+		return nil, &UnavailableError{Target: id, Cause: errors.New("the target is unknown")}
+	}
+	return l.Acquire(ctx, o, timeout)
+}
+
+// Load returns the state of the lane to a target.
+func (p *Pool) Load(id target.ID) Load {
+	l := p.Lane(id)
+	if l == nil {
+		return Load{Down: true}
+	}
+	return l.Load()
+}
+
+// Ask is one of the fleet's own questions or orders.
+type Ask func(Link)
+
+// Asks of a target.
+var (
+	// AskStatus asks for the target's account of itself.
+	AskStatus Ask = func(l Link) { l.QueueStatus() }
+	// AskResume orders a replica to receive again.
+	AskResume Ask = func(l Link) { l.QueueResume() }
+)
+
+// AskPause orders a replica to receive nothing of a term below the given one.
+func AskPause(term timeline.Term) Ask { return func(l Link) { l.QueuePause(term) } }
+
+// AskStepDown orders a primary of a term below the given one to lead no longer.
+func AskStepDown(term timeline.Term) Ask { return func(l Link) { l.QueueStepDown(term) } }
+
+// RefusedError says that a target refused a question or an order.
+type RefusedError struct {
+	Target target.ID
+	Code   statement.Code
+}
+
+// Error names the target and the code.
+func (e *RefusedError) Error() string { return string(e.Target) + " refused: " + e.Code.String() }
+
+// Answered reports whether err shows that the target is alive: it refused.
+func Answered(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
+
+// Control sends one of the fleet's own questions or orders, and returns the
+// answer's rows.
+func (p *Pool) Control(ctx context.Context, id target.ID, ask Ask, timeout time.Duration) ([]string, error) {
+	l := p.Lane(id)
+	if l == nil {
+		return nil, &UnavailableError{Target: id, Cause: errors.New("the target is unknown")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := l.control(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ask(c)
+	if err := c.Flush(timeout); err != nil {
+		c.Discard()
+		return nil, errors.Wrapf(err, "ask %s", id)
+	}
+	a, err := c.Receive(timeout)
+	if err != nil {
+		c.Discard()
+		return nil, errors.Wrapf(err, "ask %s", id)
+	}
+	c.Release()
+	if a.Code != statement.OK {
+		return nil, &RefusedError{Target: id, Code: a.Code}
+	}
+	return a.Rows, nil
+}
--- a/daemon/log_test.go
+++ b/logging/logging_test.go
@@ -1,4 +1,4 @@
-package daemon
+package logging
 
 import (
 	"testing"
