--- a/edge/doc.go
+++ b/edge/doc.go
@@ -209,9 +209,9 @@
 }
 
 // evidenceAge is the age at which evidence is renewed by a question of our own,
-// if requests have not done so: a third of the least accepted age of the users'
+// if requests have not done so: half of the least accepted age of the users'
 // routes, 1.5 s, so that replicas still hold the oldest position that counts.
-const evidenceAge = 400 * time.Millisecond
+const evidenceAge = 700 * time.Millisecond
 
 // keepEvidence renews the evidence of services in use before reads have to
 // wait for it.
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -77,7 +77,6 @@
 		switch v {
 		case done:
 			if a.Code == statement.OK {
-				g.Freshness.Sample(b.Term, w.arrived, a.Position)
 				s.remember(w.route.Service, a.Position)
 			}
 			return a
@@ -251,9 +250,7 @@
 	switch {
 	case a.Code == statement.OK:
 		e.cfg.Placing.Served(id, now, now.Sub(sent))
-		if b := g.Leadership.Believed(); b.Primary == id && b.Term != 0 {
-			g.Freshness.Sample(b.Term, sent, a.Position)
-		}
+		learn(g, g.Leadership.Believed(), id, sent, a.Position)
 		return done
 	case a.Code == statement.ReadOnly:
 		g.Refused(id)
@@ -270,6 +267,16 @@
 	}
 }
 
+// learn turns the position in a target's answer into evidence for reads.
+func learn(g *groups.Group, b leadership.Belief, id target.ID, sent clock.Time, p timeline.Position) {
+	switch {
+	case b.Primary == id && b.Term != 0:
+		g.Freshness.Sample(b.Term, sent, p)
+	case b.Primary != id:
+		g.Freshness.Seen(p)
+	}
+}
+
 // noConnection learns from a connection that could not be had.
 func (s *Session) noConnection(g *groups.Group, id target.ID, err error) {
 	var u *lane.UnavailableError
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -158,9 +158,7 @@
 		return a
 	}
 	s.engine.cfg.Placing.Served(tx.conn.Target, now, now.Sub(sent))
-	if tx.belief.Primary == tx.conn.Target {
-		tx.group.Freshness.Sample(tx.belief.Term, sent, a.Position)
-	}
+	learn(tx.group, tx.belief, tx.conn.Target, sent, a.Position)
 	if !w.writes && tx.proof != nil {
 		if !<-tx.proof {
 			return s.failStatement(refuse(statement.Aborted, comeBack, "the primary may have been replaced", s.state))
@@ -230,8 +228,8 @@
 		s.state, a.State = statement.Idle, statement.Idle
 		return a
 	}
-	if a.Code == statement.OK && tx.belief.Primary == tx.conn.Target {
-		tx.group.Freshness.Sample(tx.belief.Term, sent, a.Position)
+	if a.Code == statement.OK {
+		learn(tx.group, tx.belief, tx.conn.Target, sent, a.Position)
 	}
 	if a.Code == statement.OK && tx.wrote {
 		s.remember(tx.route.Service, a.Position)
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -77,6 +77,27 @@
 	}
 }
 
+// Seen records that a replica's log stood at a position of the term. It is a
+// witness for every sample below: what lies beyond the sample was committed
+// after the primary had answered, and a paused replica would not have received
+// it. Reads at replicas so renew the evidence without a question of our own.
+func (b *Board) Seen(p timeline.Position) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.Term != b.term {
+		return
+	}
+	for i := len(b.samples) - 1; i >= 0; i-- {
+		s := &b.samples[i]
+		if s.position.Term == p.Term && s.position.LSN < p.LSN {
+			if s.sent.After(b.witnessed) {
+				b.witnessed = s.sent
+			}
+			return
+		}
+	}
+}
+
 // enter moves on to a later term, whose evidence starts anew. It reports
 // whether evidence of the given term counts.
 func (b *Board) enter(term timeline.Term) bool {
