--- a/edge/doc.go
+++ b/edge/doc.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"net/http"
 	"os"
@@ -31,6 +32,7 @@
 	"endivemoor.example/endivemoor/platform/duty"
 	"endivemoor.example/endivemoor/platform/line"
 	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/promoter"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -61,6 +63,7 @@
 	placing     *placing.Board
 	engine      *engine.Engine
 	fleet       *fleet
+	promoter    *promoter.Promoter
 	sessions    *sessions
 	ends        ends
 }
@@ -102,6 +105,10 @@
 	})
 	e.fleet = &fleet{edge: e}
 	e.sessions = newSessions(e)
+	e.promoter = promoter.New(promoter.Config{
+		Node: set.Node, Holder: e.incarnation, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
+		Platform: designator{e.duty}, Clock: e.clk, Log: log, Nonce: rand.Text,
+	})
 	return e
 }
 
@@ -109,7 +116,11 @@
 func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
 	d := newDialer()
 	return func(ctx context.Context) (lane.Link, error) {
-		link, err := line.Dial(ctx, d, t.Addr, t.Service, e.set.Node, t.ID, greetTimeout)
+		timeout := greetTimeout
+		if by, ok := ctx.Deadline(); ok {
+			timeout = min(timeout, time.Until(by))
+		}
+		link, err := line.Dial(ctx, d, t.Addr, t.Service, e.set.Node, t.ID, timeout)
 		if err != nil {
 			return nil, err
 		}
@@ -136,6 +147,7 @@
 	go e.follow(work)
 	go e.fleet.join(work)
 	go e.maintain(work)
+	go e.promoter.Run(work)
 	e.log.Info("serving", zap.String("consumers", e.set.Listen.Consumers), zap.String("incarnation", e.incarnation))
 	for {
 		select {
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -210,14 +210,15 @@
 		return nil, unsent
 	}
 	sent := e.cfg.Clock.Now()
+	ended := g.Health.Sent(id, sent, w.writes)
 	a, err := exchange(c, w, after, name, min(timeout, left(ctx)))
+	ended(e.cfg.Clock.Now(), err == nil)
 	if err != nil {
 		c.Discard()
 		e.failed(g, id, false)
 		e.cfg.Log.Debug("answer-lost", zap.String("request", w.st.ID), zap.String("target", string(id)), zap.Error(err))
 		return nil, lost
 	}
-	g.Health.Answered(id)
 	if a.State != statement.Idle {
 		c.Discard()
 		a.State = statement.Idle
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,12 @@
 	"endivemoor.example/endivemoor/timeline"
 )
 
+// statementPatience is how long a transaction's statement may take before its
+// commit. A statement that takes longer is most likely lost: its work is at
+// most 220 ms on the users' sheets. The transaction can be repeated as a whole
+// while the consumer's own time allows it.
+const statementPatience = 450 * time.Millisecond
+
 // transaction is a session's open one.
 type transaction struct {
 	route    *catalog.Route
@@ -131,11 +138,12 @@
 	for {
 		w.tries++
 		sent := s.engine.cfg.Clock.Now()
-		a, err := exchange(tx.conn, w, timeline.Position{}, name, left(ctx))
+		ended := tx.group.Health.Sent(tx.conn.Target, sent, false)
+		a, err := exchange(tx.conn, w, timeline.Position{}, name, min(left(ctx), statementPatience))
+		ended(s.engine.cfg.Clock.Now(), err == nil)
 		if err != nil {
 			return s.breakOff(tx, w, err)
 		}
-		tx.group.Health.Answered(tx.conn.Target)
 		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
 			continue
 		}
@@ -206,11 +214,12 @@
 	for {
 		w.tries++
 		sent := s.engine.cfg.Clock.Now()
+		ended := tx.group.Health.Sent(tx.conn.Target, sent, tx.wrote)
 		a, err := exchange(tx.conn, w, timeline.Position{}, "", left(ctx))
+		ended(s.engine.cfg.Clock.Now(), err == nil)
 		if err != nil {
 			return s.commitLost(ctx, tx, w)
 		}
-		tx.group.Health.Answered(tx.conn.Target)
 		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
 			continue
 		}
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -111,6 +111,7 @@
 	mu         sync.Mutex
 	believed   leadership.Belief
 	changed    chan struct{}
+	absent     clock.Time // since when nobody is believed to lead
 	discovered clock.Time
 	used       clock.Time
 	refreshing chan struct{}
@@ -122,10 +123,21 @@
 		Leadership: leadership.NewBoard(),
 		Freshness:  &freshness.Board{},
 		cfg:        cfg,
+		absent:     cfg.Clock.Now(),
 		changed:    make(chan struct{}),
 	}
 }
 
+// Absent is how long nobody has been believed to lead.
+func (g *Group) Absent() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.absent == 0 {
+		return 0
+	}
+	return g.cfg.Clock.Now().Sub(g.absent)
+}
+
 func (g *Group) listed(targets []*catalog.Target, reign *catalog.Reign) {
 	g.Leadership.Listed(targets, reign)
 	g.noteBelief()
@@ -144,6 +156,12 @@
 			zap.Uint64("term", uint64(now.Term)), zap.String("before", string(g.believed.Primary)), zap.Bool("contested", now.Contested))
 	}
 	g.believed = now
+	if now.Primary != "" {
+		g.absent = 0
+		g.Health.Watch(now.Primary)
+	} else {
+		g.absent = g.cfg.Clock.Now()
+	}
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
@@ -173,6 +191,9 @@
 func (g *Group) order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
 	sent := g.cfg.Clock.Now()
 	rows, err := g.cfg.Pool.Control(ctx, id, ask, timeout)
+	if lane.Answered(err) {
+		g.Health.Answered(id)
+	}
 	if err != nil {
 		return statement.Status{}, err
 	}
@@ -183,6 +204,7 @@
 	if err != nil {
 		return s, err
 	}
+	g.Health.Answered(id)
 	g.Told(id, s)
 	g.observe(s, sent)
 	return s, nil
--- a/groups/health.go
+++ b/groups/health.go
@@ -9,15 +9,74 @@
 )
 
 // Health tells, from requests and questions, since when the primary has not
-// answered. It is safe for concurrent use.
+// answered, and since when it has acknowledged no write. It is safe for
+// concurrent use.
 type Health struct {
 	mu       sync.Mutex
 	primary  target.ID
 	failing  clock.Time // since the first failure after the last answer
 	refusals int
+	waiting  int        // statements sent and not answered
+	quiet    clock.Time // since when none of them was answered
+	writes   int        // writes and commits sent and not answered
+	stalled  clock.Time // since when none of those was answered
 }
 
-// Answered records an answer of the target, whatever it said.
+// Watch makes the target the one whose health is kept.
+func (h *Health) Watch(id target.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if id == h.primary {
+		return
+	}
+	h.primary, h.failing, h.refusals = id, 0, 0
+	h.waiting, h.quiet, h.writes, h.stalled = 0, 0, 0, 0
+}
+
+// Sent records a statement on its way. The returned function must be called
+// with the outcome: whether an answer came.
+func (h *Health) Sent(id target.ID, now clock.Time, write bool) func(now clock.Time, answered bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if id != h.primary {
+		return func(clock.Time, bool) {}
+	}
+	if h.waiting == 0 {
+		h.quiet = now
+	}
+	h.waiting++
+	if write {
+		if h.writes == 0 && h.stalled == 0 {
+			h.stalled = now
+		}
+		h.writes++
+	}
+	return func(now clock.Time, answered bool) { h.ended(id, now, write, answered) }
+}
+
+func (h *Health) ended(id target.ID, now clock.Time, write, answered bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if id != h.primary {
+		return
+	}
+	h.waiting = max(h.waiting-1, 0)
+	if answered {
+		h.quiet, h.failing, h.refusals = now, 0, 0
+	}
+	if !write {
+		return
+	}
+	h.writes = max(h.writes-1, 0)
+	switch {
+	case answered && h.writes == 0:
+		h.stalled = 0
+	case answered:
+		h.stalled = now
+	}
+}
+
+// Answered records an answer of the target to a question of our own.
 func (h *Health) Answered(id target.ID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -32,7 +91,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if id != h.primary {
-		h.primary, h.failing, h.refusals = id, 0, 0
+		return
 	}
 	if h.failing == 0 {
 		h.failing = now
@@ -42,21 +101,45 @@
 	}
 }
 
-// Silent returns how long the target has failed to answer, and how often it
-// refused a connection in that time.
-func (h *Health) Silent(id target.ID, now clock.Time) (time.Duration, int) {
+// Signs is what Health has seen.
+type Signs struct {
+	// Silent is how long the target has failed to answer.
+	Silent time.Duration
+	// Refusals counts the connections refused in that time.
+	Refusals int
+	// Quiet is how long statements have waited with none answered.
+	Quiet time.Duration
+	// Stalled is how long writes have waited with none answered.
+	Stalled time.Duration
+}
+
+// Signs returns what was seen of the target.
+func (h *Health) Signs(id target.ID, now clock.Time) Signs {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if id != h.primary || h.failing == 0 {
-		return 0, 0
+	if id != h.primary {
+		return Signs{}
+	}
+	s := Signs{Refusals: h.refusals}
+	if h.failing != 0 {
+		s.Silent = now.Sub(h.failing)
 	}
-	return now.Sub(h.failing), h.refusals
+	if h.waiting > 0 {
+		s.Quiet = now.Sub(h.quiet)
+	}
+	if h.stalled != 0 {
+		s.Stalled = now.Sub(h.stalled)
+	}
+	return s
 }
 
 // Reset forgets all failures, as after this VM itself stood still: what went
 // unanswered then says nothing about the target.
-func (h *Health) Reset() {
+func (h *Health) Reset(now clock.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failing, h.refusals = 0, 0
+	h.failing, h.refusals, h.quiet = 0, 0, now
+	if h.stalled != 0 {
+		h.stalled = now
+	}
 }
