--- a/edge/doc.go
+++ b/edge/doc.go
@@ -44,8 +44,6 @@
 	// greetTimeout bounds opening a connection to a target: the way, a slot
 	// behind a full queue, and the work of accepting it, 12 ms.
 	greetTimeout = 700 * time.Millisecond
-	// trimEvery is how often idle connections beyond the allowance are closed.
-	trimEvery = 250 * time.Millisecond
 )
 
 // Edge is one running daemon.
@@ -207,12 +205,12 @@
 
 // maintain does what is due from time to time.
 func (e *Edge) maintain(ctx context.Context) {
-	tick := time.NewTicker(trimEvery)
+	tick := time.NewTicker(lane.TendEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			e.pool.Trim()
+			e.pool.Tend()
 			e.keepEvidence(ctx)
 		case <-ctx.Done():
 			return
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -13,11 +13,16 @@
 )
 
 const (
-	// watchWait is how long one watch call waits. A call that returns without
+	// watchWait is how long one watch call waits for news of a kind that has no
+	// bound of its own. A call that returns without news costs as much as one with.
 	// news costs as much as one with.
-	watchWait = 15 * time.Second
+	watchWait = 10 * time.Second
+	// watchPart is the part of a bound that one watch call may wait: a change
+	// that a silent watch has missed must still be in force in time, after
+	// callTimeout and the list that follows.
+	watchPart = 0.4
 	// callTimeout bounds a call to the store beyond its waiting time.
-	callTimeout = 2 * time.Second
+	callTimeout = 1200 * time.Millisecond
 )
 
 // watchBackoff spreads the calls of VMs that lost the store together.
@@ -35,7 +40,11 @@
 
 // watch keeps one kind of objects in step with the store.
 type watch struct {
-	kind     string
+	kind string
+	// wait is how long one call waits for news. The store's history may be
+	// dropped and a watch go silent without an end: news that came meanwhile
+	// are learned after this time at the latest.
+	wait     time.Duration
 	store    *objects.Client
 	log      *zap.Logger
 	follower follower
@@ -85,9 +94,9 @@
 	if w.revision == 0 {
 		return w.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.wait+callTimeout)
 	defer cancel()
-	p, err := w.store.Watch(ctx, w.kind, w.revision, watchWait)
+	p, err := w.store.Watch(ctx, w.kind, w.revision, w.wait)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.log.Info("history-gone", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 		w.revision = 0
@@ -139,12 +148,22 @@
 	return w.store.List(ctx, w.kind, after, false)
 }
 
+// part is a part of a bound, or watchWait if the deployment sets none.
+func part(bound time.Duration, share float64) time.Duration {
+	if bound <= 0 {
+		return watchWait
+	}
+	return min(time.Duration(float64(bound)*share), watchWait)
+}
+
 // startWatches follows the kinds that the catalog is made of.
 func (e *Edge) startWatches(ctx context.Context) {
+	apply := time.Duration(e.set.Bounds.ApplyMS) * time.Millisecond
+	drain := time.Duration(e.set.Bounds.DrainMS) * time.Millisecond
 	for _, w := range []*watch{
-		{kind: kindConfig, follower: &configFollower{edge: e}},
-		{kind: kindTargets, follower: newTargetFollower(e)},
-		{kind: kindFleet, follower: newFleetFollower(e)},
+		{kind: kindConfig, wait: part(apply, watchPart), follower: &configFollower{edge: e}},
+		{kind: kindTargets, wait: part(drain, watchPart), follower: newTargetFollower(e)},
+		{kind: kindFleet, wait: watchWait, follower: newFleetFollower(e)},
 	} {
 		w.store, w.log = e.store, e.log
 		go w.run(ctx)
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -16,12 +16,15 @@
 const (
 	// burst is how many connections a lane may have beyond its allowance while
 	// requests wait. The target's refusal is the limit that counts.
-	burst = 2
+	burst = 1
 	// burstIdle is how long a connection beyond the allowance may lie idle.
 	burstIdle = 500 * time.Millisecond
-	// refusedPause is how long a lane opens nothing beyond what it has once
-	// the target has refused a connection for their number.
+	// refusedPause is how long a lane opens nothing once the target has refused
+	// a connection for their number, and refusedAlone how long if it has none
+	// at all. Without the pause each request that waits would be refused again,
+	// and each try takes one of the target's slots.
 	refusedPause = time.Second
+	refusedAlone = 100 * time.Millisecond
 	// unreachablePause is how long a lane that could not connect fails requests
 	// at once, so that reads go elsewhere without waiting for the same failure.
 	unreachablePause = 250 * time.Millisecond
@@ -177,7 +180,7 @@
 // most is how many connections the lane may have now.
 func (l *Lane) most(now clock.Time) int {
 	if now.Before(l.refused) {
-		return max(min(l.allowance, l.open), 1)
+		return l.open
 	}
 	return l.allowance + burst
 }
@@ -205,7 +208,7 @@
 	unavailable := &UnavailableError{Target: l.id, Cause: err}
 	if errors.As(err, &refusal) {
 		unavailable.Code = refusal.Refused()
-		l.refused = now.Add(refusedPause)
+		l.refused = now.Add(l.refusalPause())
 	} else {
 		l.down, l.downCause = now.Add(unreachablePause), err
 	}
@@ -218,6 +221,13 @@
 	}
 }
 
+func (l *Lane) refusalPause() time.Duration {
+	if l.open == 0 {
+		return refusedAlone
+	}
+	return refusedPause
+}
+
 // hand gives a connection that counts as in use to the first that waits, or
 // lays it aside.
 func (l *Lane) hand(c *Conn) {
@@ -254,8 +264,9 @@
 	l.grow(l.clk.Now())
 }
 
-// trim closes idle connections beyond the allowance, oldest first.
-func (l *Lane) trim() {
+// tend closes idle connections beyond the allowance, oldest first, and opens
+// those that wait for the end of a pause.
+func (l *Lane) tend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clk.Now()
@@ -265,6 +276,7 @@
 		l.open--
 		c.Close()
 	}
+	l.grow(now)
 }
 
 // setAllowance changes how many connections the lane may keep.
@@ -304,7 +316,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		return nil, &UnavailableError{Target: l.id, Cause: err}
+		unavailable := &UnavailableError{Target: l.id, Cause: err}
+		var refusal Refusal
+		if errors.As(err, &refusal) {
+			unavailable.Code = refusal.Refused()
+		}
+		return nil, unavailable
 	}
 	l.open++
 	l.inUse++
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -69,12 +69,13 @@
 	return p.lanes[id]
 }
 
-// Trim closes connections that are kept beyond need.
-func (p *Pool) Trim() {
+// Tend closes connections that are kept beyond need, and opens those that
+// requests still wait for. It is due every TendEvery.
+func (p *Pool) Tend() {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, l := range p.lanes {
-		l.trim()
+		l.tend()
 	}
 }
 
@@ -122,10 +123,18 @@
 // Error names the target and the code.
 func (e *RefusedError) Error() string { return string(e.Target) + " refused: " + e.Code.String() }
 
-// Answered reports whether err shows that the target is alive: it refused.
+// TendEvery is the interval at which Tend is due.
+const TendEvery = 100 * time.Millisecond
+
+// Answered reports whether err shows that the target is alive: it refused the
+// question, or the connection.
 func Answered(err error) bool {
 	var refused *RefusedError
-	return errors.As(err, &refused)
+	if errors.As(err, &refused) {
+		return true
+	}
+	var unavailable *UnavailableError
+	return errors.As(err, &unavailable) && unavailable.Code == statement.TooManyConnections
 }
 
 // Control sends one of the fleet's own questions or orders, and returns the
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -55,6 +55,7 @@
 
 var (
 	errUnreachable = errors.New("a target that may hold acknowledged commits does not answer")
+	errTooFew      = errors.New("too few targets are left to surely hold every acknowledged commit")
 	errLate        = errors.New("the attempt's time is over")
 	errRecovered   = errors.New("the primary answers again")
 )
@@ -89,8 +90,8 @@
 // feasible asks every other target, so that no attempt is recorded, and
 // nothing paused, that cannot succeed. It also learns the latest term.
 func (a *attempt) feasible(ctx context.Context) error {
-	if len(a.others) == 0 {
-		return errUnreachable
+	if len(a.others) < a.enough() {
+		return errTooFew
 	}
 	statuses := a.all(ctx, a.others, lane.AskStatus)
 	for _, s := range statuses {
@@ -104,6 +105,15 @@
 	return a.confirmStall(ctx)
 }
 
+// enough is how many other targets are needed. A planned change knows where
+// the old primary's log ends, so that one which holds that will do.
+func (a *attempt) enough() int {
+	if a.reason.Planned() {
+		return 1
+	}
+	return takeover.Enough
+}
+
 // confirmStall tells a primary that cannot replicate from one that is merely
 // slow: its log is ahead of every replica's, and none comes nearer.
 func (a *attempt) confirmStall(ctx context.Context) error {
--- a/takeover/doc.go
+++ b/takeover/doc.go
@@ -93,6 +93,19 @@
 	ReasonAbsent Reason = "absent"
 )
 
+// Copies is how many targets of a service hold a log, the primary included.
+// The platform does not tell it; each service on the users' sheets has three.
+const Copies = 3
+
+// Enough is how many targets beside the old primary must be stopped for their
+// logs together to hold every acknowledged commit: all but one of the copies.
+//
+// Failure guarded against: a promotion among what is left of a service. Two of
+// three targets hold a commit; one of those is gone, the other is the primary
+// that seems stuck, and the third one, which received nothing, is the only one
+// that answers. It shows as purchases that were confirmed and are not there.
+const Enough = Copies - 1
+
 // Planned reports whether the old primary is expected to cooperate.
 func (r Reason) Planned() bool { return r == ReasonLeaving }
 
