--- a/catalog/doc.go
+++ b/catalog/doc.go
@@ -89,6 +89,8 @@
 	Revision int64
 	// Primary is the target last promoted by the fleet; empty if none was.
 	Primary target.ID
+	// Holder is the VM that made the last attempt; empty if none was made.
+	Holder string
 	// Attempt is set while a promotion is under way.
 	Attempt *Attempt
 }
@@ -96,7 +98,7 @@
 // Attempt is a promotion under way. Its holder alone may order a promotion of
 // the service, until it ends or lapses.
 type Attempt struct {
-	// Holder is the incarnation that makes the attempt.
+	// Holder is the VM that makes the attempt.
 	Holder string
 	// Nonce tells this attempt from all others of the same holder.
 	Nonce string
--- a/edge/doc.go
+++ b/edge/doc.go
@@ -104,7 +104,7 @@
 	e.fleet = &fleet{edge: e}
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
-		Node: set.Node, Holder: e.incarnation, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
+		Node: set.Node, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
 		Platform: designator{e.duty}, Clock: e.clk, Log: log, Nonce: rand.Text,
 	})
 	return e
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -35,11 +35,11 @@
 // reignRecord is a service's leadership, as the fleet ordered it.
 type reignRecord struct {
 	Primary target.ID      `json:"primary,omitempty"`
+	Holder  string         `json:"holder,omitempty"`
 	Attempt *attemptRecord `json:"attempt,omitempty"`
 }
 
 type attemptRecord struct {
-	Holder  string    `json:"holder"`
 	Nonce   string    `json:"nonce"`
 	Deposed target.ID `json:"deposed"`
 }
@@ -146,9 +146,9 @@
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
 		return nil, errors.Wrap(err, "decode reign")
 	}
-	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary}
+	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary, Holder: r.Holder}
 	if r.Attempt != nil {
-		out.Attempt = &catalog.Attempt{Holder: r.Attempt.Holder, Nonce: r.Attempt.Nonce, Deposed: r.Attempt.Deposed}
+		out.Attempt = &catalog.Attempt{Holder: r.Holder, Nonce: r.Attempt.Nonce, Deposed: r.Attempt.Deposed}
 	}
 	return out, nil
 }
--- a/edge/reigns.go
+++ b/edge/reigns.go
@@ -24,13 +24,13 @@
 
 // Begin records an attempt on top of the record that is known.
 func (r reigns) Begin(ctx context.Context, known *catalog.Reign, a catalog.Attempt) (*catalog.Reign, error) {
-	spec := reignRecord{Primary: known.Primary, Attempt: &attemptRecord{Holder: a.Holder, Nonce: a.Nonce, Deposed: a.Deposed}}
+	spec := reignRecord{Primary: known.Primary, Holder: a.Holder, Attempt: &attemptRecord{Nonce: a.Nonce, Deposed: a.Deposed}}
 	return r.write(ctx, known, spec)
 }
 
 // End takes the attempt away.
 func (r reigns) End(ctx context.Context, held *catalog.Reign, primary target.ID) error {
-	_, err := r.write(ctx, held, reignRecord{Primary: primary})
+	_, err := r.write(ctx, held, reignRecord{Primary: primary, Holder: held.Holder})
 	return err
 }
 
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -159,7 +159,7 @@
 	if known == nil {
 		known = &catalog.Reign{Service: a.g.Service}
 	}
-	held, err := a.p.cfg.Records.Begin(ctx, known, catalog.Attempt{Holder: a.p.cfg.Holder, Nonce: a.p.cfg.Nonce(), Deposed: a.old})
+	held, err := a.p.cfg.Records.Begin(ctx, known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: a.p.cfg.Nonce(), Deposed: a.old})
 	if err != nil {
 		return err
 	}
--- a/promoter/doc.go
+++ b/promoter/doc.go
@@ -36,14 +36,14 @@
 
 // Config of a Promoter.
 type Config struct {
-	// Node is this VM's name, Holder that of this run of it.
-	Node, Holder string
-	Catalog      *catalog.Holder
-	Groups       *groups.Registry
-	Records      Records
-	Platform     Designator
-	Clock        clock.Clock
-	Log          *zap.Logger
+	// Node is this VM's name. It holds attempts by it.
+	Node string
+	Catalog  *catalog.Holder
+	Groups   *groups.Registry
+	Records  Records
+	Platform Designator
+	Clock    clock.Clock
+	Log      *zap.Logger
 	// Nonce returns a new name for an attempt.
 	Nonce func() string
 }
@@ -82,8 +82,8 @@
 	since     clock.Time
 	busy      bool
 	notBefore clock.Time
-	attempt   string // the nonce of the attempt that others make
-	seen      clock.Time
+	revision  int64      // of the record of leadership, as last seen
+	seen      clock.Time // when it was first seen
 	deposed   map[target.ID]*pursuit
 }
 
@@ -149,11 +149,12 @@
 		w.asked = now
 		go p.ask(ctx, g, b.Primary)
 	}
+	others := p.othersAct(g, w, now)
 	reason := takeover.Judge(signs)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
 	}
-	if reason == takeover.ReasonNone || w.busy || now.Before(w.notBefore) || p.othersAct(g, w, now) {
+	if reason == takeover.ReasonNone || w.busy || now.Before(w.notBefore) || others {
 		return
 	}
 	if now.Sub(w.since) < p.turn(g.Service) {
@@ -192,17 +193,24 @@
 }
 
 // othersAct reports whether another VM's attempt is under way and has not
-// lapsed.
+// lapsed, or has ended just now.
 func (p *Promoter) othersAct(g *groups.Group, w *watched, now clock.Time) bool {
 	r := p.cfg.Catalog.Load().Reigns[g.Service]
-	if r == nil || r.Attempt == nil {
-		w.attempt = ""
+	if r == nil {
 		return false
 	}
-	if r.Attempt.Nonce != w.attempt {
-		w.attempt, w.seen = r.Attempt.Nonce, now
+	if r.Revision != w.revision {
+		w.revision, w.seen = r.Revision, now
+	}
+	since := now.Sub(w.seen)
+	switch {
+	case r.Attempt != nil:
+		return since < takeover.Lapse
+	case r.Holder != "" && r.Holder != p.cfg.Node:
+		return since < takeover.Settle
+	default:
+		return false
 	}
-	return now.Sub(w.seen) < takeover.Lapse
 }
 
 func (p *Promoter) turn(service string) time.Duration {
--- a/takeover/doc.go
+++ b/takeover/doc.go
@@ -52,6 +52,11 @@
 	// Lapse is how long others watch an attempt before they take it for dead.
 	// It exceeds Limit by the longest time that a call may be on its way.
 	Lapse = 5 * time.Second
+	// Settle is how long after another VM's attempt has ended no new one begins.
+	// The platform lets the holder of a duty keep it for three seconds; and a
+	// service that changes its primary again and again serves nobody, as when
+	// two halves of the fleet each reach another target only.
+	Settle = 3500 * time.Millisecond
 	// SilentAfter is how long a primary must have failed to answer requests and
 	// questions. Three questions of 100 ms fit, and a full queue of its requests
 	// is worked off in 150 ms.
