--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -57,6 +57,8 @@
 	errUnreachable = errors.New("a target that may hold acknowledged commits does not answer")
 	errTooFew      = errors.New("too few targets are left to surely hold every acknowledged commit")
 	errLate        = errors.New("the attempt's time is over")
+	errSuperseded  = errors.New("another target leads")
+	errUnpaused    = errors.New("the target is not paused")
 	errRecovered   = errors.New("the primary answers again")
 )
 
@@ -99,6 +101,9 @@
 			return errors.WithMessage(errUnreachable, string(s.id)+": "+s.err.Error())
 		}
 	}
+	if a.g.Leadership.Believed().Primary != a.old {
+		return errSuperseded
+	}
 	if a.reason != takeover.ReasonStalled {
 		return nil
 	}
@@ -230,16 +235,51 @@
 // that does not may be the only holder of an acknowledged commit, or the one
 // that still vouches for the old primary.
 func (a *attempt) pause(ctx context.Context) ([]takeover.Fenced, error) {
+	answers := make([]told, len(a.others))
+	var wait sync.WaitGroup
+	for i, t := range a.others {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answers[i] = a.pauseOne(ctx, t.ID)
+		}()
+	}
+	wait.Wait()
 	var out []takeover.Fenced
-	for _, s := range a.all(ctx, a.others, lane.AskPause(a.term)) {
+	var failed error
+	for _, s := range answers {
 		if s.err != nil {
-			return nil, errors.WithMessage(errUnreachable, "pause "+string(s.id)+": "+s.err.Error())
+			failed = errors.WithMessage(s.err, "pause "+string(s.id))
+			continue
 		}
 		a.paused = append(a.paused, s.id)
 		t := a.p.cfg.Catalog.Load().Targets[s.id]
 		out = append(out, takeover.Fenced{ID: s.id, Received: s.status.Received, Leaving: t == nil || t.Draining})
 	}
-	return out, nil
+	return out, failed
+}
+
+// pauseOne pauses a target, and takes only its own word that it is paused.
+//
+// Failure guarded against: one of the others still believes that it leads, from
+// a reign before. An order to pause means nothing to it; later it follows the
+// primary that is being replaced, and acknowledges commits which the chosen
+// target lacks. So it is made to step down first, and one that leads in a later
+// term ends the attempt.
+func (a *attempt) pauseOne(ctx context.Context, id target.ID) told {
+	s, err := a.orderPatiently(ctx, id, lane.AskPause(a.term))
+	if err == nil && s.Role == target.RolePrimary {
+		if s.Term >= a.term-1 {
+			return told{id: id, err: errSuperseded}
+		}
+		if _, err = a.orderPatiently(ctx, id, lane.AskStepDown(a.term)); err == nil {
+			s, err = a.orderPatiently(ctx, id, lane.AskPause(a.term))
+		}
+	}
+	if err == nil && (s.Role != target.RoleReplica || s.Paused < a.term) {
+		err = errUnpaused
+	}
+	return told{id: id, status: s, err: err}
 }
 
 // designate orders the promotion, within the attempt's time. A call whose
