Ask for evidence only when a read needs it

Counting our own statements by kind (trial) showed that only status questions are charged, 290 a VM in 30 s, of which a bit more than half renewed evidence ahead of need. Reads at replicas and writes at the primary renew it for free, so it is now asked for only by a read that finds none. Ruled out: BEGIN, SET, PREPARE and RESET cost nothing there.

--- a/edge/doc.go
+++ b/edge/doc.go
@@ -211,28 +211,8 @@
 		select {
 		case <-tick.C:
 			e.pool.Tend()
-			e.keepEvidence(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
-
-// evidenceAge is the age at which evidence is renewed by a question of our own,
-// if requests have not done so: half of the least accepted age of the users'
-// routes, 1.5 s, so that replicas still hold the oldest position that counts.
-const evidenceAge = 700 * time.Millisecond
-
-// keepEvidence renews the evidence of services in use before reads have to
-// wait for it.
-func (e *Edge) keepEvidence(ctx context.Context) {
-	for _, g := range e.groups.All() {
-		if !g.Used() {
-			continue
-		}
-		if age, ok := g.Freshness.Age(e.clk.Now()); ok && age < evidenceAge {
-			continue
-		}
-		go g.Refresh(ctx)
-	}
-}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -54,7 +54,6 @@
 		route: route, readOnly: st.ReadOnly, began: s.engine.cfg.Clock.Now(),
 		group: s.engine.cfg.Groups.Group(route.Service),
 	}
-	s.tx.group.Touch()
 	s.state = statement.InTransaction
 	return statement.Success(s.state)
 }
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -113,7 +113,6 @@
 	changed    chan struct{}
 	absent     clock.Time // since when nobody is believed to lead
 	discovered clock.Time
-	used       clock.Time
 	refreshing chan struct{}
 }
 
@@ -303,23 +302,6 @@
 	return 0, ErrNoWitness
 }
 
-// Touch records that the service is in use, so that its evidence is kept fresh.
-func (g *Group) Touch() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.used = g.cfg.Clock.Now()
-}
-
-// usedFor is how long a service's evidence is kept fresh after its last read.
-const usedFor = 5 * time.Second
-
-// Used reports whether the service was used a short while ago.
-func (g *Group) Used() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.used != 0 && g.cfg.Clock.Now().Sub(g.used) < usedFor
-}
-
 // Refresh asks the primary and a replica, so that there is evidence of now.
 // Those who call it at once share one round.
 func (g *Group) Refresh(ctx context.Context) {
--- a/promoter/doc.go
+++ b/promoter/doc.go
@@ -37,7 +37,7 @@
 // Config of a Promoter.
 type Config struct {
 	// Node is this VM's name. It holds attempts by it.
-	Node string
+	Node     string
 	Catalog  *catalog.Holder
 	Groups   *groups.Registry
 	Records  Records
