Test whole fleets in virtual time; count silence of a primary never reached

The stand-ins of the platform (object store, database groups that speak the statement protocol, a network in memory) let tests run several VMs in a bubble of virtual time: 25 scenarios take 0.2 s.

Cause 1: a VM that had not yet reached its primary when it died never suspected it, for the questions that went unanswered were not counted (TestAnotherVMActsForOneWithoutStore, red: no write in 5 s; now below 2.5 s). Cause 2: with one replica deaf and the old primary dead, no replica can be a witness, and exact reads were refused though the primary lived (TestDeafReplicaIsNotPromoted, red). The store's record of promotions is the last witness now. Cause 3: only the first try of a read was bounded (TestLostAnswerToAReadIsReadElsewhere, red: 2 s).

--- a/edge/doc.go
+++ b/edge/doc.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/boottime"
 	"endivemoor.example/endivemoor/engine"
 	"endivemoor.example/endivemoor/groups"
@@ -46,12 +47,21 @@
 	greetTimeout = 700 * time.Millisecond
 )
 
+// Network is how a daemon reaches others and is reached.
+type Network interface {
+	// Listen takes connections at ip:port.
+	Listen(addr string) (net.Listener, error)
+	// DialContext connects to ip:port.
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
 // Edge is one running daemon.
 type Edge struct {
 	set         *boot.Settings
 	log         *zap.Logger
 	metrics     *prometheus.Registry
-	clk         boottime.Clock
+	clk         clock.Clock
+	net         Network
 	incarnation string
 	catalog     *catalog.Holder
 	store       *objects.Client
@@ -63,6 +73,7 @@
 	fleet       *fleet
 	promoter    *promoter.Promoter
 	sessions    *sessions
+	listeners   []net.Listener
 	ends        ends
 }
 
@@ -79,23 +90,33 @@
 	if set.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
 	}
-	return newEdge(set, log).run(ctx)
+	e := New(set, kernel{newDialer()}, boottime.Clock{}, log)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go e.reloadOn(ctx, hangup)
+	return e.Serve(ctx)
 }
 
-func newEdge(set *boot.Settings, log *zap.Logger) *Edge {
+// New returns a daemon that is not yet serving.
+func New(set *boot.Settings, network Network, clk clock.Clock, log *zap.Logger) *Edge {
 	e := &Edge{
 		set:         set,
 		log:         log,
+		clk:         clk,
+		net:         network,
 		metrics:     prometheus.NewRegistry(),
 		incarnation: newIncarnation(set.Node),
 		catalog:     catalog.NewHolder(),
-		store:       objects.New(set.Platform.Addr, newTransport()),
-		duty:        duty.New(set.Duty.Addr, newTransport()),
+		store:       objects.New(set.Platform.Addr, newTransport(network)),
+		duty:        duty.New(set.Duty.Addr, newTransport(network)),
 		placing:     placing.NewBoard(),
 	}
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.groups = groups.NewRegistry(groups.Config{
-		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Log: log,
+		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e}, Log: log,
 	})
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
@@ -112,13 +133,12 @@
 
 // dialer opens links to a target.
 func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
-	d := newDialer()
 	return func(ctx context.Context) (lane.Link, error) {
 		timeout := greetTimeout
 		if by, ok := ctx.Deadline(); ok {
 			timeout = min(timeout, time.Until(by))
 		}
-		link, err := line.Dial(ctx, d, t.Addr, t.Service, e.set.Node, t.ID, timeout)
+		link, err := line.Dial(ctx, e.net, t.Addr, t.Service, e.set.Node, t.ID, timeout)
 		if err != nil {
 			return nil, err
 		}
@@ -126,15 +146,8 @@
 	}
 }
 
-func (e *Edge) run(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// The settings may change under a running process, and SIGHUP may say so:
-	// what can change without a restart is read anew by those who use it.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-
+// Serve serves until ctx ends, and then ends gracefully.
+func (e *Edge) Serve(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	failed := make(chan error, 2)
@@ -147,15 +160,23 @@
 	go e.maintain(work)
 	go e.promoter.Run(work)
 	e.log.Info("serving", zap.String("consumers", e.set.Listen.Consumers), zap.String("incarnation", e.incarnation))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		e.end(work)
+		return nil
+	}
+}
+
+// reloadOn reads the settings anew at each signal.
+func (e *Edge) reloadOn(ctx context.Context, hangup <-chan os.Signal) {
 	for {
 		select {
-		case err := <-failed:
-			return err
-		case <-hup:
+		case <-hangup:
 			e.reload()
 		case <-ctx.Done():
-			e.end(work)
-			return nil
+			return
 		}
 	}
 }
@@ -174,14 +195,15 @@
 }
 
 func (e *Edge) listen(failed chan<- error) error {
-	ready, err := net.Listen("tcp", e.set.Listen.Ready)
+	ready, err := e.net.Listen(e.set.Listen.Ready)
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
-	consumers, err := net.Listen("tcp", e.set.Listen.Consumers)
+	consumers, err := e.net.Listen(e.set.Listen.Consumers)
 	if err != nil {
 		return errors.Wrap(err, "listen for consumers")
 	}
+	e.listeners = []net.Listener{ready, consumers}
 	go func() { failed <- http.Serve(ready, e.readyHandler()) }()
 	go func() { failed <- e.sessions.accept(consumers) }()
 	return nil
--- a/edge/ends.go
+++ b/edge/ends.go
@@ -56,5 +56,8 @@
 		e.sessions.interrupt()
 		time.Sleep(interruptEvery)
 	}
+	for _, ln := range e.listeners {
+		_ = ln.Close()
+	}
 	e.log.Info("left", zap.Int("sessions", e.sessions.count()), zap.Duration("after", time.Since(start)))
 }
--- /dev/null
+++ b/edge/failover_test.go
@@ -0,0 +1,180 @@
+package edge_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/platform/standin/world"
+)
+
+// buyUntil writes under load until a moment has passed, and returns for how
+// long no write succeeded in between. Each write has its own item, which must
+// be there afterwards if it was acknowledged.
+func buyUntil(f *fleet, c *world.Consumer, until time.Duration) (gap time.Duration, bought []string) {
+	start := time.Now()
+	last := start
+	for i := 0; time.Since(start) < until; i++ {
+		item := "i" + strconv.Itoa(len(bought)) + "x" + strconv.Itoa(i)
+		if c.Query("WRITE " + item + " paid").OK() {
+			gap = max(gap, time.Since(last))
+			last = time.Now()
+			bought = append(bought, item)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return max(gap, time.Since(last)), bought
+}
+
+func requireAll(f *fleet, c *world.Consumer, items []string) {
+	f.t.Helper()
+	for _, item := range items {
+		require.Equal(f.t, []string{"paid"}, c.Query("READ "+item).Rows, item)
+	}
+}
+
+// The primary dies at night. Nobody is awake: the fleet promotes a replica that
+// holds every confirmed purchase, and passengers can buy again within a second
+// and a half.
+func TestDeadPrimaryIsReplaced(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		_, before := buyUntil(f, c, time.Second)
+		f.world.Crash(service, "ledger-0")
+		gap, after := buyUntil(f, c, 5*time.Second)
+		require.Less(t, gap, 1500*time.Millisecond)
+		require.NotEqual(t, "ledger-0", f.group.Leader())
+		requireAll(f, f.session("vm1", exact), append(before, after...))
+		require.Len(t, f.world.Store.Duties(), 1, "one VM acts, once")
+		f.fair()
+	})
+}
+
+// One replica receives nothing for a while, then the primary dies. The deaf
+// replica answers all questions, but only the other one holds what was
+// confirmed meanwhile.
+func TestDeafReplicaIsNotPromoted(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		f.group.SetDeaf("ledger-1", true)
+		_, bought := buyUntil(f, c, 2*time.Second)
+		f.world.Crash(service, "ledger-0")
+		_, after := buyUntil(f, c, 4*time.Second)
+		require.Equal(t, "ledger-2", f.group.Leader())
+		requireAll(f, f.session("vm2", exact), append(bought, after...))
+		f.fair()
+	})
+}
+
+// A purchase is held by the primary and one replica. That replica is gone for
+// good when the primary dies; the last one received nothing. Promoting it would
+// lose the purchase, so the service waits until the primary is back.
+func TestLastReplicaThatLacksCommitsIsNotPromoted(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		f.group.SetDeaf("ledger-1", true)
+		_, bought := buyUntil(f, c, time.Second)
+		f.world.Crash(service, "ledger-2")
+		f.world.Store.Remove("servers", "ledger-2")
+		time.Sleep(5 * time.Second)
+		f.world.Crash(service, "ledger-0")
+		f.world.Store.Remove("servers", "ledger-0")
+		time.Sleep(8 * time.Second)
+		require.Empty(t, f.world.Store.Duties())
+		f.group.SetDeaf("ledger-1", false)
+		f.world.Restart(service, "ledger-0")
+		time.Sleep(4 * time.Second)
+		requireAll(f, f.session("vm1", exact), bought)
+		f.fair()
+	})
+}
+
+// The primary is to be replaced and says so. Its successor is chosen while it
+// still runs, and no purchase fails for it: what cannot run is held a moment.
+func TestLeavingPrimaryIsReplacedWithoutAFailedWrite(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		done := make(chan int)
+		go func() {
+			failed := 0
+			for i := range 150 {
+				if !c.Query("WRITE k" + strconv.Itoa(i) + " paid").OK() {
+					failed++
+				}
+				time.Sleep(15 * time.Millisecond)
+			}
+			done <- failed
+		}()
+		time.Sleep(500 * time.Millisecond)
+		f.world.Drain(service, "ledger-0")
+		require.Zero(t, <-done)
+		require.NotEqual(t, "ledger-0", f.group.Leader())
+		f.fair()
+	})
+}
+
+// The fleet's own VM that would act is cut off from the store. Another one acts
+// in its place.
+func TestAnotherVMActsForOneWithoutStore(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		for _, cut := range []string{"vm0", "vm1"} {
+			f.world.CutFromStore(cut, true)
+		}
+		c := f.session("vm2", exact)
+		f.world.Crash(service, "ledger-0")
+		gap, _ := buyUntil(f, c, 5*time.Second)
+		require.Less(t, gap, 2500*time.Millisecond)
+		require.Equal(t, "vm2", f.world.Store.Duties()[0].Holder)
+		f.fair()
+	})
+}
+
+// Every answer of the store to the attempt's record is lost. The record was
+// made all the same: the VM reads it back and goes on, instead of leaving an
+// attempt that blocks everyone until it lapses.
+func TestLostAnswerToTheRecordIsReadBack(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		f.world.Store.LoseAnswers(1)
+		f.world.Crash(service, "ledger-0")
+		gap, _ := buyUntil(f, c, 5*time.Second)
+		require.Less(t, gap, 2*time.Second)
+		f.fair()
+	})
+}
+
+// A read that must be exact reaches a VM that still believes in the old
+// primary, while that one is cut off from its replicas and from nobody else.
+// It answers with what it has; only the witness shows that it leads no more.
+func TestSupersededPrimaryGivesNoExactRead(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		require.True(t, c.Query("WRITE seat free").OK())
+		f.group.SetDeaf("ledger-0", true)
+		_, bought := buyUntil(f, c, 4*time.Second)
+		require.NotEmpty(t, bought)
+		require.True(t, c.Query("WRITE seat taken").OK())
+		for name := range f.vms {
+			require.Equal(t, []string{"taken"}, f.session(name, exact).Query("READ seat").Rows, name)
+		}
+		f.fair()
+	})
+}
+
+// The store is down when the primary dies. Nobody may act without a record, so
+// the service waits; once the store is back it is replaced at once.
+func TestNobodyActsWithoutTheStore(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		f.world.Store.SetDown(true)
+		f.world.Crash(service, "ledger-0")
+		buyUntil(f, c, 3*time.Second)
+		require.Empty(t, f.world.Store.Duties())
+		f.world.Store.SetDown(false)
+		_, after := buyUntil(f, c, 3*time.Second)
+		require.NotEmpty(t, after)
+		f.fair()
+	})
+}
--- /dev/null
+++ b/edge/harness_test.go
@@ -0,0 +1,127 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/edge"
+	"endivemoor.example/endivemoor/logging"
+	"endivemoor.example/endivemoor/platform/standin/database"
+	"endivemoor.example/endivemoor/platform/standin/world"
+)
+
+// Databases of the routes that every scenario has.
+const (
+	exact   = "pay"
+	bounded = "check"
+	own     = "renew"
+)
+
+const service = "ledger"
+
+// fleet is a world with one service and some VMs, in virtual time.
+type fleet struct {
+	t     *testing.T
+	world *world.World
+	group *database.Group
+	vms   map[string]*vm
+}
+
+type vm struct {
+	name string
+	addr string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+var zones = []string{"a", "b", "c"}
+
+// play runs a scenario with n VMs in a bubble of virtual time.
+func play(t *testing.T, n int, scenario func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm)}
+		f.group = f.world.AddGroup(database.Options{Service: service, Lag: 60 * time.Millisecond, Work: 5 * time.Millisecond}, zones...)
+		f.world.SetRoutes(standardRoutes()...)
+		for i := range n {
+			f.start(fmt.Sprintf("vm%d", i), zones[i%len(zones)], i+1)
+		}
+		defer f.end()
+		time.Sleep(2 * time.Second)
+		scenario(f)
+	})
+}
+
+func standardRoutes() []catalog.Route {
+	return []catalog.Route{
+		{Database: exact, Service: service, Freshness: catalog.Exact, StatementTimeout: 800 * time.Millisecond, Objective: 150 * time.Millisecond, Priority: 1},
+		{Database: bounded, Service: service, Freshness: catalog.Bounded, MaxAge: 1500 * time.Millisecond, StatementTimeout: 2 * time.Second, Objective: 500 * time.Millisecond, Priority: 2},
+		{Database: own, Service: service, Freshness: catalog.Own, MaxAge: 2500 * time.Millisecond, StatementTimeout: 800 * time.Millisecond, Objective: 250 * time.Millisecond, Priority: 2},
+	}
+}
+
+func (f *fleet) start(name, zone string, number int) {
+	set := world.Settings(name, zone, number)
+	ctx, cancel := context.WithCancel(context.Background())
+	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{})}
+	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
+	go func() {
+		defer close(v.done)
+		if err := e.Serve(ctx); err != nil && ctx.Err() == nil {
+			f.t.Errorf("%s: %v", name, err)
+		}
+	}()
+	f.vms[name] = v
+}
+
+// log is silent unless tests are verbose.
+func (f *fleet) log(name string) *zap.Logger {
+	if !testing.Verbose() {
+		return zap.NewNop()
+	}
+	return logging.New(os.Stdout, zap.NewAtomicLevelAt(zap.DebugLevel)).With(zap.String("vm", name))
+}
+
+// end stops everything; a bubble must not leave goroutines behind.
+func (f *fleet) end() {
+	f.world.Net.HealAll()
+	for _, v := range f.vms {
+		v.stop()
+	}
+	for _, v := range f.vms {
+		<-v.done
+	}
+	time.Sleep(time.Minute)
+	for _, v := range f.vms {
+		f.world.Net.Reset(v.name)
+	}
+	for i := range zones {
+		f.world.Crash(service, fmt.Sprintf("%s-%d", service, i))
+	}
+	f.world.Close()
+	time.Sleep(time.Minute)
+}
+
+// session opens one at a VM.
+func (f *fleet) session(vm, db string) *world.Consumer {
+	f.t.Helper()
+	c, a := f.world.Open("consumer", f.vms[vm].addr, db)
+	require.Equal(f.t, "I", a.State, "startup: %+v", a)
+	return c
+}
+
+// fair checks what must hold at the end of every scenario.
+func (f *fleet) fair() {
+	f.t.Helper()
+	v := f.group.Judge()
+	require.Empty(f.t, v.Lost, "acknowledged commits are lost")
+	require.Empty(f.t, v.Twice, "writes took effect twice")
+}
--- a/edge/network.go
+++ b/edge/network.go
@@ -43,9 +43,15 @@
 	}
 }
 
-func newTransport() http.RoundTripper {
+// kernel is the Network of a running VM.
+type kernel struct{ *net.Dialer }
+
+// Listen implements Network.
+func (kernel) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+func newTransport(n Network) http.RoundTripper {
 	return &http.Transport{
-		DialContext:         newDialer().DialContext,
+		DialContext:         n.DialContext,
 		MaxIdleConnsPerHost: maxIdleCalls,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/edge/reigns.go
+++ b/edge/reigns.go
@@ -67,6 +67,18 @@
 	return r.edge.store.Replace(ctx, kindFleet, name, revision, spec)
 }
 
+// Current returns the service's record as the store has it now.
+func (r reigns) Current(ctx context.Context, service string) (*catalog.Reign, error) {
+	o, err := r.edge.store.Get(ctx, kindFleet, prefixReign+service)
+	if errors.Is(err, objects.ErrNotFound) {
+		return &catalog.Reign{Service: service}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return decodeReign(service, o)
+}
+
 // readBack returns the record if it carries our change, and errTaken if it
 // carries another's. If it is unchanged the very same change is sent again: it
 // asks for the same revision, so that at most one of the two is made.
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,10 +25,10 @@
 	pauseBusy = 15 * time.Millisecond
 	// maxTries bounds the targets and times that one statement is tried.
 	maxTries = 6
-	// firstTry is how long a read waits for its first target while another
-	// could serve it. The longest work of a read is 220 ms on the users'
-	// sheets; what takes longer is most likely lost.
-	firstTry = 350 * time.Millisecond
+	// tryPatience is how long a read waits for one target while another could
+	// serve it. The longest work of a read is 220 ms on the users' sheets; what
+	// takes longer is most likely lost.
+	tryPatience = 350 * time.Millisecond
 	// comeBack is when a consumer that was refused should return, if nothing
 	// better is known: about the time that a change of primary takes.
 	comeBack = 250 * time.Millisecond
@@ -126,14 +125,11 @@
 func (s *Session) prove(ctx context.Context, g *groups.Group, b leadership.Belief, salt clock.Time) <-chan bool {
 	out := make(chan bool, 1)
 	go func() {
-		term, err := g.Witness(ctx, b.Primary, int(salt)&1)
+		err := g.Witness(ctx, b, int(salt)&1)
 		if err != nil {
-			s.engine.cfg.Log.Debug("no-witness", zap.String("service", g.Service), zap.Error(err))
+			s.engine.cfg.Log.Debug("not-proven", zap.String("service", g.Service), zap.Error(err))
 		}
-		if err == nil && term != b.Term {
-			g.Rediscover()
-		}
-		out <- err == nil && term == b.Term
+		out <- err == nil
 	}()
 	return out
 }
@@ -151,8 +147,8 @@
 			return s.giveUp(w, statement.Busy, "no target")
 		}
 		timeout := left(ctx)
-		if !alone && w.tries == 0 {
-			timeout = min(timeout, firstTry)
+		if !alone {
+			timeout = min(timeout, tryPatience)
 		}
 		a, v := s.try(ctx, g, id, w, after, timeout)
 		if v == done {
@@ -205,7 +201,7 @@
 	name, _, err := c.Setup(s.values, w.prepared, nil)
 	if err != nil {
 		c.Discard()
-		e.failed(g, id, isRefused(err))
+		e.failed(g, id, lane.Refused(err))
 		return nil, unsent
 	}
 	sent := e.cfg.Clock.Now()
@@ -283,12 +279,9 @@
 	if errors.As(err, &u) && (u.Expired || u.Code != statement.OK) {
 		return
 	}
-	s.engine.failed(g, id, isRefused(err))
+	s.engine.failed(g, id, lane.Refused(err))
 }
 
-// isRefused reports whether the error shows that no process listens.
-func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // pause waits a moment before a statement is tried again; false if its time or
 // its tries are used up.
 func (s *Session) pause(ctx context.Context, w *work) bool {
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -257,7 +257,7 @@
 // near reports whether a target is in this VM's availability zone.
 func (e *Engine) near(t *catalog.Target) bool { return t.Zone == e.cfg.Zone }
 
-// isRefused reports whether no process listens at a target.
+// failed records that a target did not answer.
 func (e *Engine) failed(g *groups.Group, id target.ID, refused bool) {
 	now := e.cfg.Clock.Now()
 	e.cfg.Placing.Failed(id, now)
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -18,7 +18,6 @@
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
-	"endivemoor.example/endivemoor/timeline"
 )
 
 const (
@@ -39,12 +38,23 @@
 // Decoder reads a status answer's row.
 type Decoder func(row string) (statement.Status, error)
 
+// ErrSuperseded says that another target leads, or is about to.
+var ErrSuperseded = errors.New("the primary is being replaced, or was")
+
+// Records reads the fleet's records of leadership.
+type Records interface {
+	// Current returns the service's record as the store has it now. A service
+	// that no attempt was ever made for has an empty one.
+	Current(ctx context.Context, service string) (*catalog.Reign, error)
+}
+
 // Config of a Registry.
 type Config struct {
 	Catalog *catalog.Holder
 	Pool    *lane.Pool
 	Clock   clock.Clock
 	Decode  Decoder
+	Records Records
 	Log     *zap.Logger
 }
 
@@ -259,14 +269,25 @@
 	}
 }
 
+// discover asks all targets. That the believed primary does not answer counts
+// as its failure: a VM that has just started may never have reached it, and
+// would otherwise wait for it for ever.
 func (g *Group) discover() {
 	for _, t := range g.cfg.Catalog.Load().ByService[g.Service] {
-		go func() {
-			if _, err := g.Status(context.Background(), t.ID, askTimeout); err != nil {
-				g.cfg.Log.Debug("status-unanswered", zap.String("target", string(t.ID)), zap.Error(err))
-			}
-		}()
+		go g.Ask(context.Background(), t.ID, askTimeout)
+	}
+}
+
+// Ask asks a target for its account of itself, and counts silence as a failure
+// from the moment of the question on.
+func (g *Group) Ask(ctx context.Context, id target.ID, timeout time.Duration) {
+	sent := g.cfg.Clock.Now()
+	_, err := g.Status(ctx, id, timeout)
+	if err == nil || lane.Answered(err) {
+		return
 	}
+	g.Health.Failed(id, sent, lane.Refused(err))
+	g.cfg.Log.Debug("status-unanswered", zap.String("target", string(id)), zap.Error(err))
 }
 
 // Replicas returns the targets other than the primary, those that stay first.
@@ -284,22 +305,45 @@
 	return append(stay, leave...)
 }
 
-// Witness proves that nobody was promoted beyond the term at some moment after
-// it was called: a replica asked since then still follows the term and is not
-// paused for a later one. It returns the term that the replica follows.
-func (g *Group) Witness(ctx context.Context, primary target.ID, first int) (timeline.Term, error) {
-	replicas := g.Replicas(primary)
+// Witness proves that nobody was promoted beyond the believed primary's term at
+// some moment after it was called. A replica asked since then that still
+// follows the term and is not paused for a later one proves it, for a promotion
+// pauses all of them first. If none can say so, as when the other targets are
+// dead or receive nothing, the store is asked: every promotion is recorded
+// there before it begins.
+func (g *Group) Witness(ctx context.Context, b leadership.Belief, first int) error {
+	replicas := g.Replicas(b.Primary)
 	for i := range replicas {
 		t := replicas[(first+i)%len(replicas)]
 		s, err := g.Status(ctx, t.ID, askTimeout)
-		if err == nil && s.Role == target.RoleReplica && s.Paused == 0 {
-			return s.Term, nil
+		switch {
+		case err != nil || s.Role != target.RoleReplica || s.Paused != 0:
+		case s.Term == b.Term:
+			return nil
+		case s.Term > b.Term:
+			g.Rediscover()
+			return ErrSuperseded
 		}
 		if ctx.Err() != nil {
-			break
+			return ErrNoWitness
 		}
 	}
-	return 0, ErrNoWitness
+	return g.witnessByRecord(ctx, b)
+}
+
+// witnessByRecord is the store's word for Witness.
+func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
+	asked := g.cfg.Clock.Now()
+	r, err := g.cfg.Records.Current(ctx, g.Service)
+	if err != nil {
+		return ErrNoWitness
+	}
+	if r.Attempt != nil || (r.Primary != "" && r.Primary != b.Primary) {
+		g.Rediscover()
+		return ErrSuperseded
+	}
+	g.Freshness.Witness(b.Term, asked)
+	return nil
 }
 
 // Refresh asks the primary and a replica, so that there is evidence of now.
@@ -337,7 +381,7 @@
 		return
 	}
 	// The witness is asked after the sample: only then does it cover it.
-	if _, err := g.Witness(ctx, b.Primary, 0); err != nil {
+	if err := g.Witness(ctx, b, 0); err != nil {
 		g.cfg.Log.Debug("no-witness", zap.String("service", g.Service), zap.Error(err))
 	}
 }
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -82,7 +82,6 @@
 	refused   clock.Time // until when nothing beyond is opened
 	down      clock.Time // until when requests fail at once
 	downCause error
-	answered  clock.Time
 	closed    bool
 	inUse     int
 }
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,6 +138,9 @@
 	return errors.As(err, &unavailable) && unavailable.Code == statement.TooManyConnections
 }
 
+// Refused reports whether err shows that no process listens at the target.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Control sends one of the fleet's own questions or orders, and returns the
 // answer's rows.
 func (p *Pool) Control(ctx context.Context, id target.ID, ask Ask, timeout time.Duration) ([]string, error) {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -396,7 +395,3 @@
 
 // maxBusy bounds the repetitions of an order that met a full target.
 const maxBusy = 6
-
-func answered(err error) bool { return lane.Answered(err) }
-
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/promoter/doc.go
+++ b/promoter/doc.go
@@ -147,7 +147,7 @@
 	signs := p.signs(g, b.Primary, now)
 	if p.suspicious(g, b.Primary, now) && now.Sub(w.asked) >= askEvery {
 		w.asked = now
-		go p.ask(ctx, g, b.Primary)
+		go g.Ask(ctx, b.Primary, askTimeout)
 	}
 	others := p.othersAct(g, w, now)
 	reason := takeover.Judge(signs)
@@ -181,17 +181,6 @@
 	return primary != "" && (h.Silent > 0 || h.Quiet > quietAfter)
 }
 
-// ask counts a question without answer as a failure.
-func (p *Promoter) ask(ctx context.Context, g *groups.Group, primary target.ID) {
-	sent := p.cfg.Clock.Now()
-	_, err := g.Status(ctx, primary, askTimeout)
-	if err == nil || answered(err) {
-		return
-	}
-	// The silence began with the question, not with its time-out.
-	g.Health.Failed(primary, sent, refused(err))
-}
-
 // othersAct reports whether another VM's attempt is under way and has not
 // lapsed, or has ended just now.
 func (p *Promoter) othersAct(g *groups.Group, w *watched, now clock.Time) bool {
