Let VMs learn from each other; exact reads by permission

And a VM that the store turns away learned of nothing. An exact read needs no witness of its own while one is younger than 700 ms and no attempt is known; an attempt asks all VMs of the list read from the store to give that permission up, and waits the 700 ms out if one does not answer.

--- a/catalog/doc.go
+++ b/catalog/doc.go
@@ -116,8 +116,11 @@
 	ByService map[string][]*Target
 	// Reigns by service.
 	Reigns map[string]*Reign
-	// VMs is how many VMs of the fleet are known, this one included.
+	// VMs lists the fleet, in the order of their names.
 	VMs []VM
+	// TargetsRevision and FleetRevision are the store's revisions up to which
+	// Targets, and VMs with Reigns, are complete.
+	TargetsRevision, FleetRevision int64
 }
 
 // VM is an entry of the fleet's own list.
@@ -147,5 +150,15 @@
 	return c.Config.Services[name]
 }
 
+// VM returns the named VM's entry; false if the fleet's list has none.
+func (c *Catalog) VM(name string) (VM, bool) {
+	for _, vm := range c.VMs {
+		if vm.ID == name {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
 // Complete reports whether enough is known to serve requests.
 func (c *Catalog) Complete() bool { return c.Config != nil && len(c.Targets) > 0 }
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -54,24 +54,47 @@
 	return true
 }
 
-// SetTargets replaces all targets.
-func (h *Holder) SetTargets(targets map[target.ID]*Target) {
+// SetTargets replaces all targets by those that the store had at a revision,
+// unless a later list is known. It reports whether it did.
+func (h *Holder) SetTargets(targets map[target.ID]*Target, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.Load()
-	next.Targets = targets
+	if revision < next.TargetsRevision {
+		return false
+	}
+	next.Targets, next.TargetsRevision = targets, revision
 	next.ByService = byService(targets)
 	h.publish(&next)
+	return true
 }
 
-// SetFleet replaces the list of VMs and the records of reigns.
-func (h *Holder) SetFleet(vms []VM, reigns map[string]*Reign) {
+// SetFleet replaces the list of VMs by the one that the store had at a
+// revision, unless a later one is known, and takes over later records of
+// reigns. It reports whether the list was taken.
+func (h *Holder) SetFleet(vms []VM, reigns map[string]*Reign, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.Load()
-	next.VMs = slices.SortedFunc(slices.Values(vms), func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
-	next.Reigns = reigns
+	next.Reigns = laterReigns(next.Reigns, reigns)
+	taken := revision >= next.FleetRevision
+	if taken {
+		next.VMs = slices.SortedFunc(slices.Values(vms), func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+		next.FleetRevision = revision
+	}
 	h.publish(&next)
+	return taken
+}
+
+func laterReigns(known, offered map[string]*Reign) map[string]*Reign {
+	out := make(map[string]*Reign, len(offered))
+	maps.Copy(out, known)
+	for service, r := range offered {
+		if old := out[service]; old == nil || old.Revision < r.Revision {
+			out[service] = r
+		}
+	}
+	return out
 }
 
 // SetReign takes over one service's record unless a later one is known.
@@ -83,11 +106,7 @@
 		return
 	}
 	next := *old
-	next.Reigns = maps.Clone(old.Reigns)
-	if next.Reigns == nil {
-		next.Reigns = make(map[string]*Reign)
-	}
-	next.Reigns[r.Service] = r
+	next.Reigns = laterReigns(old.Reigns, map[string]*Reign{r.Service: r})
 	h.publish(&next)
 }
 
--- a/edge/doc.go
+++ b/edge/doc.go
@@ -71,6 +71,7 @@
 	placing     *placing.Board
 	engine      *engine.Engine
 	fleet       *fleet
+	gossip      *gossiper
 	promoter    *promoter.Promoter
 	sessions    *sessions
 	listeners   []net.Listener
@@ -115,8 +116,10 @@
 		placing:     placing.NewBoard(),
 	}
 	e.pool = lane.NewPool(e.clk, e.dialer)
+	e.gossip = newGossiper(e)
 	e.groups = groups.NewRegistry(groups.Config{
-		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e}, Log: log,
+		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
+		Eligible: e.gossip.eligible, Log: log,
 	})
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
@@ -126,7 +129,7 @@
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
 		Node: set.Node, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
-		Platform: designator{e.duty}, Clock: e.clk, Log: log, Nonce: rand.Text,
+		Platform: designator{e.duty}, Fleet: e.gossip, Clock: e.clk, Log: log, Nonce: rand.Text,
 	})
 	return e
 }
@@ -150,15 +153,19 @@
 func (e *Edge) Serve(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	if err := e.listen(failed); err != nil {
 		return err
 	}
 	e.startWatches(work)
 	go e.follow(work)
-	go e.fleet.join(work)
+	go func() {
+		e.fleet.join(work)
+		e.fleet.keep(work)
+	}()
 	go e.maintain(work)
 	go e.promoter.Run(work)
+	go e.gossip.run(work)
 	e.log.Info("serving", zap.String("consumers", e.set.Listen.Consumers), zap.String("incarnation", e.incarnation))
 	select {
 	case err := <-failed:
@@ -203,7 +210,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for consumers")
 	}
-	e.listeners = []net.Listener{ready, consumers}
+	peers, err := e.net.Listen(e.set.Listen.Control)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	e.listeners = []net.Listener{ready, consumers, peers}
+	go func() { failed <- e.gossip.serve(peers) }()
 	go func() { failed <- http.Serve(ready, e.readyHandler()) }()
 	go func() { failed <- e.sessions.accept(consumers) }()
 	return nil
@@ -216,6 +228,7 @@
 		c := e.catalog.Load()
 		e.pool.Update(c)
 		e.groups.Update(c)
+		e.gossip.keep(c)
 		e.placing.Keep(func(id target.ID) bool { return c.Targets[id] != nil })
 		select {
 		case <-changed:
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -82,6 +82,79 @@
 	return err
 }
 
+// keepEvery is how often the entries of the fleet are looked after.
+const keepEvery = 10 * time.Second
+
+// keep writes this VM's entry again if it was taken away, as after a long
+// partition, and takes away those of VMs that are long dead. Nothing in the
+// store ends by itself.
+func (f *fleet) keep(ctx context.Context) {
+	tick := time.NewTicker(keepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		e := f.edge
+		c := e.catalog.Load()
+		if vm, ok := c.VM(e.set.Node); c.FleetRevision > 0 && (!ok || vm.Incarnation != e.incarnation) && !e.ends.leaving.Load() {
+			e.log.Info("entry-missing")
+			f.join(ctx)
+		}
+		for _, vm := range e.gossip.gone() {
+			f.sweep(ctx, vm)
+		}
+	}
+}
+
+// sweep takes away the entry of a VM that is long dead, unless it has changed.
+func (f *fleet) sweep(ctx context.Context, vm string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := f.edge.store.Get(ctx, kindFleet, prefixVM+vm)
+	if err != nil {
+		return
+	}
+	err = f.edge.store.Delete(ctx, kindFleet, prefixVM+vm, o.Meta.Revision)
+	f.edge.log.Info("entry-swept", zap.String("of", vm), zap.Error(err))
+}
+
+// listVMs reads the fleet's list from the store.
+func (e *Edge) listVMs(ctx context.Context) ([]catalog.VM, error) {
+	var out []catalog.VM
+	for after := ""; ; {
+		p, err := e.store.List(ctx, kindFleet, after, false)
+		if err != nil {
+			return nil, err
+		}
+		for i := range p.Items {
+			node, ok := strings.CutPrefix(p.Items[i].Meta.Name, prefixVM)
+			if !ok {
+				continue
+			}
+			vm, err := decodeVM(node, &p.Items[i])
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, vm)
+		}
+		if !p.More || len(p.Items) == 0 {
+			return out, nil
+		}
+		after = p.Items[len(p.Items)-1].Meta.Name
+	}
+}
+
+func decodeVM(node string, o *objects.Object) (catalog.VM, error) {
+	var r vmRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return catalog.VM{}, errors.Wrapf(err, "entry of %s", node)
+	}
+	return catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation}, nil
+}
+
 // leave takes this VM's entry away.
 func (f *fleet) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -133,12 +206,12 @@
 		delete(f.vms, node)
 		return
 	}
-	var r vmRecord
-	if err := json.Unmarshal(o.Spec, &r); err != nil {
+	vm, err := decodeVM(node, o)
+	if err != nil {
 		f.edge.log.Error("record-refused", zap.String("name", o.Meta.Name), zap.Error(err))
 		return
 	}
-	f.vms[node] = catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation}
+	f.vms[node] = vm
 }
 
 func decodeReign(service string, o *objects.Object) (*catalog.Reign, error) {
@@ -153,7 +226,9 @@
 	return out, nil
 }
 
-func (f *fleetFollower) settle() {
+func (f *fleetFollower) heard() { f.edge.gossip.heardStore() }
+
+func (f *fleetFollower) settle(revision int64) {
 	vms := make([]catalog.VM, 0, len(f.vms))
 	for _, vm := range f.vms {
 		vms = append(vms, vm)
@@ -162,5 +237,5 @@
 	for service, r := range f.reigns {
 		reigns[service] = r
 	}
-	f.edge.catalog.SetFleet(vms, reigns)
+	f.edge.catalog.SetFleet(vms, reigns, revision)
 }
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -40,7 +40,9 @@
 	}
 }
 
-func (f *configFollower) settle() {}
+func (f *configFollower) settle(int64) {}
+
+func (f *configFollower) heard() {}
 
 // lostGrace is how long a target whose entry vanished without notice is kept.
 //
@@ -55,6 +57,8 @@
 	mu      sync.Mutex
 	targets map[target.ID]*catalog.Target
 	lost    map[target.ID]*time.Timer
+	// revision is the store's up to which targets is complete.
+	revision int64
 }
 
 func newTargetFollower(e *Edge) *targetFollower {
@@ -120,8 +124,9 @@
 			return
 		}
 		f.remove(id, "lost")
+		revision := f.revision
 		f.mu.Unlock()
-		f.settle()
+		f.settle(revision)
 	})
 }
 
@@ -131,12 +136,15 @@
 	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", why))
 }
 
-func (f *targetFollower) settle() {
+func (f *targetFollower) heard() {}
+
+func (f *targetFollower) settle(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.revision = revision
 	out := make(map[target.ID]*catalog.Target, len(f.targets))
 	for id, t := range f.targets {
 		out[id] = t
 	}
-	f.edge.catalog.SetTargets(out)
+	f.edge.catalog.SetTargets(out, revision)
 }
--- /dev/null
+++ b/edge/gossip.go
@@ -0,0 +1,249 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/freshness"
+	"endivemoor.example/endivemoor/gossip"
+)
+
+const (
+	// pullEvery and pullFrom are how often a VM asks how many peers. With two
+	// peers each 150 ms news reach a fleet of a dozen VMs in about 300 ms, for
+	// 13 calls a second a VM, whatever the fleet's size.
+	pullEvery = 150 * time.Millisecond
+	pullFrom  = 2
+	// peerPause is how long a peer that did not answer is left alone.
+	peerPause = time.Second
+	// storeAge is how old the fleet's list may be for a permission to go by it.
+	// It is above fleetWait, and far below sweepAfter.
+	storeAge = 12 * time.Second
+	// proofAge is the age beyond which a proof is of no use to anybody.
+	proofAge = 2 * time.Second
+)
+
+// gossiper pulls from peers, and answers them.
+type gossiper struct {
+	edge    *Edge
+	clients *gossip.Clients
+	store   atomic.Int64 // clock.Time at which the fleet's list was complete
+
+	mu     sync.Mutex
+	paused map[string]clock.Time // by address, until when
+	silent map[string]clock.Time // by VM, since when
+}
+
+func newGossiper(e *Edge) *gossiper {
+	return &gossiper{
+		edge: e, clients: gossip.NewClients(e.net.DialContext, e.clk),
+		paused: make(map[string]clock.Time), silent: make(map[string]clock.Time),
+	}
+}
+
+func (g *gossiper) serve(ln net.Listener) error {
+	return gossip.NewHTTPServer(gossip.NewHandler(g, g.edge.clk)).Serve(ln)
+}
+
+// Know implements gossip.Source.
+func (g *gossiper) Know() gossip.Knowledge {
+	now := g.edge.clk.Now()
+	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), StoreAge: g.age(now)}
+	for _, group := range g.edge.groups.All() {
+		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < proofAge {
+			k.Proofs[group.Service] = p
+		}
+	}
+	return k
+}
+
+// Revoke implements gossip.Source.
+func (g *gossiper) Revoke(service string, revision int64) {
+	g.edge.groups.Group(service).Revoke(revision)
+}
+
+// heardStore records that the fleet's list is complete as of now.
+func (g *gossiper) heardStore() { g.noteStore(g.edge.clk.Now()) }
+
+func (g *gossiper) noteStore(at clock.Time) {
+	for {
+		old := g.store.Load()
+		if int64(at) <= old || g.store.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// age is how long ago the fleet's list was complete.
+func (g *gossiper) age(now clock.Time) time.Duration {
+	at := g.store.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return now.Sub(clock.Time(at))
+}
+
+// eligible reports whether this VM is surely on the list by which others ask
+// for permissions: the list is young, and this run of the VM is on it.
+func (g *gossiper) eligible() bool {
+	if g.edge.ends.leaving.Load() || g.age(g.edge.clk.Now()) > storeAge {
+		return false
+	}
+	vm, ok := g.edge.catalog.Load().VM(g.edge.set.Node)
+	return ok && vm.Incarnation == g.edge.incarnation
+}
+
+// run pulls until ctx ends.
+func (g *gossiper) run(ctx context.Context) {
+	tick := time.NewTicker(pullEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, vm := range g.choose() {
+			go g.pull(ctx, vm)
+		}
+	}
+}
+
+// choose draws the peers of one round. A VM that knows none yet asks the
+// addresses that its settings name.
+func (g *gossiper) choose() []catalog.VM {
+	var known []catalog.VM
+	for _, vm := range g.edge.catalog.Load().VMs {
+		if vm.ID != g.edge.set.Node && vm.Peer != "" {
+			known = append(known, vm)
+		}
+	}
+	if len(known) == 0 {
+		for _, addr := range g.edge.set.Seeds {
+			if addr != g.edge.set.Listen.Control {
+				known = append(known, catalog.VM{Peer: addr})
+			}
+		}
+	}
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	now := g.edge.clk.Now()
+	var out []catalog.VM
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, vm := range known {
+		if len(out) < pullFrom && !now.Before(g.paused[vm.Peer]) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (g *gossiper) pull(ctx context.Context, vm catalog.VM) {
+	news, err := g.clients.Pull(ctx, vm.Peer, g.edge.set.Node, g.edge.catalog.Load())
+	now := g.edge.clk.Now()
+	g.mu.Lock()
+	if err != nil {
+		g.paused[vm.Peer] = now.Add(peerPause)
+		if g.silent[vm.ID] == 0 {
+			g.silent[vm.ID] = now
+		}
+		g.mu.Unlock()
+		return
+	}
+	delete(g.paused, vm.Peer)
+	delete(g.silent, vm.ID)
+	g.mu.Unlock()
+	g.take(news)
+}
+
+// keep forgets peers that are no longer on the fleet's list.
+func (g *gossiper) keep(c *catalog.Catalog) {
+	addrs, names := make(map[string]bool, len(c.VMs)), make(map[string]bool, len(c.VMs))
+	for _, vm := range c.VMs {
+		addrs[vm.Peer], names[vm.ID] = true, true
+	}
+	g.clients.Keep(addrs)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for vm := range g.silent {
+		if !names[vm] {
+			delete(g.silent, vm)
+		}
+	}
+}
+
+// take takes over what a peer told.
+func (g *gossiper) take(n *gossip.News) {
+	e := g.edge
+	for service, p := range n.Proofs {
+		e.groups.Group(service).Freshness.Relay(p)
+	}
+	if n.Config != nil && e.catalog.SetConfig(n.Config) {
+		e.log.Info("configuration", zap.Int64("version", n.Config.Version), zap.Int("routes", len(n.Config.Routes)), zap.String("from", "peer"))
+	}
+	if n.Targets != nil && e.catalog.SetTargets(n.Targets.Targets, n.Targets.Revision) {
+		e.log.Info("targets", zap.Int64("revision", n.Targets.Revision), zap.String("from", "peer"))
+	}
+	if n.Fleet != nil {
+		e.catalog.SetFleet(n.Fleet.VMs, n.Fleet.Reigns, n.Fleet.Revision)
+	}
+	g.noteStore(n.Store)
+}
+
+// RevokeAll implements promoter.Revoker. The list is read anew, so that no VM
+// is missed that joined before the attempt was recorded; one that joins later
+// sees the attempt before it sees itself on the list.
+func (g *gossiper) RevokeAll(ctx context.Context, held *catalog.Reign) bool {
+	vms, err := g.edge.listVMs(ctx)
+	if err != nil {
+		g.edge.log.Info("fleet-unlisted", zap.String("service", held.Service), zap.Error(err))
+		return false
+	}
+	g.Revoke(held.Service, held.Revision)
+	answers := make(chan bool, len(vms))
+	for _, vm := range vms {
+		if vm.ID == g.edge.set.Node {
+			answers <- true
+			continue
+		}
+		go func() {
+			err := g.clients.Revoke(ctx, vm.Peer, held.Service, held.Revision)
+			if err != nil {
+				g.edge.log.Info("permission-unanswered", zap.String("service", held.Service), zap.String("peer", vm.ID), zap.Error(err))
+			}
+			answers <- err == nil
+		}()
+	}
+	all := true
+	for range vms {
+		all = <-answers && all
+	}
+	return all
+}
+
+// sweepAfter is how long a VM must not have answered before its entry is taken
+// away: far longer than storeAge, after which it holds no permission.
+const sweepAfter = time.Minute
+
+// gone returns the VMs that have been silent for so long that their entries
+// may be taken away.
+func (g *gossiper) gone() []string {
+	now := g.edge.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for vm, since := range g.silent {
+		if vm != "" && now.Sub(since) > sweepAfter {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -17,6 +17,9 @@
 	// bound of its own. A call that returns without news costs as much as one with.
 	// news costs as much as one with.
 	watchWait = 10 * time.Second
+	// fleetWait is that of the fleet's own records: it bounds the age of the
+	// list that permissions go by.
+	fleetWait = 5 * time.Second
 	// watchPart is the part of a bound that one watch call may wait: a change
 	// that a silent watch has missed must still be in force in time, after
 	// callTimeout and the list that follows.
@@ -34,8 +37,11 @@
 	replace(items map[string]*objects.Object)
 	// apply takes over one change.
 	apply(o *objects.Object, deleted bool)
-	// settle is called after each list and each set of changes.
-	settle()
+	// settle is called after each list and each set of changes, with the
+	// revision up to which all is known.
+	settle(revision int64)
+	// heard is called whenever the store has answered.
+	heard()
 }
 
 // watch keeps one kind of objects in step with the store.
@@ -108,10 +114,11 @@
 	for i := range p.Events {
 		w.follower.apply(&p.Events[i].Object, p.Events[i].Deleted)
 	}
+	w.revision = max(w.revision, p.Revision)
 	if len(p.Events) > 0 {
-		w.follower.settle()
+		w.follower.settle(w.revision)
 	}
-	w.revision = max(w.revision, p.Revision)
+	w.follower.heard()
 	return nil
 }
 
@@ -137,8 +144,9 @@
 		after = p.Items[len(p.Items)-1].Meta.Name
 	}
 	w.follower.replace(items)
-	w.follower.settle()
 	w.revision = first
+	w.follower.settle(first)
+	w.follower.heard()
 	return nil
 }
 
@@ -163,7 +171,7 @@
 	for _, w := range []*watch{
 		{kind: kindConfig, wait: part(apply, watchPart), follower: &configFollower{edge: e}},
 		{kind: kindTargets, wait: part(drain, watchPart), follower: newTargetFollower(e)},
-		{kind: kindFleet, wait: watchWait, follower: newFleetFollower(e)},
+		{kind: kindFleet, wait: fleetWait, follower: newFleetFollower(e)},
 	} {
 		w.store, w.log = e.store, e.log
 		go w.run(ctx)
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -122,10 +122,14 @@
 
 // prove asks a replica whether the primary's term is still the latest. The
 // result is delivered on the channel.
-func (s *Session) prove(ctx context.Context, g *groups.Group, b leadership.Belief, salt clock.Time) <-chan bool {
+func (s *Session) prove(ctx context.Context, g *groups.Group, b leadership.Belief, arrived clock.Time) <-chan bool {
 	out := make(chan bool, 1)
+	if g.Permitted(b, arrived) {
+		out <- true
+		return out
+	}
 	go func() {
-		err := g.Witness(ctx, b, int(salt)&1)
+		err := g.Witness(ctx, b, int(arrived)&1)
 		if err != nil {
 			s.engine.cfg.Log.Debug("not-proven", zap.String("service", g.Service), zap.Error(err))
 		}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -18,6 +18,7 @@
 package freshness
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -132,14 +133,51 @@
 	return timeline.Position{}, false
 }
 
-// Age returns how old the newest proven sample is; false if there is none.
-func (b *Board) Age(now clock.Time) (time.Duration, bool) {
+// Proof is a proven sample: a log that holds Position lacks no commit
+// acknowledged before At.
+type Proof struct {
+	Term     timeline.Term
+	At       clock.Time
+	Position timeline.Position
+}
+
+// Newest returns the newest proof; false if there is none.
+func (b *Board) Newest() (Proof, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i := len(b.samples) - 1; i >= 0; i-- {
-		if !b.samples[i].sent.After(b.witnessed) {
-			return now.Sub(b.samples[i].sent), true
+		if s := b.samples[i]; !s.sent.After(b.witnessed) {
+			return Proof{Term: b.term, At: s.sent, Position: s.position}, true
 		}
 	}
-	return 0, false
+	return Proof{}, false
+}
+
+// Relay takes over another VM's proof, with its moment on this VM's clock.
+func (b *Board) Relay(p Proof) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.enter(p.Term) {
+		return
+	}
+	b.witnessed = max(b.witnessed, p.At)
+	i := len(b.samples)
+	for i > 0 && b.samples[i-1].sent.After(p.At) {
+		i--
+	}
+	if i > 0 && p.At.Sub(b.samples[i-1].sent) < sampleEvery {
+		return
+	}
+	b.samples = slices.Insert(b.samples, i, sample{sent: p.At, position: p.Position})
+	if len(b.samples) > maxSamples {
+		b.samples = slices.Delete(b.samples, 0, 1)
+	}
+}
+
+// WitnessedSince reports whether a witness of the term was asked at or after a
+// moment.
+func (b *Board) WitnessedSince(term timeline.Term, since clock.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return term == b.term && b.witnessed != 0 && !b.witnessed.Before(since)
 }
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -55,7 +56,10 @@
 	Clock   clock.Clock
 	Decode  Decoder
 	Records Records
-	Log     *zap.Logger
+	// Eligible reports whether this VM is surely on the list by which the holder
+	// of an attempt asks VMs to give up their permissions.
+	Eligible func() bool
+	Log      *zap.Logger
 }
 
 // Registry holds the groups of all services. It is safe for concurrent use.
@@ -124,6 +128,8 @@
 	absent     clock.Time // since when nobody is believed to lead
 	discovered clock.Time
 	refreshing chan struct{}
+	revoked    int64      // the attempt for which the permission was given up
+	revokedAt  clock.Time // when it was
 }
 
 func newGroup(service string, cfg *Config) *Group {
@@ -331,6 +337,42 @@
 	return g.witnessByRecord(ctx, b)
 }
 
+// Permitted reports whether the primary may be taken for unchanged at the
+// moment of a request, without a question: a witness was asked so shortly
+// before that no attempt can have got past its fences since.
+//
+// Failure guarded against: an exact read at a primary that was replaced a
+// moment ago. It holds because an attempt promotes nobody before every VM on
+// the fleet's list has given up its permission, or Permission has passed since
+// the last target was paused; and a VM that is not surely on the list has none.
+func (g *Group) Permitted(b leadership.Belief, arrived clock.Time) bool {
+	if !g.cfg.Eligible() || g.hasRevoked() {
+		return false
+	}
+	return g.Freshness.WitnessedSince(b.Term, arrived.Add(-takeover.Permission))
+}
+
+// hasRevoked reports whether an attempt is under way, as far as is known.
+func (g *Group) hasRevoked() bool {
+	r := g.cfg.Catalog.Load().Reigns[g.Service]
+	if r != nil && r.Attempt != nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ended := r != nil && r.Revision > g.revoked
+	return g.revoked != 0 && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
+}
+
+// Revoke gives up this VM's permission for the attempt of a revision.
+func (g *Group) Revoke(revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if revision > g.revoked {
+		g.revoked, g.revokedAt = revision, g.cfg.Clock.Now()
+	}
+}
+
 // witnessByRecord is the store's word for Witness.
 func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
 	asked := g.cfg.Clock.Now()
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -22,6 +22,10 @@
 const (
 	// recordTimeout bounds recording an attempt.
 	recordTimeout = time.Second
+	// revokeTimeout bounds asking all VMs for their permissions. One that does
+	// not answer costs takeover.Permission in all, so that waiting longer than
+	// a fraction of it gains nothing.
+	revokeTimeout = 250 * time.Millisecond
 	// fenceTimeout bounds one order to a target. It waits for a slot, as a
 	// question does.
 	fenceTimeout = 300 * time.Millisecond
@@ -174,6 +178,7 @@
 // run fences, chooses and promotes. It returns the new primary.
 func (a *attempt) run(ctx context.Context) (target.ID, error) {
 	a.term = a.g.Leadership.Highest() + 1
+	revoked := a.revoke(ctx)
 	end, err := a.stepDown(ctx)
 	if err != nil {
 		return "", err
@@ -185,16 +190,40 @@
 	if err != nil {
 		return "", err
 	}
+	fencedAt := a.p.cfg.Clock.Now()
 	chosen, err := takeover.Choose(fenced, end)
 	if err != nil {
 		return "", err
 	}
+	if !<-revoked {
+		a.waitOut(fencedAt)
+	}
 	if err := a.designate(ctx, chosen.ID); err != nil {
 		return "", err
 	}
 	return chosen.ID, a.awaitLead(ctx, chosen.ID)
 }
 
+// revoke asks all VMs to give up their permissions, while the targets are
+// fenced. The result is whether all have.
+func (a *attempt) revoke(ctx context.Context) <-chan bool {
+	out := make(chan bool, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+		defer cancel()
+		out <- a.p.cfg.Fleet.RevokeAll(ctx, a.held)
+	}()
+	return out
+}
+
+// waitOut waits until every permission has lapsed that a VM may still hold: no
+// witness was asked in vain after the last target was paused.
+func (a *attempt) waitOut(fenced clock.Time) {
+	left := takeover.Permission - a.p.cfg.Clock.Now().Sub(fenced)
+	a.p.cfg.Log.Info("permissions-waited-out", zap.String("service", a.g.Service), zap.Duration("for", left))
+	time.Sleep(left)
+}
+
 // stepDown asks the old primary to lead no longer, and returns where its log
 // ends. A planned change begins with it, so that writes are refused as not run
 // instead of being left in doubt. One that is dead need not answer.
--- a/promoter/doc.go
+++ b/promoter/doc.go
@@ -34,6 +34,15 @@
 	Promote(ctx context.Context, holder string, token int64, service string, id target.ID) error
 }
 
+// Revoker ends the permissions of the fleet's VMs to take a primary for
+// unchanged.
+type Revoker interface {
+	// RevokeAll reports whether every VM on the fleet's list has given up its
+	// permission. The list is read from the store after the attempt was
+	// recorded there.
+	RevokeAll(ctx context.Context, held *catalog.Reign) bool
+}
+
 // Config of a Promoter.
 type Config struct {
 	// Node is this VM's name. It holds attempts by it.
@@ -42,6 +51,7 @@
 	Groups   *groups.Registry
 	Records  Records
 	Platform Designator
+	Fleet    Revoker
 	Clock    clock.Clock
 	Log      *zap.Logger
 	// Nonce returns a new name for an attempt.
--- a/takeover/doc.go
+++ b/takeover/doc.go
@@ -57,6 +57,11 @@
 	// service that changes its primary again and again serves nobody, as when
 	// two halves of the fleet each reach another target only.
 	Settle = 3500 * time.Millisecond
+	// Permission is how long after a witness was asked a VM may still take the
+	// primary for unchanged without asking anew. An attempt waits it out after
+	// its fences, unless every VM of the fleet has given its permission up. Own
+	// requests and peers renew the witness about every 300 ms.
+	Permission = 700 * time.Millisecond
 	// SilentAfter is how long a primary must have failed to answer requests and
 	// questions. Three questions of 100 ms fit, and a full queue of its requests
 	// is worked off in 150 ms.
