Never take a primary for the witness of its own term

Trace: half of the fleet is cut off with the old primary for 7 s while the other half replaces it. After the cut a VM of the first half learns of the new primary; an answer of the old one, now 'not the primary', was taken for a replica's word, and its own unacknowledged positions proved its own samples. A read missed a commit acknowledged 5 s before. Change: evidence names the leader of its term, whose positions and status never count as a witness; a word from an unknown leader's term counts for nothing. Ruled out: the permission (the read was an aged one), clocks.

Also: a try is given up on after a patience that follows the target's latency (250 to 600 ms), a write after 650 ms.

--- a/engine/alone.go
+++ b/engine/alone.go
@@ -25,10 +25,11 @@
 	pauseBusy = 15 * time.Millisecond
 	// maxTries bounds the targets and times that one statement is tried.
 	maxTries = 6
-	// tryPatience is how long a read waits for one target while another could
-	// serve it. The longest work of a read is 220 ms on the users' sheets; what
-	// takes longer is most likely lost.
-	tryPatience = 350 * time.Millisecond
+	// writePatience is how long a write may take before its answer is taken for
+	// lost: its work of at most 45 ms, a full queue of 150 ms, and the receipt
+	// of a replica, 360 ms behind at most on the users' sheets. Waiting longer
+	// tells the consumer nothing, and holds one of the primary's connections.
+	writePatience = 650 * time.Millisecond
 	// comeBack is when a consumer that was refused should return, if nothing
 	// better is known: about the time that a change of primary takes.
 	comeBack = 250 * time.Millisecond
@@ -71,7 +72,7 @@
 		if err != nil {
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
-		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, left(ctx))
+		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: writePatience})
 		switch v {
 		case done:
 			if a.Code == statement.OK {
@@ -107,7 +108,7 @@
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
 		proof := s.prove(ctx, g, b, w.arrived)
-		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, left(ctx))
+		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: s.patience(b.Primary)})
 		if v == done && a.Code != statement.OK {
 			return a
 		}
@@ -150,11 +151,11 @@
 		if id == "" {
 			return s.giveUp(w, statement.Busy, "no target")
 		}
-		timeout := left(ctx)
+		most := limits{queue: left(ctx), answer: s.patience(id)}
 		if !alone {
-			timeout = min(timeout, tryPatience)
+			most.queue = min(most.queue, most.answer)
 		}
-		a, v := s.try(ctx, g, id, w, after, timeout)
+		a, v := s.try(ctx, g, id, w, after, most)
 		if v == done {
 			s.engine.cfg.Metrics.placed(w.route, g.Leadership.Believed().Primary == id)
 			return a
@@ -166,6 +167,11 @@
 	}
 }
 
+// patience is how long one try at a target may take.
+func (s *Session) patience(id target.ID) time.Duration {
+	return s.engine.cfg.Placing.Patience(id, s.engine.cfg.Clock.Now())
+}
+
 // place chooses the target of a read among those not tried yet; once all were,
 // among all. The second result is set if there is no other choice.
 func (s *Session) place(g *groups.Group, tried map[target.ID]bool) (target.ID, bool) {
@@ -193,11 +199,19 @@
 	return candidates[i].ID, len(candidates) == 1
 }
 
+// limits bound one try.
+type limits struct {
+	// queue is how long to wait for a connection.
+	queue time.Duration
+	// answer is how long to wait for the answer.
+	answer time.Duration
+}
+
 // try sends a statement to one target and returns its answer.
-func (s *Session) try(ctx context.Context, g *groups.Group, id target.ID, w *work, after timeline.Position, timeout time.Duration) (*statement.Answer, verdict) {
+func (s *Session) try(ctx context.Context, g *groups.Group, id target.ID, w *work, after timeline.Position, most limits) (*statement.Answer, verdict) {
 	w.tries++
 	e := s.engine
-	c, err := e.cfg.Pool.Acquire(ctx, id, order(w.route, w.arrived), timeout)
+	c, err := e.cfg.Pool.Acquire(ctx, id, order(w.route, w.arrived), most.queue)
 	if err != nil {
 		s.noConnection(g, id, err)
 		return nil, unsent
@@ -210,7 +224,7 @@
 	}
 	sent := e.cfg.Clock.Now()
 	ended := g.Health.Sent(id, sent, w.writes)
-	a, err := exchange(c, w, after, name, min(timeout, left(ctx)))
+	a, err := exchange(c, w, after, name, min(most.answer, left(ctx)))
 	ended(e.cfg.Clock.Now(), err == nil)
 	if err != nil {
 		c.Discard()
@@ -271,9 +285,9 @@
 func learn(g *groups.Group, b leadership.Belief, id target.ID, sent clock.Time, p timeline.Position) {
 	switch {
 	case b.Primary == id && b.Term != 0:
-		g.Freshness.Sample(b.Term, sent, p)
+		g.Freshness.Sample(b.Term, id, sent, p)
 	case b.Primary != id:
-		g.Freshness.Seen(p)
+		g.Freshness.Seen(id, p)
 	}
 }
 
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -16,12 +15,6 @@
 	"endivemoor.example/endivemoor/timeline"
 )
 
-// statementPatience is how long a transaction's statement may take before its
-// commit. A statement that takes longer is most likely lost: its work is at
-// most 220 ms on the users' sheets. The transaction can be repeated as a whole
-// while the consumer's own time allows it.
-const statementPatience = 450 * time.Millisecond
-
 // transaction is a session's open one.
 type transaction struct {
 	route    *catalog.Route
@@ -138,7 +131,7 @@
 		w.tries++
 		sent := s.engine.cfg.Clock.Now()
 		ended := tx.group.Health.Sent(tx.conn.Target, sent, false)
-		a, err := exchange(tx.conn, w, timeline.Position{}, name, min(left(ctx), statementPatience))
+		a, err := exchange(tx.conn, w, timeline.Position{}, name, min(left(ctx), s.patience(tx.conn.Target)))
 		ended(s.engine.cfg.Clock.Now(), err == nil)
 		if err != nil {
 			return s.breakOff(tx, w, err)
@@ -214,7 +207,7 @@
 		w.tries++
 		sent := s.engine.cfg.Clock.Now()
 		ended := tx.group.Health.Sent(tx.conn.Target, sent, tx.wrote)
-		a, err := exchange(tx.conn, w, timeline.Position{}, "", left(ctx))
+		a, err := exchange(tx.conn, w, timeline.Position{}, "", min(left(ctx), writePatience))
 		ended(s.engine.cfg.Clock.Now(), err == nil)
 		if err != nil {
 			return s.commitLost(ctx, tx, w)
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -12,7 +12,9 @@
 //
 // A sample alone proves nothing: a superseded primary that is cut off from its
 // peers still answers, and a newer primary may have acknowledged commits that
-// it will never see.
+// it will never see. Nor is the primary of a term ever a witness for it, also
+// not when it calls itself a replica, having stepped down: it goes on in its
+// own log until it meets its successor.
 //
 // The package is pure.
 package freshness
@@ -23,6 +25,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -45,16 +48,17 @@
 type Board struct {
 	mu        sync.Mutex
 	term      timeline.Term
+	leader    target.ID // the primary of term; empty if it is not known
 	samples   []sample
 	witnessed clock.Time
 }
 
 // Sample records that the primary of a term stood at a position when it
 // answered a question sent at the given moment.
-func (b *Board) Sample(term timeline.Term, sent clock.Time, p timeline.Position) {
+func (b *Board) Sample(term timeline.Term, leader target.ID, sent clock.Time, p timeline.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.enter(term) || p.IsZero() {
+	if !b.enter(term, leader) || p.IsZero() {
 		return
 	}
 	n := len(b.samples)
@@ -70,22 +74,35 @@
 
 // Witness records that a replica, asked at the given moment, followed the term
 // and was not paused for a later one.
-func (b *Board) Witness(term timeline.Term, asked clock.Time) {
+func (b *Board) Witness(term timeline.Term, from target.ID, asked clock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.enter(term) && asked.After(b.witnessed) {
+	if b.enter(term, "") && b.mayWitness(from) && asked.After(b.witnessed) {
 		b.witnessed = asked
 	}
 }
 
+// WitnessByRecord records that the store, asked at the given moment, had no
+// record of a promotion after that of the term's leader.
+func (b *Board) WitnessByRecord(term timeline.Term, leader target.ID, asked clock.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.enter(term, leader) && asked.After(b.witnessed) {
+		b.witnessed = asked
+	}
+}
+
+// mayWitness reports whether a target's word counts for the present term.
+func (b *Board) mayWitness(from target.ID) bool { return b.leader != "" && from != b.leader }
+
 // Seen records that a replica's log stood at a position of the term. It is a
 // witness for every sample below: what lies beyond the sample was committed
 // after the primary had answered, and a paused replica would not have received
 // it. Reads at replicas so renew the evidence without a question of our own.
-func (b *Board) Seen(p timeline.Position) {
+func (b *Board) Seen(from target.ID, p timeline.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.Term != b.term {
+	if p.Term != b.term || !b.mayWitness(from) {
 		return
 	}
 	for i := len(b.samples) - 1; i >= 0; i-- {
@@ -100,10 +117,13 @@
 }
 
 // enter moves on to a later term, whose evidence starts anew. It reports
-// whether evidence of the given term counts.
-func (b *Board) enter(term timeline.Term) bool {
+// whether evidence of the given term counts. An empty leader is not known.
+func (b *Board) enter(term timeline.Term, leader target.ID) bool {
 	if term > b.term {
-		b.term, b.samples, b.witnessed = term, b.samples[:0], 0
+		b.term, b.leader, b.samples, b.witnessed = term, "", b.samples[:0], 0
+	}
+	if term == b.term && b.leader == "" {
+		b.leader = leader
 	}
 	return term == b.term
 }
@@ -137,6 +157,7 @@
 // acknowledged before At.
 type Proof struct {
 	Term     timeline.Term
+	Leader   target.ID
 	At       clock.Time
 	Position timeline.Position
 }
@@ -147,7 +168,7 @@
 	defer b.mu.Unlock()
 	for i := len(b.samples) - 1; i >= 0; i-- {
 		if s := b.samples[i]; !s.sent.After(b.witnessed) {
-			return Proof{Term: b.term, At: s.sent, Position: s.position}, true
+			return Proof{Term: b.term, Leader: b.leader, At: s.sent, Position: s.position}, true
 		}
 	}
 	return Proof{}, false
@@ -157,7 +178,7 @@
 func (b *Board) Relay(p Proof) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.enter(p.Term) {
+	if !b.enter(p.Term, p.Leader) {
 		return
 	}
 	b.witnessed = max(b.witnessed, p.At)
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -26,7 +26,7 @@
 
 func evidenceOf(service string, p freshness.Proof, now clock.Time) *gossippb.Evidence {
 	return &gossippb.Evidence{
-		Service: service, Term: uint64(p.Term),
+		Service: service, Term: uint64(p.Term), Leader: string(p.Leader),
 		PositionTerm: uint64(p.Position.Term), PositionNumber: uint64(p.Position.LSN),
 		AgeUs: uint64(now.Sub(p.At).Microseconds()) + 1,
 	}
@@ -38,7 +38,7 @@
 	n := &News{Proofs: make(map[string]freshness.Proof, len(in.GetEvidence())), Store: sent.Add(-microseconds(in.GetStoreAgeUs()))}
 	for _, e := range in.GetEvidence() {
 		n.Proofs[e.GetService()] = freshness.Proof{
-			Term: timeline.Term(e.GetTerm()), At: sent.Add(-microseconds(e.GetAgeUs())),
+			Term: timeline.Term(e.GetTerm()), Leader: target.ID(e.GetLeader()), At: sent.Add(-microseconds(e.GetAgeUs())),
 			Position: timeline.Position{Term: timeline.Term(e.GetPositionTerm()), LSN: timeline.LSN(e.GetPositionNumber())},
 		}
 	}
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -221,18 +221,18 @@
 	}
 	g.Health.Answered(id)
 	g.Told(id, s)
-	g.observe(s, sent)
+	g.observe(id, s, sent)
 	return s, nil
 }
 
 // observe turns a status into evidence for reads.
-func (g *Group) observe(s statement.Status, sent clock.Time) {
+func (g *Group) observe(id target.ID, s statement.Status, sent clock.Time) {
 	if s.Role == target.RolePrimary {
-		g.Freshness.Sample(s.Term, sent, s.Received)
+		g.Freshness.Sample(s.Term, id, sent, s.Received)
 		return
 	}
 	if s.Role == target.RoleReplica && s.Paused == 0 {
-		g.Freshness.Witness(s.Term, sent)
+		g.Freshness.Witness(s.Term, id, sent)
 	}
 }
 
@@ -384,7 +384,7 @@
 		g.Rediscover()
 		return ErrSuperseded
 	}
-	g.Freshness.Witness(b.Term, asked)
+	g.Freshness.WitnessByRecord(b.Term, b.Primary, asked)
 	return nil
 }
 
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -80,6 +80,26 @@
 	b.record(id).lagging = now.Add(lagPause)
 }
 
+const (
+	// patienceTimes the recent latency is how long one try may take before its
+	// answer is taken for lost, within these bounds. The lower one is above the
+	// longest work of a read on the users' sheets, 220 ms; under overload the
+	// latency, and so the patience, grows before answers are given up on.
+	patienceTimes = 8
+	minPatience   = 250 * time.Millisecond
+	maxPatience   = 600 * time.Millisecond
+)
+
+// Patience is how long a try at a target may take while it can still be
+// repeated. An answer that is lost on the way would otherwise hold its consumer
+// and a connection until the statement's own time-out.
+func (b *Board) Patience(id target.ID, now clock.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usual := time.Duration(b.record(id).faded(now))
+	return min(max(patienceTimes*usual, minPatience), maxPatience)
+}
+
 // Keep forgets the targets for which known returns false.
 func (b *Board) Keep(known func(target.ID) bool) {
 	b.mu.Lock()
