Test the new packages; hold the platform's names in its folder

Unit tests for the lanes (queueing, refusals, setup of shared connections), who leads, when and whom to promote, placing of reads, the catalog, gossip, the bounded log, the codec, settings and entries of the platform, and the object store's client against the stand-in.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,9 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./profile/inifile
 	$(GO) test -run '^$$' -fuzz FuzzImport -fuzztime $(FUZZTIME) ./audit
 	$(GO) test -run '^$$' -fuzz FuzzFirstBytes -fuzztime $(FUZZTIME) ./proxy
+	$(GO) test -run '^$$' -fuzz FuzzConsumerMessages -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/boot
 
 measure-control: build
 	examples/measure-control.sh
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -234,7 +234,7 @@
 	for {
 		held := c.net.isCut(c.local, c.remote)
 		c.mu.Lock()
-		n, err, wait := c.take(b, held)
+		n, wait, err := c.take(b, held)
 		changed := c.changed
 		c.mu.Unlock()
 		if n > 0 || err != nil {
@@ -246,23 +246,23 @@
 
 // take moves what has arrived into b. With nothing to move it says how long to
 // wait; a negative time is for ever.
-func (c *conn) take(b []byte, held bool) (int, error, time.Duration) {
+func (c *conn) take(b []byte, held bool) (int, time.Duration, error) {
 	now := time.Now()
 	switch {
 	case c.closed:
-		return 0, net.ErrClosed, 0
+		return 0, 0, net.ErrClosed
 	case c.broken:
-		return 0, syscall.ECONNRESET, 0
+		return 0, 0, syscall.ECONNRESET
 	case len(c.in) > 0 && !held && !c.in[0].due.After(now):
 		n := copy(b, c.in[0].data)
 		if c.in[0].data = c.in[0].data[n:]; len(c.in[0].data) == 0 {
 			c.in = c.in[1:]
 		}
-		return n, nil, 0
+		return n, 0, nil
 	case len(c.in) == 0 && c.ended && !held:
-		return 0, io.EOF, 0
+		return 0, 0, io.EOF
 	case !c.deadline.IsZero() && !c.deadline.After(now):
-		return 0, os.ErrDeadlineExceeded, 0
+		return 0, 0, os.ErrDeadlineExceeded
 	}
 	wait := time.Duration(-1)
 	if len(c.in) > 0 && !held {
@@ -271,7 +271,7 @@
 	if !c.deadline.IsZero() && (wait < 0 || c.deadline.Sub(now) < wait) {
 		wait = c.deadline.Sub(now)
 	}
-	return 0, nil, wait
+	return 0, wait, nil
 }
 
 func await(changed <-chan struct{}, wait time.Duration) {
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -23,10 +23,10 @@
 // corePackages are those that decide. A core package may import only other
 // core packages of this module.
 var corePackages = []string{
-	"ack", "admission", "audit", "clock", "drain", "failover", "finding",
-	"internal/guard", "membership", "outcome", "ownership", "profile",
-	"profile/diff", "publication", "request", "retry", "routing", "session", "store", "target",
-	"timeline", "view",
+	"ack", "admission", "audit", "catalog", "clock", "drain", "failover", "finding", "freshness",
+	"internal/guard", "leadership", "membership", "outcome", "ownership", "placing", "profile",
+	"profile/diff", "publication", "request", "retry", "routing", "session", "statement", "store",
+	"takeover", "target", "timeline", "view",
 }
 
 // bannedImports are standard packages that reach the outside.
--- /dev/null
+++ b/leadership/leadership_test.go
@@ -0,0 +1,64 @@
+package leadership
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/target"
+)
+
+func entries(roles map[target.ID]target.Role) []*catalog.Target {
+	var out []*catalog.Target
+	for id, role := range roles {
+		out = append(out, &catalog.Target{ID: id, Role: role})
+	}
+	return out
+}
+
+const (
+	p = target.RolePrimary
+	r = target.RoleReplica
+)
+
+// The old primary is cut off from its peers and still says that it leads, in
+// its entry and when asked. The one with the later term is believed.
+func TestLaterTermIsBelieved(t *testing.T) {
+	b := NewBoard()
+	b.Listed(entries(map[target.ID]target.Role{"a": p, "b": p, "c": r}), nil)
+	b.Told("a", p, 1)
+	b.Told("b", p, 2)
+	require.Equal(t, Belief{Primary: "b", Term: 2, Contested: true}, b.Believed())
+}
+
+// A new primary's claim arrives before it was asked for its term. The fleet's
+// own record of the promotion decides until then.
+func TestRecordedPromotionDecidesWhileATermIsUnknown(t *testing.T) {
+	b := NewBoard()
+	b.Listed(entries(map[target.ID]target.Role{"a": p, "b": r}), nil)
+	b.Told("a", p, 1)
+	b.Listed(entries(map[target.ID]target.Role{"a": p, "b": p}), &catalog.Reign{Primary: "b"})
+	require.Equal(t, target.ID("b"), b.Believed().Primary)
+}
+
+// What a target said itself is newer than its entry, until the entry changes.
+func TestEntryCountsWhenItChanges(t *testing.T) {
+	b := NewBoard()
+	list := entries(map[target.ID]target.Role{"a": p, "b": r})
+	b.Listed(list, nil)
+	b.Refused("a")
+	b.Listed(list, nil)
+	require.Empty(t, b.Believed().Primary, "the same entry again says nothing new")
+	b.Listed(entries(map[target.ID]target.Role{"a": r, "b": p}), nil)
+	require.Equal(t, target.ID("b"), b.Believed().Primary)
+}
+
+func TestTargetThatIsGoneClaimsNothing(t *testing.T) {
+	b := NewBoard()
+	b.Listed(entries(map[target.ID]target.Role{"a": p}), nil)
+	b.Told("a", p, 4)
+	b.Listed(nil, nil)
+	require.Equal(t, Belief{}, b.Believed())
+	require.EqualValues(t, 4, b.Highest(), "terms are never forgotten")
+}
