Let only one VM record an attempt

Cause: the record was conditional on the latest revision known when it was written, not on the one that the decision went by; 100 ms of questions lie between the two. Change: the decision's own revision is the condition. TestOneOfManyVMsActs (nine VMs, slow network) failed first: two holders. Ruled out: lost answers of the store, the lapse of attempts.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -178,3 +178,26 @@
 		f.fair()
 	})
 }
+
+// Every VM sees the primary fall silent at the same moment, and the targets are
+// slow to answer the questions that come before an attempt. Only one VM may
+// record an attempt: one recorded on top of another's makes two holders, whose
+// calls reach the platform in any order, the lower token after the higher.
+func TestOneOfManyVMsActs(t *testing.T) {
+	play(t, 9, func(f *fleet) {
+		f.world.Net.Delay = 30 * time.Millisecond
+		for name := range f.vms {
+			c := f.session(name, exact)
+			go buyUntil(f, c, 4*time.Second)
+		}
+		time.Sleep(time.Second)
+		f.world.Crash(service, "ledger-0")
+		time.Sleep(5 * time.Second)
+		duties := f.world.Store.Duties()
+		require.NotEmpty(t, duties)
+		for _, d := range duties {
+			require.Equal(t, duties[0], d, "one holder, one token, one target")
+		}
+		f.fair()
+	})
+}
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -34,6 +34,8 @@
 	world *world.World
 	group *database.Group
 	vms   map[string]*vm
+	// sessions counts those opened: request ids begin with their name.
+	sessions int
 }
 
 type vm struct {
@@ -113,7 +115,8 @@
 // session opens one at a VM.
 func (f *fleet) session(vm, db string) *world.Consumer {
 	f.t.Helper()
-	c, a := f.world.Open("consumer", f.vms[vm].addr, db)
+	f.sessions++
+	c, a := f.world.Open(fmt.Sprintf("consumer%d-", f.sessions), f.vms[vm].addr, db)
 	require.Equal(f.t, "I", a.State, "startup: %+v", a)
 	return c
 }
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -49,6 +49,7 @@
 	reason  takeover.Reason
 	old     target.ID
 	started clock.Time
+	known   *catalog.Reign // the record that the decision went by
 	held    *catalog.Reign
 	others  []*catalog.Target
 	term    timeline.Term
@@ -66,9 +67,9 @@
 )
 
 // act makes one attempt and logs what came of it.
-func (p *Promoter) act(ctx context.Context, g *groups.Group, b leadership.Belief, signs takeover.Signs, reason takeover.Reason) {
+func (p *Promoter) act(ctx context.Context, g *groups.Group, b leadership.Belief, known *catalog.Reign, signs takeover.Signs, reason takeover.Reason) {
 	defer p.done(g)
-	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, started: p.cfg.Clock.Now(), others: g.Replicas(b.Primary)}
+	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: p.cfg.Clock.Now(), others: g.Replicas(b.Primary)}
 	log := p.cfg.Log.With(zap.String("service", g.Service), zap.String("reason", string(reason)), zap.String("old", string(b.Primary)))
 	if err := a.feasible(ctx); err != nil {
 		log.Info("takeover-unfeasible", zap.Error(err), zap.Duration("silent", signs.Silent), zap.Duration("stalled", signs.Stalled))
@@ -159,15 +160,15 @@
 }
 
 // record makes this VM the only one that may order a promotion.
+//
+// Failure guarded against: an attempt on top of another's. Between the decision
+// to act and the record lie questions to the targets, in which another VM may
+// have recorded its own. So the record is conditional on the revision that the
+// decision went by, not on the latest one: then the update fails.
 func (a *attempt) record(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	c := a.p.cfg.Catalog.Load()
-	known := c.Reigns[a.g.Service]
-	if known == nil {
-		known = &catalog.Reign{Service: a.g.Service}
-	}
-	held, err := a.p.cfg.Records.Begin(ctx, known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: a.p.cfg.Nonce(), Deposed: a.old})
+	held, err := a.p.cfg.Records.Begin(ctx, a.known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: a.p.cfg.Nonce(), Deposed: a.old})
 	if err != nil {
 		return err
 	}
--- a/promoter/doc.go
+++ b/promoter/doc.go
@@ -159,7 +159,8 @@
 		w.asked = now
 		go g.Ask(ctx, b.Primary, askTimeout)
 	}
-	others := p.othersAct(g, w, now)
+	known := p.known(g.Service)
+	others := p.othersAct(known, w, now)
 	reason := takeover.Judge(signs)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
@@ -172,7 +173,7 @@
 	}
 	w.busy = true
 	p.running.Add(1)
-	go p.act(context.WithoutCancel(ctx), g, b, signs, reason)
+	go p.act(context.WithoutCancel(ctx), g, b, known, signs, reason)
 }
 
 func (p *Promoter) signs(g *groups.Group, primary target.ID, now clock.Time) takeover.Signs {
@@ -191,13 +192,17 @@
 	return primary != "" && (h.Silent > 0 || h.Quiet > quietAfter)
 }
 
+// known is the service's record of leadership; an empty one if there is none.
+func (p *Promoter) known(service string) *catalog.Reign {
+	if r := p.cfg.Catalog.Load().Reigns[service]; r != nil {
+		return r
+	}
+	return &catalog.Reign{Service: service}
+}
+
 // othersAct reports whether another VM's attempt is under way and has not
 // lapsed, or has ended just now.
-func (p *Promoter) othersAct(g *groups.Group, w *watched, now clock.Time) bool {
-	r := p.cfg.Catalog.Load().Reigns[g.Service]
-	if r == nil {
-		return false
-	}
+func (p *Promoter) othersAct(r *catalog.Reign, w *watched, now clock.Time) bool {
 	if r.Revision != w.revision {
 		w.revision, w.seen = r.Revision, now
 	}
