--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -185,7 +185,7 @@
 // calls reach the platform in any order, the lower token after the higher.
 func TestOneOfManyVMsActs(t *testing.T) {
 	play(t, 9, func(f *fleet) {
-		f.world.Net.Delay = 30 * time.Millisecond
+		f.world.Net.SetDelay(30 * time.Millisecond)
 		for name := range f.vms {
 			c := f.session(name, exact)
 			go buyUntil(f, c, 4*time.Second)
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,8 +24,7 @@
 	listeners map[string]*listener
 	cut       map[[2]string]bool
 	conns     map[*conn]bool
-	// Delay is the time that bytes are on their way, in one direction.
-	Delay time.Duration
+	delay     atomic.Int64 // time.Duration
 }
 
 // New returns an empty network.
@@ -41,6 +41,9 @@
 // Host returns the named host.
 func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
 
+// SetDelay sets the time that bytes are on their way, in one direction.
+func (n *Network) SetDelay(d time.Duration) { n.delay.Store(int64(d)) }
+
 // Cut separates two hosts, silently: bytes between them are held up, and new
 // connections hang.
 func (n *Network) Cut(a, b string) { n.setCut(a, b, true) }
@@ -302,7 +305,7 @@
 	if broken || p.closed {
 		return 0, syscall.EPIPE
 	}
-	p.in = append(p.in, chunk{data: append([]byte(nil), b...), due: time.Now().Add(c.net.Delay)})
+	p.in = append(p.in, chunk{data: append([]byte(nil), b...), due: time.Now().Add(time.Duration(c.net.delay.Load()))})
 	p.wakeLocked()
 	return len(b), nil
 }
