One client of the platform's store; the private protocol goes

The daemon's store.Store, its command line and the load tool now speak the platform's object protocol through platform/objects, and the stand-in platform serves it (platform/standin: objectstore keeps the objects, platformd puts the faults, the meter and the VM list before it). store/wire and the private handler are deleted; the faults and the tests' intent stay.

--- a/audit/log/log_test.go
+++ b/audit/log/log_test.go
@@ -15,7 +15,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
 )
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,7 +6,7 @@
 	"github.com/alecthomas/kong"
 
 	"endivemoor.example/endivemoor/internal/standin/dbd"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 )
 
 type commands struct {
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/view"
 )
--- a/ctl/killed_test.go
+++ b/ctl/killed_test.go
@@ -13,7 +13,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	pubstore "endivemoor.example/endivemoor/publication/store"
 )
 
--- a/drain/store/store_test.go
+++ b/drain/store/store_test.go
@@ -9,7 +9,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
 )
 
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -14,8 +14,8 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
-	"endivemoor.example/endivemoor/store/wire"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 	"endivemoor.example/endivemoor/view"
@@ -68,7 +68,7 @@
 			return err
 		}
 	}
-	if err := f.writeJSON("vms.json", wire.VMs{VMs: f.vms()}); err != nil {
+	if err := f.writeJSON("vms.json", platformd.VMs{VMs: f.vms()}); err != nil {
 		return err
 	}
 	if err := f.writeDaemons(); err != nil {
--- a/publication/store/bench_test.go
+++ b/publication/store/bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 )
 
 // What one change of profiles, from draft to published, costs the store.
--- a/publication/store/matrix_test.go
+++ b/publication/store/matrix_test.go
@@ -11,7 +11,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/store"
 )
--- a/publication/store/store_test.go
+++ b/publication/store/store_test.go
@@ -12,7 +12,7 @@
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
 	"endivemoor.example/endivemoor/internal/guard"
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/store"
 )
--- a/store/client/client.go
+++ b/store/client/client.go
@@ -1,31 +1,31 @@
-// Package client is the HTTP/JSON client of the platform's object API. It
-// implements store.Store and counts every call by purpose and result.
+// Package client implements store.Store on the platform's object store, by the
+// one client of it (platform/objects), and counts every call by purpose and
+// result.
+//
+// A key's first part is the kind of its object, the rest its name. Values are
+// any bytes: they travel as base64 within the object's spec.
 //
 // The one decision it takes is which error a failed change is reported as. A
 // change that reached no connection, or that the store refused, surely had no
-// effect: store.ErrUnavailable. Once a connection was handed the request it
-// may have taken effect, whatever failed later: store.ErrNoAnswer. Reads
-// have no effect, so they fail as ErrUnavailable only.
+// effect: store.ErrUnavailable. Once a connection was handed the request it may
+// have taken effect, whatever failed later: store.ErrNoAnswer. Reads have no
+// effect, so they fail as ErrUnavailable only.
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"strconv"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/store"
-	"endivemoor.example/endivemoor/store/wire"
 )
 
 // DefaultTimeout bounds one call when Options.Timeout is zero.
@@ -33,6 +33,9 @@
 
 const maxIdleConns = 16
 
+// KindVMs is the kind under which the platform lists its VMs.
+const KindVMs = "vms"
+
 // Options of a Client.
 type Options struct {
 	// Timeout bounds one call; a watch gets its waiting time on top.
@@ -47,15 +50,14 @@
 
 // Client implements store.Store over HTTP.
 type Client struct {
-	base    string
+	objects *objects.Client
 	timeout time.Duration
-	http    *http.Client
 	calls   *prometheus.CounterVec
 }
 
 var _ store.Store = (*Client)(nil)
 
-// New returns a client of the API at base, such as "http://10.0.0.9:7070".
+// New returns a client of the store at base, such as "http://10.0.0.9:7070".
 func New(base string, o Options) (*Client, error) {
 	u, err := url.Parse(base)
 	if err != nil || u.Host == "" {
@@ -71,144 +73,192 @@
 	if err != nil {
 		return nil, err
 	}
-	base = u.Scheme + "://" + u.Host
-	exchange := &http.Client{Transport: o.Transport, CheckRedirect: stayHere}
-	return &Client{base: base, timeout: o.Timeout, http: exchange, calls: calls}, nil
-}
-
-// stayHere keeps a change from being sent on to wherever a response points.
-func stayHere(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
+	return &Client{objects: objects.New(u.Host, purposeful{o.Transport}), timeout: o.Timeout, calls: calls}, nil
 }
 
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
-	var o store.Object
-	err := c.read(ctx, p, wire.PathObject, url.Values{wire.ParamKey: {key}}, c.timeout, &o)
-	return o, err
+	ctx, cancel := c.bound(ctx, p, 0)
+	defer cancel()
+	kind, name := SplitKey(key)
+	o, err := c.objects.Get(ctx, kind, name)
+	if err != nil {
+		return store.Object{}, c.count(p, readError(err))
+	}
+	out, err := valueOf(kind, o)
+	return out, c.count(p, err)
 }
 
 // List returns the objects below prefix in key order.
 func (c *Client) List(ctx context.Context, p store.Purpose, prefix string) ([]store.Object, error) {
-	var l wire.Objects
-	err := c.read(ctx, p, wire.PathList, url.Values{wire.ParamPrefix: {prefix}}, c.timeout, &l)
-	return l.Objects, err
+	out, _, err := c.list(ctx, p, prefix)
+	return out, c.count(p, err)
+}
+
+func (c *Client) list(ctx context.Context, p store.Purpose, prefix string) (out []store.Object, revision int64, err error) {
+	kind, _ := SplitKey(prefix)
+	for after := ""; ; {
+		page, err := c.page(ctx, p, kind, after)
+		if err != nil {
+			return nil, 0, readError(err)
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		for i := range page.Items {
+			o, err := valueOf(kind, &page.Items[i])
+			if err != nil {
+				return nil, 0, err
+			}
+			if strings.HasPrefix(o.Key, prefix) {
+				out = append(out, o)
+			}
+		}
+		if !page.More || len(page.Items) == 0 {
+			return out, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Meta.Name
+	}
+}
+
+func (c *Client) page(ctx context.Context, p store.Purpose, kind, after string) (*objects.Page, error) {
+	ctx, cancel := c.bound(ctx, p, 0)
+	defer cancel()
+	return c.objects.List(ctx, kind, after, false)
 }
 
 // Watch waits for changes below prefix after the revision since.
 func (c *Client) Watch(ctx context.Context, p store.Purpose, prefix string, since int64, wait time.Duration) ([]store.Object, int64, error) {
-	q := url.Values{
-		wire.ParamPrefix: {prefix},
-		wire.ParamSince:  {strconv.FormatInt(since, 10)},
-		wire.ParamWait:   {strconv.FormatInt(wait.Milliseconds(), 10)},
+	if since == 0 {
+		out, revision, err := c.list(ctx, p, prefix)
+		return out, revision, c.count(p, err)
 	}
-	var l wire.Objects
-	if err := c.read(ctx, p, wire.PathWatch, q, c.timeout+wait, &l); err != nil {
-		return nil, since, err
+	kind, _ := SplitKey(prefix)
+	bounded, cancel := c.bound(ctx, p, wait)
+	defer cancel()
+	page, err := c.objects.Watch(bounded, kind, since, wait)
+	if errors.Is(err, objects.ErrHistoryGone) {
+		out, revision, err := c.list(ctx, p, prefix)
+		return out, revision, c.count(p, err)
 	}
-	return l.Objects, l.Revision, nil
+	if err != nil {
+		return nil, since, c.count(p, readError(err))
+	}
+	out, err := changed(kind, prefix, page.Events)
+	return out, page.Revision, c.count(p, err)
+}
+
+// changed returns the objects that a watch tells of; a deleted one has no
+// version.
+func changed(kind, prefix string, events []objects.Event) ([]store.Object, error) {
+	var out []store.Object
+	for i := range events {
+		key := JoinKey(kind, events[i].Object.Meta.Name)
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		o := store.Object{Key: key}
+		if !events[i].Deleted {
+			var err error
+			if o, err = valueOf(kind, &events[i].Object); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, o)
+	}
+	return out, nil
 }
 
 // VMs returns the platform's lagging list.
 func (c *Client) VMs(ctx context.Context) ([]store.VM, error) {
-	var l wire.VMs
-	err := c.read(ctx, store.PurposeVMs, wire.PathVMs, nil, c.timeout, &l)
-	return l.VMs, err
+	page, err := c.page(ctx, store.PurposeVMs, KindVMs, "")
+	if err != nil {
+		return nil, c.count(store.PurposeVMs, readError(err))
+	}
+	out := make([]store.VM, len(page.Items))
+	for i := range page.Items {
+		if err := json.Unmarshal(page.Items[i].Spec, &out[i]); err != nil {
+			return nil, c.count(store.PurposeVMs, errors.Wrap(err, "decode VM"))
+		}
+	}
+	return out, c.count(store.PurposeVMs, nil)
 }
 
 // Put writes value if the object's version is expect.
 func (c *Client) Put(ctx context.Context, p store.Purpose, key string, value []byte, expect store.Version) (store.Version, error) {
 	if len(value) > store.MaxValue {
-		return 0, c.count(p, &wire.TooLargeError{Key: key, Size: len(value)})
+		return 0, c.count(p, &TooLargeError{Key: key, Size: len(value)})
+	}
+	spec, err := EncodeValue(value)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := c.bound(ctx, p, 0)
+	defer cancel()
+	kind, name := SplitKey(key)
+	var o *objects.Object
+	if expect == 0 {
+		o, err = c.objects.Create(ctx, kind, name, spec)
+	} else {
+		o, err = c.objects.Replace(ctx, kind, name, int64(expect), spec)
+	}
+	if errors.Is(err, objects.ErrNotFound) {
+		err = &store.ConflictError{Key: key}
 	}
-	body, err := json.Marshal(wire.PutBody{Value: value})
 	if err != nil {
-		return 0, errors.Wrap(err, "encode value")
+		return 0, c.count(p, changeError(key, err))
 	}
-	var w wire.Written
-	err = c.change(ctx, p, http.MethodPut, key, expect, body, &w)
-	return w.Version, err
+	return store.Version(o.Meta.Revision), c.count(p, nil)
 }
 
 // Delete removes the object if its version is expect.
 func (c *Client) Delete(ctx context.Context, p store.Purpose, key string, expect store.Version) error {
-	return c.change(ctx, p, http.MethodDelete, key, expect, nil, &wire.Written{})
-}
-
-func (c *Client) read(ctx context.Context, p store.Purpose, path string, q url.Values, timeout time.Duration, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := c.bound(ctx, p, 0)
 	defer cancel()
-	status, body, err := c.send(ctx, p, http.MethodGet, path, q, nil, into)
-	if err == nil {
-		err = statusError(status, q.Get(wire.ParamKey), body)
-	}
-	if errors.Is(err, store.ErrNoAnswer) {
-		err = errors.WithMessage(store.ErrUnavailable, err.Error())
+	kind, name := SplitKey(key)
+	err := c.objects.Delete(ctx, kind, name, int64(expect))
+	if err != nil {
+		err = changeError(key, err)
 	}
 	return c.count(p, err)
 }
 
-func (c *Client) change(ctx context.Context, p store.Purpose, method, key string, expect store.Version, body []byte, into *wire.Written) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	q := url.Values{wire.ParamKey: {key}, wire.ParamExpect: {strconv.FormatInt(int64(expect), 10)}}
-	status, raw, err := c.send(ctx, p, method, wire.PathObject, q, body, into)
-	if err == nil {
-		err = statusError(status, key, raw)
-	}
-	return c.count(p, err)
+func (c *Client) bound(ctx context.Context, p store.Purpose, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(withPurpose(ctx, p), c.timeout+wait)
 }
 
-// send makes one exchange. An answer of 200 is decoded into the value; others
-// are returned raw.
-func (c *Client) send(ctx context.Context, p store.Purpose, method, path string, q url.Values, body []byte, into any) (int, []byte, error) {
-	// The guard of "surely no effect": a request that was never given a
-	// connection cannot have reached the store. Without it a refused dial would
-	// be "unknown", and every change in an outage would need a read-back.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, errors.Wrap(err, "build request")
-	}
-	req.Header.Set(wire.HeaderPurpose, string(p))
-	resp, err := c.http.Do(req)
-	if err != nil && !connected.Load() {
-		return 0, nil, errors.WithMessage(store.ErrUnavailable, err.Error())
-	}
-	if err != nil {
-		return 0, nil, errors.WithMessage(store.ErrNoAnswer, err.Error())
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	if err == nil && resp.StatusCode == http.StatusOK {
-		err = json.Unmarshal(raw, into)
+// readError maps the error of a read, which has no effect.
+func readError(err error) error {
+	if errors.Is(err, objects.ErrNotFound) {
+		return store.ErrNotFound
 	}
-	if err != nil {
-		return 0, nil, errors.WithMessage(store.ErrNoAnswer, err.Error())
+	return unavailable(err)
+}
+
+// unavailable keeps what is known beyond the plain refusal.
+func unavailable(err error) error {
+	var refusal *objects.StatusError
+	if errors.As(err, &refusal) {
+		return store.ErrUnavailable
 	}
-	return resp.StatusCode, raw, nil
+	return errors.WithMessage(store.ErrUnavailable, err.Error())
 }
 
-// statusError maps an HTTP status to a typed error. A status that the API does
-// not name may come from anything on the way, also after the effect.
-func statusError(status int, key string, body []byte) error {
-	switch status {
-	case http.StatusOK:
-		return nil
-	case http.StatusNotFound:
+// changeError maps the error of a change. One that this version does not know
+// may come from anything on the way, also after the effect.
+func changeError(key string, err error) error {
+	var conflict *objects.ConflictError
+	var known *store.ConflictError
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &conflict):
+		return &store.ConflictError{Key: key, Current: store.Version(conflict.Current.Meta.Revision)}
+	case errors.Is(err, objects.ErrNotFound):
 		return store.ErrNotFound
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return store.ErrUnavailable
-	case http.StatusRequestEntityTooLarge:
-		return &wire.TooLargeError{Key: key}
-	case http.StatusConflict:
-		var w wire.Written
-		if err := json.Unmarshal(body, &w); err != nil {
-			return errors.WithMessage(store.ErrNoAnswer, err.Error())
-		}
-		return &store.ConflictError{Key: key, Current: w.Version}
+	case errors.Is(err, objects.ErrRefused):
+		return unavailable(err)
 	default:
-		return errors.WithMessagef(store.ErrNoAnswer, "status %d", status)
+		return errors.WithMessage(store.ErrNoAnswer, err.Error())
 	}
 }
--- a/store/client/client_test.go
+++ b/store/client/client_test.go
@@ -14,10 +14,9 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/store/client"
-	"endivemoor.example/endivemoor/store/wire"
 )
 
 func start(t *testing.T, o client.Options) (*platformd.Store, *client.Client, *httptest.Server) {
@@ -58,7 +57,7 @@
 	_, c, _ := start(t, client.Options{})
 	_, err := c.Put(ctx, store.PurposeAudit, "k", make([]byte, store.MaxValue), 0)
 	require.NoError(t, err)
-	var large *wire.TooLargeError
+	var large *client.TooLargeError
 	_, err = c.Put(ctx, store.PurposeAudit, "l", make([]byte, store.MaxValue+1), 0)
 	require.ErrorAs(t, err, &large)
 }
--- a/store/client/metrics.go
+++ b/store/client/metrics.go
@@ -5,7 +5,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"endivemoor.example/endivemoor/store"
-	"endivemoor.example/endivemoor/store/wire"
 )
 
 // Result labels a finished call in the metric.
@@ -47,7 +46,7 @@
 
 func resultOf(err error) Result {
 	var conflict *store.ConflictError
-	var tooLarge *wire.TooLargeError
+	var tooLarge *TooLargeError
 	switch {
 	case err == nil:
 		return ResultOK
--- a/store/readback/readback_test.go
+++ b/store/readback/readback_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"endivemoor.example/endivemoor/internal/standin/platformd"
+	"endivemoor.example/endivemoor/platform/standin/platformd"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/store/readback"
 )
