--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: build
 	examples/run.sh demo play
+	examples/lines.sh
 
 run: build
 	examples/run.sh $(EXAMPLE) stay
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,11 +6,14 @@
 	"github.com/alecthomas/kong"
 
 	"endivemoor.example/endivemoor/internal/standin/dbd"
+	"endivemoor.example/endivemoor/platform/standin/lines"
 	"endivemoor.example/endivemoor/platform/standin/platformd"
 )
 
 type commands struct {
 	Platform platformd.Command `cmd:"" help:"Serve the object API."`
+	Play     lines.Play        `cmd:"" name:"play-lines" help:"Play the main job against three daemons and the lines stand-in."`
+	Lines    lines.Command     `cmd:"" help:"Serve the users' platform: object store, designation call and database groups that speak lines."`
 	DB       dbd.Command       `cmd:"" name:"db" help:"Serve one database server."`
 	Member   memberCommand     `cmd:"" help:"Serve one database server of a group's object file."`
 }
--- /dev/null
+++ b/examples/lines.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Starts the users' platform as a stand-in on loopback and three daemons in
+# front of it, and plays the main job over the statement protocol. It stops
+# only what it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=./bin
+port="${PORT:-7600}"
+work=$(mktemp -d "${TMPDIR:-/tmp}/endivemoor-lines.XXXXXX")
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+trap stop_all EXIT
+
+"$bin/standin" lines --port "$port" --dir "$work" >"$work/standin.log" 2>&1 &
+pids+=("$!")
+for _ in $(seq 200); do [ -s "$work/standin.log" ] && break; sleep 0.05; done
+for n in 1 2 3; do
+  ENDIVEMOOR_BOOT="$work/vm$n.toml" "$bin/endivemoor" edge --metrics-port 0 >"$work/vm$n.log" 2>&1 &
+  pids+=("$!")
+done
+if ! "$bin/standin" play-lines --port "$port" --drain-pid "${pids[3]}"; then
+  echo "logs in $work" >&2
+  exit 1
+fi
