--- a/edge/path_test.go
+++ b/edge/path_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,6 +36,27 @@
 	})
 }
 
+// One replica receives nothing for a while, and still answers reads at once. A
+// session that has just written must not be shown what was there before.
+func TestOwnWriteIsNotReadAtALaggingReplica(t *testing.T) {
+	play(t, 1, func(f *fleet) {
+		c := f.session("vm0", own)
+		require.True(t, c.Query("WRITE pass1 old").OK())
+		require.True(t, c.Query("READ pass1").OK())
+		time.Sleep(time.Second)
+		f.group.SetDeaf("ledger-1", true)
+		f.group.SetDeaf("ledger-2", false)
+		for i := range 20 {
+			value := fmt.Sprint("v", i)
+			require.True(t, c.Query("WRITE pass1 "+value).OK())
+			for range 4 {
+				require.Equal(t, []string{value}, c.Query("READ pass1").Rows)
+			}
+		}
+		f.fair()
+	})
+}
+
 func TestTransactionKeepsAllOrNothing(t *testing.T) {
 	play(t, 1, func(f *fleet) {
 		c := f.session("vm0", exact)
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -162,8 +162,9 @@
 					c.Release()
 				}
 			}()
+			time.Sleep(20 * time.Millisecond)
 		}
-		time.Sleep(900 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		require.Less(t, d.dials, 6)
 		held.Release()
 		time.Sleep(time.Second)
@@ -278,18 +279,25 @@
 // a primary that seems dead is judged by its answer.
 func TestControlDoesNotWaitBehindRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := &dialer{limit: 2}
+		d := &dialer{limit: 3}
 		p := NewPool(monotonic.New(), func(*catalog.Target) Dialer { return d.dial })
 		p.Update(&catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x"}}})
-		c, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
-		require.NoError(t, err)
-		_, err = p.Control(context.Background(), "x", AskStatus, time.Second)
+		var held []*Conn
+		for range 2 {
+			c, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
+			require.NoError(t, err)
+			held = append(held, c)
+		}
+		start := time.Now()
+		_, err := p.Control(context.Background(), "x", AskStatus, time.Second)
 		require.NoError(t, err)
-		second, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
+		require.Less(t, time.Since(start), 100*time.Millisecond)
+		third, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
 		require.NoError(t, err)
 		_, err = p.Control(context.Background(), "x", AskStatus, time.Second)
 		require.True(t, Answered(err), "a refusal for the number of connections shows life")
-		c.Release()
-		second.Release()
+		for _, c := range append(held, third) {
+			c.Release()
+		}
 	})
 }
