--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -163,6 +163,34 @@
 	})
 }
 
+// One VM is cut off from the store and from all other VMs when the primary, cut
+// off from its replicas, is replaced. It still believes in the old one, which
+// answers it at once. An exact read there must see what was sold elsewhere
+// since, or fail.
+func TestCutOffVMGivesNoStaleExactRead(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		c, alone := f.session("vm0", exact), f.session("vm1", exact)
+		require.True(t, c.Query("WRITE seat free").OK())
+		require.Equal(t, []string{"free"}, alone.Query("READ seat").Rows)
+		f.world.CutFromStore("vm1", true)
+		f.world.Net.Cut("vm1", "vm0")
+		f.world.Net.Cut("vm1", "vm2")
+		f.group.SetDeaf("ledger-0", true)
+		sold := false
+		for range 400 {
+			if !sold {
+				sold = c.Query("WRITE seat taken").OK()
+			}
+			wasSold := sold
+			a := alone.Query("READ seat")
+			require.False(t, wasSold && a.OK() && a.Rows[0] != "taken", "%+v", a)
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.True(t, sold)
+		f.fair()
+	})
+}
+
 // The store is down when the primary dies. Nobody may act without a record, so
 // the service waits; once the store is back it is replaced at once.
 func TestNobodyActsWithoutTheStore(t *testing.T) {
