--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -112,6 +112,16 @@
 	time.Sleep(time.Minute)
 }
 
+// isolate cuts a VM off from the store and from all other VMs.
+func (f *fleet) isolate(name string) {
+	f.world.CutFromStore(name, true)
+	for other := range f.vms {
+		if other != name {
+			f.world.Net.Cut(name, other)
+		}
+	}
+}
+
 // session opens one at a VM.
 func (f *fleet) session(vm, db string) *world.Consumer {
 	f.t.Helper()
