Promote nobody who lacks what the fleet has acknowledged

Trace: after the planned change the old primary stayed as a leaving replica and was the only one to hold what was acknowledged from 14.5 s on; it left at 19.2 s; the new primary's writes stalled, and an attempt promoted one of the two deaf replicas: two of three logs, but not those that held the commits. Change: every VM keeps a lower bound of what was acknowledged (a commit lies beyond every position known before it was sent), tells it to peers and to the holder of an attempt, and nobody below it is promoted or made way for. TestReplicasThatReplacedAHolderAreNotPromoted failed first: four promotions. Ruled out: a failed pause, a position misread. Weighed: withholding each acknowledgement while a replica leaves until one that stays holds it; exact, but it costs every write of a planned replacement a question.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -250,3 +250,32 @@
 		f.fair()
 	})
 }
+
+// Servers are replaced one after the other. The new replicas receive nothing
+// yet, and purchases are held by the primary and the last old replica, which
+// then leaves as planned. Now the primary can have no write acknowledged, and
+// both of its replicas can be asked: they are two of three logs, and hold
+// nothing of what was sold. Promoting one would lose it all.
+func TestReplicasThatReplacedAHolderAreNotPromoted(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		f.group.SetDeaf("ledger-1", true)
+		f.world.AddServer(service, "ledger-3", "b")
+		f.group.SetDeaf("ledger-3", true)
+		c := f.session("vm0", exact)
+		_, bought := buyUntil(f, c, 2*time.Second)
+		require.NotEmpty(t, bought)
+		f.world.Drain(service, "ledger-2")
+		time.Sleep(time.Second)
+		f.world.Crash(service, "ledger-2")
+		f.world.Store.Remove("servers", "ledger-2")
+		_, _ = buyUntil(f, c, 5*time.Second)
+		require.Empty(t, f.world.Store.Duties())
+		f.group.SetDeaf("ledger-1", false)
+		f.group.SetDeaf("ledger-3", false)
+		_, after := buyUntil(f, c, 3*time.Second)
+		require.NotEmpty(t, after)
+		requireAll(f, f.session("vm1", exact), append(bought, after...))
+		f.fair()
+		f.world.Crash(service, "ledger-3")
+	})
+}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 const (
@@ -56,18 +57,21 @@
 // Know implements gossip.Source.
 func (g *gossiper) Know() gossip.Knowledge {
 	now := g.edge.clk.Now()
-	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), StoreAge: g.age(now)}
+	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position), StoreAge: g.age(now)}
 	for _, group := range g.edge.groups.All() {
 		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < proofAge {
 			k.Proofs[group.Service] = p
+			k.Acknowledged[group.Service] = group.Acknowledged.Bound()
 		}
 	}
 	return k
 }
 
 // Revoke implements gossip.Source.
-func (g *gossiper) Revoke(service string, revision int64) {
-	g.edge.groups.Group(service).Revoke(revision)
+func (g *gossiper) Revoke(service string, revision int64) timeline.Position {
+	group := g.edge.groups.Group(service)
+	group.Revoke(revision)
+	return group.Acknowledged.Bound()
 }
 
 // heardStore records that the fleet's list is complete as of now.
@@ -184,7 +188,10 @@
 func (g *gossiper) take(n *gossip.News) {
 	e := g.edge
 	for service, p := range n.Proofs {
-		e.groups.Group(service).Freshness.Relay(p)
+		group := e.groups.Group(service)
+		group.Freshness.Relay(p)
+		group.Acknowledged.Told(p.Position)
+		group.Acknowledged.Raise(n.Acknowledged[service])
 	}
 	if n.Config != nil && e.catalog.SetConfig(n.Config) {
 		e.log.Info("configuration", zap.Int64("version", n.Config.Version), zap.Int("routes", len(n.Config.Routes)), zap.String("from", "peer"))
@@ -215,10 +222,11 @@
 			continue
 		}
 		go func() {
-			err := g.clients.Revoke(ctx, vm.Peer, held.Service, held.Revision)
+			acknowledged, err := g.clients.Revoke(ctx, vm.Peer, held.Service, held.Revision)
 			if err != nil {
 				g.edge.log.Info("permission-unanswered", zap.String("service", held.Service), zap.String("peer", vm.ID), zap.Error(err))
 			}
+			g.edge.groups.Group(held.Service).Acknowledged.Raise(acknowledged)
 			answers <- err == nil
 		}()
 	}
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -224,6 +224,7 @@
 		return nil, unsent
 	}
 	sent := e.cfg.Clock.Now()
+	before := g.Acknowledged.Before()
 	ended := g.Health.Sent(id, sent, w.writes)
 	a, err := exchange(c, w, after, name, min(most.answer, left(ctx)))
 	ended(e.cfg.Clock.Now(), err == nil)
@@ -239,6 +240,9 @@
 	} else {
 		c.Release()
 	}
+	if w.writes && a.Code == statement.OK {
+		g.Acknowledged.Commit(before, a.Position)
+	}
 	return a, s.judge(g, id, w, a, sent)
 }
 
@@ -286,6 +290,7 @@
 func learn(g *groups.Group, b leadership.Belief, id target.ID, sent clock.Time, p timeline.Position) {
 	switch {
 	case b.Primary == id && b.Term != 0:
+		g.Acknowledged.Told(p)
 		g.Freshness.Sample(b.Term, id, sent, p)
 	case b.Primary != id:
 		g.Freshness.Seen(id, p)
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -206,6 +206,7 @@
 	for {
 		w.tries++
 		sent := s.engine.cfg.Clock.Now()
+		before := tx.group.Acknowledged.Before()
 		ended := tx.group.Health.Sent(tx.conn.Target, sent, tx.wrote)
 		a, err := exchange(tx.conn, w, timeline.Position{}, "", min(left(ctx), writePatience))
 		ended(s.engine.cfg.Clock.Now(), err == nil)
@@ -215,6 +216,9 @@
 		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
 			continue
 		}
+		if a.Code == statement.OK && tx.wrote {
+			tx.group.Acknowledged.Commit(before, a.Position)
+		}
 		return s.concludeCommit(tx, a, sent)
 	}
 }
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -24,23 +24,29 @@
 	Reigns   map[string]*catalog.Reign
 }
 
-func evidenceOf(service string, p freshness.Proof, now clock.Time) *gossippb.Evidence {
+func position(term, number uint64) timeline.Position {
+	return timeline.Position{Term: timeline.Term(term), LSN: timeline.LSN(number)}
+}
+
+func evidenceOf(service string, p freshness.Proof, acknowledged timeline.Position, now clock.Time) *gossippb.Evidence {
 	return &gossippb.Evidence{
 		Service: service, Term: uint64(p.Term), Leader: string(p.Leader),
 		PositionTerm: uint64(p.Position.Term), PositionNumber: uint64(p.Position.LSN),
-		AgeUs: uint64(now.Sub(p.At).Microseconds()) + 1,
+		AgeUs:            uint64(now.Sub(p.At).Microseconds()) + 1,
+		AcknowledgedTerm: uint64(acknowledged.Term), AcknowledgedNumber: uint64(acknowledged.LSN),
 	}
 }
 
 // newsOf counts ages back from when the question was sent: the answer was given
 // later than that, so that every moment is at least as early as it truly was.
 func newsOf(in *gossippb.PullReply, sent clock.Time) *News {
-	n := &News{Proofs: make(map[string]freshness.Proof, len(in.GetEvidence())), Store: sent.Add(-microseconds(in.GetStoreAgeUs()))}
+	n := &News{Proofs: make(map[string]freshness.Proof, len(in.GetEvidence())), Acknowledged: make(map[string]timeline.Position), Store: sent.Add(-microseconds(in.GetStoreAgeUs()))}
 	for _, e := range in.GetEvidence() {
 		n.Proofs[e.GetService()] = freshness.Proof{
 			Term: timeline.Term(e.GetTerm()), Leader: target.ID(e.GetLeader()), At: sent.Add(-microseconds(e.GetAgeUs())),
-			Position: timeline.Position{Term: timeline.Term(e.GetPositionTerm()), LSN: timeline.LSN(e.GetPositionNumber())},
+			Position: position(e.GetPositionTerm(), e.GetPositionNumber()),
 		}
+		n.Acknowledged[e.GetService()] = position(e.GetAcknowledgedTerm(), e.GetAcknowledgedNumber())
 	}
 	if in.GetConfig() != nil {
 		n.Config = config(in.GetConfig())
--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -21,6 +21,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 const (
@@ -40,6 +41,8 @@
 	Catalog *catalog.Catalog
 	// Proofs are its newest proofs of freshness, by service.
 	Proofs map[string]freshness.Proof
+	// Acknowledged are positions that new primaries must hold, by service.
+	Acknowledged map[string]timeline.Position
 	// StoreAge is how long ago the list of the fleet was known to be complete.
 	StoreAge time.Duration
 }
@@ -48,8 +51,9 @@
 type Source interface {
 	// Know returns what this VM knows now.
 	Know() Knowledge
-	// Revoke ends this VM's permission for a service.
-	Revoke(service string, revision int64)
+	// Revoke ends this VM's permission for a service, and returns the position
+	// that the new primary must hold.
+	Revoke(service string, revision int64) timeline.Position
 }
 
 // Server answers peers.
@@ -74,7 +78,7 @@
 	out := &gossippb.PullReply{StoreAgeUs: uint64(k.StoreAge.Microseconds())}
 	now := s.clk.Now()
 	for service, p := range k.Proofs {
-		out.Evidence = append(out.Evidence, evidenceOf(service, p, now))
+		out.Evidence = append(out.Evidence, evidenceOf(service, p, k.Acknowledged[service], now))
 	}
 	c := k.Catalog
 	if c.Config != nil && c.Config.Version > in.GetConfigVersion() {
@@ -91,8 +95,8 @@
 
 // Revoke implements gossippb.Gossip.
 func (s *Server) Revoke(_ context.Context, in *gossippb.RevokeRequest) (*gossippb.RevokeReply, error) {
-	s.source.Revoke(in.GetService(), in.GetRevision())
-	return &gossippb.RevokeReply{}, nil
+	p := s.source.Revoke(in.GetService(), in.GetRevision())
+	return &gossippb.RevokeReply{AcknowledgedTerm: uint64(p.Term), AcknowledgedNumber: uint64(p.LSN)}, nil
 }
 
 // Clients calls peers. It is safe for concurrent use.
@@ -135,6 +139,8 @@
 type News struct {
 	// Proofs by service, with their moments on this VM's clock.
 	Proofs map[string]freshness.Proof
+	// Acknowledged are positions that new primaries must hold, by service.
+	Acknowledged map[string]timeline.Position
 	// Config is nil unless the peer has a later version.
 	Config *catalog.Config
 	// Targets is nil unless the peer has a later list.
@@ -159,8 +165,12 @@
 	return newsOf(out, sent), nil
 }
 
-// Revoke asks a peer to give up its permission for a service.
-func (c *Clients) Revoke(ctx context.Context, addr, service string, revision int64) error {
-	_, err := c.client(addr).Revoke(ctx, &gossippb.RevokeRequest{Service: service, Revision: revision})
-	return errors.Wrapf(err, "revoke at %s", addr)
+// Revoke asks a peer to give up its permission for a service. It returns the
+// position that the new primary must hold, as far as the peer knows.
+func (c *Clients) Revoke(ctx context.Context, addr, service string, revision int64) (timeline.Position, error) {
+	out, err := c.client(addr).Revoke(ctx, &gossippb.RevokeRequest{Service: service, Revision: revision})
+	if err != nil {
+		return timeline.Position{}, errors.Wrapf(err, "revoke at %s", addr)
+	}
+	return position(out.GetAcknowledgedTerm(), out.GetAcknowledgedNumber()), nil
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -27,8 +27,11 @@
 	revoked map[string]int64
 }
 
-func (s *source) Know() Knowledge                { return s.known }
-func (s *source) Revoke(service string, r int64) { s.revoked[service] = r }
+func (s *source) Know() Knowledge { return s.known }
+func (s *source) Revoke(service string, r int64) timeline.Position {
+	s.revoked[service] = r
+	return timeline.Position{Term: 3, LSN: 9}
+}
 
 func start(t *testing.T, k Knowledge, server clock.Clock, client clock.Clock) (*source, *Clients, string) {
 	t.Helper()
@@ -85,10 +88,12 @@
 
 func TestRevokeAndSilence(t *testing.T) {
 	s, c, addr := start(t, Knowledge{Catalog: full()}, &manual{}, &manual{})
-	require.NoError(t, c.Revoke(context.Background(), addr, "s", 30))
+	acknowledged, err := c.Revoke(context.Background(), addr, "s", 30)
+	require.NoError(t, err)
+	require.Equal(t, timeline.Position{Term: 3, LSN: 9}, acknowledged)
 	require.EqualValues(t, 30, s.revoked["s"])
 	c.Keep(map[string]bool{})
 	require.Empty(t, c.at)
-	_, err := c.Pull(context.Background(), "127.0.0.1:1", "me", full())
+	_, err = c.Pull(context.Background(), "127.0.0.1:1", "me", full())
 	require.Error(t, err)
 }
--- a/groups/doc.go
+++ b/groups/doc.go
@@ -117,6 +117,8 @@
 	Leadership *leadership.Board
 	// Freshness has the evidence for reads.
 	Freshness *freshness.Board
+	// Acknowledged is what a new primary must hold.
+	Acknowledged Acknowledged
 	// Health tells whether the primary answers.
 	Health Health
 
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -60,6 +60,7 @@
 var (
 	errUnreachable = errors.New("a target that may hold acknowledged commits does not answer")
 	errTooFew      = errors.New("too few targets are left to surely hold every acknowledged commit")
+	errLacking     = errors.New("no target holds what was acknowledged")
 	errLate        = errors.New("the attempt's time is over")
 	errSuperseded  = errors.New("another target leads")
 	errUnpaused    = errors.New("the target is not paused")
@@ -100,10 +101,17 @@
 		return errTooFew
 	}
 	statuses := a.all(ctx, a.others, lane.AskStatus)
+	var newest timeline.Position
 	for _, s := range statuses {
 		if s.err != nil {
 			return errors.WithMessage(errUnreachable, string(s.id)+": "+s.err.Error())
 		}
+		if newest.Less(s.status.Received) {
+			newest = s.status.Received
+		}
+	}
+	if !a.reason.Planned() && newest.Less(a.g.Acknowledged.Bound()) {
+		return errLacking
 	}
 	if a.g.Leadership.Believed().Primary != a.old {
 		return errSuperseded
@@ -199,6 +207,10 @@
 	if !<-revoked {
 		a.waitOut(fencedAt)
 	}
+	// All VMs have told by now what they know to be acknowledged.
+	if chosen.Received.Less(a.g.Acknowledged.Bound()) {
+		return "", errLacking
+	}
 	if err := a.designate(ctx, chosen.ID); err != nil {
 		return "", err
 	}
