--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -68,15 +69,31 @@
 
 // dialer opens links up to a limit, and notes them.
 type dialer struct {
+	mu    sync.Mutex
 	limit int
 	open  []*link
 	dials int
 	err   error
 }
 
-func (d *dialer) dial(context.Context) (Link, error) {
+func (d *dialer) count() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.dials++
+}
+
+// links returns the links opened so far, and how often one was asked for.
+func (d *dialer) links() ([]*link, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open, d.dials
+}
+
+func (d *dialer) dial(context.Context) (Link, error) {
+	d.count()
 	time.Sleep(10 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.err != nil {
 		return nil, d.err
 	}
@@ -165,7 +182,8 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		time.Sleep(500 * time.Millisecond)
-		require.Less(t, d.dials, 6)
+		_, dials := d.links()
+		require.Less(t, dials, 6)
 		held.Release()
 		time.Sleep(time.Second)
 		require.Zero(t, l.Load().Queued)
@@ -184,7 +202,8 @@
 		_, err = l.Acquire(context.Background(), Order{}, time.Minute)
 		require.Error(t, err)
 		require.Less(t, time.Since(start), 100*time.Millisecond)
-		require.Equal(t, 1, d.dials)
+		_, dials := d.links()
+		require.Equal(t, 1, dials)
 		require.True(t, l.Load().Down)
 		d.err = nil
 		time.Sleep(unreachablePause)
