--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,167 @@
+package catalog
+
+import (
+	"time"
+
+	"endivemoor.example/endivemoor/target"
+)
+
+// Freshness is what a route's reads must see.
+type Freshness uint8
+
+const (
+	// Exact reads see every acknowledged commit.
+	Exact Freshness = iota
+	// Bounded reads see every commit acknowledged longer than MaxAge ago.
+	Bounded
+	// Own reads are Bounded, and also see all commits of their own session.
+	Own
+)
+
+// String returns the name in logs and metrics.
+func (f Freshness) String() string { return [...]string{"exact", "bounded", "own"}[f] }
+
+// Route leads a database's name to a service.
+type Route struct {
+	Name string
+	// Database is the name that consumers connect to.
+	Database string
+	// Service is the group of targets that serves it.
+	Service   string
+	Freshness Freshness
+	// MaxAge is the greatest age of the data that Bounded and Own reads accept.
+	MaxAge time.Duration
+	// StatementTimeout bounds a single statement.
+	StatementTimeout time.Duration
+	// Objective is the latency objective of a whole operation.
+	Objective time.Duration
+	// Priority orders operations under load; 0 is the highest.
+	Priority int
+}
+
+// Service is a group of targets, one of which leads.
+type Service struct {
+	Name string
+	// MaxConnections is a target's limit for the connections of all callers.
+	MaxConnections int
+	// SyncReplicas is how many replicas hold a commit before it is
+	// acknowledged.
+	SyncReplicas int
+}
+
+// Config is one version of what the operator published. It is immutable.
+type Config struct {
+	// Version grows with each change.
+	Version int64
+	// Routes by database name.
+	Routes map[string]*Route
+	// Services by name.
+	Services map[string]*Service
+	// TransactionIdle is how long a transaction may stay without a statement.
+	TransactionIdle time.Duration
+}
+
+// Target is one database server as it reports itself.
+type Target struct {
+	ID      target.ID
+	Service string
+	Addr    string
+	Zone    string
+	// Slots is how many statements it runs at once.
+	Slots int
+	// Draining means that it leaves and takes no new work.
+	Draining bool
+	// Role is its own claim.
+	Role target.Role
+}
+
+// Reign records what the fleet knows of a service's leadership: the newest
+// promotion, or the one that is under way.
+type Reign struct {
+	Service string
+	// Revision is the store's revision of this record.
+	Revision int64
+	// Primary is the target last promoted by the fleet; empty if none was.
+	Primary target.ID
+	// Holder is the VM that made the last attempt; empty if none was made.
+	Holder string
+	// Attempt is set while a promotion is under way.
+	Attempt *Attempt
+}
+
+// Attempt is a promotion under way. Its holder alone may order a promotion of
+// the service, until it ends or lapses.
+type Attempt struct {
+	// Holder is the VM that makes the attempt.
+	Holder string
+	// Nonce tells this attempt from all others of the same holder.
+	Nonce string
+	// Deposed is the target that is to be replaced.
+	Deposed target.ID
+}
+
+// Catalog is everything that is known at one moment. It is immutable.
+type Catalog struct {
+	// Config is nil until one was learned.
+	Config *Config
+	// Targets by id.
+	Targets map[target.ID]*Target
+	// ByService lists a service's targets in the order of their ids.
+	ByService map[string][]*Target
+	// Reigns by service.
+	Reigns map[string]*Reign
+	// VMs lists the fleet, in the order of their names.
+	VMs []VM
+	// TargetsRevision and FleetRevision are the store's revisions up to which
+	// Targets, and VMs with Reigns, are complete.
+	TargetsRevision, FleetRevision int64
+}
+
+// VM is an entry of the fleet's own list.
+type VM struct {
+	// ID is the VM's name.
+	ID   string
+	Zone string
+	// Peer is the address at which the VM answers its peers.
+	Peer string
+	// Incarnation is new for each run of the VM's process.
+	Incarnation string
+}
+
+// Route returns the route of a database, or nil.
+func (c *Catalog) Route(database string) *Route {
+	if c.Config == nil {
+		return nil
+	}
+	return c.Config.Routes[database]
+}
+
+// Service returns the named service, or nil.
+func (c *Catalog) Service(name string) *Service {
+	if c.Config == nil {
+		return nil
+	}
+	return c.Config.Services[name]
+}
+
+// VM returns the named VM's entry; false if the fleet's list has none.
+func (c *Catalog) VM(name string) (VM, bool) {
+	for _, vm := range c.VMs {
+		if vm.ID == name {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
+// Names returns the names of the fleet's VMs.
+func (c *Catalog) Names() []string {
+	out := make([]string, len(c.VMs))
+	for i, vm := range c.VMs {
+		out[i] = vm.ID
+	}
+	return out
+}
+
+// Complete reports whether enough is known to serve requests.
+func (c *Catalog) Complete() bool { return c.Config != nil && len(c.Targets) > 0 }
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,264 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/clock/boottime"
+	"endivemoor.example/endivemoor/engine"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/logging"
+	"endivemoor.example/endivemoor/placing"
+	"endivemoor.example/endivemoor/platform/boot"
+	"endivemoor.example/endivemoor/platform/duty"
+	"endivemoor.example/endivemoor/platform/line"
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/promoter"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	// memoryPart is the part of the process's memory limit at which the
+	// collector works harder: the rest is for the runtime's own needs and for
+	// bytes that the kernel holds.
+	memoryPart = 0.6
+	// greetTimeout bounds opening a connection to a target: the way, a slot
+	// behind a full queue, and the work of accepting it, 12 ms.
+	greetTimeout = 700 * time.Millisecond
+)
+
+// Network is how a daemon reaches others and is reached.
+type Network interface {
+	// Listen takes connections at ip:port.
+	Listen(addr string) (net.Listener, error)
+	// DialContext connects to ip:port.
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Edge is one running daemon.
+type Edge struct {
+	set         *boot.Settings
+	log         *zap.Logger
+	metrics     *prometheus.Registry
+	clk         clock.Clock
+	net         Network
+	incarnation string
+	catalog     *catalog.Holder
+	store       *objects.Client
+	duty        *duty.Client
+	pool        *lane.Pool
+	groups      *groups.Registry
+	placing     *placing.Board
+	engine      *engine.Engine
+	fleet       *fleet
+	gossip      *gossiper
+	promoter    *promoter.Promoter
+	sessions    *sessions
+	listeners   []net.Listener
+	ends        ends
+}
+
+// Options are what the command line sets.
+type Options struct {
+	// MetricsPort on this VM's address serves /metrics; 0 serves none.
+	MetricsPort int
+	// LogLevel is the least level that is logged.
+	LogLevel string
+}
+
+// Run serves until SIGTERM, then ends gracefully.
+func Run(ctx context.Context, opt Options) error {
+	set, err := boot.Load()
+	if err != nil {
+		return err
+	}
+	least, err := zapcore.ParseLevel(opt.LogLevel)
+	if err != nil {
+		return errors.Wrap(err, "log level")
+	}
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, zap.NewAtomicLevelAt(least)).With(zap.String("vm", set.Node), zap.String("zone", set.Zone))
+	if set.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
+	}
+	e := New(set, kernel{newDialer()}, boottime.Clock{}, log)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go e.reloadOn(ctx, hangup)
+	if opt.MetricsPort > 0 {
+		go e.serveMetrics(net.JoinHostPort(set.IP, strconv.Itoa(opt.MetricsPort)))
+	}
+	return e.Serve(ctx)
+}
+
+// New returns a daemon that is not yet serving.
+func New(set *boot.Settings, network Network, clk clock.Clock, log *zap.Logger) *Edge {
+	e := &Edge{
+		set:         set,
+		log:         log,
+		clk:         clk,
+		net:         network,
+		metrics:     prometheus.NewRegistry(),
+		incarnation: newIncarnation(set.Node),
+		catalog:     catalog.NewHolder(),
+		store:       objects.New(set.Platform.Addr, newTransport(network)),
+		duty:        duty.New(set.Duty.Addr, newTransport(network)),
+		placing:     placing.NewBoard(),
+	}
+	e.pool = lane.NewPool(e.clk, e.dialer)
+	e.gossip = newGossiper(e)
+	e.groups = groups.NewRegistry(groups.Config{
+		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
+		Eligible: e.gossip.eligible, Log: log,
+	})
+	e.engine = engine.New(engine.Config{
+		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
+		Log: log, Metrics: engine.NewMetrics(e.metrics), Zone: set.Zone,
+	})
+	e.fleet = &fleet{edge: e}
+	e.registerMetrics()
+	e.sessions = newSessions(e)
+	e.promoter = promoter.New(promoter.Config{
+		Node: set.Node, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
+		Platform: designator{e.duty}, Fleet: e.gossip, Clock: e.clk, Log: log, Nonce: rand.Text,
+	})
+	return e
+}
+
+// dialer opens links to a target.
+func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
+	return func(ctx context.Context) (lane.Link, error) {
+		timeout := greetTimeout
+		if by, ok := ctx.Deadline(); ok {
+			timeout = min(timeout, time.Until(by))
+		}
+		link, err := line.Dial(ctx, e.net, t.Addr, t.Service, e.set.Node, t.ID, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return link, nil
+	}
+}
+
+// Serve serves until ctx ends, and then ends gracefully.
+func (e *Edge) Serve(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := make(chan error, 3)
+	if err := e.listen(failed); err != nil {
+		return err
+	}
+	e.startWatches(work)
+	go e.follow(work)
+	go func() {
+		e.fleet.join(work)
+		e.fleet.keep(work)
+	}()
+	go e.maintain(work)
+	go e.promoter.Run(work)
+	go e.gossip.run(work)
+	e.log.Info("serving", zap.String("consumers", e.set.Listen.Consumers), zap.String("incarnation", e.incarnation))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		e.end(work)
+		return nil
+	}
+}
+
+// reloadOn reads the settings anew at each signal.
+func (e *Edge) reloadOn(ctx context.Context, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-hangup:
+			e.reload()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload reads the settings anew after SIGHUP.
+func (e *Edge) reload() {
+	next, err := boot.Load()
+	if err != nil {
+		e.log.Warn("settings-refused", zap.Error(err))
+		return
+	}
+	if next.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(next.Limits.MemoryMB<<20) * memoryPart))
+	}
+	e.log.Info("settings-reloaded", zap.Int64("memory-mb", next.Limits.MemoryMB))
+}
+
+func (e *Edge) listen(failed chan<- error) error {
+	ready, err := e.net.Listen(e.set.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	consumers, err := e.net.Listen(e.set.Listen.Consumers)
+	if err != nil {
+		return errors.Wrap(err, "listen for consumers")
+	}
+	peers, err := e.net.Listen(e.set.Listen.Control)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	e.listeners = []net.Listener{ready, consumers, peers}
+	go func() { failed <- e.gossip.serve(peers) }()
+	go func() { failed <- http.Serve(ready, e.readyHandler()) }()
+	go func() { failed <- e.sessions.accept(consumers) }()
+	return nil
+}
+
+// follow passes each new catalog to those who act on it.
+func (e *Edge) follow(ctx context.Context) {
+	for {
+		changed := e.catalog.Changed()
+		c := e.catalog.Load()
+		e.pool.Update(c)
+		e.groups.Update(c)
+		e.gossip.keep(c)
+		e.placing.Keep(func(id target.ID) bool { return c.Targets[id] != nil })
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// maintain does what is due from time to time.
+func (e *Edge) maintain(ctx context.Context) {
+	tick := time.NewTicker(lane.TendEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.pool.Tend()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,51 @@
+package engine
+
+import (
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/placing"
+	"endivemoor.example/endivemoor/target"
+)
+
+// Config of an Engine.
+type Config struct {
+	Catalog *catalog.Holder
+	Groups  *groups.Registry
+	Pool    *lane.Pool
+	Placing *placing.Board
+	Clock   clock.Clock
+	Log     *zap.Logger
+	Metrics *Metrics
+	// Zone is this VM's availability zone.
+	Zone string
+}
+
+// Engine opens sessions. It is safe for concurrent use.
+type Engine struct {
+	cfg Config
+}
+
+// New returns an Engine.
+func New(cfg Config) *Engine { return &Engine{cfg: cfg} }
+
+// Open starts a session for a database, unless no route has its name.
+func (e *Engine) Open(database string) (*Session, bool) {
+	if e.cfg.Catalog.Load().Route(database) == nil {
+		return nil, false
+	}
+	return &Session{engine: e, database: database}, true
+}
+
+// near reports whether a target is in this VM's availability zone.
+func (e *Engine) near(t *catalog.Target) bool { return t.Zone == e.cfg.Zone }
+
+// failed records that a target did not answer.
+func (e *Engine) failed(g *groups.Group, id target.ID, refused bool) {
+	now := e.cfg.Clock.Now()
+	e.cfg.Placing.Failed(id, now)
+	g.Health.Failed(id, now, refused)
+}
--- /dev/null
+++ b/engine/session.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// Session is one consumer's. It is for one goroutine.
+type Session struct {
+	engine   *Engine
+	database string
+	values   map[string]string
+	prepared map[string]*lane.Prepared
+	// mark is the end of the log after this session's last own commit, in the
+	// service that markOf names.
+	mark   timeline.Position
+	markOf string
+	state  statement.State
+	tx     *transaction
+}
+
+// State is where the session stands.
+func (s *Session) State() statement.State { return s.state }
+
+// IdleTimeout is how long the session may wait for its next statement; zero is
+// for ever.
+func (s *Session) IdleTimeout() time.Duration {
+	if s.state != statement.InTransaction {
+		return 0
+	}
+	if c := s.engine.cfg.Catalog.Load().Config; c != nil {
+		return c.TransactionIdle
+	}
+	return 0
+}
+
+// Handle serves one statement and returns its answer, which is never nil. Each
+// failure is logged under the request's id.
+func (s *Session) Handle(ctx context.Context, st *statement.Statement) *statement.Answer {
+	arrived := s.engine.cfg.Clock.Now()
+	a := s.handle(ctx, st)
+	if a.Code != statement.OK {
+		s.engine.cfg.Log.Info("statement-failed", zap.String("request", st.ID), zap.Stringer("verb", st.Verb),
+			zap.String("database", s.database), zap.Stringer("code", a.Code), zap.String("text", a.Text),
+			zap.Duration("after", s.engine.cfg.Clock.Now().Sub(arrived)))
+	}
+	return a
+}
+
+func (s *Session) handle(ctx context.Context, st *statement.Statement) *statement.Answer {
+	if s.state == statement.FailedTransaction {
+		return s.handleFailed(st)
+	}
+	switch st.Verb {
+	case statement.Begin:
+		return s.begin(st)
+	case statement.Commit:
+		return s.commit(ctx, st)
+	case statement.Rollback:
+		return s.rollback()
+	case statement.Set:
+		return s.set(st)
+	case statement.Prepare:
+		return s.prepare(st)
+	case statement.Deallocate:
+		return s.deallocate(st)
+	case statement.Read, statement.Write, statement.Execute:
+		return s.run(ctx, st)
+	default:
+		return statement.Failure(statement.Malformed, "unknown statement", s.state)
+	}
+}
+
+// handleFailed serves a session whose transaction has failed: only its end is
+// taken, and it keeps nothing.
+func (s *Session) handleFailed(st *statement.Statement) *statement.Answer {
+	switch st.Verb {
+	case statement.Rollback:
+		s.state = statement.Idle
+		return statement.Success(statement.Idle)
+	case statement.Commit:
+		s.state = statement.Idle
+		return statement.Failure(statement.Aborted, "the transaction had failed and is rolled back", statement.Idle)
+	default:
+		return statement.Failure(statement.Malformed, "the transaction has failed: roll it back", s.state)
+	}
+}
+
+func (s *Session) set(st *statement.Statement) *statement.Answer {
+	if s.values == nil {
+		s.values = make(map[string]string)
+	}
+	s.values[st.Name] = st.Value
+	return statement.Success(s.state)
+}
+
+func (s *Session) prepare(st *statement.Statement) *statement.Answer {
+	if s.prepared == nil {
+		s.prepared = make(map[string]*lane.Prepared)
+	}
+	s.prepared[st.Name] = &lane.Prepared{Shape: st.Shape, Writes: st.Writes}
+	return statement.Success(s.state)
+}
+
+func (s *Session) deallocate(st *statement.Statement) *statement.Answer {
+	if s.prepared[st.Name] == nil {
+		return statement.Failure(statement.NoStatement, "no statement has this name", s.state)
+	}
+	delete(s.prepared, st.Name)
+	return statement.Success(s.state)
+}
+
+// run serves a read or a write, within a transaction or alone.
+func (s *Session) run(ctx context.Context, st *statement.Statement) *statement.Answer {
+	w := &work{st: st, writes: st.Verb == statement.Write, arrived: s.engine.cfg.Clock.Now()}
+	if st.Verb == statement.Execute {
+		w.prepared = s.prepared[st.Name]
+		if w.prepared == nil {
+			return s.failStatement(statement.Failure(statement.NoStatement, "no statement has this name", s.state))
+		}
+		w.writes = w.prepared.Writes
+	}
+	if s.state == statement.InTransaction {
+		return s.runInTransaction(ctx, w)
+	}
+	route := s.engine.cfg.Catalog.Load().Route(s.database)
+	if route == nil {
+		return statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
+	}
+	w.route = route
+	a := s.runAlone(ctx, w)
+	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
+	return a
+}
+
+// failStatement answers a statement that failed here: within a transaction the
+// transaction fails with it.
+func (s *Session) failStatement(a *statement.Answer) *statement.Answer {
+	if s.state == statement.InTransaction {
+		s.abandon()
+		a.State = s.state
+	}
+	return a
+}
+
+// floor returns the position that a read's log must hold; false if there is no
+// evidence for it, also not after asking.
+func (s *Session) floor(ctx context.Context, g *groups.Group, route *catalog.Route) (timeline.Position, bool) {
+	p, ok := g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
+	if !ok {
+		g.Refresh(ctx)
+		p, ok = g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
+	}
+	if ok && route.Freshness == catalog.Own && s.markOf == route.Service && p.Less(s.mark) {
+		p = s.mark
+	}
+	return p, ok
+}
+
+// remember notes where the log stood after the session's own commit.
+func (s *Session) remember(service string, p timeline.Position) {
+	if p.IsZero() {
+		return
+	}
+	if s.markOf != service || s.mark.Less(p) {
+		s.mark, s.markOf = p, service
+	}
+}
--- /dev/null
+++ b/engine/work.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"strconv"
+	"time"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+)
+
+const (
+	// minTimeout bounds a statement whose route sets no time-out.
+	minTimeout = 2 * time.Second
+	// settleTimeout bounds what ends a transaction that the consumer has left.
+	settleTimeout = time.Second
+)
+
+// work is one statement on its way.
+type work struct {
+	st       *statement.Statement
+	prepared *lane.Prepared
+	writes   bool
+	route    *catalog.Route
+	arrived  clock.Time
+	tries    int
+}
+
+// deadline is when the statement's time is over.
+func deadline(route *catalog.Route, arrived clock.Time) clock.Time {
+	if route.StatementTimeout <= 0 {
+		return arrived.Add(minTimeout)
+	}
+	return arrived.Add(route.StatementTimeout)
+}
+
+// order says how urgent a statement is to the queue for connections.
+func order(route *catalog.Route, arrived clock.Time) lane.Order {
+	return lane.Order{Due: arrived.Add(route.Objective), Priority: route.Priority}
+}
+
+// refuse is the answer to a statement that has not run, with a time to come
+// back.
+func refuse(code statement.Code, after time.Duration, text string, state statement.State) *statement.Answer {
+	if after > 0 {
+		text = "retry-after-ms=" + strconv.FormatInt(after.Milliseconds(), 10) + " " + text
+	}
+	return statement.Failure(code, text, state)
+}
--- /dev/null
+++ b/gossip/client.go
@@ -0,0 +1,104 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/freshness"
+	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+const (
+	// callTimeout bounds one call to a peer. Peers are at most a few
+	// milliseconds away; one that takes longer is asked again later.
+	callTimeout = 250 * time.Millisecond
+	// maxIdle and idleTimeout bound the connections kept to peers.
+	maxIdle     = 1
+	idleTimeout = 20 * time.Second
+	// headerTimeout bounds a peer that opens a connection and says nothing.
+	headerTimeout = 5 * time.Second
+)
+
+// Clients calls peers. It is safe for concurrent use.
+type Clients struct {
+	http *http.Client
+	clk  clock.Clock
+
+	mu sync.Mutex
+	at map[string]gossippb.Gossip
+}
+
+// NewClients returns Clients that connect by dial.
+func NewClients(dial func(ctx context.Context, network, addr string) (net.Conn, error), clk clock.Clock) *Clients {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	return &Clients{http: &http.Client{Transport: transport, Timeout: callTimeout}, clk: clk, at: make(map[string]gossippb.Gossip)}
+}
+
+// Keep forgets the peers whose address is not among those given: a fleet
+// replaces hundreds of VMs a day.
+func (c *Clients) Keep(addrs map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr := range c.at {
+		if !addrs[addr] {
+			delete(c.at, addr)
+		}
+	}
+}
+
+func (c *Clients) client(addr string) gossippb.Gossip {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at[addr] == nil {
+		c.at[addr] = gossippb.NewGossipProtobufClient("http://"+addr, c.http)
+	}
+	return c.at[addr]
+}
+
+// News is what a peer told.
+type News struct {
+	// Proofs by service, with their moments on this VM's clock.
+	Proofs map[string]freshness.Proof
+	// Acknowledged are positions that new primaries must hold, by service.
+	Acknowledged map[string]timeline.Position
+	// Config is nil unless the peer has a later version.
+	Config *catalog.Config
+	// Targets is nil unless the peer has a later list.
+	Targets *Targets
+	// Fleet is nil unless the peer has a later list.
+	Fleet *Fleet
+	// Store is when the list of the fleet was last known to be complete.
+	Store clock.Time
+}
+
+// Pull asks a peer for what it knows beyond the catalog.
+func (c *Clients) Pull(ctx context.Context, addr, self string, known *catalog.Catalog) (*News, error) {
+	in := &gossippb.PullRequest{Vm: self, TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision}
+	if known.Config != nil {
+		in.ConfigVersion = known.Config.Version
+	}
+	sent := c.clk.Now()
+	out, err := c.client(addr).Pull(ctx, in)
+	if err != nil {
+		return nil, errors.Wrapf(err, "pull from %s", addr)
+	}
+	return newsOf(out, sent), nil
+}
+
+// Revoke asks a peer to give up its permission for a service. It returns the
+// position that the new primary must hold, as far as the peer knows.
+func (c *Clients) Revoke(ctx context.Context, addr, service string, revision int64) (timeline.Position, error) {
+	out, err := c.client(addr).Revoke(ctx, &gossippb.RevokeRequest{Service: service, Revision: revision})
+	if err != nil {
+		return timeline.Position{}, errors.Wrapf(err, "revoke at %s", addr)
+	}
+	return position(out.GetAcknowledgedTerm(), out.GetAcknowledgedNumber()), nil
+}
--- /dev/null
+++ b/groups/group.go
@@ -0,0 +1,216 @@
+package groups
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/freshness"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	// askTimeout bounds one question to a target: a slot may have to become
+	// free first, behind a full queue of 24 requests of 18 ms on 3 slots.
+	askTimeout = 300 * time.Millisecond
+	// discoverEvery is the interval between two rounds of questions while no
+	// target is known to lead.
+	discoverEvery = 100 * time.Millisecond
+)
+
+// Group is one service's.
+type Group struct {
+	// Service is its name.
+	Service string
+	// Leadership says who leads.
+	Leadership *leadership.Board
+	// Freshness has the evidence for reads.
+	Freshness *freshness.Board
+	// Acknowledged is what a new primary must hold.
+	Acknowledged Acknowledged
+	// Health tells whether the primary answers.
+	Health Health
+
+	cfg *Config
+
+	mu         sync.Mutex
+	believed   leadership.Belief
+	changed    chan struct{}
+	absent     clock.Time // since when nobody is believed to lead
+	discovered clock.Time
+	refreshing chan struct{}
+	revoked    int64      // the attempt for which the permission was given up
+	revokedAt  clock.Time // when it was
+}
+
+func newGroup(service string, cfg *Config) *Group {
+	return &Group{
+		Service:    service,
+		Leadership: leadership.NewBoard(),
+		Freshness:  &freshness.Board{},
+		cfg:        cfg,
+		absent:     cfg.Clock.Now(),
+		changed:    make(chan struct{}),
+	}
+}
+
+// Absent is how long nobody has been believed to lead.
+func (g *Group) Absent() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.absent == 0 {
+		return 0
+	}
+	return g.cfg.Clock.Now().Sub(g.absent)
+}
+
+func (g *Group) listed(targets []*catalog.Target, reign *catalog.Reign) {
+	g.Leadership.Listed(targets, reign)
+	g.noteBelief()
+}
+
+// noteBelief wakes those who wait for a primary when the belief changes.
+func (g *Group) noteBelief() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Leadership.Believed()
+	if now == g.believed {
+		return
+	}
+	if now.Primary != g.believed.Primary {
+		g.cfg.Log.Info("primary-believed", zap.String("service", g.Service), zap.String("primary", string(now.Primary)),
+			zap.Uint64("term", uint64(now.Term)), zap.String("before", string(g.believed.Primary)), zap.Bool("contested", now.Contested))
+	}
+	g.believed = now
+	if now.Primary != "" {
+		g.absent = 0
+		g.Health.Watch(now.Primary)
+	} else {
+		g.absent = g.cfg.Clock.Now()
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Told takes over a target's status.
+func (g *Group) Told(id target.ID, s statement.Status) {
+	g.Leadership.Told(id, s.Role, s.Term)
+	g.noteBelief()
+}
+
+// Refused records that a target does not lead any more.
+func (g *Group) Refused(id target.ID) {
+	g.Leadership.Refused(id)
+	g.noteBelief()
+}
+
+// Status asks a target for its account of itself.
+func (g *Group) Status(ctx context.Context, id target.ID, timeout time.Duration) (statement.Status, error) {
+	return g.order(ctx, id, lane.AskStatus, timeout)
+}
+
+// Order sends a target an order that is answered with its status.
+func (g *Group) Order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
+	return g.order(ctx, id, ask, timeout)
+}
+
+func (g *Group) order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
+	sent := g.cfg.Clock.Now()
+	rows, err := g.cfg.Pool.Control(ctx, id, ask, timeout)
+	if lane.Answered(err) {
+		g.Health.Answered(id)
+	}
+	if err != nil {
+		return statement.Status{}, err
+	}
+	if len(rows) == 0 {
+		return statement.Status{}, errors.Errorf("%s gave no status", id)
+	}
+	s, err := g.cfg.Decode(rows[0])
+	if err != nil {
+		return s, err
+	}
+	g.Health.Answered(id)
+	g.Told(id, s)
+	g.observe(id, s, sent)
+	return s, nil
+}
+
+// observe turns a status into evidence for reads.
+func (g *Group) observe(id target.ID, s statement.Status, sent clock.Time) {
+	if s.Role == target.RolePrimary {
+		g.Freshness.Sample(s.Term, id, sent, s.Received)
+		return
+	}
+	if s.Role == target.RoleReplica && s.Paused == 0 {
+		g.Freshness.Witness(s.Term, id, sent)
+	}
+}
+
+// Primary returns the target that leads, waiting until one is known. The term
+// is never 0: a claim is verified before it is used.
+func (g *Group) Primary(ctx context.Context) (leadership.Belief, error) {
+	for {
+		g.mu.Lock()
+		changed := g.changed
+		g.mu.Unlock()
+		b := g.Leadership.Believed()
+		if b.Primary != "" && b.Term != 0 {
+			return b, nil
+		}
+		g.discoverSoon()
+		select {
+		case <-changed:
+		case <-time.After(discoverEvery):
+		case <-ctx.Done():
+			return b, ErrNoPrimary
+		}
+	}
+}
+
+// Rediscover asks all targets who leads, because what was believed was
+// contradicted.
+func (g *Group) Rediscover() { g.discoverSoon() }
+
+// discoverSoon asks all targets who leads, unless that was done just now.
+func (g *Group) discoverSoon() {
+	g.mu.Lock()
+	now := g.cfg.Clock.Now()
+	due := now.Sub(g.discovered) >= discoverEvery || g.discovered == 0
+	if due {
+		g.discovered = now
+	}
+	g.mu.Unlock()
+	if due {
+		g.discover()
+	}
+}
+
+// discover asks all targets. That the believed primary does not answer counts
+// as its failure: a VM that has just started may never have reached it, and
+// would otherwise wait for it for ever.
+func (g *Group) discover() {
+	for _, t := range g.cfg.Catalog.Load().ByService[g.Service] {
+		go g.Ask(context.Background(), t.ID, askTimeout)
+	}
+}
+
+// Ask asks a target for its account of itself, and counts silence as a failure
+// from the moment of the question on.
+func (g *Group) Ask(ctx context.Context, id target.ID, timeout time.Duration) {
+	sent := g.cfg.Clock.Now()
+	_, err := g.Status(ctx, id, timeout)
+	if err == nil || lane.Answered(err) {
+		return
+	}
+	g.Health.Failed(id, sent, lane.Refused(err))
+	g.cfg.Log.Debug("status-unanswered", zap.String("target", string(id)), zap.Error(err))
+}
--- /dev/null
+++ b/groups/health_test.go
@@ -0,0 +1,63 @@
+package groups
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/clock"
+)
+
+func ms(n int) clock.Time { return clock.Time(time.Duration(n+1) * time.Millisecond) }
+
+func TestSilenceCountsFromTheFirstFailure(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	h.Failed("p", ms(100), true)
+	h.Failed("p", ms(200), true)
+	h.Failed("other", ms(0), true)
+	s := h.Signs("p", ms(400))
+	require.Equal(t, 300*time.Millisecond, s.Silent)
+	require.Equal(t, 2, s.Refusals)
+	h.Answered("p")
+	require.Equal(t, Signs{}, h.Signs("p", ms(500)))
+}
+
+// A primary that is cut off from its replicas answers reads and questions, and
+// leaves every write waiting.
+func TestStalledWritesShowThoughReadsAreAnswered(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	h.Sent("p", ms(0), true)
+	for i := range 5 {
+		h.Sent("p", ms(100*i), false)(ms(100*i+10), true)
+	}
+	require.Equal(t, 700*time.Millisecond, h.Signs("p", ms(700)).Stalled)
+	h.Sent("p", ms(700), true)(ms(720), true)
+	require.Less(t, h.Signs("p", ms(800)).Stalled, 100*time.Millisecond, "one that is acknowledged shows that others may be")
+}
+
+// This VM was suspended for seconds. Nothing was answered meanwhile, which says
+// nothing of the primary.
+func TestOwnStandstillIsForgiven(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	h.Sent("p", ms(0), true)
+	h.Failed("p", ms(10), false)
+	h.Reset(ms(5000))
+	s := h.Signs("p", ms(5001))
+	require.Zero(t, s.Silent)
+	require.Less(t, s.Quiet, 10*time.Millisecond)
+	require.Less(t, s.Stalled, 10*time.Millisecond)
+}
+
+func TestNewPrimaryStartsClean(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	ended := h.Sent("p", ms(0), true)
+	h.Failed("p", ms(10), false)
+	h.Watch("q")
+	ended(ms(20), false)
+	require.Equal(t, Signs{}, h.Signs("q", ms(1000)))
+}
--- /dev/null
+++ b/groups/witness.go
@@ -0,0 +1,145 @@
+package groups
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+)
+
+// Replicas returns the targets other than the primary, those that stay first.
+func (g *Group) Replicas(primary target.ID) []*catalog.Target {
+	var stay, leave []*catalog.Target
+	for _, t := range g.cfg.Catalog.Load().ByService[g.Service] {
+		switch {
+		case t.ID == primary:
+		case t.Draining:
+			leave = append(leave, t)
+		default:
+			stay = append(stay, t)
+		}
+	}
+	return append(stay, leave...)
+}
+
+// Witness proves that nobody was promoted beyond the believed primary's term at
+// some moment after it was called. A replica asked since then that still
+// follows the term and is not paused for a later one proves it, for a promotion
+// pauses all of them first. If none can say so, as when the other targets are
+// dead or receive nothing, the store is asked: every promotion is recorded
+// there before it begins.
+func (g *Group) Witness(ctx context.Context, b leadership.Belief, first int) error {
+	replicas := g.Replicas(b.Primary)
+	for i := range replicas {
+		t := replicas[(first+i)%len(replicas)]
+		s, err := g.Status(ctx, t.ID, askTimeout)
+		switch {
+		case err != nil || s.Role != target.RoleReplica || s.Paused != 0:
+		case s.Term == b.Term:
+			return nil
+		case s.Term > b.Term:
+			g.Rediscover()
+			return ErrSuperseded
+		}
+		if ctx.Err() != nil {
+			return ErrNoWitness
+		}
+	}
+	return g.witnessByRecord(ctx, b)
+}
+
+// Permitted reports whether the primary may be taken for unchanged at the
+// moment of a request, without a question: a witness was asked so shortly
+// before that no attempt can have got past its fences since.
+//
+// Failure guarded against: an exact read at a primary that was replaced a
+// moment ago. It holds because an attempt promotes nobody before every VM on
+// the fleet's list has given up its permission, or Permission has passed since
+// the last target was paused; and a VM that is not surely on the list has none.
+func (g *Group) Permitted(b leadership.Belief, arrived clock.Time) bool {
+	if !g.cfg.Eligible() || g.hasRevoked() {
+		return false
+	}
+	return g.Freshness.WitnessedSince(b.Term, arrived.Add(-takeover.Permission))
+}
+
+// hasRevoked reports whether an attempt is under way, as far as is known.
+func (g *Group) hasRevoked() bool {
+	r := g.cfg.Catalog.Load().Reigns[g.Service]
+	if r != nil && r.Attempt != nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ended := r != nil && r.Revision > g.revoked
+	return g.revoked != 0 && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
+}
+
+// Revoke gives up this VM's permission for the attempt of a revision.
+func (g *Group) Revoke(revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if revision > g.revoked {
+		g.revoked, g.revokedAt = revision, g.cfg.Clock.Now()
+	}
+}
+
+// witnessByRecord is the store's word for Witness.
+func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
+	asked := g.cfg.Clock.Now()
+	r, err := g.cfg.Records.Current(ctx, g.Service)
+	if err != nil {
+		return ErrNoWitness
+	}
+	if r.Attempt != nil || (r.Primary != "" && r.Primary != b.Primary) {
+		g.Rediscover()
+		return ErrSuperseded
+	}
+	g.Freshness.WitnessByRecord(b.Term, b.Primary, asked)
+	return nil
+}
+
+// Refresh asks the primary and a replica, so that there is evidence of now.
+// Those who call it at once share one round.
+func (g *Group) Refresh(ctx context.Context) {
+	g.mu.Lock()
+	running := g.refreshing
+	if running == nil {
+		running = make(chan struct{})
+		g.refreshing = running
+		go g.refresh(running)
+	}
+	g.mu.Unlock()
+	select {
+	case <-running:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Group) refresh(done chan struct{}) {
+	defer func() {
+		g.mu.Lock()
+		g.refreshing = nil
+		g.mu.Unlock()
+		close(done)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*askTimeout)
+	defer cancel()
+	b, err := g.Primary(ctx)
+	if err != nil {
+		return
+	}
+	if _, err := g.Status(ctx, b.Primary, askTimeout); err != nil {
+		g.cfg.Log.Debug("status-unanswered", zap.String("target", string(b.Primary)), zap.Error(err))
+		return
+	}
+	// The witness is asked after the sample: only then does it cover it.
+	if err := g.Witness(ctx, b, 0); err != nil {
+		g.cfg.Log.Debug("no-witness", zap.String("service", g.Service), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/promoter/feasible.go
@@ -0,0 +1,85 @@
+package promoter
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// feasible asks every other target, so that no attempt is recorded, and
+// nothing paused, that cannot succeed. It also learns the latest term.
+func (a *attempt) feasible(ctx context.Context) error {
+	if len(a.others) < a.enough() {
+		return errTooFew
+	}
+	statuses := a.all(ctx, a.others, lane.AskStatus)
+	var newest timeline.Position
+	for _, s := range statuses {
+		if s.err != nil {
+			return errors.WithMessage(errUnreachable, string(s.id)+": "+s.err.Error())
+		}
+		if newest.Less(s.status.Received) {
+			newest = s.status.Received
+		}
+	}
+	if !a.reason.Planned() && newest.Less(a.g.Acknowledged.Bound()) {
+		return errLacking
+	}
+	if a.g.Leadership.Believed().Primary != a.old {
+		return errSuperseded
+	}
+	if a.reason != takeover.ReasonStalled {
+		return nil
+	}
+	return a.confirmStall(ctx)
+}
+
+// enough is how many other targets are needed. A planned change knows where
+// the old primary's log ends, so that one which holds that will do.
+func (a *attempt) enough() int {
+	if a.reason.Planned() {
+		return 1
+	}
+	return takeover.Enough
+}
+
+// confirmStall tells a primary that cannot replicate from one that is merely
+// slow: its log is ahead of every replica's, and none comes nearer.
+func (a *attempt) confirmStall(ctx context.Context) error {
+	before, err := a.newest(ctx)
+	if err != nil {
+		return err
+	}
+	end, err := a.g.Status(ctx, a.old, askTimeout)
+	if err != nil {
+		return nil
+	}
+	time.Sleep(4 * pollEvery)
+	after, err := a.newest(ctx)
+	if err != nil {
+		return err
+	}
+	if before.Less(after) || !after.Less(end.Received) {
+		return errRecovered
+	}
+	return nil
+}
+
+// newest is the highest position that any replica has received.
+func (a *attempt) newest(ctx context.Context) (timeline.Position, error) {
+	var out timeline.Position
+	for _, s := range a.all(ctx, a.others, lane.AskStatus) {
+		if s.err != nil {
+			return out, errUnreachable
+		}
+		if out.Less(s.status.Received) {
+			out = s.status.Received
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/promoter/fence.go
@@ -0,0 +1,122 @@
+package promoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// revoke asks all VMs to give up their permissions, while the targets are
+// fenced. The result is whether all have.
+func (a *attempt) revoke(ctx context.Context) <-chan bool {
+	out := make(chan bool, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+		defer cancel()
+		out <- a.p.cfg.Fleet.RevokeAll(ctx, a.held)
+	}()
+	return out
+}
+
+// waitOut waits until every permission has lapsed that a VM may still hold: no
+// witness was asked in vain after the last target was paused.
+func (a *attempt) waitOut(fenced clock.Time) {
+	left := takeover.Permission - a.p.cfg.Clock.Now().Sub(fenced)
+	a.p.cfg.Log.Info("permissions-waited-out", zap.String("service", a.g.Service), zap.Duration("for", left))
+	time.Sleep(left)
+}
+
+// stepDown asks the old primary to lead no longer, and returns where its log
+// ends. A planned change begins with it, so that writes are refused as not run
+// instead of being left in doubt. One that is dead need not answer.
+func (a *attempt) stepDown(ctx context.Context) (*timeline.Position, error) {
+	if a.old == "" {
+		return nil, nil
+	}
+	if !a.reason.Planned() {
+		// Its replicas are paused next; what it still holds back is not
+		// acknowledged. Its answer is not waited for.
+		go func() { _, _ = a.g.Order(ctx, a.old, lane.AskStepDown(a.term), fenceTimeout) }()
+		return nil, nil
+	}
+	s, err := a.g.Order(ctx, a.old, lane.AskStepDown(a.term), fenceTimeout)
+	if err != nil {
+		return nil, errors.WithMessage(err, "step down")
+	}
+	return &s.Received, nil
+}
+
+// awaitHolder waits until a target that stays holds the old primary's whole
+// log.
+func (a *attempt) awaitHolder(ctx context.Context, end timeline.Position) {
+	deadline := a.p.cfg.Clock.Now().Add(catchUp)
+	for a.p.cfg.Clock.Now().Before(deadline) {
+		for _, s := range a.all(ctx, a.others, lane.AskStatus) {
+			t := a.p.cfg.Catalog.Load().Targets[s.id]
+			if s.err == nil && t != nil && !t.Draining && !s.status.Received.Less(end) {
+				return
+			}
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// pause stops every other target from receiving. All of them must answer: one
+// that does not may be the only holder of an acknowledged commit, or the one
+// that still vouches for the old primary.
+func (a *attempt) pause(ctx context.Context) ([]takeover.Fenced, error) {
+	answers := make([]told, len(a.others))
+	var wait sync.WaitGroup
+	for i, t := range a.others {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answers[i] = a.pauseOne(ctx, t.ID)
+		}()
+	}
+	wait.Wait()
+	var out []takeover.Fenced
+	var failed error
+	for _, s := range answers {
+		if s.err != nil {
+			failed = errors.WithMessage(s.err, "pause "+string(s.id))
+			continue
+		}
+		a.paused = append(a.paused, s.id)
+		t := a.p.cfg.Catalog.Load().Targets[s.id]
+		out = append(out, takeover.Fenced{ID: s.id, Received: s.status.Received, Leaving: t == nil || t.Draining})
+	}
+	return out, failed
+}
+
+// pauseOne pauses a target, and takes only its own word that it is paused.
+//
+// Failure guarded against: one of the others still believes that it leads, from
+// a reign before. An order to pause means nothing to it; later it follows the
+// primary that is being replaced, and acknowledges commits which the chosen
+// target lacks. So it is made to step down first, and one that leads in a later
+// term ends the attempt.
+func (a *attempt) pauseOne(ctx context.Context, id target.ID) told {
+	s, err := a.orderPatiently(ctx, id, lane.AskPause(a.term))
+	if err == nil && s.Role == target.RolePrimary {
+		if s.Term >= a.term-1 {
+			return told{id: id, err: errSuperseded}
+		}
+		if _, err = a.orderPatiently(ctx, id, lane.AskStepDown(a.term)); err == nil {
+			s, err = a.orderPatiently(ctx, id, lane.AskPause(a.term))
+		}
+	}
+	if err == nil && (s.Role != target.RoleReplica || s.Paused < a.term) {
+		err = errUnpaused
+	}
+	return told{id: id, status: s, err: err}
+}
--- /dev/null
+++ b/promoter/order.go
@@ -0,0 +1,63 @@
+package promoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+)
+
+func (a *attempt) resume(ctx context.Context, except target.ID) {
+	for _, id := range a.paused {
+		if id == except {
+			continue
+		}
+		if _, err := a.g.Order(ctx, id, lane.AskResume, fenceTimeout); err != nil {
+			a.p.cfg.Log.Warn("resume-unanswered", zap.String("target", string(id)), zap.Error(err))
+			a.p.chase(a.g.Service, id, a.term)
+		}
+	}
+}
+
+// told is one target's answer to an order.
+type told struct {
+	id     target.ID
+	status statement.Status
+	err    error
+}
+
+// all sends an order to several targets at once.
+func (a *attempt) all(ctx context.Context, targets []*catalog.Target, ask lane.Ask) []told {
+	out := make([]told, len(targets))
+	var wait sync.WaitGroup
+	for i, t := range targets {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			out[i].id = t.ID
+			out[i].status, out[i].err = a.orderPatiently(ctx, t.ID, ask)
+		}()
+	}
+	wait.Wait()
+	return out
+}
+
+// orderPatiently repeats an order to a target that has no slot free.
+func (a *attempt) orderPatiently(ctx context.Context, id target.ID, ask lane.Ask) (statement.Status, error) {
+	for try := 0; ; try++ {
+		s, err := a.g.Order(ctx, id, ask, fenceTimeout)
+		if err == nil || !lane.Answered(err) || try == maxBusy {
+			return s, err
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// maxBusy bounds the repetitions of an order that met a full target.
+const maxBusy = 6
--- /dev/null
+++ b/promoter/promoter.go
@@ -0,0 +1,230 @@
+package promoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+)
+
+// Records keeps the fleet's records of leadership in the store. All changes
+// are conditional on the record's revision.
+type Records interface {
+	// Begin records an attempt on top of what is known of the service, and
+	// returns the revision that it got.
+	Begin(ctx context.Context, known *catalog.Reign, a catalog.Attempt) (*catalog.Reign, error)
+	// End takes the attempt away again. The primary is the one that now leads,
+	// as far as the fleet has ordered it.
+	End(ctx context.Context, held *catalog.Reign, primary target.ID) error
+}
+
+// Designator orders the platform to make a target the primary. The errors
+// ErrNotRunning and ErrRefused say that nothing was done.
+type Designator interface {
+	Promote(ctx context.Context, holder string, token int64, service string, id target.ID) error
+}
+
+// Revoker ends the permissions of the fleet's VMs to take a primary for
+// unchanged.
+type Revoker interface {
+	// RevokeAll reports whether every VM on the fleet's list has given up its
+	// permission. The list is read from the store after the attempt was
+	// recorded there.
+	RevokeAll(ctx context.Context, held *catalog.Reign) bool
+}
+
+// Config of a Promoter.
+type Config struct {
+	// Node is this VM's name. It holds attempts by it.
+	Node     string
+	Catalog  *catalog.Holder
+	Groups   *groups.Registry
+	Records  Records
+	Platform Designator
+	Fleet    Revoker
+	Clock    clock.Clock
+	Log      *zap.Logger
+	// Nonce returns a new name for an attempt.
+	Nonce func() string
+}
+
+const (
+	// tick is how often the primaries' signs are looked at.
+	tick = 50 * time.Millisecond
+	// askTimeout bounds a question to a primary that seems dead.
+	askTimeout = 250 * time.Millisecond
+	// askEvery is the interval of those questions.
+	askEvery = 100 * time.Millisecond
+	// quietAfter is how long statements may wait with none answered before the
+	// primary is asked: longer than the longest usual work of 45 ms behind a
+	// queue, short against SilentAfter.
+	quietAfter = 150 * time.Millisecond
+	// stoodStill is the gap between two ticks that shows that this VM itself
+	// stood still: what went unanswered then says nothing of the primary.
+	stoodStill = 400 * time.Millisecond
+	// tryPause is the least time between two attempts of this VM.
+	tryPause = 400 * time.Millisecond
+)
+
+// Promoter watches all services.
+type Promoter struct {
+	cfg Config
+
+	mu      sync.Mutex
+	watched map[string]*watched
+	running sync.WaitGroup
+}
+
+// watched is what the Promoter keeps of one service.
+type watched struct {
+	asked     clock.Time
+	reason    takeover.Reason
+	since     clock.Time
+	busy      bool
+	notBefore clock.Time
+	revision  int64      // of the record of leadership, as last seen
+	seen      clock.Time // when it was first seen
+	deposed   map[target.ID]*pursuit
+}
+
+// New returns a Promoter.
+func New(cfg Config) *Promoter {
+	return &Promoter{cfg: cfg, watched: make(map[string]*watched)}
+}
+
+// Run watches until ctx ends, and then waits for an attempt under way.
+func (p *Promoter) Run(ctx context.Context) {
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	last := p.cfg.Clock.Now()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			p.running.Wait()
+			return
+		}
+		now := p.cfg.Clock.Now()
+		if now.Sub(last) > stoodStill {
+			p.forgive(now)
+		}
+		last = now
+		for _, g := range p.cfg.Groups.All() {
+			p.look(ctx, g, now)
+		}
+	}
+}
+
+// forgive forgets failures that this VM's own standstill explains.
+func (p *Promoter) forgive(now clock.Time) {
+	p.cfg.Log.Info("stood-still")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.cfg.Groups.All() {
+		g.Health.Reset(now)
+		w := p.of(g.Service)
+		w.reason = takeover.ReasonNone
+	}
+}
+
+// of returns the service's record; the caller holds the lock.
+func (p *Promoter) of(service string) *watched {
+	w := p.watched[service]
+	if w == nil {
+		w = &watched{deposed: make(map[target.ID]*pursuit)}
+		p.watched[service] = w
+	}
+	return w
+}
+
+// look judges one service and acts on it.
+func (p *Promoter) look(ctx context.Context, g *groups.Group, now clock.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.of(g.Service)
+	b := g.Leadership.Believed()
+	p.pursue(ctx, g, w, now)
+	signs := p.signs(g, b.Primary, now)
+	if p.suspicious(g, b.Primary, now) && now.Sub(w.asked) >= askEvery {
+		w.asked = now
+		go g.Ask(ctx, b.Primary, askTimeout)
+	}
+	known := p.known(g.Service)
+	others := p.othersAct(known, w, now)
+	reason := takeover.Judge(signs)
+	if reason != w.reason {
+		w.reason, w.since = reason, now
+	}
+	if reason == takeover.ReasonNone || w.busy || now.Before(w.notBefore) || others {
+		return
+	}
+	if now.Sub(w.since) < p.turn(g.Service) {
+		return
+	}
+	w.busy = true
+	p.running.Add(1)
+	go p.act(context.WithoutCancel(ctx), g, b, known, signs, reason)
+}
+
+func (p *Promoter) signs(g *groups.Group, primary target.ID, now clock.Time) takeover.Signs {
+	s := takeover.Signs{Known: primary != "", Absent: g.Absent()}
+	if t := p.cfg.Catalog.Load().Targets[primary]; t != nil {
+		s.Draining = t.Draining
+	}
+	h := g.Health.Signs(primary, now)
+	s.Silent, s.Refusals, s.Stalled = h.Silent, h.Refusals, h.Stalled
+	return s
+}
+
+// suspicious reports whether the primary should be asked if it lives.
+func (p *Promoter) suspicious(g *groups.Group, primary target.ID, now clock.Time) bool {
+	h := g.Health.Signs(primary, now)
+	return primary != "" && (h.Silent > 0 || h.Quiet > quietAfter)
+}
+
+// known is the service's record of leadership; an empty one if there is none.
+func (p *Promoter) known(service string) *catalog.Reign {
+	if r := p.cfg.Catalog.Load().Reigns[service]; r != nil {
+		return r
+	}
+	return &catalog.Reign{Service: service}
+}
+
+// othersAct reports whether another VM's attempt is under way and has not
+// lapsed, or has ended just now.
+func (p *Promoter) othersAct(r *catalog.Reign, w *watched, now clock.Time) bool {
+	if r.Revision != w.revision {
+		w.revision, w.seen = r.Revision, now
+	}
+	since := now.Sub(w.seen)
+	switch {
+	case r.Attempt != nil:
+		return since < takeover.Lapse
+	case r.Holder != "" && r.Holder != p.cfg.Node:
+		return since < takeover.Settle
+	default:
+		return false
+	}
+}
+
+func (p *Promoter) turn(service string) time.Duration {
+	return takeover.Turn(service, p.cfg.Node, p.cfg.Catalog.Load().Names())
+}
+
+// done lets the next attempt of this VM come after a pause.
+func (p *Promoter) done(g *groups.Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.of(g.Service)
+	now := p.cfg.Clock.Now()
+	w.busy, w.notBefore = false, now.Add(tryPause)
+	w.reason = takeover.ReasonNone
+	p.running.Done()
+}
