--- /dev/null
+++ b/edge/fleetfollower.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/target"
+)
+
+// kindFleet is the fleet's own kind of objects: its VMs and the reigns of its
+// services. One kind takes one watch.
+const kindFleet = "endivemoor"
+
+// Prefixes of names within kindFleet.
+const (
+	prefixVM    = "vm."
+	prefixReign = "reign."
+)
+
+// vmRecord is a VM's entry.
+type vmRecord struct {
+	Zone        string `json:"zone"`
+	Peer        string `json:"peer"`
+	Incarnation string `json:"incarnation"`
+}
+
+// reignRecord is a service's leadership, as the fleet ordered it.
+type reignRecord struct {
+	Primary target.ID      `json:"primary,omitempty"`
+	Holder  string         `json:"holder,omitempty"`
+	Attempt *attemptRecord `json:"attempt,omitempty"`
+}
+
+type attemptRecord struct {
+	Nonce   string    `json:"nonce"`
+	Deposed target.ID `json:"deposed"`
+}
+
+func decodeVM(node string, o *objects.Object) (catalog.VM, error) {
+	var r vmRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return catalog.VM{}, errors.Wrapf(err, "entry of %s", node)
+	}
+	return catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation}, nil
+}
+
+// fleetFollower takes over the fleet's own records.
+type fleetFollower struct {
+	edge   *Edge
+	vms    map[string]catalog.VM
+	reigns map[string]*catalog.Reign
+}
+
+func newFleetFollower(e *Edge) *fleetFollower {
+	return &fleetFollower{edge: e, vms: make(map[string]catalog.VM), reigns: make(map[string]*catalog.Reign)}
+}
+
+func (f *fleetFollower) replace(items map[string]*objects.Object) {
+	clear(f.vms)
+	for _, o := range items {
+		f.apply(o, false)
+	}
+}
+
+func (f *fleetFollower) apply(o *objects.Object, deleted bool) {
+	if node, ok := strings.CutPrefix(o.Meta.Name, prefixVM); ok {
+		f.applyVM(node, o, deleted)
+		return
+	}
+	service, ok := strings.CutPrefix(o.Meta.Name, prefixReign)
+	if !ok || deleted {
+		return
+	}
+	r, err := decodeReign(service, o)
+	if err != nil {
+		f.edge.log.Error("record-refused", zap.String("name", o.Meta.Name), zap.Error(err))
+		return
+	}
+	if old := f.reigns[service]; old == nil || old.Revision < r.Revision {
+		f.reigns[service] = r
+	}
+}
+
+func (f *fleetFollower) applyVM(node string, o *objects.Object, deleted bool) {
+	if deleted {
+		delete(f.vms, node)
+		return
+	}
+	vm, err := decodeVM(node, o)
+	if err != nil {
+		f.edge.log.Error("record-refused", zap.String("name", o.Meta.Name), zap.Error(err))
+		return
+	}
+	f.vms[node] = vm
+}
+
+func decodeReign(service string, o *objects.Object) (*catalog.Reign, error) {
+	var r reignRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return nil, errors.Wrap(err, "decode reign")
+	}
+	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary, Holder: r.Holder}
+	if r.Attempt != nil {
+		out.Attempt = &catalog.Attempt{Holder: r.Holder, Nonce: r.Attempt.Nonce, Deposed: r.Attempt.Deposed}
+	}
+	return out, nil
+}
+
+func (f *fleetFollower) heard() { f.edge.gossip.heardStore() }
+
+func (f *fleetFollower) settle(revision int64) {
+	vms := make([]catalog.VM, 0, len(f.vms))
+	for _, vm := range f.vms {
+		vms = append(vms, vm)
+	}
+	reigns := make(map[string]*catalog.Reign, len(f.reigns))
+	for service, r := range f.reigns {
+		reigns[service] = r
+	}
+	f.edge.catalog.SetFleet(vms, reigns, revision)
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -10,7 +10,6 @@
 
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/retry"
-	"endivemoor.example/endivemoor/takeover"
 )
 
 const (
@@ -156,54 +155,3 @@
 	defer cancel()
 	return w.store.List(ctx, w.kind, after, false)
 }
-
-// waits returns how long the calls of a watch wait: only shortly on the few VMs
-// that look out for the fleet, or while this VM hears of nobody who has heard
-// from the store.
-//
-// Failure guarded against: the store drops its history and watches go silent
-// without an end, so that a change is learned only when the call has run out. A
-// few VMs notice in time and tell the others, which may wait long: the fleet's
-// calls do not grow with its size. At nine VMs a calm day takes 494
-// calls instead of 770.
-func (e *Edge) waits(short time.Duration) func() time.Duration {
-	return func() time.Duration {
-		names := e.catalog.Load().Names()
-		if takeover.Turn(lookout, e.set.Node, names) < lookouts*takeover.TurnEvery || e.gossip.age(e.clk.Now()) > newsAge {
-			return short
-		}
-		return watchWait
-	}
-}
-
-const (
-	// lookout is what VMs are ranked by to look out for the fleet.
-	lookout = "store"
-	// lookouts is how many do: one may be dead and one cut off.
-	lookouts = 3
-	// newsAge is the age of the newest word from the store, own or a peer's,
-	// from which on a VM looks out for itself.
-	newsAge = 4 * time.Second
-)
-
-// part is a part of a bound, or watchWait if the deployment sets none.
-func part(bound time.Duration, share float64) time.Duration {
-	if bound <= 0 {
-		return watchWait
-	}
-	return min(time.Duration(float64(bound)*share), watchWait)
-}
-
-// startWatches follows the kinds that the catalog is made of.
-func (e *Edge) startWatches(ctx context.Context) {
-	apply := time.Duration(e.set.Bounds.ApplyMS) * time.Millisecond
-	drain := time.Duration(e.set.Bounds.DrainMS) * time.Millisecond
-	for _, w := range []*watch{
-		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), follower: &configFollower{edge: e}},
-		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), follower: newTargetFollower(e)},
-		{kind: kindFleet, wait: e.waits(fleetWait), follower: newFleetFollower(e)},
-	} {
-		w.store, w.log = e.store, e.log
-		go w.run(ctx)
-	}
-}
