--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/membership"
 	"endivemoor.example/endivemoor/peer"
 	"endivemoor.example/endivemoor/peer/peerpb"
@@ -117,7 +118,7 @@
 			x.fleet.List(vms)
 			x.step(ctx, membership.Listed{VMs: vms})
 		}
-		sleep(ctx, x.duty.ListInterval(err == nil))
+		wait.For(ctx, x.duty.ListInterval(err == nil))
 	}
 }
 
--- a/controller/gate.go
+++ b/controller/gate.go
@@ -8,6 +8,7 @@
 	"endivemoor.example/endivemoor/ack"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/control"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/outcome"
 	"endivemoor.example/endivemoor/profile"
 	"endivemoor.example/endivemoor/target"
@@ -116,7 +117,7 @@
 				return
 			}
 		}
-		sleep(ctx, pace.Next(g.Clock.Now().Sub(w.Committed)))
+		wait.For(ctx, pace.Next(g.Clock.Now().Sub(w.Committed)))
 	}
 }
 
--- a/controller/watched.go
+++ b/controller/watched.go
@@ -10,6 +10,7 @@
 
 	drainstore "endivemoor.example/endivemoor/drain/store"
 	"endivemoor.example/endivemoor/failover"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/view"
@@ -86,7 +87,7 @@
 // come.
 func (m *Manager) RunDrains(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, relieveEvery)
+		wait.For(ctx, relieveEvery)
 		for id := range m.Views.Load().Draining {
 			m.relieve(id)
 		}
--- a/controller/watcher.go
+++ b/controller/watcher.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/store"
 )
 
@@ -46,7 +47,7 @@
 	pause := watchRetryMin
 	for ctx.Err() == nil {
 		if w.since != 0 && !w.Active() {
-			sleep(ctx, inactivePause)
+			wait.For(ctx, inactivePause)
 			continue
 		}
 		err := w.once(ctx)
@@ -58,7 +59,7 @@
 			return
 		}
 		w.Log.Warn("watch_failed", zap.String("prefix", w.Prefix), zap.Error(err))
-		sleep(ctx, w.jitter(pause))
+		wait.For(ctx, w.jitter(pause))
 		pause = min(2*pause, watchRetryMax)
 	}
 }
@@ -80,12 +81,3 @@
 func (w *Watcher) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(w.Rand.Int64N(int64(d/2)+1))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
 )
 
@@ -29,10 +30,7 @@
 			return
 		}
 		f.edge.log.Warn("entry-unwritten", zap.Error(err))
-		select {
-		case <-time.After(joinRetry):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, joinRetry)
 	}
 }
 
--- a/edge/reigns.go
+++ b/edge/reigns.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/duty"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/promoter"
@@ -42,9 +43,7 @@
 	o, err := r.put(ctx, name, known.Revision, spec)
 	for errors.Is(err, objects.ErrNoAnswer) {
 		if o, err = r.readBack(ctx, name, known.Revision, spec); err != nil {
-			select {
-			case <-time.After(readBackEvery):
-			case <-ctx.Done():
+			if !wait.For(ctx, readBackEvery) {
 				return nil, ctx.Err()
 			}
 		}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/retry"
 )
@@ -70,12 +71,7 @@
 			return
 		}
 		w.note(err)
-		timer := time.NewTimer(watchBackoff.Delay(w.failures, rnd))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		wait.For(ctx, watchBackoff.Delay(w.failures, rnd))
 	}
 }
 
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -20,6 +20,11 @@
 	// pauseBusy is the wait before a statement that a target had no room for
 	// is sent again: about the time in which one of its slots becomes free.
 	pauseBusy = 15 * time.Millisecond
+	// maxPauses bounds the growth of that wait with the tries.
+	maxPauses = 4
+	// triesAtOnce is how many targets a read is tried at without a wait: all
+	// three of a service.
+	triesAtOnce = 3
 	// maxTries bounds the targets and times that one statement is tried.
 	maxTries = 6
 	// writePatience is how long a write may take before its answer is taken for
--- a/engine/try.go
+++ b/engine/try.go
@@ -10,6 +10,7 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/statement"
@@ -148,18 +149,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	wait := pauseBusy * time.Duration(min(w.tries, 4))
-	if w.tries < 3 && !w.writes {
+	if w.tries < triesAtOnce && !w.writes {
 		return true
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, pauseBusy*time.Duration(min(w.tries, maxPauses)))
 }
 
 // left is the time until the context's deadline.
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"github.com/pkg/errors"
 )
 
@@ -44,16 +45,16 @@
 
 // Run counts and prints the mean over the daemons, and the greatest.
 func (c *Control) Run(ctx context.Context, out io.Writer) error {
-	if err := pause(ctx, c.Settle); err != nil {
-		return err
+	if !wait.For(ctx, c.Settle) {
+		return ctx.Err()
 	}
 	before, err := metrics(ctx, c.Admins)
 	if err != nil {
 		return err
 	}
 	begin := time.Now()
-	if err = pause(ctx, c.For); err != nil {
-		return err
+	if !wait.For(ctx, c.For) {
+		return ctx.Err()
 	}
 	after, err := metrics(ctx, c.Admins)
 	if err != nil {
--- a/internal/load/spread.go
+++ b/internal/load/spread.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/publication/store"
 	"endivemoor.example/endivemoor/store/client"
 )
@@ -48,7 +49,10 @@
 	if _, err = awaitAll(ctx, s.Admins, 1); err != nil {
 		return err
 	}
-	if err = s.count(ctx, out, "idle", func() error { return pause(ctx, s.Idle) }); err != nil {
+	if err = s.count(ctx, out, "idle", func() error {
+		wait.For(ctx, s.Idle)
+		return ctx.Err()
+	}); err != nil {
 		return err
 	}
 	var times []time.Duration
@@ -82,8 +86,8 @@
 			return nil, err
 		}
 		times = append(times, last.Sub(accepted))
-		if err = pause(ctx, s.Pause); err != nil {
-			return nil, err
+		if !wait.For(ctx, s.Pause) {
+			return nil, ctx.Err()
 		}
 	}
 	return times, nil
@@ -204,17 +208,8 @@
 			}
 			return last, nil
 		}
-		if pause(ctx, spreadPoll) != nil {
+		if !wait.For(ctx, spreadPoll) {
 			return last, errors.Errorf("generation %d not in force on all after %s: %+v, %v", generation, spreadWait, now, err)
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
--- a/internal/standin/dbd/follow.go
+++ b/internal/standin/dbd/follow.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -141,7 +142,7 @@
 				last = err.Error()
 				n.log.Warn("replication-interrupted", zap.String("primary", f.primary), zap.Error(err))
 			}
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -177,7 +178,7 @@
 		if left <= 0 {
 			break
 		}
-		sleep(ctx, min(left, delayStep))
+		wait.For(ctx, min(left, delayStep))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -214,12 +215,3 @@
 	defer n.mu.Unlock()
 	return n.entries.end()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/dbd/server.go
+++ b/internal/standin/dbd/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -124,7 +125,7 @@
 		if err == nil || errors.As(err, &refused) && refused.code == codeNotInState {
 			return
 		}
-		sleep(s.ctx, retryPause)
+		wait.For(s.ctx, retryPause)
 	}
 }
 
--- a/internal/standin/dbd/startup.go
+++ b/internal/standin/dbd/startup.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"time"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 	"github.com/xdg-go/scram"
@@ -41,7 +42,7 @@
 		x.sendFatal(err)
 		return false
 	}
-	sleep(x.srv.ctx, time.Duration(float64(x.srv.opts.ConnectCost)*x.srv.faults.slowness()))
+	wait.For(x.srv.ctx, time.Duration(float64(x.srv.opts.ConnectCost)*x.srv.faults.slowness()))
 	if err := x.authenticate(); err != nil {
 		x.sendFatal(asSQLError(err))
 		return false
--- a/internal/standin/dbd/transaction.go
+++ b/internal/standin/dbd/transaction.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"time"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"github.com/pkg/errors"
 )
 
@@ -271,7 +272,7 @@
 		cost = time.Duration(float64(max(cost, slowMinimum)) * slow)
 	}
 	if cost > 0 {
-		sleep(ctx, cost)
+		wait.For(ctx, cost)
 	}
 	return func() { <-x.srv.slots }, ctx.Err()
 }
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,20 @@
+// Package wait lets a driver wait without outliving its context. The decision
+// core never waits, and must not import it.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, or until ctx ends. It reports whether the whole time passed.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -65,12 +65,28 @@
 	defer c.mu.Unlock()
 	p := c.byIP[addr]
 	if p == nil {
+		c.makeRoom()
 		p = peerpb.NewPeerProtobufClient(c.scheme+addr, c.http)
 		c.byIP[addr] = p
 	}
 	return p
 }
 
+// maxClients bounds the clients kept: 770 VMs are replaced on an ordinary day,
+// each at a new address. One that is made anew costs nothing, for connections
+// belong to the transport.
+const maxClients = 512
+
+// makeRoom forgets any one client once there are too many.
+func (c *Clients) makeRoom() {
+	for addr := range c.byIP {
+		if len(c.byIP) < maxClients {
+			return
+		}
+		delete(c.byIP, addr)
+	}
+}
+
 // terse leaves out the header that names the program: exchanges are many and
 // small, and half of their bytes are headers.
 type terse struct{ http.RoundTripper }
