--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -19,9 +19,9 @@
 
 const (
 	// pullEvery and pullFrom are how often a VM asks how many peers. With two
-	// peers each 150 ms news reach a fleet of a dozen VMs in about 300 ms, for
-	// 13 calls a second a VM, whatever the fleet's size.
-	pullEvery = 150 * time.Millisecond
+	// peers each 200 ms news reach a fleet of a dozen VMs in about 400 ms, for
+	// ten calls a second a VM, whatever the fleet's size.
+	pullEvery = 200 * time.Millisecond
 	pullFrom  = 2
 	// peerPause is how long a peer that did not answer is left alone.
 	peerPause = time.Second
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -13,6 +13,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -39,7 +40,7 @@
 // NewClients returns Clients that connect by dial.
 func NewClients(dial func(ctx context.Context, network, addr string) (net.Conn, error), clk clock.Clock) *Clients {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	return &Clients{http: &http.Client{Transport: transport, Timeout: callTimeout}, clk: clk, at: make(map[string]gossippb.Gossip)}
+	return &Clients{http: &http.Client{Transport: terse.Transport{RoundTripper: transport}, Timeout: callTimeout}, clk: clk, at: make(map[string]gossippb.Gossip)}
 }
 
 // Keep forgets the peers whose address is not among those given: a fleet
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -9,6 +9,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -41,7 +42,7 @@
 
 // NewHandler returns the HTTP face of a Server.
 func NewHandler(source Source, clk clock.Clock) http.Handler {
-	return gossippb.NewGossipServer(&Server{source: source, clk: clk})
+	return terse.Handler(gossippb.NewGossipServer(&Server{source: source, clk: clk}))
 }
 
 // NewHTTPServer returns the server that peers call.
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/peer/peerpb"
 )
 
@@ -48,7 +49,7 @@
 	if config != nil {
 		scheme = "https://"
 	}
-	return &Clients{http: &http.Client{Transport: terse{tr}}, transport: tr, scheme: scheme, byIP: map[string]peerpb.Peer{}}
+	return &Clients{http: &http.Client{Transport: terse.Transport{RoundTripper: tr}}, transport: tr, scheme: scheme, byIP: map[string]peerpb.Peer{}}
 }
 
 // DialBy makes the clients connect by dial. It must be called before At.
@@ -86,13 +87,3 @@
 		delete(c.byIP, addr)
 	}
 }
-
-// terse leaves out the header that names the program: exchanges are many and
-// small, and half of their bytes are headers.
-type terse struct{ http.RoundTripper }
-
-func (t terse) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = r.Clone(r.Context())
-	r.Header.Set("User-Agent", "")
-	return t.RoundTripper.RoundTrip(r)
-}
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/peer/peerpb"
 )
 
@@ -61,7 +62,7 @@
 // NewServer returns an HTTP server of the peer service. A config asks every
 // peer for a certificate of the fleet's authority.
 func NewServer(h Handler, config *tls.Config) *http.Server {
-	handler := undated(http.MaxBytesHandler(peerpb.NewPeerServer(service{h}), maxRequestBytes))
+	handler := terse.Handler(http.MaxBytesHandler(peerpb.NewPeerServer(service{h}), maxRequestBytes))
 	return &http.Server{
 		Handler:           handler,
 		TLSConfig:         config,
@@ -70,14 +71,6 @@
 	}
 }
 
-// undated leaves out the date of each answer, which no peer reads.
-func undated(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header()["Date"] = nil
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Serve runs srv on ln, with TLS when it is configured.
 func Serve(srv *http.Server, ln net.Listener) error {
 	if srv.TLSConfig != nil {
