--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,7 @@
 	pool        *lane.Pool
 	groups      *groups.Registry
 	placing     *placing.Board
+	counts      *engine.Metrics
 	engine      *engine.Engine
 	fleet       *fleet
 	gossip      *gossiper
@@ -131,9 +132,10 @@
 		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
 		Eligible: e.gossip.eligible, Log: log,
 	})
+	e.counts = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
-		Log: log, Metrics: engine.NewMetrics(e.metrics), Zone: set.Zone,
+		Log: log, Metrics: e.counts, Zone: set.Zone,
 	})
 	e.fleet = &fleet{edge: e}
 	e.registerMetrics()
@@ -253,10 +255,14 @@
 func (e *Edge) maintain(ctx context.Context) {
 	tick := time.NewTicker(lane.TendEvery)
 	defer tick.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for {
 		select {
 		case <-tick.C:
 			e.pool.Tend()
+		case <-summary.C:
+			e.summarize()
 		case <-ctx.Done():
 			return
 		}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -31,6 +32,18 @@
 	)
 }
 
+// summaryEvery is the interval of the line that shows that a VM is well, or not.
+const summaryEvery = 10 * time.Second
+
+// summarize logs what the VM has served so far, and how old its news are.
+func (e *Edge) summarize() {
+	t := e.counts.Totals()
+	e.log.Info("summary", zap.Int64("served", t.Served), zap.Int64("failed", t.Failed),
+		zap.Int64("at-replicas", t.AtReplicas), zap.Int64("at-primary", t.AtPrimary),
+		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.gossip.age(e.clk.Now())),
+		zap.Int64("config", int64(e.configVersion())))
+}
+
 func (e *Edge) configVersion() float64 {
 	c := e.catalog.Load().Config
 	if c == nil {
--- a/engine/metrics.go
+++ b/engine/metrics.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"sync/atomic"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"endivemoor.example/endivemoor/catalog"
@@ -13,6 +15,21 @@
 	operations *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	reads      *prometheus.CounterVec
+
+	served, failed, atReplicas, atPrimary atomic.Int64
+}
+
+// Totals are counts since the start, for the log.
+type Totals struct {
+	// Served and Failed are operations by their end.
+	Served, Failed int64
+	// AtReplicas and AtPrimary are reads that accept an age, by who served them.
+	AtReplicas, AtPrimary int64
+}
+
+// Totals returns the counts so far.
+func (m *Metrics) Totals() Totals {
+	return Totals{Served: m.served.Load(), Failed: m.failed.Load(), AtReplicas: m.atReplicas.Load(), AtPrimary: m.atPrimary.Load()}
 }
 
 // latencyBuckets in seconds, around the latency objectives of 0.15, 0.25 and
@@ -40,6 +57,11 @@
 	if m == nil {
 		return
 	}
+	if a.Code == statement.OK {
+		m.served.Add(1)
+	} else {
+		m.failed.Add(1)
+	}
 	access := "read"
 	if w.writes {
 		access = "write"
@@ -56,6 +78,9 @@
 	role := "replica"
 	if atPrimary {
 		role = "primary"
+		m.atPrimary.Add(1)
+	} else {
+		m.atReplicas.Add(1)
 	}
 	m.reads.WithLabelValues(role).Inc()
 }
