Witness commits where no replica holds them

A deployment may have services whose commits wait for no replica (the configuration says how many do; today's say one). There a primary that was replaced goes on confirming writes to a VM that has not heard of it. TestSupersededPrimaryAcknowledgesNothing failed first: a seat was sold twice. A witness is asked after such a commit; without one it is in doubt.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endivemoor.example/endivemoor/platform/standin/database"
 	"endivemoor.example/endivemoor/platform/standin/world"
 	"endivemoor.example/endivemoor/takeover"
 )
@@ -279,3 +280,27 @@
 		f.world.Crash(service, "ledger-3")
 	})
 }
+
+// Replicas acknowledge nothing on this deployment, so that a primary which was
+// replaced goes on confirming writes to a VM that has not heard of it. What it
+// confirms there is on no log that counts, and the consumer must not be told
+// that it was sold.
+func TestSupersededPrimaryAcknowledgesNothing(t *testing.T) {
+	playOn(t, 3, database.Options{Asynchronous: true}, func(f *fleet) {
+		c, alone := f.session("vm0", exact), f.session("vm1", exact)
+		require.True(t, c.Query("WRITE seat free").OK())
+		require.True(t, alone.Query("WRITE other free").OK())
+		time.Sleep(time.Second)
+		f.isolate("vm1")
+		f.world.Net.Cut("vm0", "ledger-0")
+		f.world.Net.Cut("vm2", "ledger-0")
+		f.group.SetDeaf("ledger-0", true)
+		_, bought := buyUntil(f, c, 4*time.Second)
+		require.NotEmpty(t, bought)
+		require.NotEqual(t, "ledger-0", f.group.Leader())
+		a := alone.Query("WRITE seat lost")
+		if a.OK() {
+			require.Equal(t, []string{"lost"}, c.Query("READ seat").Rows)
+		}
+	})
+}
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -49,9 +49,15 @@
 
 // play runs a scenario with n VMs in a bubble of virtual time.
 func play(t *testing.T, n int, scenario func(f *fleet)) {
+	playOn(t, n, database.Options{}, scenario)
+}
+
+// playOn runs a scenario against targets of a kind.
+func playOn(t *testing.T, n int, opt database.Options, scenario func(f *fleet)) {
+	opt.Service, opt.Lag, opt.Work = service, 60*time.Millisecond, 5*time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm)}
-		f.group = f.world.AddGroup(database.Options{Service: service, Lag: 60 * time.Millisecond, Work: 5 * time.Millisecond}, zones...)
+		f.group = f.world.AddGroup(opt, zones...)
 		f.world.SetRoutes(standardRoutes()...)
 		for i := range n {
 			f.start(fmt.Sprintf("vm%d", i), zones[i%len(zones)], i+1)
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -63,9 +63,13 @@
 		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: writePatience})
 		switch v {
 		case done:
-			if a.Code == statement.OK {
-				s.remember(w.route.Service, a.Position)
+			if a.Code != statement.OK {
+				return a
 			}
+			if !s.stillLeads(ctx, g, b) {
+				return s.inDoubt(ctx, w, b.Primary)
+			}
+			s.remember(w.route.Service, a.Position)
 			return a
 		case lost:
 			return s.inDoubt(ctx, w, b.Primary)
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -219,6 +219,12 @@
 		if a.Code == statement.OK && tx.wrote {
 			tx.group.Acknowledged.Commit(before, a.Position)
 		}
+		if a.Code == statement.OK && tx.wrote && !s.stillLeads(ctx, tx.group, tx.belief) {
+			id := tx.conn.Target
+			s.abandon()
+			s.state = statement.Idle
+			return s.inDoubt(ctx, w, id)
+		}
 		return s.concludeCommit(tx, a, sent)
 	}
 }
