--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -18,14 +18,22 @@
 // calls instead of 770.
 func (e *Edge) waits(short time.Duration) func() time.Duration {
 	return func() time.Duration {
-		names := e.catalog.Load().Names()
-		if takeover.Turn(lookout, e.set.Node, names) < lookouts*takeover.TurnEvery || e.gossip.age(e.clk.Now()) > newsAge {
-			return short
+		if e.hearsEnough() {
+			return watchWait
 		}
-		return watchWait
+		return short
 	}
 }
 
+// hearsEnough reports whether this VM may leave it to others to look out for
+// the fleet. The fleet's own records are then not watched here at all: each VM
+// that joins would be told to every other by the store, and calls would grow
+// with the square of the fleet.
+func (e *Edge) hearsEnough() bool {
+	first := takeover.Turn(lookout, e.set.Node, e.catalog.Load().Names()) < lookouts*takeover.TurnEvery
+	return !first && e.gossip.age(e.clk.Now()) <= newsAge
+}
+
 const (
 	// lookout is what VMs are ranked by to look out for the fleet.
 	lookout = "store"
@@ -51,7 +59,7 @@
 	for _, w := range []*watch{
 		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), follower: &configFollower{edge: e}},
 		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), follower: newTargetFollower(e)},
-		{kind: kindFleet, wait: e.waits(fleetWait), follower: newFleetFollower(e)},
+		{kind: kindFleet, wait: e.waits(fleetWait), idle: e.hearsEnough, follower: newFleetFollower(e)},
 	} {
 		w.store, w.log = e.store, e.log
 		go w.run(ctx)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -50,7 +50,10 @@
 type watch struct {
 	kind string
 	// wait returns how long one call waits for news.
-	wait     func() time.Duration
+	wait func() time.Duration
+	// idle reports whether peers tell enough, so that nothing is watched once
+	// the kind was listed; nil never does.
+	idle     func() bool
 	store    *objects.Client
 	log      *zap.Logger
 	follower follower
@@ -62,6 +65,10 @@
 func (w *watch) run(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
+		if w.revision != 0 && w.idle != nil && w.idle() {
+			w.rest(ctx)
+			continue
+		}
 		err := w.step(ctx)
 		if err == nil {
 			w.note(nil)
@@ -75,6 +82,18 @@
 	}
 }
 
+// idleEvery is how often a watch that rests looks if it is needed.
+const idleEvery = 500 * time.Millisecond
+
+// rest waits until peers tell too little. The kind is then listed anew: what
+// peers told meanwhile is not in the follower's own books.
+func (w *watch) rest(ctx context.Context) {
+	for w.idle() && wait.For(ctx, idleEvery) {
+		continue
+	}
+	w.revision = 0
+}
+
 // note logs the loss of the store and its return, once each.
 func (w *watch) note(err error) {
 	if err == nil {
