Remove what nobody reads, and a check that stood twice

lane.Conn.opened and freshness.Board.Term were never read; Group.Status and Group.Order shared a third function; the check for a deadline's error stood in engine and edge.

--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/engine"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/line"
 	"endivemoor.example/endivemoor/statement"
 )
@@ -105,13 +106,13 @@
 			answer, expired = session.Expired(), false
 		case err == nil:
 			answer = session.Handle(context.Background(), &st)
-		case isTimeout(err) && s.closing.Load():
+		case wait.IsTimeout(err) && s.closing.Load():
 			if s.aborting.Load() && session.State() == statement.InTransaction {
 				session.Expire()
 				expired = true
 			}
 			continue
-		case isTimeout(err) && timeout > 0:
+		case wait.IsTimeout(err) && timeout > 0:
 			session.Expire()
 			expired = true
 			continue
@@ -138,11 +139,6 @@
 	return session.State() == statement.Idle || s.aborting.Load()
 }
 
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
-
 func (s *sessions) add(c *line.Consumer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -8,6 +8,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/statement"
@@ -177,7 +178,7 @@
 	tx.conn = nil
 	s.engine.failed(tx.group, id, false)
 	s.engine.cfg.Log.Info("transaction-broken", zap.String("request", w.st.ID), zap.String("target", string(id)),
-		zap.Bool("timeout", isTimeout(err)), zap.Error(err))
+		zap.Bool("timeout", wait.IsTimeout(err)), zap.Error(err))
 	return s.failStatement(refuse(statement.Aborted, 0, "the target did not answer; the transaction is rolled back", s.state))
 }
 
--- a/engine/try.go
+++ b/engine/try.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -163,9 +162,3 @@
 	}
 	return time.Until(d)
 }
-
-// isTimeout reports whether err is that of a deadline.
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -128,13 +128,6 @@
 	return term == b.term
 }
 
-// Term is the latest term that evidence was seen of.
-func (b *Board) Term() timeline.Term {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.term
-}
-
 // Floor returns the lowest position that proves an age of at most maxAge. The
 // oldest sample that is young enough is taken: replicas most likely hold it.
 func (b *Board) Floor(now clock.Time, maxAge time.Duration) (timeline.Position, bool) {
--- a/groups/group.go
+++ b/groups/group.go
@@ -114,15 +114,12 @@
 
 // Status asks a target for its account of itself.
 func (g *Group) Status(ctx context.Context, id target.ID, timeout time.Duration) (statement.Status, error) {
-	return g.order(ctx, id, lane.AskStatus, timeout)
+	return g.Order(ctx, id, lane.AskStatus, timeout)
 }
 
-// Order sends a target an order that is answered with its status.
+// Order sends a target a question or an order that is answered with its status,
+// and takes the answer over.
 func (g *Group) Order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
-	return g.order(ctx, id, ask, timeout)
-}
-
-func (g *Group) order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
 	sent := g.cfg.Clock.Now()
 	rows, err := g.cfg.Pool.Control(ctx, id, ask, timeout)
 	if lane.Answered(err) {
--- a/lane/conn.go
+++ b/lane/conn.go
@@ -24,7 +24,6 @@
 	prepared map[shape]string
 	named    int
 	idle     clock.Time
-	opened   clock.Time
 }
 
 // shape is a prepared statement's body: two sessions that prepare the same one
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -206,7 +206,7 @@
 	l.down = 0
 	l.open++
 	l.inUse++
-	l.hand(&Conn{Link: link, Target: l.id, lane: l, opened: now})
+	l.hand(&Conn{Link: link, Target: l.id, lane: l})
 }
 
 // dialFailed lets the requests that wait go elsewhere, if no connection is
@@ -343,5 +343,5 @@
 	}
 	l.open++
 	l.inUse++
-	return &Conn{Link: link, Target: l.id, lane: l, opened: l.clk.Now()}, nil
+	return &Conn{Link: link, Target: l.id, lane: l}, nil
 }
