Acknowledge by permission; pause replicas that join; end a leaving primary's work

Its primary confirmed what had waited by the new replica's receipt, which the attempt had not paused, and another target was promoted. Change: an attempt first ends all VMs' permissions, then lists the targets anew and pauses those that joined; a commit is acknowledged only under a permission, or with a witness asked after it, and nothing is sent to a primary that is being replaced; a leaving target gets no work after 0.8 of the deployment's bound. TestReplicaThatJoinsDuringAnAttempt failed first (3 commits lost). Ruled out: a bound of what was acknowledged alone (it is a lower bound, and was met).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -130,7 +130,7 @@
 	e.gossip = newGossiper(e)
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
-		Eligible: e.gossip.eligible, Log: log,
+		Eligible: e.gossip.eligible, LeaveAfter: leaveAfter(set), Log: log,
 	})
 	e.counts = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
@@ -147,6 +147,14 @@
 	return e
 }
 
+// leavePart is the part of the deployment's bound for which a leaving target may
+// still be given work: the rest is for a word that came late, and for the way.
+const leavePart = 0.8
+
+func leaveAfter(set *boot.Settings) time.Duration {
+	return time.Duration(float64(set.Bounds.DrainMS)*leavePart) * time.Millisecond
+}
+
 // dialer opens links to a target.
 func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
 	return func(ctx context.Context) (lane.Link, error) {
--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -304,3 +305,52 @@
 		}
 	})
 }
+
+// One VM cannot reach the primary and begins to replace it; the primary itself
+// is well, and others go on selling. A new replica joins in that moment. The
+// attempt has not paused it, so that it receives, and the primary confirms what
+// no candidate holds. Either that is not acknowledged, or nobody is promoted.
+func TestReplicaThatJoinsDuringAnAttempt(t *testing.T) {
+	for _, after := range []time.Duration{0, 20, 60, 150, 250} {
+		play(t, 3, func(f *fleet) {
+			c, cut := f.session("vm0", exact), f.session("vm1", exact)
+			require.True(t, cut.Query("WRITE a 1").OK())
+			f.world.Net.Cut("vm1", "ledger-0")
+			go buyUntil(f, cut, 3*time.Second)
+			go func() {
+				for {
+					if o, ok := f.world.Store.Get("endivemoor", "reign."+service); ok && strings.Contains(string(o.Spec), "nonce") {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(after * time.Millisecond)
+				f.world.AddServer(service, "ledger-3", "a")
+			}()
+			_, bought := buyUntil(f, c, 4*time.Second)
+			require.NotEmpty(t, bought)
+			time.Sleep(2 * time.Second)
+			f.fair()
+			requireAll(f, f.session("vm2", exact), bought)
+			f.world.Crash(service, "ledger-3")
+		})
+	}
+}
+
+// The primary leaves and cannot be replaced, for its replicas receive nothing.
+// It still answers, but a few seconds after its word it must get no more work:
+// it may be gone with what it is given.
+func TestLeavingPrimaryGetsNoWorkForLong(t *testing.T) {
+	play(t, 1, func(f *fleet) {
+		c := f.session("vm0", exact)
+		f.group.SetDeaf("ledger-2", true)
+		require.True(t, c.Query("WRITE a 1").OK())
+		f.world.Crash(service, "ledger-1")
+		f.world.Store.Remove("servers", "ledger-1")
+		time.Sleep(4 * time.Second)
+		f.world.Drain(service, "ledger-0")
+		time.Sleep(6800 * time.Millisecond)
+		require.Equal(t, "BUSY", c.Query("READ a").Code)
+		require.Equal(t, "BUSY", c.Query("WRITE a 2").Code)
+	})
+}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -14,6 +14,8 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip"
+	"endivemoor.example/endivemoor/platform/published"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -68,9 +70,9 @@
 }
 
 // Revoke implements gossip.Source.
-func (g *gossiper) Revoke(service string, revision int64) timeline.Position {
+func (g *gossiper) Revoke(service string, revision int64, deposed target.ID) timeline.Position {
 	group := g.edge.groups.Group(service)
-	group.Revoke(revision)
+	group.Revoke(revision, deposed)
 	return group.Acknowledged.Bound()
 }
 
@@ -214,7 +216,8 @@
 		g.edge.log.Info("fleet-unlisted", zap.String("service", held.Service), zap.Error(err))
 		return false
 	}
-	g.Revoke(held.Service, held.Revision)
+	deposed := held.Attempt.Deposed
+	g.Revoke(held.Service, held.Revision, deposed)
 	answers := make(chan bool, len(vms))
 	for _, vm := range vms {
 		if vm.ID == g.edge.set.Node {
@@ -222,7 +225,7 @@
 			continue
 		}
 		go func() {
-			acknowledged, err := g.clients.Revoke(ctx, vm.Peer, held.Service, held.Revision)
+			acknowledged, err := g.clients.Revoke(ctx, vm.Peer, held.Service, held.Revision, deposed)
 			if err != nil {
 				g.edge.log.Info("permission-unanswered", zap.String("service", held.Service), zap.String("peer", vm.ID), zap.Error(err))
 			}
@@ -237,6 +240,30 @@
 	return all
 }
 
+// ListTargets implements promoter.Fleet.
+func (g *gossiper) ListTargets(ctx context.Context, service string) ([]target.ID, error) {
+	var out []target.ID
+	for after := ""; ; {
+		p, err := g.edge.store.List(ctx, kindTargets, after, false)
+		if err != nil {
+			return nil, err
+		}
+		for i := range p.Items {
+			t, err := published.Target(&p.Items[i])
+			if err != nil {
+				return nil, err
+			}
+			if t.Service == service {
+				out = append(out, t.ID)
+			}
+		}
+		if !p.More || len(p.Items) == 0 {
+			return out, nil
+		}
+		after = p.Items[len(p.Items)-1].Meta.Name
+	}
+}
+
 // sweepAfter is how long a VM must not have answered before its entry is taken
 // away: far longer than storeAge, after which it holds no permission.
 const sweepAfter = time.Minute
--- a/engine/confirm.go
+++ b/engine/confirm.go
@@ -10,23 +10,31 @@
 )
 
 // stillLeads reports whether a commit that the primary has answered may be
-// acknowledged.
+// acknowledged: a witness was asked so shortly ago, or is asked now, that no
+// attempt to replace the primary can have got past its fences before the commit.
 //
-// Failure guarded against: a write confirmed by a primary that was replaced. On
-// a service whose commits wait for a replica it cannot happen: all replicas are
-// paused before another target leads. Where they wait for none, the old primary
-// goes on confirming to a VM that has not heard of its successor. So a witness is
-// asked there, after the commit: if no promotion has begun by then, the commit
-// came before it.
+// Failure guarded against: a write confirmed by a primary that is being
+// replaced. Its replicas are paused and it can confirm nothing, unless a new
+// replica joins that the attempt has not paused, or its commits wait for no
+// replica. It shows as a purchase that was confirmed and is on no log that
+// counts. It holds because an attempt ends all permissions before it looks for
+// new replicas, and waits out those of VMs that do not answer.
 func (s *Session) stillLeads(ctx context.Context, g *groups.Group, b leadership.Belief) bool {
-	service := s.engine.cfg.Catalog.Load().Service(g.Service)
-	if service == nil || service.SyncReplicas > 0 {
+	if g.Deposing(b.Primary) {
+		s.unwitnessed(g, b, groups.ErrSuperseded)
+		return false
+	}
+	if g.Permitted(b, s.engine.cfg.Clock.Now()) {
 		return true
 	}
 	err := g.Witness(ctx, b, 0)
 	if err != nil {
-		s.engine.cfg.Log.Info("commit-unwitnessed", zap.String("service", g.Service),
-			zap.String("primary", string(b.Primary)), zap.Uint64("term", uint64(b.Term)), zap.Error(err))
+		s.unwitnessed(g, b, err)
 	}
-	return err == nil
+	return err == nil && !g.Deposing(b.Primary)
+}
+
+func (s *Session) unwitnessed(g *groups.Group, b leadership.Belief, err error) {
+	s.engine.cfg.Log.Info("commit-unwitnessed", zap.String("service", g.Service),
+		zap.String("primary", string(b.Primary)), zap.Uint64("term", uint64(b.Term)), zap.Error(err))
 }
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -96,8 +97,8 @@
 
 // Revoke asks a peer to give up its permission for a service. It returns the
 // position that the new primary must hold, as far as the peer knows.
-func (c *Clients) Revoke(ctx context.Context, addr, service string, revision int64) (timeline.Position, error) {
-	out, err := c.client(addr).Revoke(ctx, &gossippb.RevokeRequest{Service: service, Revision: revision})
+func (c *Clients) Revoke(ctx context.Context, addr, service string, revision int64, deposed target.ID) (timeline.Position, error) {
+	out, err := c.client(addr).Revoke(ctx, &gossippb.RevokeRequest{Service: service, Revision: revision, Deposed: string(deposed)})
 	if err != nil {
 		return timeline.Position{}, errors.Wrapf(err, "revoke at %s", addr)
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -28,7 +28,7 @@
 }
 
 func (s *source) Know() Knowledge { return s.known }
-func (s *source) Revoke(service string, r int64) timeline.Position {
+func (s *source) Revoke(service string, r int64, _ target.ID) timeline.Position {
 	s.revoked[service] = r
 	return timeline.Position{Term: 3, LSN: 9}
 }
@@ -88,7 +88,7 @@
 
 func TestRevokeAndSilence(t *testing.T) {
 	s, c, addr := start(t, Knowledge{Catalog: full()}, &manual{}, &manual{})
-	acknowledged, err := c.Revoke(context.Background(), addr, "s", 30)
+	acknowledged, err := c.Revoke(context.Background(), addr, "s", 30, "a")
 	require.NoError(t, err)
 	require.Equal(t, timeline.Position{Term: 3, LSN: 9}, acknowledged)
 	require.EqualValues(t, 30, s.revoked["s"])
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -10,6 +10,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -31,7 +32,7 @@
 	Know() Knowledge
 	// Revoke ends this VM's permission for a service, and returns the position
 	// that the new primary must hold.
-	Revoke(service string, revision int64) timeline.Position
+	Revoke(service string, revision int64, deposed target.ID) timeline.Position
 }
 
 // Server answers peers.
@@ -73,6 +74,6 @@
 
 // Revoke implements gossippb.Gossip.
 func (s *Server) Revoke(_ context.Context, in *gossippb.RevokeRequest) (*gossippb.RevokeReply, error) {
-	p := s.source.Revoke(in.GetService(), in.GetRevision())
+	p := s.source.Revoke(in.GetService(), in.GetRevision(), target.ID(in.GetDeposed()))
 	return &gossippb.RevokeReply{AcknowledgedTerm: uint64(p.Term), AcknowledgedNumber: uint64(p.LSN)}, nil
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -47,8 +47,10 @@
 	absent     clock.Time // since when nobody is believed to lead
 	discovered clock.Time
 	refreshing chan struct{}
-	revoked    int64      // the attempt for which the permission was given up
-	revokedAt  clock.Time // when it was
+	revoked    int64                    // the attempt for which the permission was given up
+	revokedAt  clock.Time               // when it was
+	deposed    target.ID                // the primary that the attempt replaces
+	leaving    map[target.ID]clock.Time // since when a target is known to leave
 }
 
 func newGroup(service string, cfg *Config) *Group {
@@ -73,10 +75,40 @@
 }
 
 func (g *Group) listed(targets []*catalog.Target, reign *catalog.Reign) {
+	g.noteLeaving(targets)
 	g.Leadership.Listed(targets, reign)
 	g.noteBelief()
 }
 
+// noteLeaving keeps since when each target is known to leave.
+func (g *Group) noteLeaving(targets []*catalog.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leaving := make(map[target.ID]clock.Time)
+	for _, t := range targets {
+		if !t.Draining {
+			continue
+		}
+		leaving[t.ID] = g.leaving[t.ID]
+		if leaving[t.ID] == 0 {
+			leaving[t.ID] = g.cfg.Clock.Now()
+		}
+	}
+	g.leaving = leaving
+}
+
+// MayWork reports whether a target may still be given work.
+//
+// Failure guarded against: a primary that leaves and cannot be replaced goes on
+// getting work until it is gone with it. Its consumers are refused instead once
+// the time has passed in which a leaving target may still be used.
+func (g *Group) MayWork(id target.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	since := g.leaving[id]
+	return since == 0 || g.cfg.LeaveAfter <= 0 || g.cfg.Clock.Now().Sub(since) < g.cfg.LeaveAfter
+}
+
 // noteBelief wakes those who wait for a primary when the belief changes.
 func (g *Group) noteBelief() {
 	g.mu.Lock()
@@ -160,7 +192,7 @@
 		changed := g.changed
 		g.mu.Unlock()
 		b := g.Leadership.Believed()
-		if b.Primary != "" && b.Term != 0 {
+		if b.Primary != "" && b.Term != 0 && !g.Deposing(b.Primary) && g.MayWork(b.Primary) {
 			return b, nil
 		}
 		g.discoverSoon()
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -42,7 +43,10 @@
 	// Eligible reports whether this VM is surely on the list by which the holder
 	// of an attempt asks VMs to give up their permissions.
 	Eligible func() bool
-	Log      *zap.Logger
+	// LeaveAfter is how long a target that leaves may still be given work; zero
+	// is for ever.
+	LeaveAfter time.Duration
+	Log        *zap.Logger
 }
 
 // Registry holds the groups of all services. It is safe for concurrent use.
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -80,15 +80,27 @@
 	return g.revoked != 0 && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
 }
 
-// Revoke gives up this VM's permission for the attempt of a revision.
-func (g *Group) Revoke(revision int64) {
+// Revoke gives up this VM's permission for the attempt of a revision, which is
+// to replace a primary.
+func (g *Group) Revoke(revision int64, deposed target.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if revision > g.revoked {
-		g.revoked, g.revokedAt = revision, g.cfg.Clock.Now()
+		g.revoked, g.revokedAt, g.deposed = revision, g.cfg.Clock.Now(), deposed
 	}
 }
 
+// Deposing reports whether a primary is being replaced, as this VM was told by
+// the holder of the attempt. Nothing new is sent to it meanwhile, and nothing
+// that it confirms is acknowledged.
+func (g *Group) Deposing(id target.ID) bool {
+	r := g.cfg.Catalog.Load().Reigns[g.Service]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ended := r != nil && r.Attempt == nil && r.Revision > g.revoked
+	return id != "" && id == g.deposed && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
+}
+
 // witnessByRecord is the store's word for Witness.
 func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
 	asked := g.cfg.Clock.Now()
--- a/peer/peerpb/peer.twirp.go
+++ b/peer/peerpb/peer.twirp.go
@@ -3,36 +3,23 @@
 
 package peerpb
 
-import (
-	context "context"
-	fmt "fmt"
-
-	http "net/http"
-
-	io "io"
-
-	json "encoding/json"
-
-	strconv "strconv"
-
-	strings "strings"
-
-	protojson "google.golang.org/protobuf/encoding/protojson"
-
-	proto "google.golang.org/protobuf/proto"
-
-	twirp "github.com/twitchtv/twirp"
-
-	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-	bytes "bytes"
-
-	errors "errors"
-
-	path "path"
-
-	url "net/url"
-)
+import context "context"
+import fmt "fmt"
+import http "net/http"
+import io "io"
+import json "encoding/json"
+import strconv "strconv"
+import strings "strings"
+
+import protojson "google.golang.org/protobuf/encoding/protojson"
+import proto "google.golang.org/protobuf/proto"
+import twirp "github.com/twitchtv/twirp"
+import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+import bytes "bytes"
+import errors "errors"
+import path "path"
+import url "net/url"
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -124,13 +124,21 @@
 		return "", err
 	}
 	fencedAt := a.p.cfg.Clock.Now()
-	chosen, err := takeover.Choose(fenced, end)
+	all := <-revoked
+	joined, err := a.pauseJoined(ctx)
 	if err != nil {
 		return "", err
 	}
-	if !<-revoked {
+	if len(joined) > 0 {
+		fencedAt = a.p.cfg.Clock.Now()
+	}
+	if !all {
 		a.waitOut(fencedAt)
 	}
+	chosen, err := takeover.Choose(append(fenced, joined...), end)
+	if err != nil {
+		return "", err
+	}
 	// All VMs have told by now what they know to be acknowledged.
 	if chosen.Received.Less(a.g.Acknowledged.Bound()) {
 		return "", errLacking
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/takeover"
@@ -74,13 +76,39 @@
 // that does not may be the only holder of an acknowledged commit, or the one
 // that still vouches for the old primary.
 func (a *attempt) pause(ctx context.Context) ([]takeover.Fenced, error) {
-	answers := make([]told, len(a.others))
-	var wait sync.WaitGroup
+	ids := make([]target.ID, len(a.others))
 	for i, t := range a.others {
+		ids[i] = t.ID
+	}
+	return a.pauseAll(ctx, ids)
+}
+
+// pauseJoined pauses the targets that have joined since the attempt began. It
+// is due once all VMs have given up their permissions: what the old primary
+// confirms from then on by the help of a newer one is acknowledged to nobody.
+func (a *attempt) pauseJoined(ctx context.Context) ([]takeover.Fenced, error) {
+	now, err := a.p.cfg.Fleet.ListTargets(ctx, a.g.Service)
+	if err != nil {
+		return nil, errors.WithMessage(err, "list targets")
+	}
+	var joined []target.ID
+	for _, id := range now {
+		known := slices.ContainsFunc(a.others, func(t *catalog.Target) bool { return t.ID == id })
+		if !known && id != a.old {
+			joined = append(joined, id)
+		}
+	}
+	return a.pauseAll(ctx, joined)
+}
+
+func (a *attempt) pauseAll(ctx context.Context, ids []target.ID) ([]takeover.Fenced, error) {
+	answers := make([]told, len(ids))
+	var wait sync.WaitGroup
+	for i, id := range ids {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			answers[i] = a.pauseOne(ctx, t.ID)
+			answers[i] = a.pauseOne(ctx, id)
 		}()
 	}
 	wait.Wait()
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -31,9 +31,10 @@
 	Promote(ctx context.Context, holder string, token int64, service string, id target.ID) error
 }
 
-// Revoker ends the permissions of the fleet's VMs to take a primary for
-// unchanged.
-type Revoker interface {
+// Fleet is what the other VMs and the store are asked for by an attempt.
+type Fleet interface {
+	// ListTargets returns the service's targets as the store has them now.
+	ListTargets(ctx context.Context, service string) ([]target.ID, error)
 	// RevokeAll reports whether every VM on the fleet's list has given up its
 	// permission. The list is read from the store after the attempt was
 	// recorded there.
@@ -48,7 +49,7 @@
 	Groups   *groups.Registry
 	Records  Records
 	Platform Designator
-	Fleet    Revoker
+	Fleet    Fleet
 	Clock    clock.Clock
 	Log      *zap.Logger
 	// Nonce returns a new name for an attempt.
