Let no primary step down for a successor that does not keep up

A leaving primary was made to step down before it was known if a target that stays holds its log; with deaf replicas the service then had no primary, and the attempt was repeated (seen in TestLeavingPrimaryGetsNoWorkForLong, which was green without its guard for that reason). Now a target that stays must first reach what the primary held when it was asked.

--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -33,10 +33,14 @@
 	if a.g.Leadership.Believed().Primary != a.old {
 		return errSuperseded
 	}
-	if a.reason != takeover.ReasonStalled {
+	switch a.reason {
+	case takeover.ReasonLeaving:
+		return a.keepsUp(ctx)
+	case takeover.ReasonStalled:
+		return a.confirmStall(ctx)
+	default:
 		return nil
 	}
-	return a.confirmStall(ctx)
 }
 
 // enough is how many other targets are needed. A planned change knows where
@@ -48,6 +52,35 @@
 	return takeover.Enough
 }
 
+// keepsUp reports whether a target that stays receives what the leaving primary
+// commits. Otherwise it would be made to step down for a successor that cannot
+// take over, and the service would have no primary at all.
+func (a *attempt) keepsUp(ctx context.Context) error {
+	start, err := a.g.Status(ctx, a.old, askTimeout)
+	if err != nil {
+		return err
+	}
+	deadline := a.p.cfg.Clock.Now().Add(catchUp)
+	for a.p.cfg.Clock.Now().Before(deadline) {
+		if a.holds(ctx, start.Received) {
+			return nil
+		}
+		time.Sleep(pollEvery)
+	}
+	return errLacking
+}
+
+// holds reports whether a target that stays has received a position.
+func (a *attempt) holds(ctx context.Context, end timeline.Position) bool {
+	for _, s := range a.all(ctx, a.others, lane.AskStatus) {
+		t := a.p.cfg.Catalog.Load().Targets[s.id]
+		if s.err == nil && t != nil && !t.Draining && !s.status.Received.Less(end) {
+			return true
+		}
+	}
+	return false
+}
+
 // confirmStall tells a primary that cannot replicate from one that is merely
 // slow: its log is ahead of every replica's, and none comes nearer.
 func (a *attempt) confirmStall(ctx context.Context) error {
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -62,11 +62,8 @@
 func (a *attempt) awaitHolder(ctx context.Context, end timeline.Position) {
 	deadline := a.p.cfg.Clock.Now().Add(catchUp)
 	for a.p.cfg.Clock.Now().Before(deadline) {
-		for _, s := range a.all(ctx, a.others, lane.AskStatus) {
-			t := a.p.cfg.Catalog.Load().Targets[s.id]
-			if s.err == nil && t != nil && !t.Draining && !s.status.Received.Less(end) {
-				return
-			}
+		if a.holds(ctx, end) {
+			return
 		}
 		time.Sleep(pollEvery)
 	}
