Share the paging of lists and the wait for a holder of the log

Four places (the fleet's entries, the targets of a service, a watch's first list, the store client's list) each had their own loop over the pages of a list, with the same end and the same rule for the next page. The promoter had two loops that poll until a target which stays has received a position.

Change: objects.EachPage serves the four lists; awaitHolder now says whether a target has received the position, and keepsUp calls it. The behaviour stays: the client still turns a failed page, and only that, into its own error, and awaitHolder's other caller goes on as before when nobody holds the log.

Left as it is: pauseAll and all in the promoter also share the fan-out to several targets, six lines each. The two ask different questions of different lists; not mended here.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -91,11 +91,8 @@
 // listVMs reads the fleet's list from the store.
 func (e *Edge) listVMs(ctx context.Context) ([]catalog.VM, error) {
 	var out []catalog.VM
-	for after := ""; ; {
-		p, err := e.store.List(ctx, kindFleet, after, false)
-		if err != nil {
-			return nil, err
-		}
+	list := func(after string) (*objects.Page, error) { return e.store.List(ctx, kindFleet, after, false) }
+	err := objects.EachPage(list, func(p *objects.Page) error {
 		for i := range p.Items {
 			node, ok := strings.CutPrefix(p.Items[i].Meta.Name, prefixVM)
 			if !ok {
@@ -103,15 +100,16 @@
 			}
 			vm, err := decodeVM(node, &p.Items[i])
 			if err != nil {
-				return nil, err
+				return err
 			}
 			out = append(out, vm)
 		}
-		if !p.More || len(p.Items) == 0 {
-			return out, nil
-		}
-		after = p.Items[len(p.Items)-1].Meta.Name
+		return nil
+	})
+	if err != nil {
+		return nil, err
 	}
+	return out, nil
 }
 
 // leave takes this VM's entry away.
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip"
+	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/platform/published"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -207,7 +208,7 @@
 	g.noteStore(n.Store)
 }
 
-// RevokeAll implements promoter.Revoker. The list is read anew, so that no VM
+// RevokeAll implements promoter.Fleet. The list is read anew, so that no VM
 // is missed that joined before the attempt was recorded; one that joins later
 // sees the attempt before it sees itself on the list.
 func (g *gossiper) RevokeAll(ctx context.Context, held *catalog.Reign) bool {
@@ -243,25 +244,23 @@
 // ListTargets implements promoter.Fleet.
 func (g *gossiper) ListTargets(ctx context.Context, service string) ([]target.ID, error) {
 	var out []target.ID
-	for after := ""; ; {
-		p, err := g.edge.store.List(ctx, kindTargets, after, false)
-		if err != nil {
-			return nil, err
-		}
+	list := func(after string) (*objects.Page, error) { return g.edge.store.List(ctx, kindTargets, after, false) }
+	err := objects.EachPage(list, func(p *objects.Page) error {
 		for i := range p.Items {
 			t, err := published.Target(&p.Items[i])
 			if err != nil {
-				return nil, err
+				return err
 			}
 			if t.Service == service {
 				out = append(out, t.ID)
 			}
 		}
-		if !p.More || len(p.Items) == 0 {
-			return out, nil
-		}
-		after = p.Items[len(p.Items)-1].Meta.Name
+		return nil
+	})
+	if err != nil {
+		return nil, err
 	}
+	return out, nil
 }
 
 // sweepAfter is how long a VM must not have answered before its entry is taken
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -141,22 +141,19 @@
 // page: what changes while further pages are read is then told again.
 func (w *watch) list(ctx context.Context) error {
 	items := make(map[string]*objects.Object)
-	after, first := "", int64(0)
-	for {
-		p, err := w.page(ctx, after)
-		if err != nil {
-			return err
-		}
+	first := int64(0)
+	list := func(after string) (*objects.Page, error) { return w.page(ctx, after) }
+	err := objects.EachPage(list, func(p *objects.Page) error {
 		if first == 0 {
 			first = p.Revision
 		}
 		for i := range p.Items {
 			items[p.Items[i].Meta.Name] = &p.Items[i]
 		}
-		if !p.More || len(p.Items) == 0 {
-			break
-		}
-		after = p.Items[len(p.Items)-1].Meta.Name
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	w.follower.replace(items)
 	w.revision = first
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -60,14 +60,10 @@
 	if err != nil {
 		return err
 	}
-	deadline := a.p.cfg.Clock.Now().Add(catchUp)
-	for a.p.cfg.Clock.Now().Before(deadline) {
-		if a.holds(ctx, start.Received) {
-			return nil
-		}
-		time.Sleep(pollEvery)
+	if !a.awaitHolder(ctx, start.Received) {
+		return errLacking
 	}
-	return errLacking
+	return nil
 }
 
 // holds reports whether a target that stays has received a position.
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -57,16 +57,17 @@
 	return &s.Received, nil
 }
 
-// awaitHolder waits until a target that stays holds the old primary's whole
-// log.
-func (a *attempt) awaitHolder(ctx context.Context, end timeline.Position) {
+// awaitHolder waits up to catchUp until a target that stays has received the
+// old primary's log as far as end, and reports whether one has.
+func (a *attempt) awaitHolder(ctx context.Context, end timeline.Position) bool {
 	deadline := a.p.cfg.Clock.Now().Add(catchUp)
 	for a.p.cfg.Clock.Now().Before(deadline) {
 		if a.holds(ctx, end) {
-			return
+			return true
 		}
 		time.Sleep(pollEvery)
 	}
+	return false
 }
 
 // pause stops every other target from receiving. All of them must answer: one
--- a/store/client/client.go
+++ b/store/client/client.go
@@ -97,28 +97,32 @@
 
 func (c *Client) list(ctx context.Context, p store.Purpose, prefix string) (out []store.Object, revision int64, err error) {
 	kind, _ := SplitKey(prefix)
-	for after := ""; ; {
+	next := func(after string) (*objects.Page, error) {
 		page, err := c.page(ctx, p, kind, after)
 		if err != nil {
-			return nil, 0, readError(err)
+			return nil, readError(err)
 		}
+		return page, nil
+	}
+	err = objects.EachPage(next, func(page *objects.Page) error {
 		if revision == 0 {
 			revision = page.Revision
 		}
 		for i := range page.Items {
 			o, err := valueOf(kind, &page.Items[i])
 			if err != nil {
-				return nil, 0, err
+				return err
 			}
 			if strings.HasPrefix(o.Key, prefix) {
 				out = append(out, o)
 			}
 		}
-		if !page.More || len(page.Items) == 0 {
-			return out, revision, nil
-		}
-		after = page.Items[len(page.Items)-1].Meta.Name
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
 	}
+	return out, revision, nil
 }
 
 func (c *Client) page(ctx context.Context, p store.Purpose, kind, after string) (*objects.Page, error) {
