Carry statements to targets behind one interface

Cause: the session engine held connections itself, so that no other way to a target could be put in its place, and the accounts that every answer feeds (does the target live, how far has its log come) were kept in three places. Change: package dispatch has the Runner and its Local form; the engine decides what is sent and what an outcome means. Behaviour is meant to stay; the tests of edge, lane and groups pass unchanged.

--- /dev/null
+++ b/dispatch/local.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+const (
+	// minAnswer is the least time that an answer is waited for.
+	minAnswer = time.Millisecond
+	// rollbackTimeout bounds what ends a transaction that its consumer has left.
+	rollbackTimeout = time.Second
+)
+
+// Local runs statements over this VM's own connections.
+type Local struct {
+	Pool   *lane.Pool
+	Groups *groups.Registry
+	Clock  clock.Clock
+}
+
+var _ Runner = (*Local)(nil)
+
+// Load implements Runner.
+func (l *Local) Load(id target.ID) lane.Load { return l.Pool.Load(id) }
+
+// Run implements Runner.
+func (l *Local) Run(ctx context.Context, id target.ID, claim Claim, job *Job) (*Result, error) {
+	g := l.Groups.Group(job.Service)
+	c, err := l.acquire(ctx, g, id, claim)
+	if err != nil {
+		return nil, err
+	}
+	r, err := l.run(ctx, g, c, job)
+	if err != nil {
+		c.Discard()
+		return nil, err
+	}
+	Note(g, g.Leadership.Believed(), id, r)
+	if r.Answer.State != statement.Idle {
+		c.Discard()
+		r.Answer.State = statement.Idle
+		return r, nil
+	}
+	c.Release()
+	return r, nil
+}
+
+func (l *Local) acquire(ctx context.Context, g *groups.Group, id target.ID, claim Claim) (*lane.Conn, error) {
+	c, err := l.Pool.Acquire(ctx, id, claim.Order, claim.Queue)
+	if err != nil && Silent(err) {
+		g.Health.Failed(id, l.Clock.Now(), lane.Refused(err))
+	}
+	return c, err
+}
+
+// Silent reports whether an error of getting a connection shows that the target
+// did not answer: neither its own refusal nor the end of a wait does.
+func Silent(err error) bool {
+	var u *lane.UnavailableError
+	return !errors.As(err, &u) || (!u.Expired && u.Code == statement.OK)
+}
+
+// run makes the connection fit the session, sends the statement and waits for
+// the whole answer.
+func (l *Local) run(ctx context.Context, g *groups.Group, c *lane.Conn, job *Job) (*Result, error) {
+	id := c.Target
+	name, _, err := c.Setup(job.Values, job.Prepared, nil)
+	if err != nil {
+		g.Health.Failed(id, l.Clock.Now(), lane.Refused(err))
+		return nil, &SetupError{Cause: err}
+	}
+	sent := l.Clock.Now()
+	before := g.Acknowledged.Before()
+	ended := g.Health.Sent(id, sent, job.Commits)
+	a, err := exchange(ctx, c, job, name)
+	now := l.Clock.Now()
+	ended(now, err == nil)
+	if err != nil {
+		g.Health.Failed(id, now, false)
+		return nil, &LostError{Cause: err}
+	}
+	if job.Commits && a.Code == statement.OK {
+		g.Acknowledged.Commit(before, a.Position)
+	}
+	return &Result{Answer: a, Sent: sent, Took: now.Sub(sent)}, nil
+}
+
+func exchange(ctx context.Context, c *lane.Conn, job *Job, name string) (*statement.Answer, error) {
+	if job.Prepared != nil {
+		c.QueueExecute(job.Statement, job.After, name)
+	} else {
+		c.Queue(job.Statement, job.After)
+	}
+	timeout := max(min(job.Answer, left(ctx, job.Answer)), minAnswer)
+	if err := c.Flush(timeout); err != nil {
+		return nil, err
+	}
+	return c.Receive(timeout)
+}
+
+// left is the time until the context's deadline; most if it has none.
+func left(ctx context.Context, most time.Duration) time.Duration {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return most
+	}
+	return time.Until(d)
+}
+
+// Note turns what an answer shows into evidence: where the target's log stands,
+// or that it does not lead.
+func Note(g *groups.Group, b leadership.Belief, id target.ID, r *Result) {
+	switch r.Answer.Code {
+	case statement.ReadOnly:
+		g.Refused(id)
+	case statement.OK:
+		notePosition(g, b, id, r.Sent, r.Answer.Position)
+	}
+}
+
+func notePosition(g *groups.Group, b leadership.Belief, id target.ID, sent clock.Time, p timeline.Position) {
+	switch {
+	case b.Primary == id && b.Term != 0:
+		g.Acknowledged.Told(p)
+		g.Freshness.Sample(b.Term, id, sent, p)
+	case b.Primary != id:
+		g.Freshness.Seen(id, p)
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/boottime"
+	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/engine"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
@@ -63,6 +64,7 @@
 	store       *objects.Client
 	duty        *duty.Client
 	pool        *lane.Pool
+	local       *dispatch.Local
 	groups      *groups.Registry
 	placing     *placing.Board
 	counts      *engine.Metrics
@@ -132,9 +134,10 @@
 		Catalog: e.catalog, Pool: e.pool, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
 		Eligible: e.gossip.eligible, LeaveAfter: leaveAfter(set), Log: log,
 	})
+	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	e.counts = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
-		Catalog: e.catalog, Groups: e.groups, Pool: e.pool, Placing: e.placing, Clock: e.clk,
+		Catalog: e.catalog, Groups: e.groups, Runner: e.local, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.counts, Zone: set.Zone,
 	})
 	e.fleet = &fleet{edge: e}
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -60,7 +60,7 @@
 		if err != nil {
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
-		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: writePatience})
+		a, v := s.try(ctx, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: writePatience})
 		switch v {
 		case done:
 			if a.Code != statement.OK {
@@ -71,7 +71,7 @@
 			}
 			s.remember(w.route.Service, a.Position)
 			return a
-		case lost:
+		case lostAnswer:
 			return s.inDoubt(ctx, w, b.Primary)
 		case unsent, again:
 			if !s.pause(ctx, w) {
@@ -100,7 +100,7 @@
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
 		proof := s.prove(ctx, g, b, w.arrived)
-		a, v := s.try(ctx, g, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: s.patience(b.Primary)})
+		a, v := s.try(ctx, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: s.patience(b.Primary)})
 		if v == done && a.Code != statement.OK {
 			return a
 		}
@@ -147,7 +147,7 @@
 		if !alone {
 			most.queue = min(most.queue, most.answer)
 		}
-		a, v := s.try(ctx, g, id, w, after, most)
+		a, v := s.try(ctx, id, w, after, most)
 		if v == done {
 			s.engine.cfg.Metrics.placed(w.route, g.Leadership.Believed().Primary == id)
 			return a
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -5,8 +5,8 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/groups"
-	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/placing"
 	"endivemoor.example/endivemoor/target"
 )
@@ -15,7 +15,8 @@
 type Config struct {
 	Catalog *catalog.Holder
 	Groups  *groups.Registry
-	Pool    *lane.Pool
+	// Runner carries statements to targets.
+	Runner  dispatch.Runner
 	Placing *placing.Board
 	Clock   clock.Clock
 	Log     *zap.Logger
@@ -43,9 +44,10 @@
 // near reports whether a target is in this VM's availability zone.
 func (e *Engine) near(t *catalog.Target) bool { return t.Zone == e.cfg.Zone }
 
-// failed records that a target did not answer.
-func (e *Engine) failed(g *groups.Group, id target.ID, refused bool) {
-	now := e.cfg.Clock.Now()
-	e.cfg.Placing.Failed(id, now)
-	g.Health.Failed(id, now, refused)
+// blame records that a target did not answer, unless a gateway on the way to it
+// is to blame.
+func (e *Engine) blame(id target.ID, lost *dispatch.LostError) {
+	if lost.Gateway == "" {
+		e.cfg.Placing.Failed(id, e.cfg.Clock.Now())
+	}
 }
--- a/engine/place.go
+++ b/engine/place.go
@@ -16,7 +16,7 @@
 		if t.Draining || tried[t.ID] {
 			continue
 		}
-		load := s.engine.cfg.Pool.Load(t.ID)
+		load := s.engine.cfg.Runner.Load(t.ID)
 		candidates = append(candidates, placing.Candidate{
 			ID: t.ID, Near: s.engine.near(t), Primary: t.ID == primary,
 			Down: load.Down, Waiting: load.InUse + load.Queued,
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
@@ -24,8 +26,8 @@
 	// began is when its first byte arrived: its reads must see what had been
 	// acknowledged by then.
 	began clock.Time
-	// conn is nil until the first statement.
-	conn   *lane.Conn
+	// open is nil until the first statement.
+	open   dispatch.Transaction
 	belief leadership.Belief
 	// wrote is set once a write was sent.
 	wrote bool
@@ -68,28 +70,13 @@
 	if s.tx == nil {
 		return
 	}
-	c := s.tx.conn
+	open := s.tx.open
 	s.tx = nil
-	if c != nil {
-		go settle(c)
+	if open != nil {
+		open.Abandon()
 	}
 }
 
-// settle rolls back what is open on a connection and gives it back.
-func settle(c *lane.Conn) {
-	c.QueueRollback()
-	if err := c.Flush(settleTimeout); err != nil {
-		c.Discard()
-		return
-	}
-	a, err := c.Receive(settleTimeout)
-	if err != nil || a.State != statement.Idle {
-		c.Discard()
-		return
-	}
-	c.Release()
-}
-
 // Close ends the session; an open transaction is rolled back.
 func (s *Session) Close() { s.abandon() }
 
@@ -113,7 +100,7 @@
 	w.route = tx.route
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(s.engine.cfg.Clock.Now()))
 	defer cancel()
-	if tx.conn == nil {
+	if tx.open == nil {
 		if failure := s.open(ctx, tx, w); failure != nil {
 			return s.failStatement(failure)
 		}
@@ -123,33 +110,23 @@
 
 // send runs a statement on the transaction's connection.
 func (s *Session) send(ctx context.Context, tx *transaction, w *work) *statement.Answer {
-	name, _, err := tx.conn.Setup(s.values, w.prepared, nil)
-	if err != nil {
-		return s.breakOff(tx, w, err)
-	}
 	tx.wrote = tx.wrote || w.writes
 	for {
 		w.tries++
-		sent := s.engine.cfg.Clock.Now()
-		ended := tx.group.Health.Sent(tx.conn.Target, sent, false)
-		a, err := exchange(tx.conn, w, timeline.Position{}, name, min(left(ctx), s.patience(tx.conn.Target)))
-		ended(s.engine.cfg.Clock.Now(), err == nil)
+		r, err := tx.open.Run(ctx, s.job(w, timeline.Position{}, false, s.patience(tx.open.Target())))
 		if err != nil {
 			return s.breakOff(tx, w, err)
 		}
-		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
+		if r.Answer.Code == statement.Busy && r.Answer.State == statement.InTransaction && s.pause(ctx, w) {
 			continue
 		}
-		return s.conclude(tx, w, a, sent)
+		return s.conclude(tx, w, r)
 	}
 }
 
 // conclude takes over the answer of a transaction's statement.
-func (s *Session) conclude(tx *transaction, w *work, a *statement.Answer, sent clock.Time) *statement.Answer {
-	now := s.engine.cfg.Clock.Now()
-	if a.Code == statement.ReadOnly {
-		tx.group.Refused(tx.conn.Target)
-	}
+func (s *Session) conclude(tx *transaction, w *work, r *dispatch.Result) *statement.Answer {
+	a := r.Answer
 	if a.State != statement.InTransaction || a.Code == statement.Busy {
 		s.abandon()
 		a.State = s.state
@@ -158,8 +135,7 @@
 	if a.Code != statement.OK {
 		return a
 	}
-	s.engine.cfg.Placing.Served(tx.conn.Target, now, now.Sub(sent))
-	learn(tx.group, tx.belief, tx.conn.Target, sent, a.Position)
+	s.engine.cfg.Placing.Served(tx.open.Target(), s.engine.cfg.Clock.Now(), r.Took)
 	if !w.writes && tx.proof != nil {
 		if !<-tx.proof {
 			return s.failStatement(refuse(statement.Aborted, comeBack, "the primary may have been replaced", s.state))
@@ -173,10 +149,7 @@
 // sent. The connection is closed, so that the target rolls back; nothing was
 // kept, and the consumer may repeat all of it.
 func (s *Session) breakOff(tx *transaction, w *work, err error) *statement.Answer {
-	id := tx.conn.Target
-	tx.conn.Discard()
-	tx.conn = nil
-	s.engine.failed(tx.group, id, false)
+	id := s.drop(tx, err)
 	s.engine.cfg.Log.Info("transaction-broken", zap.String("request", w.st.ID), zap.String("target", string(id)),
 		zap.Bool("timeout", wait.IsTimeout(err)), zap.Error(err))
 	return s.failStatement(refuse(statement.Aborted, 0, "the target did not answer; the transaction is rolled back", s.state))
@@ -191,7 +164,7 @@
 	w := &work{st: st, route: tx.route, arrived: s.engine.cfg.Clock.Now()}
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(w.arrived))
 	defer cancel()
-	if tx.conn == nil {
+	if tx.open == nil {
 		if failure := s.open(ctx, tx, w); failure != nil {
 			s.abandon()
 			s.state, failure.State = statement.Idle, statement.Idle
@@ -203,63 +176,62 @@
 	return a
 }
 
+// drop leaves a transaction whose connection has failed, and returns where it
+// was open.
+func (s *Session) drop(tx *transaction, err error) target.ID {
+	id := tx.open.Target()
+	tx.open.Discard()
+	tx.open = nil
+	var lost *dispatch.LostError
+	if !errors.As(err, &lost) {
+		lost = &dispatch.LostError{Cause: err}
+	}
+	s.engine.blame(id, lost)
+	return id
+}
+
 func (s *Session) sendCommit(ctx context.Context, tx *transaction, w *work) *statement.Answer {
 	for {
 		w.tries++
-		sent := s.engine.cfg.Clock.Now()
-		before := tx.group.Acknowledged.Before()
-		ended := tx.group.Health.Sent(tx.conn.Target, sent, tx.wrote)
-		a, err := exchange(tx.conn, w, timeline.Position{}, "", min(left(ctx), writePatience))
-		ended(s.engine.cfg.Clock.Now(), err == nil)
+		r, err := tx.open.Run(ctx, s.job(w, timeline.Position{}, tx.wrote, writePatience))
 		if err != nil {
-			return s.commitLost(ctx, tx, w)
+			return s.commitLost(ctx, tx, w, err)
 		}
+		a := r.Answer
 		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
 			continue
 		}
-		if a.Code == statement.OK && tx.wrote {
-			tx.group.Acknowledged.Commit(before, a.Position)
-		}
 		if a.Code == statement.OK && tx.wrote && !s.stillLeads(ctx, tx.group, tx.belief) {
-			id := tx.conn.Target
+			id := tx.open.Target()
 			s.abandon()
 			s.state = statement.Idle
 			return s.inDoubt(ctx, w, id)
 		}
-		return s.concludeCommit(tx, a, sent)
+		return s.concludeCommit(tx, a)
 	}
 }
 
 // concludeCommit takes over the target's answer to a commit.
-func (s *Session) concludeCommit(tx *transaction, a *statement.Answer, sent clock.Time) *statement.Answer {
-	if a.Code == statement.ReadOnly {
-		tx.group.Refused(tx.conn.Target)
-	}
+func (s *Session) concludeCommit(tx *transaction, a *statement.Answer) *statement.Answer {
 	if a.State != statement.Idle {
 		s.abandon()
 		s.state, a.State = statement.Idle, statement.Idle
 		return a
 	}
-	if a.Code == statement.OK {
-		learn(tx.group, tx.belief, tx.conn.Target, sent, a.Position)
-	}
 	if a.Code == statement.OK && tx.wrote {
 		s.remember(tx.route.Service, a.Position)
 	}
-	tx.conn.Release()
+	tx.open.Release()
 	s.tx, s.state = nil, statement.Idle
 	return a
 }
 
 // commitLost answers a commit whose own answer was lost. A transaction that
 // wrote nothing keeps nothing either way.
-func (s *Session) commitLost(ctx context.Context, tx *transaction, w *work) *statement.Answer {
-	id := tx.conn.Target
-	tx.conn.Discard()
-	tx.conn = nil
+func (s *Session) commitLost(ctx context.Context, tx *transaction, w *work, err error) *statement.Answer {
+	id := s.drop(tx, err)
 	wrote := tx.wrote
 	s.tx, s.state = nil, statement.Idle
-	s.engine.failed(tx.group, id, false)
 	if wrote {
 		return s.inDoubt(ctx, w, id)
 	}
@@ -318,37 +290,18 @@
 // openAt starts the transaction at one target.
 func (s *Session) openAt(ctx context.Context, tx *transaction, w *work, id target.ID, after timeline.Position) bool {
 	w.tries++
-	e := s.engine
-	c, err := e.cfg.Pool.Acquire(ctx, id, order(tx.route, tx.began), left(ctx))
-	if err != nil {
-		s.noConnection(tx.group, id, err)
+	claim := dispatch.Claim{Order: order(tx.route, tx.began), Queue: left(ctx)}
+	opening := &dispatch.Opening{Service: tx.route.Service, Values: s.values, Begin: lane.Begin{ReadOnly: tx.readOnly, After: after}}
+	open, a, err := s.engine.cfg.Runner.Open(ctx, id, claim, opening)
+	switch {
+	case err != nil:
+		s.failed(id, w, err)
 		return false
-	}
-	_, a, err := c.Setup(s.values, nil, &lane.Begin{ReadOnly: tx.readOnly, After: after})
-	if err != nil {
-		c.Discard()
-		e.failed(tx.group, id, false)
-		return false
-	}
-	tx.group.Health.Answered(id)
-	if a.Code == statement.OK && a.State == statement.InTransaction {
-		tx.conn = c
+	case open != nil:
+		tx.open = open
 		return true
-	}
-	s.learnRefusal(tx.group, id, a)
-	if a.State != statement.Idle {
-		c.Discard()
-	} else {
-		c.Release()
-	}
-	return false
-}
-
-func (s *Session) learnRefusal(g *groups.Group, id target.ID, a *statement.Answer) {
-	switch a.Code {
-	case statement.ReadOnly:
-		g.Refused(id)
-	case statement.Lagging:
+	case a.Code == statement.Lagging:
 		s.engine.cfg.Placing.Lagged(id, s.engine.cfg.Clock.Now())
 	}
+	return false
 }
--- a/engine/work.go
+++ b/engine/work.go
@@ -10,12 +10,8 @@
 	"endivemoor.example/endivemoor/statement"
 )
 
-const (
-	// minTimeout bounds a statement whose route sets no time-out.
-	minTimeout = 2 * time.Second
-	// settleTimeout bounds what ends a transaction that the consumer has left.
-	settleTimeout = time.Second
-)
+// minTimeout bounds a statement whose route sets no time-out.
+const minTimeout = 2 * time.Second
 
 // work is one statement on its way.
 type work struct {
