Play stories and a fault matrix of whole fleets in virtual time

Found by it: relay.Server.End waited for a lock that a running statement held, so that a leaving transaction's end blocked its caller; it now marks the transaction, and the statement's end ends it. Found in the harness: a killed VM's process went on once its name was alive again.

--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,9 +35,13 @@
 	t     *testing.T
 	world *world.World
 	group *database.Group
-	vms   map[string]*vm
+	// mu guards vms, whose processes come and go while traffic flows.
+	mu  sync.Mutex
+	vms map[string]*vm
 	// sessions counts those opened: request ids begin with their name.
 	sessions int
+	// ended are earlier processes of VMs that were started again.
+	ended []*vm
 }
 
 type vm struct {
@@ -44,6 +49,9 @@
 	addr string
 	stop context.CancelFunc
 	done chan struct{}
+	zone string
+	// number is that of its addresses.
+	number int
 	// killed VMs end with an error.
 	killed atomic.Bool
 }
@@ -82,7 +90,7 @@
 func (f *fleet) start(name, zone string, number int) {
 	set := world.Settings(name, zone, number)
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{})}
+	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{}), zone: zone, number: number}
 	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
 	go func() {
 		defer close(v.done)
@@ -90,9 +98,31 @@
 			f.t.Errorf("%s: %v", name, err)
 		}
 	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.vms[name]; old != nil {
+		f.ended = append(f.ended, old)
+	}
 	f.vms[name] = v
 }
 
+// addr is where a VM takes consumers.
+func (f *fleet) addr(vm string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[vm].addr
+}
+
+// again starts a killed VM's process anew.
+func (f *fleet) again(name string) {
+	f.mu.Lock()
+	old := f.vms[name]
+	f.mu.Unlock()
+	old.stop()
+	<-old.done
+	f.start(name, old.zone, old.number)
+}
+
 // log is silent unless tests are verbose.
 func (f *fleet) log(name string) *zap.Logger {
 	if !testing.Verbose() {
@@ -104,18 +134,22 @@
 // end stops everything; a bubble must not leave goroutines behind.
 func (f *fleet) end() {
 	f.world.Net.HealAll()
+	all := append([]*vm{}, f.ended...)
 	for _, v := range f.vms {
+		all = append(all, v)
+	}
+	for _, v := range all {
 		v.stop()
 	}
-	for _, v := range f.vms {
+	for _, v := range all {
 		<-v.done
 	}
 	time.Sleep(time.Minute)
 	for _, v := range f.vms {
 		f.world.Net.Reset(v.name)
 	}
-	for i := range zones {
-		f.world.Crash(service, fmt.Sprintf("%s-%d", service, i))
+	for _, id := range f.group.Servers() {
+		f.world.Crash(service, id)
 	}
 	f.world.Close()
 	time.Sleep(time.Minute)
--- /dev/null
+++ b/edge/trouble_test.go
@@ -0,0 +1,72 @@
+package edge_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// trouble is one thing that may be done to a fleet, by its words in a story.
+// The words after the first are names; see testdata/fleet/README.md.
+var troubles = map[string]func(f *fleet, args []string){
+	"crash":   func(f *fleet, a []string) { f.world.Crash(service, a[0]) },
+	"restart": func(f *fleet, a []string) { f.world.Restart(service, a[0]) },
+	"remove":  func(f *fleet, a []string) { f.world.Crash(service, a[0]); f.world.Store.Remove("servers", a[0]) },
+	"drain":   func(f *fleet, a []string) { f.world.Drain(service, a[0]) },
+	"deafen":  func(f *fleet, a []string) { f.group.SetDeaf(a[0], true) },
+	"undeafen": func(f *fleet, a []string) {
+		f.group.SetDeaf(a[0], false)
+	},
+	"join":         func(f *fleet, a []string) { f.world.AddServer(service, a[0], a[1]) },
+	"lose-answers": func(f *fleet, a []string) { f.group.LoseAnswers(a[0], number(a[1])) },
+	"kill":         func(f *fleet, a []string) { f.kill(a[0]) },
+	"stop":         func(f *fleet, a []string) { f.vms[a[0]].stop() },
+	"again":        func(f *fleet, a []string) { f.again(a[0]) },
+	"cut":          func(f *fleet, a []string) { f.world.Net.Cut(a[0], a[1]) },
+	"heal":         func(f *fleet, a []string) { f.world.Net.Heal(a[0], a[1]) },
+	"heal-all":     func(f *fleet, _ []string) { f.world.Net.HealAll() },
+	"isolate":      func(f *fleet, a []string) { f.isolate(a[0]) },
+	"slow-net":     func(f *fleet, a []string) { f.world.Net.SetDelay(length(a[0])) },
+	"store": func(f *fleet, a []string) {
+		switch a[0] {
+		case "down":
+			f.world.Store.SetDown(true)
+		case "up":
+			f.world.Store.SetDown(false)
+		case "loses":
+			f.world.Store.LoseAnswers(number(a[1]))
+		case "forgets":
+			f.world.Store.DropHistory()
+		case "refuses":
+			f.world.CutFromStore(a[1], true)
+		default:
+			panic("store " + a[0])
+		}
+	},
+}
+
+// do carries out a line such as "crash ledger-0".
+func (f *fleet) do(line string) {
+	words := strings.Fields(line)
+	act := troubles[words[0]]
+	if act == nil {
+		panic(fmt.Sprintf("no such trouble: %q", line))
+	}
+	act(f, words[1:])
+}
+
+func number(word string) int {
+	var n int
+	if _, err := fmt.Sscan(word, &n); err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func length(word string) time.Duration {
+	d, err := time.ParseDuration(word)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -24,23 +24,28 @@
 	listeners map[string]*listener
 	cut       map[[2]string]bool
 	conns     map[*conn]bool
-	dead      map[string]bool
+	kills     map[string]int // by host
 	delay     atomic.Int64 // time.Duration
 }
 
 // New returns an empty network.
 func New() *Network {
-	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), conns: make(map[*conn]bool), dead: make(map[string]bool)}
+	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), conns: make(map[*conn]bool), kills: make(map[string]int)}
 }
 
 // Host is one host's view of the network.
 type Host struct {
 	net  *Network
 	name string
+	life int // the kills of this host before
 }
 
 // Host returns the named host.
-func (n *Network) Host(name string) *Host { return &Host{net: n, name: name} }
+func (n *Network) Host(name string) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &Host{net: n, name: name, life: n.kills[name]}
+}
 
 // SetDelay sets the time that bytes are on their way, in one direction.
 func (n *Network) SetDelay(d time.Duration) { n.delay.Store(int64(d)) }
@@ -97,10 +102,11 @@
 	}
 }
 
-// Kill ends a host: its connections break, and it opens no further ones.
+// Kill ends a host's process: its connections break, and the Host that it was
+// given opens no further ones. A Host that is asked for later is a new process's.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
-	n.dead[host] = true
+	n.kills[host]++
 	n.mu.Unlock()
 	n.Reset(host)
 }
@@ -176,7 +182,7 @@
 // DialContext connects to an address.
 func (h *Host) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
 	h.net.mu.Lock()
-	l, dead := h.net.listeners[addr], h.net.dead[h.name]
+	l, dead := h.net.listeners[addr], h.net.kills[h.name] != h.life
 	h.net.mu.Unlock()
 	if dead {
 		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: address(addr), Err: os.NewSyscallError("connect", syscall.ENETUNREACH)}
--- a/relay/server.go
+++ b/relay/server.go
@@ -42,13 +42,16 @@
 	open map[uint64]*held
 }
 
-// held is a transaction that is open for another VM.
+// held is a transaction that is open for another VM. All but tx is guarded by
+// the Server's lock.
 type held struct {
-	mu sync.Mutex // one statement at a time
 	tx dispatch.Transaction
-	// used is when its last statement ended; it is guarded by the Server's lock.
+	// used is when its last statement ended.
 	used clock.Time
+	// busy is set while a statement runs.
 	busy bool
+	// left is set if its VM has ended it meanwhile.
+	left bool
 }
 
 // NewServer returns a Server.
@@ -106,8 +109,6 @@
 	if h == nil {
 		return &relaypb.RunReply{Failure: &relaypb.Failure{Kind: relaypb.Failure_UNREADY, Text: "the transaction is not open here"}}, nil
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	r, err := h.tx.Run(ctx, claim(in.GetClaim(), s.cfg.Clock.Now()).Order, job(in))
 	switch {
 	case err != nil:
@@ -116,8 +117,8 @@
 	case r.Answer.State == statement.Idle:
 		s.forget(in.GetTransaction())
 		h.tx.Release()
-	default:
-		s.giveBack(h)
+	case s.giveBack(h):
+		h.tx.Abandon()
 	}
 	return s.reply(h.tx.Target(), r, err), nil
 }
@@ -134,18 +135,19 @@
 	return h
 }
 
-func (s *Server) giveBack(h *held) {
+// giveBack ends a statement, and reports whether the transaction was left while
+// it ran.
+func (s *Server) giveBack(h *held) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h.busy, h.used = false, s.cfg.Clock.Now()
+	return h.left
 }
 
-func (s *Server) forget(number uint64) *held {
+func (s *Server) forget(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.open[number]
 	delete(s.open, number)
-	return h
 }
 
 // Open implements relaypb.Relay.
@@ -197,20 +199,31 @@
 
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
-	h := s.forget(in.GetTransaction())
-	if h == nil {
-		return &relaypb.EndReply{}, nil
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if in.GetDiscard() {
+	h := s.leave(in.GetTransaction())
+	switch {
+	case h == nil:
+	case in.GetDiscard():
 		h.tx.Discard()
-	} else {
+	default:
 		h.tx.Abandon()
 	}
 	return &relaypb.EndReply{}, nil
 }
 
+// leave forgets an open transaction and returns it, unless a statement of it
+// still runs: that one's end is then the transaction's.
+func (s *Server) leave(number uint64) *held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.open[number]
+	delete(s.open, number)
+	if h != nil && h.busy {
+		h.left = true
+		return nil
+	}
+	return h
+}
+
 // Sweep rolls back the transactions that were left open: their VM ends those of
 // its consumers that are idle for too long, so that one which lasts longer has no
 // VM any more. It is due every now and then.
