--- /dev/null
+++ b/promoter/guards_test.go
@@ -0,0 +1,118 @@
+package promoter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+type still struct{}
+
+func (still) Now() clock.Time { return 1 }
+
+// server is a target that answers the fleet's orders. One that is stubborn takes
+// a pause for no concern of its own while it leads.
+type server struct {
+	status   statement.Status
+	stubborn bool
+	orders   []lane.Ask
+}
+
+func (s *server) answer(ask lane.Ask, term timeline.Term) {
+	s.orders = append(s.orders, ask)
+	switch ask {
+	case lane.AskPause(term):
+		if s.status.Role == target.RoleReplica {
+			s.status.Paused = term
+		}
+	case lane.AskStepDown(term):
+		if s.status.Term < term && !s.stubborn {
+			s.status.Role = target.RoleReplica
+		}
+	}
+}
+
+// asker reaches servers by their names. Rows are the names again, which the
+// decoder turns into the status.
+type asker struct {
+	servers map[target.ID]*server
+	term    timeline.Term
+}
+
+func (a *asker) Control(_ context.Context, id target.ID, ask lane.Ask, _ time.Duration) ([]string, error) {
+	a.servers[id].answer(ask, a.term)
+	return []string{string(id)}, nil
+}
+
+const term = 5
+
+func attemptOn(servers map[target.ID]*server) *attempt {
+	a := &asker{servers: servers, term: term}
+	r := groups.NewRegistry(groups.Config{
+		Catalog: catalog.NewHolder(), Asker: a, Clock: still{}, Log: zap.NewNop(),
+		Decode: func(row string) (statement.Status, error) { return servers[target.ID(row)].status, nil },
+	})
+	p := New(Config{Node: "vm1", Clock: still{}, Log: zap.NewNop(), Catalog: catalog.NewHolder(), Groups: r})
+	return &attempt{p: p, g: r.Group("s"), term: term}
+}
+
+// A server that led before the last change, and has not met its successor,
+// answers an order to pause and goes on as it was. Taken for paused, it would
+// follow the primary that is being replaced, and confirm what the chosen one
+// lacks.
+func TestTargetThatStillLeadsIsNotTakenForPaused(t *testing.T) {
+	old := &server{status: statement.Status{Role: target.RolePrimary, Term: term - 2}}
+	told := attemptOn(map[target.ID]*server{"t": old}).pauseOne(context.Background(), "t")
+	require.NoError(t, told.err)
+	require.Equal(t, []lane.Ask{lane.AskPause(term), lane.AskStepDown(term), lane.AskPause(term)}, old.orders)
+	require.Equal(t, timeline.Term(term), told.status.Paused)
+
+	stubborn := &server{status: statement.Status{Role: target.RolePrimary, Term: term - 2}, stubborn: true}
+	told = attemptOn(map[target.ID]*server{"t": stubborn}).pauseOne(context.Background(), "t")
+	require.ErrorIs(t, told.err, errUnpaused)
+
+	later := &server{status: statement.Status{Role: target.RolePrimary, Term: term - 1}}
+	told = attemptOn(map[target.ID]*server{"t": later}).pauseOne(context.Background(), "t")
+	require.ErrorIs(t, told.err, errSuperseded, "another one leads by now")
+}
+
+// Two halves of a fleet each reach another target. The first promotes one; were
+// the second to act at once, it would replace that one again, and the platform
+// sees two holders of the duty in turn within moments.
+func TestNobodyActsRightAfterAnother(t *testing.T) {
+	p := New(Config{Node: "vm1", Clock: still{}, Log: zap.NewNop()})
+	w := &watched{}
+	ended := &catalog.Reign{Service: "s", Revision: 9, Holder: "vm2"}
+	start := clock.Time(time.Second)
+	require.True(t, p.othersAct(ended, w, start))
+	require.True(t, p.othersAct(ended, w, start.Add(takeover.Settle-1)))
+	require.False(t, p.othersAct(ended, w, start.Add(takeover.Settle)))
+	require.False(t, p.othersAct(&catalog.Reign{Service: "s", Revision: 10, Holder: "vm1"}, w, start.Add(takeover.Settle)), "its own attempts follow each other")
+}
+
+// The holder of an attempt dies. Others must not act while it may still send
+// orders, and must not wait for ever.
+func TestAttemptOfADeadHolderLapses(t *testing.T) {
+	p := New(Config{Node: "vm1", Clock: still{}, Log: zap.NewNop()})
+	w := &watched{}
+	open := &catalog.Reign{Service: "s", Revision: 9, Holder: "vm2", Attempt: &catalog.Attempt{Holder: "vm2", Nonce: "n"}}
+	start := clock.Time(time.Second)
+	require.True(t, p.othersAct(open, w, start))
+	require.True(t, p.othersAct(open, w, start.Add(takeover.Limit)))
+	require.True(t, p.othersAct(open, w, start.Add(takeover.Lapse-1)))
+	require.False(t, p.othersAct(open, w, start.Add(takeover.Lapse)))
+	renewed := &catalog.Reign{Service: "s", Revision: 10, Holder: "vm3", Attempt: &catalog.Attempt{Holder: "vm3", Nonce: "m"}}
+	require.True(t, p.othersAct(renewed, w, start.Add(takeover.Lapse)), "a further attempt is watched anew")
+}
