Soak the real daemons under faults from outside

Change: TestSoak starts the stand-ins and daemons as processes on loopback, draws troubles from a seed (signals to daemons; servers that crash, fall deaf or lose answers; the store; connections delayed, reset, silenced, cut one way by a loopback proxy) and checks what callers get, with the traffic that stories use. The consumer of the stand-ins is one package now.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endivemoor.example/endivemoor/platform/standin/consumer"
 	"endivemoor.example/endivemoor/platform/standin/database"
-	"endivemoor.example/endivemoor/platform/standin/world"
 	"endivemoor.example/endivemoor/takeover"
 )
 
 // buyUntil writes under load until a moment has passed, and returns for how
 // long no write succeeded in between. Each write has its own item, which must
 // be there afterwards if it was acknowledged.
-func buyUntil(f *fleet, c *world.Consumer, until time.Duration) (gap time.Duration, bought []string) {
+func buyUntil(f *fleet, c *consumer.Session, until time.Duration) (gap time.Duration, bought []string) {
 	start := time.Now()
 	last := start
 	for i := 0; time.Since(start) < until; i++ {
@@ -32,7 +32,7 @@
 	return max(gap, time.Since(last)), bought
 }
 
-func requireAll(f *fleet, c *world.Consumer, items []string) {
+func requireAll(f *fleet, c *consumer.Session, items []string) {
 	f.t.Helper()
 	for _, item := range items {
 		require.Equal(f.t, []string{"paid"}, c.Query("READ "+item).Rows, item)
--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -12,8 +12,8 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/platform/standin/consumer"
 	"endivemoor.example/endivemoor/platform/standin/database"
-	"endivemoor.example/endivemoor/platform/standin/world"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -141,7 +141,7 @@
 		time.Sleep(5 * time.Second)
 		c := f.session(others[3], exact)
 		require.Equal(t, []string{"none"}, c.Query("READ seat").Rows)
-		var sold []*world.Consumer
+		var sold []*consumer.Session
 		for range 4 {
 			s := f.session(others[3], exact)
 			s.Query("BEGIN")
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,7 +19,9 @@
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/edge"
 	"endivemoor.example/endivemoor/logging"
+	"endivemoor.example/endivemoor/platform/standin/consumer"
 	"endivemoor.example/endivemoor/platform/standin/database"
+	"endivemoor.example/endivemoor/platform/standin/traffic"
 	"endivemoor.example/endivemoor/platform/standin/world"
 )
 
@@ -106,6 +110,15 @@
 	f.vms[name] = v
 }
 
+// traffic starts callers at all VMs.
+func (f *fleet) traffic() *traffic.Traffic {
+	open := func(name, vm, db string) (*consumer.Session, consumer.Answer) {
+		return f.world.Open(name, f.addr(vm), db)
+	}
+	names := slices.Sorted(maps.Keys(f.vms))
+	return traffic.Start(open, traffic.Databases{Exact: exact, Bounded: bounded, Own: own}, names)
+}
+
 // addr is where a VM takes consumers.
 func (f *fleet) addr(vm string) string {
 	f.mu.Lock()
@@ -173,7 +186,7 @@
 }
 
 // session opens one at a VM.
-func (f *fleet) session(vm, db string) *world.Consumer {
+func (f *fleet) session(vm, db string) *consumer.Session {
 	f.t.Helper()
 	f.sessions++
 	c, a := f.world.Open(fmt.Sprintf("consumer%d-", f.sessions), f.vms[vm].addr, db)
--- a/edge/matrix_test.go
+++ b/edge/matrix_test.go
@@ -96,10 +96,10 @@
 			f.strike(matrixTroubles[cell[1]].end)
 		}
 		time.Sleep(12 * time.Second)
-		before := load.sales()
+		before := load.Sales()
 		time.Sleep(2 * time.Second)
-		served := load.sales() > before
-		broken, _, _ := load.end()
+		served := load.Sales() > before
+		broken, _, _ := load.End()
 		require.Empty(t, broken)
 		f.fair()
 		require.True(t, served || unservable(cell), "sales go on once all has ended")
--- a/edge/story_test.go
+++ b/edge/story_test.go
@@ -9,8 +9,9 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
+	"endivemoor.example/endivemoor/platform/standin/consumer"
 	"endivemoor.example/endivemoor/platform/standin/database"
-	"endivemoor.example/endivemoor/platform/standin/world"
+	"endivemoor.example/endivemoor/platform/standin/traffic"
 )
 
 // stories are the files of testdata/fleet but for their page.
@@ -41,12 +42,12 @@
 type story struct {
 	f        *fleet
 	out      *strings.Builder
-	sessions map[string]*world.Consumer
-	traffic  *traffic
+	sessions map[string]*consumer.Session
+	traffic  *traffic.Traffic
 }
 
 func newStory(f *fleet, out *strings.Builder) *story {
-	return &story{f: f, out: out, sessions: make(map[string]*world.Consumer)}
+	return &story{f: f, out: out, sessions: make(map[string]*consumer.Session)}
 }
 
 func (s *story) play(lines []string) {
@@ -83,7 +84,7 @@
 
 // judge prints what was broken, and that sales went on.
 func (s *story) judge() {
-	broken, sales, gap := s.traffic.end()
+	broken, sales, gap := s.traffic.End()
 	s.f.fair()
 	for _, b := range broken {
 		s.printf("%s\n", b)
@@ -105,7 +106,7 @@
 	return time.Hour
 }
 
-func brief(a world.Answer) string {
+func brief(a consumer.Answer) string {
 	switch {
 	case a.Lost:
 		return "no answer"
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -59,12 +59,19 @@
 
 // start runs a command and ends it with the test.
 func start(t *testing.T, dir, name, command string, args ...string) *process {
+	t.Helper()
+	return startWith(t, nil, dir, name, command, args...)
+}
+
+// startWith is start with further variables of the environment.
+func startWith(t *testing.T, env []string, dir, name, command string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, log: filepath.Join(dir, name+".log"), gone: make(chan struct{})}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(filepath.Join(binaries, command), args...)
+	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	require.NoError(t, p.cmd.Start())
 	go func() {
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -25,7 +25,7 @@
 	cut       map[[2]string]bool
 	conns     map[*conn]bool
 	kills     map[string]int // by host
-	delay     atomic.Int64 // time.Duration
+	delay     atomic.Int64   // time.Duration
 }
 
 // New returns an empty network.
--- a/promoter/order.go
+++ b/promoter/order.go
@@ -13,12 +13,14 @@
 	"endivemoor.example/endivemoor/target"
 )
 
+// resume ends the pauses of an attempt. A target that has no connection free is
+// asked again at once: until it receives, the new primary can confirm nothing.
 func (a *attempt) resume(ctx context.Context, except target.ID) {
 	for _, id := range a.paused {
 		if id == except {
 			continue
 		}
-		if _, err := a.g.Order(ctx, id, lane.AskResume, fenceTimeout); err != nil {
+		if _, err := a.orderPatiently(ctx, id, lane.AskResume); err != nil {
 			a.p.cfg.Log.Warn("resume-unanswered", zap.String("target", string(id)), zap.Error(err))
 			a.p.chase(a.g.Service, id, a.term)
 		}
