Say what late and unserved statements spent their time on; count losses by cause

Cause: where worth is lost could be told from answers only, not whether a statement had waited for a primary, a connection, a lost answer, a proof or the target. Change: each statement keeps how long it was in each phase, and one line says so if it was not served or later than its route's objective; endivemoorctl losses counts them by cause and by window. From 24 VMs on, six VMs watch the configuration and the targets, and the others learn from peers.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -25,6 +25,7 @@
 	Fleet   fleetCommands   `cmd:"" help:"Ask the daemons."`
 	Group   groupCommands   `cmd:"" help:"Show database groups."`
 	Target  targetCommands  `cmd:"" help:"Drain targets."`
+	Losses  lossesCommand   `cmd:"" help:"Count by cause, from daemons' logs, what consumers were not served, or too late."`
 	Explain explainCommand  `cmd:"" help:"Show the recorded decision about a request or a promotion, with its evidence."`
 }
 
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -29,9 +29,24 @@
 // the fleet. The fleet's own records are then not watched here at all: each VM
 // that joins would be told to every other by the store, and calls would grow
 // with the square of the fleet.
-func (e *Edge) hearsEnough() bool {
-	first := takeover.Turn(lookout, e.set.Node, e.catalog.Load().Names()) < lookouts*takeover.TurnEvery
-	return !first && e.gossip.age(e.clk.Now()) <= newsAge
+func (e *Edge) hearsEnough() bool { return e.othersLookOut(lookouts) }
+
+// mayRest reports whether this VM may leave it to others to watch the
+// configuration and the targets as well. It learns of a change from its peers,
+// about a second later at 59 VMs.
+//
+// Failure guarded against: each change is a call of every VM, so that a fleet
+// which grows faster than the store's rates is turned away, first when many
+// changes come at once. At 59 VMs a day of high load took 4,189 calls.
+func (e *Edge) mayRest() bool {
+	return len(e.catalog.Load().VMs) >= restsFrom && e.othersLookOut(restLookouts)
+}
+
+// othersLookOut reports whether this VM is not among the first so many, and
+// hears of the store from its peers.
+func (e *Edge) othersLookOut(first int) bool {
+	rank := takeover.Turn(lookout, e.set.Node, e.catalog.Load().Names())
+	return rank >= time.Duration(first)*takeover.TurnEvery && e.gossip.age(e.clk.Now()) <= newsAge
 }
 
 const (
@@ -39,6 +54,12 @@
 	lookout = "store"
 	// lookouts is how many do: one may be dead and one cut off.
 	lookouts = 3
+	// restsFrom is the fleet's size from which most VMs leave the watches of the
+	// configuration and the targets to others. Below it there is little to gain.
+	restsFrom = 24
+	// restLookouts is how many watch them then: a third of all VMs may be turned
+	// away by the store at once, all six of them about once in 700 such times.
+	restLookouts = 6
 	// newsAge is the age of the newest word from the store, own or a peer's,
 	// from which on a VM looks out for itself.
 	newsAge = 4 * time.Second
@@ -57,8 +78,8 @@
 	apply := time.Duration(e.set.Bounds.ApplyMS) * time.Millisecond
 	drain := time.Duration(e.set.Bounds.DrainMS) * time.Millisecond
 	for _, w := range []*watch{
-		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), follower: &configFollower{edge: e}},
-		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), follower: newTargetFollower(e)},
+		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), idle: e.mayRest, follower: &configFollower{edge: e}},
+		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), idle: e.mayRest, follower: newTargetFollower(e)},
 		{kind: kindFleet, wait: e.waits(fleetWait), idle: e.hearsEnough, follower: newFleetFollower(e)},
 	} {
 		w.store, w.log = e.store, e.log
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -58,7 +58,7 @@
 // surely has not run.
 func (s *Session) writeAlone(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
 	for {
-		b, err := g.Primary(ctx)
+		b, err := s.primary(ctx, g, w)
 		if err != nil {
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
@@ -99,7 +99,7 @@
 // readExact reads at the primary, and proves meanwhile that it still leads.
 func (s *Session) readExact(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
 	for {
-		b, err := g.Primary(ctx)
+		b, err := s.primary(ctx, g, w)
 		if err != nil {
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
@@ -111,7 +111,7 @@
 		if v == done && a.Code != statement.OK {
 			return a
 		}
-		if v == done && <-proof {
+		if v == done && s.proven(w, proof) {
 			return a
 		}
 		if !s.pause(ctx, w) {
@@ -120,6 +120,22 @@
 	}
 }
 
+// primary waits until it is known who leads.
+func (s *Session) primary(ctx context.Context, g *groups.Group, w *work) (leadership.Belief, error) {
+	begun := s.engine.cfg.Clock.Now()
+	b, err := g.Primary(ctx)
+	w.spend(phasePrimary, begun, s.engine.cfg.Clock.Now())
+	return b, err
+}
+
+// proven waits for a proof.
+func (s *Session) proven(w *work, proof <-chan bool) bool {
+	begun := s.engine.cfg.Clock.Now()
+	ok := <-proof
+	w.spend(phaseProof, begun, s.engine.cfg.Clock.Now())
+	return ok
+}
+
 // prove asks a replica whether the primary's term is still the latest. The
 // result is delivered on the channel.
 func (s *Session) prove(ctx context.Context, g *groups.Group, b leadership.Belief, arrived clock.Time) <-chan bool {
--- a/engine/session.go
+++ b/engine/session.go
@@ -137,6 +137,7 @@
 	}
 	w.route = route
 	a := s.runAlone(ctx, w)
+	s.explain(w, a)
 	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
 	return a
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -112,10 +112,12 @@
 	defer cancel()
 	if tx.open == nil {
 		if failure := s.open(ctx, tx, w); failure != nil {
+			s.explain(w, failure)
 			return s.failStatement(failure)
 		}
 	}
 	a := s.send(ctx, tx, w)
+	s.explain(w, a)
 	tx.spent += s.engine.cfg.Clock.Now().Sub(w.arrived)
 	return a
 }
@@ -125,7 +127,9 @@
 	tx.wrote = tx.wrote || w.writes
 	for {
 		w.tries++
+		begun := s.engine.cfg.Clock.Now()
 		r, err := tx.open.Run(ctx, tx.order(w), s.job(w, timeline.Position{}, false, s.patience(tx.open.Target())))
+		s.account(w, begun, r, err)
 		if err != nil {
 			return s.breakOff(tx, w, err)
 		}
@@ -149,7 +153,7 @@
 	}
 	s.engine.cfg.Placing.Served(tx.open.Target(), s.engine.cfg.Clock.Now(), r.Took)
 	if !w.writes && tx.proof != nil {
-		if !<-tx.proof {
+		if !s.proven(w, tx.proof) {
 			return s.failStatement(refuse(statement.Aborted, comeBack, "the primary may have been replaced", s.state))
 		}
 		tx.proof = nil
@@ -184,6 +188,7 @@
 		}
 	}
 	a := s.sendCommit(ctx, tx, w)
+	s.explain(w, a)
 	s.engine.cfg.Metrics.done(tx.route, &work{arrived: tx.began, writes: tx.wrote, route: tx.route}, a, s.engine.cfg.Clock.Now())
 	return a
 }
@@ -204,7 +209,9 @@
 func (s *Session) sendCommit(ctx context.Context, tx *transaction, w *work) *statement.Answer {
 	for {
 		w.tries++
+		begun := s.engine.cfg.Clock.Now()
 		r, err := tx.open.Run(ctx, tx.order(w), s.job(w, timeline.Position{}, tx.wrote, writePatience))
+		s.account(w, begun, r, err)
 		if err != nil {
 			return s.commitLost(ctx, tx, w, err)
 		}
@@ -264,7 +271,7 @@
 		if tx.route.Freshness != catalog.Exact {
 			after, ok = s.floor(ctx, tx.group, tx.route)
 		}
-		id, err := s.placeTransaction(ctx, tx, tried, ok)
+		id, err := s.placeTransaction(ctx, tx, w, tried, ok)
 		if err != nil {
 			return s.giveUpOpening(w, "no target")
 		}
@@ -289,14 +296,14 @@
 
 // placeTransaction chooses the target. Only the primary takes a transaction
 // that may write; exact reads go there too, and what has no evidence of age.
-func (s *Session) placeTransaction(ctx context.Context, tx *transaction, tried map[target.ID]bool, proven bool) (target.ID, error) {
+func (s *Session) placeTransaction(ctx context.Context, tx *transaction, w *work, tried map[target.ID]bool, proven bool) (target.ID, error) {
 	if tx.readOnly && tx.route.Freshness != catalog.Exact && proven {
 		tx.belief = tx.group.Leadership.Believed()
 		if id, _ := s.place(tx.group, tried); id != "" {
 			return id, nil
 		}
 	}
-	b, err := tx.group.Primary(ctx)
+	b, err := s.primary(ctx, tx.group, w)
 	if err != nil {
 		return "", err
 	}
@@ -312,7 +319,9 @@
 	w.tries++
 	claim := dispatch.Claim{Order: tx.order(w), Queue: left(ctx)}
 	opening := &dispatch.Opening{Service: tx.route.Service, Values: s.values, Begin: lane.Begin{ReadOnly: tx.readOnly, After: after}}
+	begun := s.engine.cfg.Clock.Now()
 	open, a, err := s.engine.cfg.Runner.Open(ctx, id, claim, opening)
+	w.spend(phaseQueue, begun, s.engine.cfg.Clock.Now())
 	switch {
 	case err != nil:
 		s.failed(id, w, err)
--- a/engine/try.go
+++ b/engine/try.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
@@ -48,13 +49,30 @@
 func (s *Session) try(ctx context.Context, id target.ID, w *work, after timeline.Position, most limits) (*statement.Answer, verdict) {
 	w.tries++
 	claim := dispatch.Claim{Order: order(w.route, w.arrived), Queue: most.queue}
+	begun := s.engine.cfg.Clock.Now()
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, most.answer))
+	s.account(w, begun, r, err)
 	if err != nil {
 		return nil, s.failed(id, w, err)
 	}
 	return r.Answer, s.judge(id, w, r)
 }
 
+// account counts what one try has taken.
+func (s *Session) account(w *work, begun clock.Time, r *dispatch.Result, err error) {
+	now := s.engine.cfg.Clock.Now()
+	var lost *dispatch.LostError
+	switch {
+	case err == nil:
+		w.ledger[phaseTarget] += r.Took
+		w.ledger[phaseQueue] += now.Sub(begun) - r.Took
+	case errors.As(err, &lost):
+		w.spend(phaseLost, begun, now)
+	default:
+		w.spend(phaseQueue, begun, now)
+	}
+}
+
 // job is a statement with the session's state.
 func (s *Session) job(w *work, after timeline.Position, commits bool, answer time.Duration) *dispatch.Job {
 	return &dispatch.Job{
@@ -114,7 +132,10 @@
 	if w.tries < triesAtOnce && !w.writes {
 		return true
 	}
-	return wait.For(ctx, pauseBusy*time.Duration(min(w.tries, maxPauses)))
+	begun := s.engine.cfg.Clock.Now()
+	more := wait.For(ctx, pauseBusy*time.Duration(min(w.tries, maxPauses)))
+	w.spend(phasePause, begun, s.engine.cfg.Clock.Now())
+	return more
 }
 
 // left is the time until the context's deadline.
--- a/engine/work.go
+++ b/engine/work.go
@@ -20,6 +20,7 @@
 	writes   bool
 	route    *catalog.Route
 	arrived  clock.Time
+	ledger   ledger
 	tries    int
 	// full counts the targets in a row that had no time for the statement, and
 	// comeBack is when the last of them will have.
--- /dev/null
+++ b/losses/losses.go
@@ -0,0 +1,157 @@
+// Package losses reads the daemons' logs and tells what consumers have lost, by
+// cause: statements that were not served, and those that were served later than
+// their route's objective.
+package losses
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/pkg/errors"
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Events of the daemons' logs that say of a loss.
+const (
+	eventLate     = "statement-late"
+	eventUnserved = "statement-unserved"
+)
+
+// Kind is what was lost.
+type Kind string
+
+// Kinds of losses.
+const (
+	// Late: served after the objective.
+	Late Kind = "late"
+	// Unserved: refused or failed.
+	Unserved Kind = "unserved"
+)
+
+// Loss is one statement's.
+type Loss struct {
+	Kind     Kind
+	Request  string
+	Database string
+	// Code is the answer's.
+	Code string
+	// Cause is the phase that took the most time: see package engine.
+	Cause string
+	After time.Duration
+	At    time.Time
+}
+
+// Read returns the losses in a log. Lines of other events, and lines that are no
+// key=value pairs, are passed over.
+func Read(r io.Reader) ([]Loss, error) {
+	var out []Loss
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		if l, ok := lossOf(fieldsOf(lines.Bytes())); ok {
+			out = append(out, l)
+		}
+	}
+	return out, errors.Wrap(lines.Err(), "read the log")
+}
+
+// fieldsOf decodes one line, as far as it is one of ours.
+func fieldsOf(line []byte) map[string]string {
+	fields := make(map[string]string)
+	d := logfmt.NewDecoder(bytes.NewReader(line))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			fields[string(d.Key())] = string(d.Value())
+		}
+	}
+	return fields
+}
+
+func lossOf(f map[string]string) (Loss, bool) {
+	l := Loss{Request: f["request"], Database: f["database"], Code: f["code"], Cause: f["cause"]}
+	switch f["event"] {
+	case eventLate:
+		l.Kind = Late
+	case eventUnserved:
+		l.Kind = Unserved
+	default:
+		return l, false
+	}
+	// A line that was cut short counts with what it has.
+	l.At, _ = time.Parse(time.RFC3339Nano, f["time"])
+	if seconds, err := time.ParseDuration(f["after"] + "s"); err == nil {
+		l.After = seconds
+	}
+	return l, true
+}
+
+// Row is one line of a table.
+type Row struct {
+	Kind  Kind   `json:"kind"`
+	Code  string `json:"code"`
+	Cause string `json:"cause"`
+	Count int    `json:"count"`
+	// Longest is the longest time that one of them took.
+	Longest time.Duration `json:"longest"`
+	// Request is that one's id, from which its lines lead on.
+	Request string `json:"request"`
+}
+
+// ByCause counts losses by kind, code and cause, the most frequent first.
+func ByCause(all []Loss) []Row {
+	type key struct {
+		kind        Kind
+		code, cause string
+	}
+	at := make(map[key]*Row)
+	for _, l := range all {
+		k := key{l.Kind, l.Code, l.Cause}
+		if at[k] == nil {
+			at[k] = &Row{Kind: l.Kind, Code: l.Code, Cause: l.Cause}
+		}
+		r := at[k]
+		r.Count++
+		if l.After >= r.Longest {
+			r.Longest, r.Request = l.After, l.Request
+		}
+	}
+	var out []Row
+	for _, r := range at {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Cause, b.Cause))
+	})
+	return out
+}
+
+// Window is a span of time with its losses.
+type Window struct {
+	From  time.Time `json:"from"`
+	Count int       `json:"count"`
+	// Cause is the most frequent one.
+	Cause string `json:"cause"`
+}
+
+// ByWindow counts losses by spans of time, in their order; spans without a loss
+// are left out.
+func ByWindow(all []Loss, length time.Duration) []Window {
+	in := make(map[time.Time][]Loss)
+	for _, l := range all {
+		from := l.At.Truncate(length)
+		in[from] = append(in[from], l)
+	}
+	var out []Window
+	for from, losses := range in {
+		out = append(out, Window{From: from, Count: len(losses), Cause: ByCause(losses)[0].Cause})
+	}
+	slices.SortFunc(out, func(a, b Window) int { return a.From.Compare(b.From) })
+	return out
+}
