Let one request at a time try a target that cannot be reached

Cause: connecting to a target behind a partition hangs for 0.7 s; every request that came meanwhile waited for it and was refused with it, then the next ones again. Ruled out: failing all of them while a probe nobody waits for is under way (a target that is back would refuse its first request). Change: while one tries, the others hear at once; a lane whose first connection takes longer than usual counts as down for placing.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -292,6 +292,8 @@
 func (s *soak) stop(name string, vm *soakVM) {
 	s.signal(vm, syscall.SIGTERM)
 	s.later(name, func() {
+		// One that was paused meanwhile cannot end.
+		s.signal(vm, syscall.SIGCONT)
 		<-vm.gone
 		s.again(vm)
 	})
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -31,9 +31,13 @@
 	// and each try takes one of the target's slots.
 	refusedPause = time.Second
 	refusedAlone = 40 * time.Millisecond
-	// unreachablePause is how long a lane that could not connect fails requests
-	// at once, so that reads go elsewhere without waiting for the same failure.
+	// unreachablePause is the pause between two tries to reach a target that could
+	// not be reached. Until one succeeds requests fail at once, so that reads go
+	// elsewhere without waiting for the same failure.
 	unreachablePause = 250 * time.Millisecond
+	// usualDial is how long connecting takes at most if the target can be reached
+	// and has a slot soon: 12 ms of work, and the way.
+	usualDial = 100 * time.Millisecond
 	// calmBacklog is the wait behind all that wait in time below which a target is
 	// overloaded no more: less than the shortest of the objectives.
 	calmBacklog = 100 * time.Millisecond
@@ -93,8 +97,9 @@
 	dialing   int
 	waiting   queue
 	refused   clock.Time // until when nothing beyond is opened
-	down      clock.Time // until when requests fail at once
-	downCause error
+	down      clock.Time // until when it is not tried again
+	downCause error      // nil while it is not known to be unreachable
+	dialSince clock.Time // when the oldest connection under way was begun
 	closed    bool
 	inUse     int
 	resting   int   // of those in use, how many run nothing just now
@@ -135,7 +140,7 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Resting: l.resting,
-		Open: l.open, Every: l.drain.after(1), Allowance: l.allowance, Down: l.clk.Now().Before(l.down),
+		Open: l.open, Every: l.drain.after(1), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.hangs(l.clk.Now()),
 	}
 }
 
@@ -144,7 +149,7 @@
 func (l *Lane) Acquire(ctx context.Context, o Order, timeout time.Duration) (*Conn, error) {
 	l.mu.Lock()
 	now := l.clk.Now()
-	if now.Before(l.down) && l.open == 0 {
+	if l.unreachable(now) {
 		err := &UnavailableError{Target: l.id, Cause: l.downCause}
 		l.mu.Unlock()
 		return nil, err
@@ -208,11 +213,30 @@
 		return
 	}
 	for l.dialing < min(maxDialing, l.waiting.Len()) && l.open+l.dialing < l.most(now) {
+		if l.dialing == 0 {
+			l.dialSince = now
+		}
 		l.dialing++
 		go l.openOne()
 	}
 }
 
+// unreachable reports whether a request should not wait for a connection: the
+// target could not be reached, and its turn to be tried again has not come, or
+// another request is trying it.
+//
+// Failure guarded against: a target behind a partition, where connecting hangs
+// until its time-out. Every request that came meanwhile would wait for it, again
+// and again, though a read can go elsewhere at once.
+func (l *Lane) unreachable(now clock.Time) bool {
+	return l.open == 0 && l.downCause != nil && (l.dialing > 0 || now.Before(l.down))
+}
+
+// hangs reports whether the first connection takes longer than usual.
+func (l *Lane) hangs(now clock.Time) bool {
+	return l.open == 0 && l.dialing > 0 && now.Sub(l.dialSince) > usualDial
+}
+
 // most is how many connections the lane may have now.
 func (l *Lane) most(now clock.Time) int {
 	if now.Before(l.refused) {
@@ -231,7 +255,7 @@
 		l.dialFailed(now, err)
 		return
 	}
-	l.down = 0
+	l.down, l.downCause = 0, nil
 	l.open++
 	l.inUse++
 	l.hand(&Conn{Link: link, Target: l.id, lane: l})
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -75,6 +75,14 @@
 	open  []*link
 	dials int
 	err   error
+	hangs time.Duration
+}
+
+// hang makes connecting time out after so long; zero ends that.
+func (d *dialer) hang(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hangs = timeout
 }
 
 func (d *dialer) count() {
@@ -92,6 +100,13 @@
 
 func (d *dialer) dial(context.Context) (Link, error) {
 	d.count()
+	d.mu.Lock()
+	hangs := d.hangs
+	d.mu.Unlock()
+	if hangs > 0 {
+		time.Sleep(hangs)
+		return nil, context.DeadlineExceeded
+	}
 	time.Sleep(10 * time.Millisecond)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lane/overload_test.go
+++ b/lane/overload_test.go
@@ -109,3 +109,31 @@
 		require.Zero(t, l.resting)
 	})
 }
+
+// A target is behind a partition: connecting hangs. One request at a time learns
+// it by waiting; the others hear at once, and the target serves as soon as it can be
+// reached.
+func TestHangingTargetIsNotWaitedForAgain(t *testing.T) {
+	bubble(t, 3, 2, func(l *Lane, d *dialer) {
+		d.hang(700 * time.Millisecond)
+		_, err := l.Acquire(context.Background(), Order{}, 2*time.Second)
+		require.Error(t, err)
+		waited := 0
+		for range 30 {
+			go func() {
+				start := l.clk.Now()
+				_, err := l.Acquire(context.Background(), Order{}, 2*time.Second)
+				require.Error(t, err)
+				if l.clk.Now().Sub(start) > 0 {
+					waited++
+				}
+			}()
+			time.Sleep(50 * time.Millisecond)
+			require.True(t, l.Load().Down)
+		}
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, waited, 2, "of 30 in 1.5 s")
+		d.hang(0)
+		acquire(t, l).Release()
+	})
+}
