--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,7 +16,6 @@
 const (
 	// watchWait is how long one watch call waits for news of a kind that has no
 	// bound of its own. A call that returns without news costs as much as one with.
-	// news costs as much as one with.
 	watchWait = 10 * time.Second
 	// fleetWait is that of the fleet's own records: it bounds the age of the
 	// list that permissions go by, and tells the VMs that wait long that the
--- /dev/null
+++ b/lane/serve.go
@@ -0,0 +1,150 @@
+package lane
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/clock"
+)
+
+// hand lays a connection that counts as in use aside, and serves those that
+// wait.
+func (l *Lane) hand(c *Conn) {
+	if l.closed {
+		l.drop(c)
+		return
+	}
+	if l.lent && c.asked && l.waiting.Len()+l.urgent.Len() == 0 {
+		l.drop(c)
+		return
+	}
+	l.inUse--
+	c.idle = l.clk.Now()
+	l.idle = append(l.idle, c)
+	l.serve(c.idle)
+}
+
+// serve gives idle connections to those that wait, as many as may run.
+func (l *Lane) serve(now clock.Time) {
+	for l.urgent.Len() > 0 {
+		c := l.takeIdle()
+		if c == nil {
+			break
+		}
+		l.urgent.next(now).ready <- delivery{conn: c}
+	}
+	for l.resuming.Len() > 0 && l.mayRun() {
+		w := l.resuming.next(now)
+		l.setResting(w.held, false)
+		w.ready <- delivery{conn: w.held}
+	}
+	for l.waiting.Len() > 0 && l.mayRun() {
+		c := l.takeIdle()
+		if c == nil {
+			break
+		}
+		w := l.waiting.next(now)
+		c.handed, c.rested = now, false
+		l.drain.served(now, l.waiting.Len() > 0)
+		w.ready <- delivery{conn: c}
+	}
+	if l.drain.after(l.waiting.inTime.Len()) < calmBacklog {
+		l.waiting.overloaded = false
+	}
+	late := l.waiting.hopeless(now)
+	if len(late) == 0 {
+		return
+	}
+	err := l.overloaded()
+	for _, w := range late {
+		w.ready <- delivery{err: err}
+	}
+}
+
+// hopeless reports whether a request would be late if it waited now, at a target
+// that has no time for late ones.
+func (l *Lane) hopeless(now clock.Time, o Order) bool {
+	if !l.waiting.overloaded {
+		return false
+	}
+	wait := l.drain.after(l.waiting.ahead(o) + 1)
+	return wait > 0 && now.Add(wait+l.waiting.takes).After(o.Due)
+}
+
+// overloaded is the refusal of a request that cannot be served in its time.
+func (l *Lane) overloaded() error {
+	return &UnavailableError{Target: l.id, ComeBack: l.drain.after(l.waiting.Len() + 1), Cause: errors.New("more is asked than the target can do")}
+}
+
+// mayRun reports whether one more statement may be sent to the target. The
+// target's own queue is first come first served; beyond what keeps its slots
+// busy, requests wait here, in the order of their urgency.
+func (l *Lane) mayRun() bool { return l.running == 0 || l.inUse-l.resting < l.running }
+
+// rest notes that a connection in use runs nothing: its transaction waits for
+// its consumer.
+func (l *Lane) rest(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setResting(c, true)
+	l.serve(l.clk.Now())
+}
+
+// resume waits until a resting connection may run a statement. It goes before
+// all that wait for a connection: it holds one already, which they need.
+func (l *Lane) resume(ctx context.Context, c *Conn, o Order, timeout time.Duration) error {
+	l.mu.Lock()
+	if !c.resting {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.mayRun() {
+		l.setResting(c, false)
+		l.mu.Unlock()
+		return nil
+	}
+	w := &waiter{order: o, ready: make(chan delivery, 1), held: c}
+	l.resuming.push(w)
+	l.mu.Unlock()
+	_, err := l.await(ctx, w, timeout)
+	return err
+}
+
+func (l *Lane) setResting(c *Conn, resting bool) {
+	if c.resting == resting {
+		return
+	}
+	c.resting = resting
+	if resting {
+		c.rested = true
+		l.resting++
+	} else {
+		l.resting--
+	}
+}
+
+func (l *Lane) release(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setResting(c, false)
+	if c.handed != 0 && !c.rested {
+		l.waiting.took(l.clk.Now().Sub(c.handed))
+	}
+	l.hand(c)
+}
+
+func (l *Lane) drop(c *Conn) {
+	l.open--
+	l.inUse--
+	c.Close()
+}
+
+func (l *Lane) discard(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setResting(c, false)
+	l.drop(c)
+	l.grow(l.clk.Now())
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -32,7 +32,7 @@
 
 // RouterConfig of a Router.
 type RouterConfig struct {
-	// Local runs what needs no gateway, and Asker carries such questions.
+	// Local runs what needs no gateway, and Asker carries its questions.
 	Local  dispatch.Runner
 	Asker  groups.Asker
 	Groups *groups.Registry
--- a/relay/server.go
+++ b/relay/server.go
@@ -63,7 +63,7 @@
 	return twirp.PathPrefix(), terse.Handler(twirp)
 }
 
-// Open counts the transactions that are open for other VMs.
+// Count is how many transactions are open for other VMs.
 func (s *Server) Count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
