--- /dev/null
+++ b/relay/convert_test.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/dispatch"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/relay/relaypb"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+func TestStatementSurvivesTheWay(t *testing.T) {
+	j := &dispatch.Job{
+		Service: "s", Statement: &statement.Statement{ID: "r1", Text: "EXEC p a 1", Arguments: "a 1"},
+		Prepared: &lane.Prepared{Shape: "q", Writes: true}, Values: map[string]string{"lang": "ga"},
+		After: timeline.Position{Term: 3, LSN: 9}, Commits: true, Answer: 250 * time.Millisecond,
+	}
+	in := jobOf(j, time.Second)
+	in.Claim = claimOf("s", "t", dispatch.Claim{Order: lane.Order{Due: 5000, Priority: 2}, Queue: time.Second}, 1000)
+	require.Equal(t, j, job(in))
+	c := claim(in.GetClaim(), 7000)
+	require.Equal(t, lane.Order{Due: 11000, Priority: 2}, c.Order, "due as long from now as it was there")
+}
+
+// What is known of a failure decides whether a statement may be sent again. A
+// gateway's word must not turn a write that may have run into one that has not.
+func TestFailuresSurviveTheWay(t *testing.T) {
+	lost := failure(failureOf(&dispatch.LostError{Cause: errors.New("silence")}), "t")
+	var l *dispatch.LostError
+	require.ErrorAs(t, lost, &l)
+	require.Empty(t, l.Gateway, "the target is to blame")
+	require.False(t, mayPass(lost))
+
+	full := failure(failureOf(&lane.UnavailableError{Target: "t", ComeBack: 40 * time.Millisecond, Cause: errors.New("busy")}), "t")
+	var u *lane.UnavailableError
+	require.ErrorAs(t, full, &u)
+	require.Equal(t, 40*time.Millisecond, u.ComeBack)
+	require.False(t, mayPass(full), "another gateway has no more time")
+
+	away := failureOf(&lane.UnavailableError{Target: "t", Cause: syscall.ECONNREFUSED})
+	require.True(t, away.GetRefused())
+	require.True(t, mayPass(failure(away, "t")), "another gateway may reach it")
+
+	require.True(t, mayPass(failure(declined, "t")))
+	unknown := failure(&relaypb.Failure{Kind: relaypb.Failure_UNKNOWN}, "t")
+	require.False(t, mayPass(unknown), "a kind that this version does not know promises nothing")
+}
+
+// A gateway of a later version answers with a code and a state that this one does
+// not know: neither may be taken for a success.
+func TestUnknownAnswersPromiseNothing(t *testing.T) {
+	a := answer(&relaypb.Answer{Code: 99, State: 9})
+	require.Equal(t, statement.Other, a.Code)
+	require.Equal(t, statement.FailedTransaction, a.State)
+	whole := &statement.Answer{Rows: []string{"x"}, Signature: "sig", State: statement.Idle, Position: timeline.Position{Term: 1, LSN: 2}}
+	require.Equal(t, whole, answer(answerOf(whole)))
+}
