--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -23,15 +23,20 @@
 	playOn(t, 9, database.Options{MaxConnections: 9}, scenario)
 }
 
-// roles returns the gateways to a target, and the VMs that go through them.
-func roles(f *fleet, id target.ID, zone string) (holders, others []string) {
-	var vms []catalog.VM
+// scarceCatalog is what every VM of such a fleet knows that its plan goes by.
+func scarceCatalog(f *fleet) *catalog.Catalog {
+	c := &catalog.Catalog{Config: &catalog.Config{Services: map[string]*catalog.Service{service: {MaxConnections: 9}}}}
 	for i := range len(f.vms) {
-		vms = append(vms, catalog.VM{ID: fmt.Sprintf("vm%d", i), Zone: zones[i%len(zones)]})
+		c.VMs = append(c.VMs, catalog.VM{ID: fmt.Sprintf("vm%d", i), Zone: zones[i%len(zones)]})
 	}
-	c := &catalog.Catalog{VMs: vms, Config: &catalog.Config{Services: map[string]*catalog.Service{service: {MaxConnections: 9}}}}
+	return c
+}
+
+// roles returns the gateways to a target, and the VMs that go through them.
+func roles(f *fleet, id target.ID, zone string) (holders, others []string) {
+	c := scarceCatalog(f)
 	to := &catalog.Target{ID: id, Service: service, Zone: zone}
-	for _, vm := range vms {
+	for _, vm := range c.VMs {
 		if gateways.NewPlan(vm.ID, c).Share(to).Lent {
 			others = append(others, vm.ID)
 		} else {
@@ -43,11 +48,7 @@
 
 // firstGateway returns the gateway that a VM uses for the primary.
 func firstGateway(f *fleet, self string) string {
-	c := &catalog.Catalog{Config: &catalog.Config{Services: map[string]*catalog.Service{service: {MaxConnections: 9}}}}
-	for i := range len(f.vms) {
-		c.VMs = append(c.VMs, catalog.VM{ID: fmt.Sprintf("vm%d", i), Zone: zones[i%len(zones)]})
-	}
-	return gateways.NewPlan(self, c).Route(&catalog.Target{ID: "ledger-0", Service: service, Zone: "a"})[0].ID
+	return gateways.NewPlan(self, scarceCatalog(f)).Route(&catalog.Target{ID: "ledger-0", Service: service, Zone: "a"})[0].ID
 }
 
 // Nine VMs stand before targets that take nine connections each, a tenth of them
--- a/relay/router.go
+++ b/relay/router.go
@@ -157,24 +157,35 @@
 // not sent, and another VM may reach the target.
 func mayPass(err error) bool {
 	var unavailable *lane.UnavailableError
-	return errors.Is(err, errUnreached) || errors.Is(err, errDeclined) ||
-		(errors.As(err, &unavailable) && dispatch.Silent(err))
+	return isGateway(err) || (errors.As(err, &unavailable) && dispatch.Silent(err))
 }
 
-// Run implements dispatch.Runner.
-func (r *Router) Run(ctx context.Context, id target.ID, claim dispatch.Claim, job *dispatch.Job) (*dispatch.Result, error) {
+// through tries the gateways to a target in turn, while the statement may pass.
+// The result is whether one of them has settled it; err is then what came of it.
+// If no gateway can say anything of the target, it is not settled.
+func (r *Router) through(id target.ID, try func(vm catalog.VM) error) (settled bool, err error) {
 	var silent error
 	for _, vm := range r.route(id) {
-		out, err := r.runAt(ctx, vm, id, claim, job)
+		err := try(vm)
 		if err == nil || !mayPass(err) {
-			return out, err
+			return true, err
 		}
-		if dispatch.Silent(err) && !isGateway(err) {
+		if !isGateway(err) {
 			silent = err
 		}
 	}
-	if silent != nil {
-		return nil, silent
+	return silent != nil, silent
+}
+
+// Run implements dispatch.Runner.
+func (r *Router) Run(ctx context.Context, id target.ID, claim dispatch.Claim, job *dispatch.Job) (*dispatch.Result, error) {
+	var out *dispatch.Result
+	settled, err := r.through(id, func(vm catalog.VM) (err error) {
+		out, err = r.runAt(ctx, vm, id, claim, job)
+		return err
+	})
+	if settled {
+		return out, err
 	}
 	return r.cfg.Local.Run(ctx, id, claim, job)
 }
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -33,18 +33,14 @@
 
 // Open implements dispatch.Runner.
 func (r *Router) Open(ctx context.Context, id target.ID, claim dispatch.Claim, o *dispatch.Opening) (dispatch.Transaction, *statement.Answer, error) {
-	var silent error
-	for _, vm := range r.route(id) {
-		tx, a, err := r.openAt(ctx, vm, id, claim, o)
-		if err == nil || !mayPass(err) {
-			return tx, a, err
-		}
-		if dispatch.Silent(err) && !isGateway(err) {
-			silent = err
-		}
-	}
-	if silent != nil {
-		return nil, nil, silent
+	var tx dispatch.Transaction
+	var a *statement.Answer
+	settled, err := r.through(id, func(vm catalog.VM) (err error) {
+		tx, a, err = r.openAt(ctx, vm, id, claim, o)
+		return err
+	})
+	if settled {
+		return tx, a, err
 	}
 	return r.cfg.Local.Open(ctx, id, claim, o)
 }
