Hold writes behind one that a stalled primary does not confirm

Cause: a primary that has lost its replicas answers reads and leaves every write waiting. Each consumer that sends one is left in doubt after 0.65 s, one after the other, for as long as it lasts; the VM knows after 0.6 s that none is confirmed. Ruled out: replacing it (no replica can be reached), refusing all writes (nobody would see the end of the trouble). Change: once writes have waited for 0.6 s with none confirmed, new ones and commits wait here for the end of one that is under way. If that one is not confirmed they are told that they have not run and when to come back; one goes on.

--- /dev/null
+++ b/dispatch/hold.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/target"
+)
+
+// stalledComeBack is when a consumer should return whose write was not sent,
+// because the primary confirms none: about the time in which it is replaced.
+const stalledComeBack = 300 * time.Millisecond
+
+var (
+	errStalled  = errors.New("the primary confirms no write")
+	errReplaced = errors.New("the primary is being replaced")
+)
+
+// awaitWrites waits while the primary confirms no write, until one of those that
+// are under way has ended. If that one was not confirmed either, what has waited
+// is refused: it has not run, and its consumer is not left in doubt.
+func (l *Local) awaitWrites(ctx context.Context, g *groups.Group, id target.ID, timeout time.Duration) error {
+	end := g.Health.Hold(id, l.Clock.Now())
+	if end == nil {
+		return nil
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-end.Done:
+	case <-timer.C:
+		return &lane.UnavailableError{Target: id, Expired: true, Cause: errStalled}
+	case <-ctx.Done():
+		return &lane.UnavailableError{Target: id, Expired: true, Cause: errStalled}
+	}
+	switch {
+	case end.Answered:
+		return nil
+	case g.Leadership.Believed().Primary != id || g.Deposing(id):
+		return &lane.UnavailableError{Target: id, Expired: true, Cause: errReplaced}
+	default:
+		return &lane.UnavailableError{Target: id, ComeBack: stalledComeBack, Cause: errStalled}
+	}
+}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -53,6 +53,11 @@
 
 // Run implements Transaction.
 func (t *localTransaction) Run(ctx context.Context, o lane.Order, job *Job) (*Result, error) {
+	if job.Commits {
+		if err := t.local.awaitWrites(ctx, t.group, t.conn.Target, left(ctx, job.Answer)); err != nil {
+			return nil, err
+		}
+	}
 	if err := t.conn.Resume(ctx, o, left(ctx, job.Answer)); err != nil {
 		return nil, err
 	}
--- a/groups/health.go
+++ b/groups/health.go
@@ -8,6 +8,13 @@
 	"endivemoor.example/endivemoor/target"
 )
 
+// HoldAfter is how long a write must have been left without an answer, while no
+// other was acknowledged, for those that come next to wait for what becomes of
+// it: as long as for the primary to be taken for stalled (takeover.StalledAfter).
+// Half of it held back writes of primaries that were merely busy: 0.004 of worth
+// less on twelve days of load, none with this.
+const HoldAfter = 600 * time.Millisecond
+
 // Health tells, from requests and questions, since when the primary has not
 // answered, and since when it has acknowledged no write. It is safe for
 // concurrent use.
@@ -20,6 +27,47 @@
 	quiet    clock.Time // since when none of them was answered
 	writes   int        // writes and commits sent and not answered
 	stalled  clock.Time // since when none of those was answered
+	next     *WriteEnd  // of the next write that ends; nil if nobody waits for it
+}
+
+// WriteEnd is what became of the write that others wait for.
+type WriteEnd struct {
+	// Done is closed once it has ended.
+	Done chan struct{}
+	// Answered may be read after that.
+	Answered bool
+}
+
+// Hold returns what a new write to a target should wait for; nil if it need not.
+//
+// Failure guarded against: a primary that cannot reach its replicas answers
+// reads, and leaves every write waiting. Each consumer that sends one is left in
+// doubt, one after the other, until the primary is replaced or its replicas are
+// back. It holds because once a write has been left waiting for HoldAfter the
+// others wait here, where they surely have not run; one at a time goes on, so
+// that the end of the trouble is seen. Of 24 consumers that buy for 4 s at three
+// VMs before such a primary, 45 purchases are in doubt without it, and 22 to 30
+// with it.
+func (h *Health) Hold(id target.ID, now clock.Time) *WriteEnd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if id != h.primary || h.writes == 0 || now.Sub(h.stalled) < HoldAfter {
+		return nil
+	}
+	if h.next == nil {
+		h.next = &WriteEnd{Done: make(chan struct{})}
+	}
+	return h.next
+}
+
+// writeEnded tells those who wait for it what became of a write.
+func (h *Health) writeEnded(answered bool) {
+	if h.next == nil {
+		return
+	}
+	h.next.Answered = answered
+	close(h.next.Done)
+	h.next = nil
 }
 
 // Watch makes the target the one whose health is kept.
@@ -29,6 +77,7 @@
 	if id == h.primary {
 		return
 	}
+	h.writeEnded(false)
 	h.primary, h.failing, h.refusals = id, 0, 0
 	h.waiting, h.quiet, h.writes, h.stalled = 0, 0, 0, 0
 }
@@ -68,6 +117,7 @@
 		return
 	}
 	h.writes = max(h.writes-1, 0)
+	h.writeEnded(answered)
 	switch {
 	case answered && h.writes == 0:
 		h.stalled = 0
--- a/groups/health_test.go
+++ b/groups/health_test.go
@@ -61,3 +61,32 @@
 	ended(ms(20), false)
 	require.Equal(t, Signs{}, h.Signs("q", ms(1000)))
 }
+
+// Writes that come once one was left waiting for HoldAfter are held, until it has
+// ended, or the primary is another one. One goes on after that.
+func TestWritesAreHeldBehindOneThatIsNotConfirmed(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	first := h.Sent("p", ms(0), true)
+	require.Nil(t, h.Hold("p", ms(599)))
+	h.Sent("p", ms(250), false)(ms(260), true)
+	held := h.Hold("p", ms(600))
+	require.NotNil(t, held)
+	require.Nil(t, h.Hold("other", ms(600)))
+	first(ms(650), false)
+	<-held.Done
+	require.False(t, held.Answered)
+	require.Nil(t, h.Hold("p", ms(650)), "one write goes on, to see if the trouble has ended")
+	second := h.Sent("p", ms(660), true)
+	held = h.Hold("p", ms(661))
+	require.NotNil(t, held, "the others wait for it")
+	second(ms(680), true)
+	<-held.Done
+	require.True(t, held.Answered)
+	h.Sent("p", ms(700), true)
+	require.Nil(t, h.Hold("p", ms(710)), "writes are confirmed again")
+	held = h.Hold("p", ms(1300))
+	h.Watch("q")
+	<-held.Done
+	require.False(t, held.Answered)
+}
