End attempts whose holder is gone, and let go what they have paused

Cause: a VM that dies after it has ordered a promotion leaves the other replica paused and its record open. Traced by verbose plays: takeover-unfeasible (stalled) again and again, two targets alive. Change: once an attempt has lapsed and a primary leads, a VM records its own, asks all targets, and if nobody else can lead lets the paused ones go and ends the record. Otherwise the record stays. Before: no sale for good. Also weighed and not built: sending statements through VMs that still reach a primary (docs/PLATFORM.md).

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -393,3 +393,24 @@
 		f.fair()
 	})
 }
+
+// A VM recorded that it replaces the primary and died before it did anything.
+// Nothing is wrong with the primary; but while the record stands no VM may trust
+// what it knows, and every purchase asks a replica anew. Another VM ends it once
+// it has lapsed.
+func TestRecordOfADeadHolderIsEnded(t *testing.T) {
+	play(t, 3, func(f *fleet) {
+		f.world.Store.Put("endivemoor", "reign."+service, map[string]any{
+			"holder": "vm9", "attempt": map[string]any{"nonce": "n", "deposed": "ledger-0"},
+		})
+		c := f.session("vm0", exact)
+		_, bought := buyUntil(f, c, takeover.Lapse+time.Second)
+		o, ok := f.world.Store.Get("endivemoor", "reign."+service)
+		require.True(t, ok)
+		require.NotContains(t, string(o.Spec), "attempt")
+		require.Contains(t, string(o.Spec), "ledger-0")
+		require.Empty(t, f.world.Store.Duties(), "nobody is promoted")
+		require.NotEmpty(t, bought)
+		f.fair()
+	})
+}
--- /dev/null
+++ b/promoter/abandoned.go
@@ -0,0 +1,75 @@
+package promoter
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+)
+
+// abandoned reports whether an attempt is recorded that its holder has left: it
+// was seen unchanged for so long that it has lapsed.
+func (w *watched) abandoned(r *catalog.Reign, now clock.Time) bool {
+	return r.Attempt != nil && now.Sub(w.seen) >= takeover.Lapse
+}
+
+// tidy undoes what an attempt has left behind whose holder is gone. It is false
+// if it is not sure who leads, so that nothing was done.
+//
+// Failure guarded against: a VM dies after it has ordered a promotion. The target
+// leads, but the other replica is still paused, and nobody is to let it go: if the
+// old primary stays away, no write is ever confirmed again, though two of three
+// targets live. The record shows an attempt for good, so that no VM may trust its
+// evidence and each exact read asks a replica. It holds because an attempt that
+// lapses is ended by another VM, under a record of its own, so that no promotion
+// is open meanwhile.
+func (a *attempt) tidy(ctx context.Context, log *zap.Logger) bool {
+	if _, settled := a.left(ctx); !settled {
+		return false
+	}
+	if err := a.record(ctx, a.known.Attempt.Deposed); err != nil {
+		log.Info("takeover-not-ours", zap.Error(err))
+		return true
+	}
+	// What was seen before may have been of an attempt that was still under way.
+	// If it is not sure any more who leads, the record is left to lapse again.
+	paused, settled := a.left(ctx)
+	if !settled {
+		log.Info("takeover-untidied", zap.Duration("after", a.elapsed()))
+		return true
+	}
+	a.paused = paused
+	a.resume(ctx, a.old)
+	a.end(ctx, a.old)
+	log.Info("takeover-tidied", zap.Int("resumed", len(paused)), zap.Duration("after", a.elapsed()))
+	return true
+}
+
+// left returns the targets that are still paused, and whether it is sure that
+// the believed primary leads.
+func (a *attempt) left(ctx context.Context) (paused []target.ID, settled bool) {
+	s, err := a.g.Status(ctx, a.old, askTimeout)
+	leader := accountOf(a.old, s, err)
+	var others []takeover.Account
+	for _, t := range a.all(ctx, a.others, lane.AskStatus) {
+		o := accountOf(t.id, t.status, t.err)
+		others = append(others, o)
+		if o.Paused != 0 {
+			paused = append(paused, o.ID)
+		}
+	}
+	return paused, takeover.Settled(leader, others, a.known.Attempt.Deposed)
+}
+
+func accountOf(id target.ID, s statement.Status, err error) takeover.Account {
+	if err != nil {
+		return takeover.Account{ID: id, Silent: true}
+	}
+	return takeover.Account{ID: id, Role: s.Role, Term: s.Term, Paused: s.Paused}
+}
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -69,11 +69,14 @@
 	defer p.done(g)
 	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: p.cfg.Clock.Now(), others: g.Replicas(b.Primary)}
 	log := p.cfg.Log.With(zap.String("service", g.Service), zap.String("reason", string(reason)), zap.String("old", string(b.Primary)))
+	if known.Attempt != nil && reason.Answers() && (a.tidy(ctx, log) || reason == takeover.ReasonAbandoned) {
+		return
+	}
 	if err := a.feasible(ctx); err != nil {
 		log.Info("takeover-unfeasible", zap.Error(err), zap.Duration("silent", signs.Silent), zap.Duration("stalled", signs.Stalled))
 		return
 	}
-	if err := a.record(ctx); err != nil {
+	if err := a.record(ctx, b.Primary); err != nil {
 		log.Info("takeover-not-ours", zap.Error(err))
 		return
 	}
@@ -97,10 +100,10 @@
 // to act and the record lie questions to the targets, in which another VM may
 // have recorded its own. So the record is conditional on the revision that the
 // decision went by, not on the latest one: then the update fails.
-func (a *attempt) record(ctx context.Context) error {
+func (a *attempt) record(ctx context.Context, deposed target.ID) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	held, err := a.p.cfg.Records.Begin(ctx, a.known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: a.p.cfg.Nonce(), Deposed: a.old})
+	held, err := a.p.cfg.Records.Begin(ctx, a.known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: a.p.cfg.Nonce(), Deposed: deposed})
 	if err != nil {
 		return err
 	}
--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -27,6 +28,7 @@
 type server struct {
 	status   statement.Status
 	stubborn bool
+	dead     bool
 	orders   []lane.Ask
 }
 
@@ -37,6 +39,8 @@
 		if s.status.Role == target.RoleReplica {
 			s.status.Paused = term
 		}
+	case lane.AskResume:
+		s.status.Paused = 0
 	case lane.AskStepDown(term):
 		if s.status.Term < term && !s.stubborn {
 			s.status.Role = target.RoleReplica
@@ -52,6 +56,9 @@
 }
 
 func (a *asker) Control(_ context.Context, id target.ID, ask lane.Ask, _ time.Duration) ([]string, error) {
+	if a.servers[id].dead {
+		return nil, errors.New("no answer")
+	}
 	a.servers[id].answer(ask, a.term)
 	return []string{string(id)}, nil
 }
@@ -116,3 +123,64 @@
 	renewed := &catalog.Reign{Service: "s", Revision: 10, Holder: "vm3", Attempt: &catalog.Attempt{Holder: "vm3", Nonce: "m"}}
 	require.True(t, p.othersAct(renewed, w, start.Add(takeover.Lapse)), "a further attempt is watched anew")
 }
+
+// records is the store's record of one service.
+type records struct{ now catalog.Reign }
+
+func (r *records) Begin(_ context.Context, known *catalog.Reign, a catalog.Attempt) (*catalog.Reign, error) {
+	if known.Revision != r.now.Revision {
+		return nil, errors.New("changed")
+	}
+	r.now.Revision++
+	r.now.Holder, r.now.Attempt = a.Holder, &a
+	held := r.now
+	return &held, nil
+}
+
+func (r *records) End(_ context.Context, held *catalog.Reign, primary target.ID) error {
+	if held.Revision != r.now.Revision {
+		return errors.New("changed")
+	}
+	r.now.Revision++
+	r.now.Primary, r.now.Attempt = primary, nil
+	return nil
+}
+
+// A VM has replaced "a", which is dead, by "b", and died before it let "c"
+// receive again. Nothing that is bought at "b" can be confirmed, until another VM
+// lets "c" go in its place; but not while "c" might lead, or was promoted instead.
+func TestWhatADeadHolderHasPausedIsLetGo(t *testing.T) {
+	leftBy := func(c *server) (*attempt, *records) {
+		a := attemptOn(map[target.ID]*server{
+			"a": {dead: true}, "c": c,
+			"b": {status: statement.Status{Role: target.RolePrimary, Term: term}},
+		})
+		r := &records{now: catalog.Reign{Service: "s", Revision: 9, Holder: "vm2", Attempt: &catalog.Attempt{Holder: "vm2", Nonce: "n", Deposed: "a"}}}
+		a.p.cfg.Records, a.p.cfg.Nonce = r, func() string { return "m" }
+		known := r.now
+		a.old, a.known = "b", &known
+		a.others = []*catalog.Target{{ID: "a"}, {ID: "c"}}
+		return a, r
+	}
+	paused := &server{status: statement.Status{Role: target.RoleReplica, Term: term - 1, Paused: term}}
+	a, r := leftBy(paused)
+	require.True(t, a.tidy(context.Background(), zap.NewNop()))
+	require.Zero(t, paused.status.Paused)
+	require.Nil(t, r.now.Attempt)
+	require.Equal(t, target.ID("b"), r.now.Primary)
+
+	for name, c := range map[string]*server{
+		"it does not answer": {dead: true},
+		"it leads":           {status: statement.Status{Role: target.RolePrimary, Term: term}},
+		"it was promoted":    {status: statement.Status{Role: target.RoleReplica, Term: term + 1}},
+	} {
+		a, r := leftBy(c)
+		require.False(t, a.tidy(context.Background(), zap.NewNop()), name)
+		require.Equal(t, "n", r.now.Attempt.Nonce, "the record stays: %s", name)
+	}
+
+	a, r = leftBy(&server{status: paused.status})
+	r.now.Revision++
+	require.True(t, a.tidy(context.Background(), zap.NewNop()))
+	require.Equal(t, "n", r.now.Attempt.Nonce, "another VM was first")
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -160,6 +160,9 @@
 	known := p.known(g.Service)
 	others := p.othersAct(known, w, now)
 	reason := takeover.Judge(signs)
+	if reason == takeover.ReasonNone && w.abandoned(known, now) {
+		reason = takeover.ReasonAbandoned
+	}
 	if reason != w.reason {
 		w.reason, w.since = reason, now
 	}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -63,11 +63,16 @@
 	ReasonStalled Reason = "stalled"
 	// ReasonAbsent: no target claims to lead.
 	ReasonAbsent Reason = "absent"
+	// ReasonAbandoned: it needs none, but an attempt was left unended.
+	ReasonAbandoned Reason = "abandoned"
 )
 
 // Planned reports whether the old primary is expected to cooperate.
 func (r Reason) Planned() bool { return r == ReasonLeaving }
 
+// Answers reports whether the primary answers, whatever else ails the service.
+func (r Reason) Answers() bool { return r == ReasonAbandoned || r == ReasonStalled }
+
 // Signs is what a VM has seen of a service's primary.
 type Signs struct {
 	// Known is set if some target is believed to lead.
