See the relay's guards red

Cause: the relay's guards had no test that was red without them but for two. How long a silent gateway is left alone is a matter of speed and has no such test. No product code changed.

--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -173,3 +173,24 @@
 		f.fair()
 	})
 }
+
+// All connections to a target are held by transactions whose consumers rest, and
+// a purchase waits for one at the gateway in vain. It was never sent: its consumer
+// must hear that it has not run, and not that it is in doubt, as if the gateway
+// had not answered in time.
+func TestPurchaseThatWaitedInVainAtTheGatewayHasNotRun(t *testing.T) {
+	scarce(t, func(f *fleet) {
+		_, others := roles(f, "ledger-0", "a")
+		for i := range 12 {
+			c := f.session(others[i%len(others)], exact)
+			c.Query("BEGIN")
+			if !c.Query("WRITE seat" + strconv.Itoa(i) + " held").OK() {
+				break
+			}
+		}
+		a := f.session(others[0], exact).Query("WRITE seat taken")
+		require.Equal(t, "BUSY", a.Code, "%+v", a)
+		require.Contains(t, a.Text, "retry-after-ms=")
+		f.fair()
+	})
+}
