Share the opening and the end of the scenarios on real processes

Seven scenarios began a fleet, its buyers and a first purchase, and ended and judged them, in the same lines. One function does both now.

--- a/internal/e2e/scenario_test.go
+++ b/internal/e2e/scenario_test.go
@@ -26,6 +26,20 @@
 	eventually(t, "purchases succeed", func() bool { return h.done() >= goal })
 }
 
+// startSale starts a fleet whose buyers are busy, and waits until some purchases
+// are done. What it returns ends the sale and judges it.
+func startSale(t *testing.T) (f *fleet, h *history, end func()) {
+	t.Helper()
+	f, h = startFleet(t, 3), newHistory()
+	stop := f.load(t, h, buyers, true)
+	buyUntil(t, h, somePurchases)
+	return f, h, func() {
+		t.Helper()
+		stop()
+		f.judge(t, h)
+	}
+}
+
 // isReplicaOf waits until a server follows the leader up to its end.
 func isReplicaOf(t *testing.T, s, leader *server) {
 	t.Helper()
@@ -40,18 +54,14 @@
 // The fleet promotes a replica, sales go on, and no paid pass is lost, doubled
 // or wrongly called "not run".
 func TestPrimaryKilled(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	began := time.Now()
 	old.kill(t)
 	f.logGap(t, h, began)
 	f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // probeEvery is the interval of new purchases while a gap is measured.
@@ -89,10 +99,7 @@
 // nothing is answered. It must be found, replaced, and when it wakes up its late
 // work must not count; it then follows the new primary.
 func TestPrimaryFrozenThenThawed(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	began := time.Now()
 	old.pause(t)
@@ -102,18 +109,14 @@
 	old.resume(t)
 	isReplicaOf(t, old, leader)
 	buyUntil(t, h, somePurchases)
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // The primary is cut off from all callers and proxies, and believes on. Its
 // replicas still reach it. The fleet moves on; after the cut heals, requests
 // that were on their way reach the old primary late and must not count.
 func TestPrimaryCutFromCallers(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	old.fault(t, "kind", "cut", "who", "callers", "direction", "both")
 	eventually(t, "another server leads", func() bool {
@@ -128,36 +131,28 @@
 	require.Positive(t, old.struck(t).Requests, "the cut took effect")
 	old.fault(t, "kind", "heal")
 	isReplicaOf(t, old, f.waitLeaderOtherThan(t, old))
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // Only the primary's answers are lost: it executes and nobody hears of it. Each
 // purchase that ran is unknown to its caller, who asks again with its key
 // elsewhere; it may be charged once.
 func TestPrimaryAnswersLost(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	old.fault(t, "kind", "cut", "who", "callers", "direction", "answers")
 	buyUntil(t, h, somePurchases)
 	require.Positive(t, old.struck(t).Answers, "the cut took effect")
 	old.fault(t, "kind", "heal")
 	isReplicaOf(t, old, f.waitLeaderOtherThan(t, old))
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // The primary's replicas are cut off from it, while callers and proxies reach all
 // servers. Nothing that it writes alone may be told "done", since no replica has
 // it. When the cut heals, sales go on.
 func TestPrimaryCutFromPeers(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	old.fault(t, "kind", "cut", "who", "peers", "direction", "both")
 	eventually(t, "the cut takes effect", func() bool {
@@ -170,8 +165,7 @@
 	})
 	old.fault(t, "kind", "heal")
 	buyUntil(t, h, somePurchases)
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // The primary dies, the fleet promotes, then the new primary dies too. A server
@@ -261,10 +255,7 @@
 // with the term that it reserved while the store was well. The store comes back
 // and learns of it.
 func TestStoreDownAndPrimaryKilled(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	f.storeFaults(t, `{"faults":{"down":true}}`)
 	old := f.servers[0]
 	old.kill(t)
@@ -280,8 +271,7 @@
 		return true
 	})
 	buyUntil(t, h, somePurchases)
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // primary is the group's primary in a daemon's view.
@@ -299,17 +289,13 @@
 // Two faults at once: the daemon that sells dies together with the primary.
 // Callers go on through the others, with the same keys.
 func TestPrimaryAndDaemonKilledTogether(t *testing.T) {
-	f := startFleet(t, 3)
-	h := newHistory()
-	stop := f.load(t, h, buyers, true)
-	buyUntil(t, h, somePurchases)
+	f, h, end := startSale(t)
 	old := f.servers[0]
 	f.daemons[0].kill(t)
 	old.kill(t)
 	f.waitLeaderOtherThan(t, old)
 	buyUntil(t, h, somePurchases)
-	stop()
-	f.judge(t, h)
+	end()
 }
 
 // While nobody can commit, a caller is refused at once with a time to come
