Use gateways in every large fleet, however many connections there are

The targets refused 103,683 of 177,017 arrivals; each is sent again after 15 to 60 ms, and which one finds room is chance. 3,115 consumers heard nothing before their time was over, though most reads and writes could have been ordered and refused in time. Change: from 24 VMs on, two gateways a target as where connections are scarce: their lanes order by due time, send no more than the slots and one, and refuse at once what cannot be served in time.

--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -1,6 +1,7 @@
 // Package gateways decides which VMs hold the connections to a target where
-// there are too few for every VM of the fleet to hold its own. The others send
-// their statements through them.
+// there are too few for every VM of the fleet to hold its own, or where so many VMs
+// would overfill the target's queue. The others send their statements through
+// them.
 //
 // Each VM computes the same answer from the fleet's list, without a word to the
 // others: candidates are drawn by weighted rendezvous hashing, so that a VM
@@ -27,6 +28,14 @@
 	// spareShare is the part of a target's limit that is left for the fleet's own
 	// questions and orders, which open connections beyond all shares.
 	spareShare = 0.1
+	// crowdFrom is the fleet's size from which gateways are used however many
+	// connections a target takes. Its own queue holds 24 statements on the users'
+	// sheets and is first come first served; from there on one statement of each VM
+	// fills it, whoever comes next is refused, and which statement is served in time
+	// is chance. On a day of high load with 89 VMs a target's primary refused 103,683
+	// of 177,017 arrivals and 3,115 consumers were told nothing in time; with gateways
+	// it refused 3,941 of 76,140, and 52 were (worth 0.801 and 0.877).
+	crowdFrom = 24
 	// perTarget is how many gateways a target has. Their queues are where requests
 	// are ordered by when they are due, which one queue does best; a second one
 	// goes on when the first is lost. Six of them, each with four connections, fill
@@ -78,10 +87,11 @@
 	return float64(s.MaxConnections) * (1 - spareShare)
 }
 
-// scarce reports whether there is less than one connection for each VM.
-func (p *Plan) scarce(t *catalog.Target) bool {
-	limit := p.limit(t)
-	return limit > 0 && limit < float64(len(p.catalog.VMs))
+// shared reports whether the VMs go through gateways: if there is less than one
+// connection for each of them, or if they are too many for the target's queue.
+func (p *Plan) shared(t *catalog.Target) bool {
+	limit, vms := p.limit(t), len(p.catalog.VMs)
+	return limit > 0 && (limit < float64(vms) || vms >= crowdFrom)
 }
 
 // Share is this VM's part of a target's connections.
@@ -90,7 +100,7 @@
 	if limit == 0 {
 		return Share{Kept: 1}
 	}
-	if !p.scarce(t) {
+	if !p.shared(t) {
 		return Share{Kept: int(limit) / max(len(p.catalog.VMs), 1)}
 	}
 	all := p.of(t)
@@ -103,7 +113,7 @@
 // Route returns the gateways to a target in the order in which this VM should
 // try them; none if it should connect by itself.
 func (p *Plan) Route(t *catalog.Target) []catalog.VM {
-	if !p.scarce(t) {
+	if !p.shared(t) {
 		return nil
 	}
 	all := p.of(t)
