Serve the operator's higher priority first at an overloaded target

Change: while a target is overloaded, and only then, requests in time go by priority, then by when they are due; what can no longer be in time is told so wherever it stands in the queue. Before and after, in virtual time: 37% and 96% of purchases in time, 70% and 52% of reads.

--- a/lane/order.go
+++ b/lane/order.go
@@ -11,10 +11,22 @@
 type Order struct {
 	// Due is when its answer should be there to meet the objective.
 	Due clock.Time
-	// Priority breaks ties; 0 is the highest.
+	// Priority is the operator's; 0 is the highest. It breaks ties, and goes before
+	// Due at a target that has more to do than it can.
 	Priority int
 }
 
+// before reports whether a request goes before another one.
+func (o Order) before(b Order, ranked bool) bool {
+	if ranked && o.Priority != b.Priority {
+		return o.Priority < b.Priority
+	}
+	if o.Due != b.Due {
+		return o.Due.Before(b.Due)
+	}
+	return o.Priority < b.Priority
+}
+
 type delivery struct {
 	conn *Conn
 	err  error
@@ -41,7 +53,13 @@
 //
 // If none of the late ones has been served for a while, there is more work than
 // the target can do. Until all that wait in time are served, those that are late
-// are refused, and so are those that come and would be late.
+// are refused, and so are those that come and would be late. What is in time then
+// goes by the operator's priority first: by when they are due alone, short requests
+// that are due soon find a long queue of others and are refused, and it is those
+// with the longest objectives that are served. Of purchases that are due within
+// 150 ms, a quarter of one and a half times the load, 37% were served in time so,
+// and 96% with it, while of the reads that are due within 500 ms 52% were, and 70%
+// before.
 //
 // All this holds where requests wait here for a slot of the target (judges). A
 // lane that may fill the target's own queue, which is first come first served,
@@ -70,13 +88,22 @@
 func (q *queue) ahead(o Order) int {
 	n := 0
 	for _, w := range q.inTime.all {
-		if !o.Due.Before(w.order.Due) {
+		if !o.before(w.order, q.inTime.ranked) {
 			n++
 		}
 	}
 	return n
 }
 
+// setOverloaded notes whether there is more work than the target can do.
+func (q *queue) setOverloaded(overloaded bool) {
+	q.overloaded = overloaded
+	if q.inTime.ranked != overloaded {
+		q.inTime.ranked = overloaded
+		heap.Init(&q.inTime)
+	}
+}
+
 // Len is how many requests wait.
 func (q *queue) Len() int { return q.inTime.Len() + q.late.Len() }
 
@@ -107,11 +134,12 @@
 // hopeless takes out the late requests of an overloaded target.
 func (q *queue) hopeless(now clock.Time) []*waiter {
 	if q.late.Len() > 0 && now.Sub(q.lateServed) > starvedAfter {
-		q.overloaded = true
+		q.setOverloaded(true)
 	}
 	if !q.overloaded {
 		return nil
 	}
+	q.expire(now)
 	var out []*waiter
 	for q.late.Len() > 0 {
 		out = append(out, heap.Pop(&q.late).(*waiter))
@@ -119,6 +147,21 @@
 	return out
 }
 
+// expire puts what can no longer be in time among the late requests. Ordered by
+// priority first, they are not found at the head of the queue.
+func (q *queue) expire(now clock.Time) {
+	var expired []*waiter
+	for _, w := range q.inTime.all {
+		if !w.order.Due.After(now.Add(q.takes)) {
+			expired = append(expired, w)
+		}
+	}
+	for _, w := range expired {
+		heap.Remove(&q.inTime, w.index)
+		q.late.push(w)
+	}
+}
+
 // remove takes a request out that waits no longer, and reports whether it was
 // still there.
 func (w *waiter) remove() bool {
@@ -129,10 +172,11 @@
 	return true
 }
 
-// waiters is a heap of requests: by when they are due, or the other way round.
+// waiters is a heap of requests: by when they are due, the other way round
+// (youngest), or by their priority first (ranked).
 type waiters struct {
-	all      []*waiter
-	youngest bool
+	all              []*waiter
+	youngest, ranked bool
 }
 
 var _ heap.Interface = (*waiters)(nil)
@@ -145,10 +189,10 @@
 // Less implements heap.Interface.
 func (h *waiters) Less(i, j int) bool {
 	a, b := h.all[i].order, h.all[j].order
-	if a.Due != b.Due {
-		return a.Due.Before(b.Due) != h.youngest
+	if h.youngest && a.Due != b.Due {
+		return b.Due.Before(a.Due)
 	}
-	return a.Priority < b.Priority
+	return a.before(b, h.ranked)
 }
 
 // Swap implements heap.Interface.
--- a/lane/overload_test.go
+++ b/lane/overload_test.go
@@ -167,3 +167,40 @@
 		held[1].Release()
 	})
 }
+
+// Half as many again come as a target can serve, of two kinds: short purchases,
+// which the operator has given the higher priority and which are due soonest, and
+// long reads that are due later. Ordered by when they are due alone, a purchase
+// that finds a long queue of reads is late already and refused, and it is the reads
+// that are served.
+func TestOverloadServesTheHigherPriorityFirst(t *testing.T) {
+	const requests = 500
+	var bought, wanted, read atomic.Int64
+	bubble(t, 1, 1, func(l *Lane, _ *dialer) {
+		l.setShare(gateways.Share{Kept: 1, Running: 1})
+		var wait sync.WaitGroup
+		for i := range requests {
+			o, work, served := Order{Due: l.clk.Now().Add(500 * time.Millisecond), Priority: 2}, 30*time.Millisecond, &read
+			if i%4 == 0 {
+				o, work, served = Order{Due: l.clk.Now().Add(150 * time.Millisecond), Priority: 1}, 6*time.Millisecond, &bought
+				wanted.Add(1)
+			}
+			wait.Go(func() {
+				c, err := l.Acquire(context.Background(), o, 800*time.Millisecond)
+				if err != nil {
+					return
+				}
+				time.Sleep(work)
+				c.Release()
+				if !l.clk.Now().After(o.Due) {
+					served.Add(1)
+				}
+			})
+			time.Sleep(16 * time.Millisecond)
+		}
+		wait.Wait()
+	})
+	t.Logf("purchases %d of %d, reads %d of %d", bought.Load(), wanted.Load(), read.Load(), requests-wanted.Load())
+	require.Greater(t, bought.Load(), wanted.Load()*9/10)
+	require.Greater(t, read.Load(), int64(190), "of some 240 that fit beside the purchases")
+}
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -51,7 +51,7 @@
 		w.ready <- delivery{conn: c}
 	}
 	if l.drain.after(l.waiting.inTime.Len()) < calmBacklog {
-		l.waiting.overloaded = false
+		l.waiting.setOverloaded(false)
 	}
 	late := l.waiting.hopeless(now)
 	if len(late) == 0 {
