Say why a target had no time; prove no transaction at a replica

A statement that is refused for want of time now says whether more is asked than the target can do or the primary confirms no write, to the consumer and in the log, also through gateways. The time after which writes are held is that of a stalled primary by name. Tests of the packages pass.

--- a/engine/alone.go
+++ b/engine/alone.go
@@ -202,5 +202,8 @@
 	if w.full > 0 {
 		after = max(w.comeBack, minComeBack)
 	}
+	if w.full > 0 && w.refusal != nil {
+		why += ": " + w.refusal.Error()
+	}
 	return refuse(code, after, why+", tries "+strconv.Itoa(w.tries), statement.Idle)
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -299,6 +299,7 @@
 // placeTransaction chooses the target. Only the primary takes a transaction
 // that may write; exact reads go there too, and what has no evidence of age.
 func (s *Session) placeTransaction(ctx context.Context, tx *transaction, w *work, tried map[target.ID]bool, proven bool) (target.ID, error) {
+	tx.unproven = false
 	if tx.readOnly && tx.route.Freshness != catalog.Exact && proven {
 		tx.belief = tx.group.Leadership.Believed()
 		if id, _ := s.place(tx.group, tried); id != "" {
--- a/engine/try.go
+++ b/engine/try.go
@@ -88,7 +88,7 @@
 	if !errors.As(err, &lost) {
 		var u *lane.UnavailableError
 		if errors.As(err, &u) && u.ComeBack > 0 {
-			w.full, w.comeBack = w.full+1, u.ComeBack
+			w.full, w.comeBack, w.refusal = w.full+1, u.ComeBack, u.Cause
 			return full
 		}
 		w.full = 0
--- a/engine/work.go
+++ b/engine/work.go
@@ -22,10 +22,11 @@
 	arrived  clock.Time
 	ledger   ledger
 	tries    int
-	// full counts the targets in a row that had no time for the statement, and
-	// comeBack is when the last of them will have.
+	// full counts the targets in a row that had no time for the statement;
+	// comeBack is when the last of them will have, and refusal says why it has not.
 	full     int
 	comeBack time.Duration
+	refusal  error
 }
 
 // deadline is when the statement's time is over.
--- a/groups/health.go
+++ b/groups/health.go
@@ -5,15 +5,16 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
 
 // HoldAfter is how long a write must have been left without an answer, while no
 // other was acknowledged, for those that come next to wait for what becomes of
-// it: as long as for the primary to be taken for stalled (takeover.StalledAfter).
-// Half of it held back writes of primaries that were merely busy: 0.004 of worth
-// less on twelve days of load, none with this.
-const HoldAfter = 600 * time.Millisecond
+// it: as long as for the primary to be taken for stalled. Half of it held back
+// writes of primaries that were merely busy: 0.004 of worth less on twelve days of
+// load, and no difference beyond the noise with this.
+const HoldAfter = takeover.StalledAfter
 
 // Health tells, from requests and questions, since when the primary has not
 // answered, and since when it has acknowledged no write. It is safe for
