Leave a dead holder's order its time to arrive

Cause, by review: a VM's next process took the attempt of the one before for lapsed after 1.5 s, and let the paused replicas go if the old primary still led. An order of the dead process that the platform carries out late would then promote a target that lacks what was confirmed meanwhile. Change: while the target leads that was to be replaced, what an attempt left is undone after the whole Lapse only; otherwise the VM's own next process waits 2 s, which with its start is the margin that Lapse leaves after Limit. TestRestartedHolderWaitsForItsOrderToArrive (red before).

--- a/promoter/abandoned.go
+++ b/promoter/abandoned.go
@@ -13,10 +13,22 @@
 	"endivemoor.example/endivemoor/target"
 )
 
-// abandoned reports whether an attempt is recorded that its holder has left: it
-// was seen unchanged for so long that it has lapsed.
-func (p *Promoter) abandoned(r *catalog.Reign, w *watched, now clock.Time) bool {
-	return r.Attempt != nil && now.Sub(w.seen) >= p.lapse(r, w)
+// abandoned reports whether an attempt is recorded that its holder has left, so
+// that what it left behind may be undone.
+//
+// Failure guarded against: an order of the dead holder that is still on its way. A
+// replica that was let go confirms the old primary's commits, and the promotion of
+// the other one then loses them. So while the target leads that was to be replaced
+// the whole Lapse has to pass, also if this VM's own process before was the holder.
+func (p *Promoter) abandoned(r *catalog.Reign, w *watched, leads target.ID, now clock.Time) bool {
+	if r.Attempt == nil {
+		return false
+	}
+	lapse := p.lapse(r, w)
+	if leads == r.Attempt.Deposed {
+		lapse = takeover.Lapse
+	}
+	return now.Sub(w.seen) >= lapse
 }
 
 // tidy undoes what an attempt has left behind whose holder is gone. It is false
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -52,6 +52,8 @@
 	term    timeline.Term
 	paused  []target.ID
 	ordered bool
+	// tidies is set if an attempt was abandoned under a primary that leads.
+	tidies bool
 }
 
 var (
@@ -65,18 +67,17 @@
 )
 
 // act makes one attempt and logs what came of it.
-func (p *Promoter) act(ctx context.Context, g *groups.Group, b leadership.Belief, known *catalog.Reign, signs takeover.Signs, reason takeover.Reason) {
-	defer p.done(g)
-	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: p.cfg.Clock.Now(), others: g.Replicas(b.Primary)}
-	log := p.cfg.Log.With(zap.String("service", g.Service), zap.String("reason", string(reason)), zap.String("old", string(b.Primary)))
-	if known.Attempt != nil && reason.Answers() && (a.tidy(ctx, log) || reason == takeover.ReasonAbandoned) {
+func (p *Promoter) act(ctx context.Context, a *attempt, b leadership.Belief, signs takeover.Signs) {
+	defer p.done(a.g)
+	log := p.cfg.Log.With(zap.String("service", a.g.Service), zap.String("reason", string(a.reason)), zap.String("old", string(a.old)))
+	if a.tidies && (a.tidy(ctx, log) || a.reason == takeover.ReasonAbandoned) {
 		return
 	}
 	if err := a.feasible(ctx); err != nil {
 		log.Info("takeover-unfeasible", zap.Error(err), zap.Duration("silent", signs.Silent), zap.Duration("stalled", signs.Stalled))
 		return
 	}
-	if err := a.record(ctx, b.Primary); err != nil {
+	if err := a.record(ctx, a.old); err != nil {
 		log.Info("takeover-not-ours", zap.Error(err))
 		return
 	}
--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -184,3 +184,21 @@
 	require.True(t, a.tidy(context.Background(), zap.NewNop()))
 	require.Equal(t, "n", r.now.Attempt.Nonce, "another VM was first")
 }
+
+// The VM that has ordered a promotion is killed and starts anew. Its order may
+// still be on its way: while the old primary leads it must not let the replicas go,
+// and once the new one does there is nothing to wait for.
+func TestRestartedHolderWaitsForItsOrderToArrive(t *testing.T) {
+	p := New(Config{Node: "vm1", Clock: still{}, Log: zap.NewNop()})
+	w := &watched{}
+	own := &catalog.Reign{Service: "s", Revision: 9, Holder: "vm1", Attempt: &catalog.Attempt{Holder: "vm1", Nonce: "before", Deposed: "a"}}
+	start := clock.Time(time.Second)
+	require.True(t, p.othersAct(own, w, start))
+	require.False(t, p.othersAct(own, w, start.Add(takeover.OwnLapse)), "it may begin a new attempt")
+	require.False(t, p.abandoned(own, w, "a", start.Add(takeover.OwnLapse)))
+	require.False(t, p.abandoned(own, w, "b", start.Add(takeover.OwnLapse-1)))
+	require.True(t, p.abandoned(own, w, "b", start.Add(takeover.OwnLapse)))
+	require.True(t, p.abandoned(own, w, "a", start.Add(takeover.Lapse)))
+	w.nonce = "before"
+	require.False(t, p.abandoned(own, w, "b", start.Add(takeover.OwnLapse)), "an attempt of this process lapses like any other")
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -161,7 +161,8 @@
 	known := p.known(g.Service)
 	others := p.othersAct(known, w, now)
 	reason := takeover.Judge(signs)
-	if reason == takeover.ReasonNone && p.abandoned(known, w, now) {
+	left := p.abandoned(known, w, b.Primary, now)
+	if reason == takeover.ReasonNone && left {
 		reason = takeover.ReasonAbandoned
 	}
 	if reason != w.reason {
@@ -175,7 +176,8 @@
 	}
 	w.busy = true
 	p.running.Add(1)
-	go p.act(context.WithoutCancel(ctx), g, b, known, signs, reason)
+	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: now, others: g.Replicas(b.Primary), tidies: left && reason.Answers()}
+	go p.act(context.WithoutCancel(ctx), a, b, signs)
 }
 
 func (p *Promoter) signs(g *groups.Group, primary target.ID, now clock.Time) takeover.Signs {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -13,10 +13,10 @@
 	// It exceeds Limit by the longest time that a call may be on its way.
 	Lapse = 5 * time.Second
 	// OwnLapse is the same for an attempt of this VM's own that a process before
-	// has made: that one sends no further order, and what it sent has arrived or
-	// never will. It is shorter than Lapse by Limit, and by the time that it takes
-	// to notice that a process has ended and to start another one.
-	OwnLapse = 1500 * time.Millisecond
+	// has made: that one sends no further order. What it had sent must have arrived:
+	// with the 0.46 s that a process takes to be started anew this leaves it as long
+	// as Lapse does after Limit.
+	OwnLapse = 2 * time.Second
 	// Settle is how long after another VM's attempt has ended no new one begins.
 	// The platform lets the holder of a duty keep it for three seconds; and a
 	// service that changes its primary again and again serves nobody, as when
