Let an empty log win no election

Traced by takeover-begun and the targets' positions: a target that joins while the newest term has no commit tells that term and the number 0, which by terms lies beyond what the others hold and beyond the bound of what was acknowledged; it was promoted and everything was gone. Change: an empty log holds nothing, whichever term it tells; a log holds what was acknowledged only if its number reaches it too, since numbers go on from term to term.

--- a/edge/matrix_test.go
+++ b/edge/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -71,8 +72,16 @@
 	}
 }
 
+// failedOnce are cells that have failed by a fault of the product. CI plays them
+// all. In this one a target that joins with an empty log was promoted, as it told the
+// newest term.
+var failedOnce = []string{"replicas-deaf/replica-joins/1.3s/0"}
+
 // drawn reports whether CI plays a cell: always the same ones.
 func drawn(name string) bool {
+	if slices.Contains(failedOnce, name) {
+		return true
+	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name))
 	return h.Sum32()%(sampled*8*raceThins) == 0
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -157,7 +157,7 @@
 		return "", err
 	}
 	// All VMs have told by now what they know to be acknowledged.
-	if chosen.Received.Less(a.g.Acknowledged.Bound()) {
+	if !takeover.Holds(chosen.Received, a.g.Acknowledged.Bound()) {
 		return "", errLacking
 	}
 	if err := a.designate(ctx, chosen.ID); err != nil {
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -18,16 +18,14 @@
 		return errTooFew
 	}
 	statuses := a.all(ctx, a.others, lane.AskStatus)
-	var newest timeline.Position
+	holds := false
 	for _, s := range statuses {
 		if s.err != nil {
 			return errors.WithMessage(errUnreachable, string(s.id)+": "+s.err.Error())
 		}
-		if newest.Less(s.status.Received) {
-			newest = s.status.Received
-		}
+		holds = holds || takeover.Holds(s.status.Received, a.g.Acknowledged.Bound())
 	}
-	if !a.reason.Planned() && newest.Less(a.g.Acknowledged.Bound()) {
+	if !a.reason.Planned() && !holds {
 		return errLacking
 	}
 	if a.g.Leadership.Believed().Primary != a.old {
@@ -70,7 +68,7 @@
 func (a *attempt) holds(ctx context.Context, end timeline.Position) bool {
 	for _, s := range a.all(ctx, a.others, lane.AskStatus) {
 		t := a.p.cfg.Catalog.Load().Targets[s.id]
-		if s.err == nil && t != nil && !t.Draining && !s.status.Received.Less(end) {
+		if s.err == nil && t != nil && !t.Draining && takeover.Holds(s.status.Received, end) {
 			return true
 		}
 	}
@@ -93,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	if before.Less(after) || !after.Less(end.Received) {
+	if takeover.Furthest(before, after) < 0 || takeover.Furthest(after, end.Received) >= 0 {
 		return errRecovered
 	}
 	return nil
@@ -106,7 +104,7 @@
 		if s.err != nil {
 			return out, errUnreachable
 		}
-		if out.Less(s.status.Received) {
+		if takeover.Furthest(out, s.status.Received) < 0 {
 			out = s.status.Received
 		}
 	}
--- a/takeover/choose.go
+++ b/takeover/choose.go
@@ -32,6 +32,39 @@
 	Leaving bool
 }
 
+// Holds reports whether a log that ends at a position has everything up to another
+// one that was acknowledged, or that it was copied from.
+//
+// Failure guarded against: a target that has joined with an empty log tells the
+// newest term and the number 0. By terms alone that is beyond every position of
+// an earlier term, and the target is promoted with nothing. It shows as a service
+// that has forgotten all. It holds because numbers go on from term to term: a log
+// that has a commit is never shorter than its number.
+func Holds(have, want timeline.Position) bool {
+	return !have.Less(want) && have.LSN >= want.LSN
+}
+
+// Furthest orders logs by what they hold, as cmp.Compare does; an empty one holds
+// nothing, whichever term it tells.
+func Furthest(a, b timeline.Position) int {
+	a, b = told(a), told(b)
+	switch {
+	case a == b:
+		return 0
+	case a.Less(b):
+		return -1
+	default:
+		return 1
+	}
+}
+
+func told(p timeline.Position) timeline.Position {
+	if p.LSN == 0 {
+		return timeline.Position{}
+	}
+	return p
+}
+
 // ErrNoCandidate says that no fenced target surely holds every acknowledged
 // commit.
 var ErrNoCandidate = errors.New("no target surely holds every acknowledged commit")
@@ -44,11 +77,8 @@
 		return Fenced{}, ErrNoCandidate
 	}
 	best := slices.MaxFunc(fenced, func(a, b Fenced) int {
-		if a.Received != b.Received {
-			if a.Received.Less(b.Received) {
-				return -1
-			}
-			return 1
+		if order := Furthest(a.Received, b.Received); order != 0 {
+			return order
 		}
 		if a.Leaving != b.Leaving {
 			if a.Leaving {
@@ -68,7 +98,7 @@
 	var best *Fenced
 	for i := range fenced {
 		f := &fenced[i]
-		if f.Received.Less(end) {
+		if !Holds(f.Received, end) {
 			continue
 		}
 		if best == nil || (best.Leaving && !f.Leaving) || (best.Leaving == f.Leaving && f.ID < best.ID) {
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -47,6 +47,23 @@
 	require.Equal(t, target.ID("a"), f.ID, "a later term beats a longer log")
 }
 
+// A target joins a service whose newest term has no commit yet. Its log is empty,
+// and it tells that term and the number 0, which is beyond all that was bought in
+// the term before. Promoted, it would lead a service that has forgotten everything.
+func TestEmptyLogIsNeverChosen(t *testing.T) {
+	f, err := Choose([]Fenced{{ID: "a", Received: at(1, 60)}, {ID: "new", Received: at(2, 0)}, {ID: "z", Received: at(1, 59)}}, nil)
+	require.NoError(t, err)
+	require.Equal(t, target.ID("a"), f.ID)
+	end := at(1, 60)
+	f, err = Choose([]Fenced{{ID: "new", Received: at(2, 0)}, {ID: "z", Received: at(1, 60)}}, &end)
+	require.NoError(t, err)
+	require.Equal(t, target.ID("z"), f.ID)
+	require.False(t, Holds(at(2, 0), at(1, 60)))
+	require.False(t, Holds(at(2, 30), at(1, 60)))
+	require.True(t, Holds(at(2, 61), at(1, 60)))
+	require.True(t, Holds(at(1, 60), at(1, 60)))
+}
+
 // The old primary said where its log ends. A target that has not received all
 // of it must not lead, and one that leaves leads only if nobody else can.
 func TestPlannedChangeNeedsTheWholeLog(t *testing.T) {
