Set three bounds of new tests between what they tell apart

Played 400 times: 189 to 202, by the order in which goroutines run at one moment of virtual time; the bound lay within the spread. Ruled out: the load of the machine, as time is virtual; purchases (120 or 121 of 125 in all, 46 without the change). For the same reason, before they fail: 40 in doubt at a stalled primary (22 to 32 in 200 plays, 45 and 46 without the change) and 100 calls to the store while nobody leads (48 to 53 in 60 plays, 2,149 without).

--- a/edge/leaderless_test.go
+++ b/edge/leaderless_test.go
@@ -36,7 +36,7 @@
 		questions, calls = f.group.Questions()-questions, f.world.Store.Calls()-calls
 		t.Logf("questions %d, calls to the store %d", questions, calls)
 		require.Less(t, questions, int64(3*4*2*5), "each VM asks each replica five times a second at most")
-		require.Less(t, calls, 60)
+		require.Less(t, calls, 100)
 		f.fair()
 	})
 }
--- a/edge/stall_test.go
+++ b/edge/stall_test.go
@@ -86,7 +86,7 @@
 				stall(f)
 				got := sellAtOnce(f, []string{exact}, 8, 4*time.Second, op)
 				t.Logf("served %d, in doubt %d, refused %d", got.served, got.doubt, got.refused)
-				require.LessOrEqual(t, got.doubt, 34, "about ten of the first 0.6 s, and at each VM one every 0.65 s; 45 and more where none waits")
+				require.LessOrEqual(t, got.doubt, 40, "about ten of the first 0.6 s, and at each VM one every 0.65 s; 45 and more where none waits")
 				require.Greater(t, got.refused, 2*got.doubt)
 				f.do("undeafen ledger-1")
 				f.do("undeafen ledger-2")
--- a/lane/overload_test.go
+++ b/lane/overload_test.go
@@ -202,5 +202,5 @@
 	})
 	t.Logf("purchases %d of %d, reads %d of %d", bought.Load(), wanted.Load(), read.Load(), requests-wanted.Load())
 	require.Greater(t, bought.Load(), wanted.Load()*9/10)
-	require.Greater(t, read.Load(), int64(190), "of some 240 that fit beside the purchases")
+	require.Greater(t, read.Load(), int64(180), "three quarters of the 241 that fit beside the purchases")
 }
