Keep the race detector alive in bubbles of virtual time

The runtime has one detector context for all timers of a bubble of testing/synctest; a goroutine that looks at an expired ticker's channel runs the timer itself, in that context, at the same time as others and as the bubble's own loop. The detector's books then contradict each other and it ends the process. Shown by a bubble of 64 goroutines with tickers and nothing else: dead in 6 of 6 runs with eight processors, alive in 3 of 3 with one. Ruled out: a race in the product (none was reported, and the small test has none), too many goroutines (64), and the machine's load (the small test dies alone).

Change: internal/bubble plays tests in virtual time, on one processor under the race detector; edge and lane use it. The detector compares orders, not moments, so it sees the same races.

--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -18,6 +17,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/edge"
+	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/logging"
 	"endivemoor.example/endivemoor/platform/standin/consumer"
 	"endivemoor.example/endivemoor/platform/standin/database"
@@ -70,7 +70,7 @@
 // playOn runs a scenario against targets of a kind.
 func playOn(t *testing.T, n int, opt database.Options, scenario func(f *fleet)) {
 	opt.Service, opt.Lag, opt.Work = service, 60*time.Millisecond, 5*time.Millisecond
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm)}
 		f.group = f.world.AddGroup(opt, zones...)
 		f.world.SetRoutes(standardRoutes()...)
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -127,8 +128,8 @@
 	return l, nil
 }
 
-func bubble(t *testing.T, limit, kept int, body func(l *Lane, d *dialer)) {
-	synctest.Test(t, func(t *testing.T) {
+func inBubble(t *testing.T, limit, kept int, body func(l *Lane, d *dialer)) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: limit}
 		body(newLane("x", d.dial, monotonic.New(), gateways.Share{Kept: kept, Lent: kept == 0}), d)
 	})
@@ -144,7 +145,7 @@
 }
 
 func TestConnectionIsUsedAgain(t *testing.T) {
-	bubble(t, 9, 2, func(l *Lane, d *dialer) {
+	inBubble(t, 9, 2, func(l *Lane, d *dialer) {
 		for range 5 {
 			acquire(t, l).Release()
 		}
@@ -158,7 +159,7 @@
 // More requests than connections: those due first go first, whoever came
 // earlier, and one whose time ends leaves the queue.
 func TestRequestsWaitByWhenTheyAreDue(t *testing.T) {
-	bubble(t, 1, 1, func(l *Lane, _ *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, _ *dialer) {
 		held := acquire(t, l)
 		order := make(chan string, 3)
 		start := l.clk.Now()
@@ -187,7 +188,7 @@
 // The target refuses further connections. Requests wait for those that there
 // are, and the target is not asked again for each of them.
 func TestRefusedConnectionsAreNotTriedAgainAndAgain(t *testing.T) {
-	bubble(t, 1, 5, func(l *Lane, d *dialer) {
+	inBubble(t, 1, 5, func(l *Lane, d *dialer) {
 		held := acquire(t, l)
 		for range 20 {
 			go func() {
@@ -211,7 +212,7 @@
 // Nothing listens at the target. Requests that wait for it must hear so at
 // once, for a read can go elsewhere.
 func TestUnreachableTargetFailsRequestsAtOnce(t *testing.T) {
-	bubble(t, 1, 1, func(l *Lane, d *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, d *dialer) {
 		d.err = syscall.ECONNREFUSED
 		start := time.Now()
 		_, err := l.Acquire(context.Background(), Order{}, time.Minute)
@@ -231,7 +232,7 @@
 // A burst opens a connection beyond the VM's part; it is given back soon, or
 // other VMs would be refused.
 func TestBorrowedConnectionIsGivenBack(t *testing.T) {
-	bubble(t, 9, 1, func(l *Lane, d *dialer) {
+	inBubble(t, 9, 1, func(l *Lane, d *dialer) {
 		first, second := acquire(t, l), acquire(t, l)
 		first.Release()
 		second.Release()
@@ -250,7 +251,7 @@
 // There is less than one connection for each VM. One that this VM keeps for its
 // next request is missed by another VM, whose requests are refused meanwhile.
 func TestScarceConnectionIsNotKept(t *testing.T) {
-	bubble(t, 9, 0, func(l *Lane, d *dialer) {
+	inBubble(t, 9, 0, func(l *Lane, d *dialer) {
 		acquire(t, l).Release()
 		acquire(t, l).Release()
 		links, _ := d.links()
@@ -270,7 +271,7 @@
 // Two sessions use one connection in turn. Values of the first must not show in
 // the second, and a statement that both prepare is prepared once.
 func TestSetupFitsTheConnectionToTheSession(t *testing.T) {
-	bubble(t, 1, 1, func(l *Lane, d *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, d *dialer) {
 		stmt := &Prepared{Shape: "q1"}
 		c := acquire(t, l)
 		first, _, err := c.Setup(map[string]string{"lang": "ga"}, stmt, nil)
@@ -291,7 +292,7 @@
 }
 
 func TestSetupThatIsRefusedIsAnError(t *testing.T) {
-	bubble(t, 1, 1, func(l *Lane, d *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, d *dialer) {
 		c := acquire(t, l)
 		d.open[0].refused, d.open[0].refuse = "set a=1", statement.Failed
 		_, _, err := c.Setup(map[string]string{"a": "1"}, nil, &Begin{})
@@ -306,7 +307,7 @@
 // A target leaves the catalog and its connections must go, also those in use
 // when they come back; who waits is told.
 func TestLaneOfALostTargetIsClosed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: 1}
 		p := NewPool(monotonic.New(), func(*catalog.Target) Dialer { return d.dial })
 		with := &catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x"}}}
@@ -331,7 +332,7 @@
 // The fleet's own question meets a full lane. It must not wait behind requests:
 // a primary that seems dead is judged by its answer.
 func TestControlDoesNotWaitBehindRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: 3}
 		p := NewPool(monotonic.New(), func(*catalog.Target) Dialer { return d.dial })
 		p.Update(&catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x"}}}, one)
--- a/lane/overload_test.go
+++ b/lane/overload_test.go
@@ -12,6 +12,7 @@
 
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/internal/bubble"
 )
 
 // overload plays requests that come one and a half times as fast as one
@@ -27,7 +28,7 @@
 		patience = 800 * time.Millisecond
 		requests = 400
 	)
-	bubble(t, 1, 1, func(l *Lane, _ *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, _ *dialer) {
 		l.setShare(gateways.Share{Kept: 1, Running: 1})
 		var mu sync.Mutex
 		var wait sync.WaitGroup
@@ -86,7 +87,7 @@
 // ten requests sent, seven would wait in the target's own queue, where an urgent
 // one that comes next waits behind them all.
 func TestRequestsBeyondTheSlotsWaitHere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: 10}
 		l := newLane("x", d.dial, monotonic.New(), gateways.Share{Kept: 10, Running: 4})
 		var held []*Conn
@@ -115,7 +116,7 @@
 // it by waiting; the others hear at once, and the target serves as soon as it can be
 // reached.
 func TestHangingTargetIsNotWaitedForAgain(t *testing.T) {
-	bubble(t, 3, 2, func(l *Lane, d *dialer) {
+	inBubble(t, 3, 2, func(l *Lane, d *dialer) {
 		d.hang(700 * time.Millisecond)
 		_, err := l.Acquire(context.Background(), Order{}, 2*time.Second)
 		require.Error(t, err)
@@ -143,7 +144,7 @@
 // refused by the target like anybody, and gets the next connection that becomes
 // free, before all who wait.
 func TestOrderGetsTheNextFreeConnection(t *testing.T) {
-	bubble(t, 2, 2, func(l *Lane, _ *dialer) {
+	inBubble(t, 2, 2, func(l *Lane, _ *dialer) {
 		held := []*Conn{acquire(t, l), acquire(t, l)}
 		got := make(chan string, 2)
 		go func() {
@@ -176,7 +177,7 @@
 func TestOverloadServesTheHigherPriorityFirst(t *testing.T) {
 	const requests = 500
 	var bought, wanted, read atomic.Int64
-	bubble(t, 1, 1, func(l *Lane, _ *dialer) {
+	inBubble(t, 1, 1, func(l *Lane, _ *dialer) {
 		l.setShare(gateways.Share{Kept: 1, Running: 1})
 		var wait sync.WaitGroup
 		for i := range requests {
