Wait by wait.For in the store's clients as well

Cause: store/readback had a copy of wait.For under another name. Ruled out: a difference between the two; lines were equal. Change: the copy is gone, five callers use wait.For.

--- a/audit/log/log.go
+++ b/audit/log/log.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	"endivemoor.example/endivemoor/internal/guard"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/store/readback"
 )
@@ -118,7 +119,7 @@
 			return err
 		}
 		// Lost: another writer was first. Chain behind it.
-		if !readback.Pause(ctx, l.pause) {
+		if !wait.For(ctx, l.pause) {
 			return errors.WithMessage(store.ErrUnavailable, "other writers were first until the time ran out")
 		}
 	}
--- a/audit/log/recorder.go
+++ b/audit/log/recorder.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/audit"
-	"endivemoor.example/endivemoor/store/readback"
+	"endivemoor.example/endivemoor/internal/wait"
 )
 
 // queueLimit bounds the acts that wait in memory.
@@ -89,7 +89,7 @@
 			return
 		}
 		for r.Waiting() > 0 && !r.flush(ctx) {
-			if !readback.Pause(ctx, r.pause) {
+			if !wait.For(ctx, r.pause) {
 				break
 			}
 		}
--- a/drain/store/store.go
+++ b/drain/store/store.go
@@ -19,6 +19,7 @@
 
 	"endivemoor.example/endivemoor/audit"
 	auditlog "endivemoor.example/endivemoor/audit/log"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/store/readback"
 	"endivemoor.example/endivemoor/target"
@@ -269,7 +270,7 @@
 		if !errors.Is(err, store.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
-		if !readback.Pause(ctx, s.pause) {
+		if !wait.For(ctx, s.pause) {
 			return err
 		}
 	}
--- a/publication/store/publish.go
+++ b/publication/store/publish.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/store/readback"
@@ -93,7 +94,7 @@
 			return nil
 		case err == nil:
 			return publication.Superseded(winner, "another publish came first")
-		case !readback.Pause(ctx, s.pause):
+		case !wait.For(ctx, s.pause):
 			return &UnknownError{What: "the publish", Cause: err}
 		}
 	}
--- a/publication/store/settle.go
+++ b/publication/store/settle.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 
 	auditlog "endivemoor.example/endivemoor/audit/log"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/publication"
 	"endivemoor.example/endivemoor/store"
-	"endivemoor.example/endivemoor/store/readback"
 )
 
 func pending(acts ...publication.Act) []auditlog.Pending {
@@ -82,7 +82,7 @@
 		if !errors.Is(err, store.ErrNoAnswer) {
 			return ignoreRace(err)
 		}
-		if !readback.Pause(ctx, s.pause) {
+		if !wait.For(ctx, s.pause) {
 			return err
 		}
 	}
--- a/store/readback/readback.go
+++ b/store/readback/readback.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/store"
 )
 
@@ -90,7 +91,7 @@
 		if done {
 			return r, err
 		}
-		if !Pause(ctx, w.Pause) {
+		if !wait.For(ctx, w.Pause) {
 			r.Outcome = Unknown
 			return r, errors.WithMessagef(err, "read back %s", w.Key)
 		}
@@ -148,15 +149,3 @@
 	}
 	return bytes.Equal(o.Value, w.Value)
 }
-
-// Pause waits for d and reports false if ctx ended before.
-func Pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
