Let consumers wait for a VM's first configuration

Cause: a VM that has just started took having no configuration for a configuration without the route, and refused returning consumers for good ("no route has this database"), for the 150 ms until the store's first answer. Traced by request id: refused at 36.519 s by a VM that served from 36.497 s and had its configuration at 36.646 s. Ruled out: routes that were just changed (the names are in every version), and old configurations (the VM had none).

Change: a startup waits up to 750 ms for the first configuration, half of most operations' time, and is then told that nothing has run and when to come back.

--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -22,6 +22,10 @@
 	// writeTimeout bounds sending an answer: a consumer that does not read must
 	// not hold a session, and what it has open at a target, for longer.
 	writeTimeout = 4 * time.Second
+	// configPatience is how long a consumer waits for a VM's first configuration. The
+	// users' consumers leave after 2 s, and have 1.5 s for most operations: half of
+	// that is left to try elsewhere.
+	configPatience = 750 * time.Millisecond
 	// descriptorPart is the part of the process's descriptors for consumers.
 	descriptorPart = 0.75
 )
@@ -70,9 +74,10 @@
 		s.refuseStartup(c, err)
 		return
 	}
-	session, ok := s.edge.engine.Open(database)
-	if !ok {
-		_ = c.Refuse(statement.NoDatabase, "no route has this database", writeTimeout)
+	s.awaitConfig()
+	session, refusal := s.edge.engine.Open(database)
+	if refusal != nil {
+		_ = c.Refuse(refusal.Code, refusal.Text, writeTimeout)
 		return
 	}
 	if err := c.Ready(writeTimeout); err != nil {
@@ -82,6 +87,26 @@
 	session.Close()
 }
 
+// awaitConfig waits until this VM has its first configuration, unless it leaves or
+// that takes too long. Consumers who return to a VM that starts are there before the
+// store has answered: on a day on which all VMs lose their power 242 of them were
+// refused for good.
+func (s *sessions) awaitConfig() {
+	timer := time.NewTimer(configPatience)
+	defer timer.Stop()
+	for {
+		changed := s.edge.catalog.Changed()
+		if s.edge.catalog.Load().Config != nil || s.closing.Load() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 func (s *sessions) refuseStartup(c *line.Consumer, err error) {
 	switch {
 	case errors.Is(err, line.ErrTooLarge):
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
@@ -8,6 +10,7 @@
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/placing"
+	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -33,12 +36,24 @@
 // New returns an Engine.
 func New(cfg Config) *Engine { return &Engine{cfg: cfg} }
 
-// Open starts a session for a database, unless no route has its name.
-func (e *Engine) Open(database string) (*Session, bool) {
-	if e.cfg.Catalog.Load().Route(database) == nil {
-		return nil, false
+// unconfigured is when a consumer should return to a VM that has no configuration
+// yet: about the time in which it tries the store again.
+const unconfigured = 500 * time.Millisecond
+
+// Open returns a session, or why there is none.
+//
+// Failure guarded against: a VM that has just started knows no route, and tells
+// consumers that their database does not exist. They take that for final. It holds
+// because only a configuration can say what there is not.
+func (e *Engine) Open(database string) (*Session, *statement.Answer) {
+	c := e.cfg.Catalog.Load()
+	if c.Config == nil {
+		return nil, refuse(statement.Busy, unconfigured, "come back: this VM has no configuration yet", statement.Idle)
+	}
+	if c.Route(database) == nil {
+		return nil, statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
 	}
-	return &Session{engine: e, database: database}, true
+	return &Session{engine: e, database: database}, nil
 }
 
 // near reports whether a target is in this VM's availability zone.
