Let one caller of each VM try a store that is down

Cause: each of a VM's three watches, and the writer of its entry, tried a failing store by itself, so that a store in trouble was called four times as often as one needs to know that it is back; most when all VMs had just started.

Change: the callers share an outage: one tries, at the pace of the back-off, and a success of any lets all go on.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,6 +64,7 @@
 	incarnation string
 	catalog     *catalog.Holder
 	store       *objects.Client
+	outage      outage
 	duty        *duty.Client
 	pool        *lane.Pool
 	local       *dispatch.Local
@@ -129,6 +130,7 @@
 		incarnation: newIncarnation(set.Node),
 		catalog:     catalog.NewHolder(),
 		store:       objects.New(set.Platform.Addr, newTransport(network)),
+		outage:      outage{clk: clk},
 		duty:        duty.New(set.Duty.Addr, newTransport(network)),
 		placing:     placing.NewBoard(),
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -24,8 +24,9 @@
 
 // join writes this VM's entry, until it is there.
 func (f *fleet) join(ctx context.Context) {
-	for ctx.Err() == nil {
+	for f.edge.outage.admit(ctx) {
 		err := f.write(ctx)
+		f.edge.outage.note(err)
 		if err == nil {
 			return
 		}
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -82,7 +82,7 @@
 		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), idle: e.mayRest, follower: newTargetFollower(e)},
 		{kind: kindFleet, wait: e.waits(fleetWait), idle: e.hearsEnough, follower: newFleetFollower(e)},
 	} {
-		w.store, w.log = e.store, e.log
+		w.store, w.log, w.outage = e.store, e.log, &e.outage
 		go w.run(ctx)
 	}
 }
--- a/edge/lookout_test.go
+++ b/edge/lookout_test.go
@@ -49,3 +49,25 @@
 		}
 	})
 }
+
+// The store is down for half a minute. Thirty VMs must not all go on calling
+// it every second: it has to come back under that load. A version that
+// is published then is in force everywhere in time, as the first call that succeeds lets all others go on.
+func TestStoreThatIsDownIsCalledLittle(t *testing.T) {
+	play(t, 30, func(f *fleet) {
+		time.Sleep(3 * time.Second)
+		f.world.Store.SetDown(true)
+		before := f.world.Store.Calls()
+		time.Sleep(30 * time.Second)
+		calls := f.world.Store.Calls() - before
+		t.Logf("calls %d", calls)
+		require.Less(t, calls, 2000)
+		f.world.Store.SetDown(false)
+		route := catalog.Route{Database: "extra", Service: service, Freshness: catalog.Exact, StatementTimeout: time.Second, Objective: time.Second}
+		f.world.SetRoutes(append(standardRoutes(), route)...)
+		time.Sleep(2900 * time.Millisecond)
+		for name := range f.vms {
+			f.session(name, "extra")
+		}
+	})
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -53,6 +53,7 @@
 	// idle reports whether peers tell enough, so that nothing is watched once
 	// the kind was listed; nil never does.
 	idle     func() bool
+	outage   *outage
 	store    *objects.Client
 	log      *zap.Logger
 	follower follower
@@ -68,15 +69,18 @@
 			w.rest(ctx)
 			continue
 		}
-		err := w.step(ctx)
-		if err == nil {
-			w.note(nil)
-			continue
+		if !w.outage.admit(ctx) {
+			return
 		}
+		err := w.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		w.outage.note(err)
 		w.note(err)
+		if err == nil {
+			continue
+		}
 		wait.For(ctx, watchBackoff.Delay(w.failures, rnd))
 	}
 }
