Change a crowded primary while all its replicas are far behind

Cause: while both replicas of a service apply seconds late, its primary alone serves all reads that must not be so old, and cannot: they wait, and writes behind them, until the replicas have caught up.

Change: a planned change of primary for that reason. The targets apply what they have received as they are promoted, and the old primary, whose log is applied, serves reads as a replica. Only while aged reads have come late at the primary for 1 s as no replica could serve them, every replica tells that it is 1.5 s behind, the primary has twice as much to do as it runs, a replica receives what it commits, and the last change was 10 s ago.

--- a/engine/alone.go
+++ b/engine/alone.go
@@ -182,6 +182,9 @@
 			most.queue = min(most.queue, most.answer)
 		}
 		a, v := s.try(ctx, id, w, after, most)
+		if alone {
+			s.noteCrowd(g, w, id, v)
+		}
 		if v == done {
 			s.engine.cfg.Metrics.placed(g.Leadership.Believed().Primary == id)
 			return a
@@ -196,6 +199,15 @@
 	}
 }
 
+// noteCrowd tells of a read that only the primary could serve, and that came too late.
+func (s *Session) noteCrowd(g *groups.Group, w *work, id target.ID, v verdict) {
+	now := s.engine.cfg.Clock.Now()
+	late := v == full || now.Sub(w.arrived) > w.route.Objective
+	if late && g.Leadership.Believed().Primary == id {
+		g.Crowd.Late(now)
+	}
+}
+
 // giveUp is the final answer to a statement that has not run.
 func (s *Session) giveUp(w *work, code statement.Code, why string) *statement.Answer {
 	after := comeBack
--- /dev/null
+++ b/groups/crowd.go
@@ -0,0 +1,41 @@
+package groups
+
+import (
+	"sync"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+)
+
+// crowdGap is the time without a late read after which the primary counts as not
+// crowded any more. A VM of the larger deployment has four aged reads a second for a
+// service.
+const crowdGap = time.Second
+
+// Crowd tells since when aged reads come too late at the primary, because no replica
+// has what they must see. It is safe for concurrent use.
+type Crowd struct {
+	mu          sync.Mutex
+	since, last clock.Time
+}
+
+// Late records that an aged read which only the primary could serve came too late,
+// or was not served.
+func (c *Crowd) Late(now clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == 0 || now.Sub(c.last) > crowdGap {
+		c.since = now
+	}
+	c.last = now
+}
+
+// For is how long that has gone on.
+func (c *Crowd) For(now clock.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == 0 || now.Sub(c.last) > crowdGap {
+		return 0
+	}
+	return now.Sub(c.since)
+}
--- a/groups/group.go
+++ b/groups/group.go
@@ -47,6 +47,8 @@
 	Acknowledged Acknowledged
 	// Health tells whether the primary answers.
 	Health Health
+	// Crowd tells whether reads crowd there.
+	Crowd Crowd
 
 	cfg *Config
 	// slot is the tick in which the group is looked at though nobody uses it.
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -63,6 +63,8 @@
 	errLate        = errors.New("the attempt's time is over")
 	errSuperseded  = errors.New("another target leads")
 	errUnpaused    = errors.New("the target is not paused")
+	errNear        = errors.New("a replica is not far behind")
+	errIdle        = errors.New("the primary is not busy")
 	errRecovered   = errors.New("the primary answers again")
 )
 
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -36,6 +36,8 @@
 		return a.keepsUp(ctx)
 	case takeover.ReasonStalled:
 		return a.confirmStall(ctx)
+	case takeover.ReasonBehind:
+		return a.confirmBehind(ctx, statuses)
 	default:
 		return nil
 	}
@@ -64,6 +66,30 @@
 	return nil
 }
 
+// confirmBehind tells replicas that are far behind, under a primary that has more
+// to do than it can, from reads that were late for another reason. One replica that
+// is near serves the reads soon, and need not be promoted for it.
+func (a *attempt) confirmBehind(ctx context.Context, others []told) error {
+	for _, s := range others {
+		if s.status.Lag < takeover.FarBehind {
+			return errNear
+		}
+	}
+	primary := a.p.cfg.Catalog.Load().Targets[a.old]
+	s, err := a.g.Status(ctx, a.old, askTimeout)
+	if err != nil {
+		return err
+	}
+	if primary == nil || s.Busy < busyTimes*primary.Slots {
+		return errIdle
+	}
+	return a.keepsUp(ctx)
+}
+
+// busyTimes its slots is how much a primary must have to do to be taken for the one
+// that cannot serve all: as many statements wait there as run.
+const busyTimes = 2
+
 // holds reports whether a target that stays has received a position.
 func (a *attempt) holds(ctx context.Context, end timeline.Position) bool {
 	for _, s := range a.all(ctx, a.others, lane.AskStatus) {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -159,13 +159,14 @@
 	w := p.of(g.Service)
 	b := g.Leadership.Believed()
 	p.pursue(ctx, g, w, now)
+	known := p.known(g.Service)
+	others := p.othersAct(known, w, now)
 	signs := p.signs(g, b.Primary, now)
+	signs.Settled = now.Sub(w.seen)
 	if p.suspicious(g, b.Primary, now) && now.Sub(w.asked) >= askEvery {
 		w.asked = now
 		go g.Ask(ctx, b.Primary, askTimeout)
 	}
-	known := p.known(g.Service)
-	others := p.othersAct(known, w, now)
 	reason := takeover.Judge(signs)
 	left := p.abandoned(known, w, b.Primary, now)
 	if reason == takeover.ReasonNone && left {
@@ -193,6 +194,7 @@
 	}
 	h := g.Health.Signs(primary, now)
 	s.Silent, s.Refusals, s.Stalled = h.Silent, h.Refusals, h.Stalled
+	s.Crowded = g.Crowd.For(now)
 	return s
 }
 
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -42,6 +42,15 @@
 	// AbsentAfter is how long no target may have claimed to lead: a claim that
 	// is on its way needs some hundred milliseconds.
 	AbsentAfter = 1500 * time.Millisecond
+	// CrowdedAfter is how long aged reads must have come too late at a primary that
+	// alone can serve them: replicas that are a moment behind pass by themselves.
+	CrowdedAfter = time.Second
+	// FarBehind is how far every replica must be behind then: what takes so long to
+	// be applied outlasts a change of primary, some 0.5 s for those who write.
+	FarBehind = 1500 * time.Millisecond
+	// BehindEvery is the least time between a change of primary and one for this
+	// reason: if the new primary's replicas fall behind as well, changes are no cure.
+	BehindEvery = 10 * time.Second
 	// TurnEvery separates the VMs that would make the same change, so that one
 	// does while the others watch: a record in the store is known to all after
 	// some 10 ms. Two that act at once cost a conflict and nothing more; a long
@@ -66,6 +75,11 @@
 	ReasonRefusing Reason = "refusing"
 	// ReasonStalled: the primary answers, but acknowledges no write.
 	ReasonStalled Reason = "stalled"
+	// ReasonBehind: the primary leads well, but all its replicas are far behind, and
+	// it cannot serve all reads by itself. The platform's targets apply what they
+	// have received as they are promoted, and the old primary, whose log is applied,
+	// serves reads as a replica: two targets for them instead of one.
+	ReasonBehind Reason = "behind"
 	// ReasonAbsent: no target claims to lead.
 	ReasonAbsent Reason = "absent"
 	// ReasonAbandoned: it needs none, but an attempt was left unended.
@@ -73,10 +87,12 @@
 )
 
 // Planned reports whether the old primary is expected to cooperate.
-func (r Reason) Planned() bool { return r == ReasonLeaving }
+func (r Reason) Planned() bool { return r == ReasonLeaving || r == ReasonBehind }
 
 // Answers reports whether the primary answers, whatever else ails the service.
-func (r Reason) Answers() bool { return r == ReasonAbandoned || r == ReasonStalled }
+func (r Reason) Answers() bool {
+	return r == ReasonAbandoned || r == ReasonStalled || r == ReasonBehind
+}
 
 // Signs is what a VM has seen of a service's primary.
 type Signs struct {
@@ -90,6 +106,11 @@
 	Refusals int
 	// Stalled is how long it has acknowledged no write though some wait.
 	Stalled time.Duration
+	// Crowded is how long aged reads have come too late there, as no replica could
+	// serve them.
+	Crowded time.Duration
+	// Settled is how long the service's record of leadership has not changed.
+	Settled time.Duration
 	// Absent is how long nobody was believed to lead.
 	Absent time.Duration
 }
@@ -109,6 +130,8 @@
 		return ReasonLeaving
 	case s.Stalled >= StalledAfter:
 		return ReasonStalled
+	case s.Crowded >= CrowdedAfter && s.Settled >= BehindEvery:
+		return ReasonBehind
 	default:
 		return ReasonNone
 	}
