Do not designate a stepped-down primary again

Cause: if the VM that changes a primary, planned, dies between the step-down and the order, nobody leads. The next attempts chose the target with the longest log: the old primary. For the platform that is the present primary still, and the call "returns 200, and nothing changes": the service had no primary any more. Found by a test of the change of a crowded primary; the path for leaving primaries has had it as well. Traced by takeover-failed lines ("the chosen target does not lead yet") every 5 s. Ruled out: the fences (all were paused) and the record (each attempt held it).

Change: in an attempt without an old primary, the last one that led is passed over while two others are fenced and hold all that is known to be acknowledged; only for services with synchronous replicas, as else it may hold alone what was acknowledged. A target that was designated in vain is passed over in any case, until it leads.

--- a/edge/behind_test.go
+++ b/edge/behind_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/platform/standin/database"
+	"endivemoor.example/endivemoor/takeover"
 )
 
 // browse has so many consumers read for some seconds, more than three slots can
@@ -59,3 +61,46 @@
 		f.fair()
 	})
 }
+
+// The VM that changes a crowded primary dies in the middle of it: the old primary may
+// have stepped down already, and nobody leads. The others take over once its attempt
+// has lapsed, and no write is lost.
+func TestHolderDiesWhileItChangesACrowdedPrimary(t *testing.T) {
+	playOn(t, 3, database.Options{Slots: 1}, func(f *fleet) {
+		f.group.SetBehind("ledger-1", 30*time.Second)
+		f.group.SetBehind("ledger-2", 30*time.Second)
+		go func() {
+			holder := ""
+			for holder == "" {
+				time.Sleep(time.Millisecond)
+				holder = holderOf(f)
+			}
+			time.Sleep(150 * time.Millisecond)
+			f.kill(holder)
+		}()
+		browse(f, 60, 14*time.Second)
+		time.Sleep(takeover.Lapse + 5*time.Second)
+		alive := ""
+		for name, v := range f.vms {
+			if !v.killed.Load() {
+				alive = name
+			}
+		}
+		require.True(t, f.session(alive, exact).Query("WRITE after it").OK())
+		f.fair()
+	})
+}
+
+// holderOf is the VM that has an attempt under way; none is empty.
+func holderOf(f *fleet) string {
+	o, ok := f.world.Store.Get("endivemoor", "reign."+service)
+	if !ok || !strings.Contains(string(o.Spec), "nonce") {
+		return ""
+	}
+	for name := range f.vms {
+		if strings.Contains(string(o.Spec), `"`+name+`"`) {
+			return name
+		}
+	}
+	return ""
+}
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -154,7 +154,7 @@
 	if !all {
 		a.waitOut(fencedAt)
 	}
-	chosen, err := takeover.Choose(append(fenced, joined...), end)
+	chosen, err := a.choose(append(fenced, joined...), end)
 	if err != nil {
 		return "", err
 	}
@@ -165,7 +165,12 @@
 	if err := a.designate(ctx, chosen.ID); err != nil {
 		return "", err
 	}
-	return chosen.ID, a.awaitLead(ctx, chosen.ID)
+	if err := a.awaitLead(ctx, chosen.ID); err != nil {
+		a.p.unmoved(a.g.Service, chosen.ID)
+		return chosen.ID, err
+	}
+	a.p.unmoved(a.g.Service, "")
+	return chosen.ID, nil
 }
 
 // awaitLastAnswers waits until a successor holds the log of a primary that has
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -94,6 +94,7 @@
 	nonce     string     // of the latest attempt of this process
 	revision  int64      // of the record of leadership, as last seen
 	seen      clock.Time // when it was first seen
+	unmoved   target.ID  // designated by this process, and does not lead
 	deposed   map[target.ID]*pursuit
 }
 
@@ -158,6 +159,9 @@
 	defer p.mu.Unlock()
 	w := p.of(g.Service)
 	b := g.Leadership.Believed()
+	if b.Primary == w.unmoved {
+		w.unmoved = ""
+	}
 	p.pursue(ctx, g, w, now)
 	known := p.known(g.Service)
 	others := p.othersAct(known, w, now)
