--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -39,7 +39,7 @@
 	t     *testing.T
 	world *world.World
 	group *database.Group
-	// mu guards vms, whose processes come and go while traffic flows.
+	// mu guards vms, whose processes come and go while traffic flows, and sessions.
 	mu  sync.Mutex
 	vms map[string]*vm
 	// sessions counts those opened: request ids begin with their name.
@@ -188,12 +188,19 @@
 // session opens one at a VM.
 func (f *fleet) session(vm, db string) *consumer.Session {
 	f.t.Helper()
-	f.sessions++
-	c, a := f.world.Open(fmt.Sprintf("consumer%d-", f.sessions), f.vms[vm].addr, db)
+	c, a := f.world.Open(f.nextConsumer(), f.addr(vm), db)
 	require.Equal(f.t, "I", a.State, "startup: %+v", a)
 	return c
 }
 
+// nextConsumer names one. Scenarios open sessions on several goroutines.
+func (f *fleet) nextConsumer() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sessions++
+	return fmt.Sprintf("consumer%d-", f.sessions)
+}
+
 // fair checks what must hold at the end of every scenario.
 func (f *fleet) fair() {
 	f.t.Helper()
