Take a target that starts again under its id for another one, and no foreign entry for a target

Cause, by tests that failed on the code before: an exact read at a primary that had started again with nothing was answered from its empty log (0, though 10 sales were acknowledged), as a permission of 500 ms still held; and one entry of another writer among the targets' ended every attempt, since the list of targets could not be decoded or the attempt waited for a target that is none: no primary for good. By reading: a replica's pause, position and word as a witness outlived its process.

Change: incarnations in entries, lists and gossip; exact reads ask the primary for what it has told; paused targets are asked again just before a promotion; replicas vouch in a new life only once the records up to it are known; lanes, claims and latencies of the life before go. Entries and objects are decoded one by one and strictly; services that nobody published are not looked after.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzConsumerMessages -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/boot
+	$(GO) test -run '^$$' -fuzz FuzzTarget -fuzztime $(FUZZTIME) ./platform/published
 
 measure-control: build
 	examples/measure-control.sh
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -75,6 +75,10 @@
 	Draining bool
 	// Role is its own claim.
 	Role target.Role
+	// Incarnation is the Unix millisecond of its process's start; 0 if not told.
+	// A target that starts again under its id has another one, and holds and
+	// knows nothing of before.
+	Incarnation int64
 }
 
 // Reign records what the fleet knows of a service's leadership: the newest
@@ -153,6 +157,15 @@
 	return c.Config.Services[name]
 }
 
+// Incarnation returns a target's; false if the target is not known.
+func (c *Catalog) Incarnation(id target.ID) (incarnation int64, known bool) {
+	t := c.Targets[id]
+	if t == nil {
+		return 0, false
+	}
+	return t.Incarnation, true
+}
+
 // VM returns the named VM's entry; false if the fleet's list has none.
 func (c *Catalog) VM(name string) (VM, bool) {
 	at, ok := slices.BinarySearchFunc(c.VMs, name, func(vm VM, name string) int { return cmp.Compare(vm.ID, name) })
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -47,7 +47,7 @@
 func (t Target) Name() string { return string(t.ID) }
 
 func (t Target) fields() []string {
-	return []string{string(t.ID), t.Service, t.Addr, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), t.Role.String()}
+	return []string{string(t.ID), t.Service, t.Addr, t.Zone, strconv.Itoa(t.Slots), strconv.FormatBool(t.Draining), t.Role.String(), strconv.FormatInt(t.Incarnation, 10)}
 }
 
 // list is a list by the names of its entries.
--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -140,7 +140,7 @@
 	case b.Primary == id && b.Term != 0:
 		g.Acknowledged.Told(p)
 		g.Freshness.Sample(b.Term, id, sent, p)
-	case b.Primary != id:
+	case b.Primary != id && g.Vouches(id):
 		g.Freshness.Seen(id, p)
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,7 +33,6 @@
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/promoter"
 	"endivemoor.example/endivemoor/relay"
-	"endivemoor.example/endivemoor/target"
 )
 
 const (
@@ -264,7 +263,7 @@
 		e.router.Update(plan, c)
 		e.groups.Update(c)
 		e.gossip.keep(c)
-		e.placing.Keep(func(id target.ID) bool { return c.Targets[id] != nil })
+		e.placing.Keep(c.Incarnation)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -57,12 +57,14 @@
 	mu      sync.Mutex
 	targets map[target.ID]*catalog.Target
 	lost    map[target.ID]*time.Timer
+	// refused says why an entry that is there names no target.
+	refused map[target.ID]string
 	// revision is the store's up to which targets is complete.
 	revision int64
 }
 
 func newTargetFollower(e *Edge) *targetFollower {
-	return &targetFollower{edge: e, targets: make(map[target.ID]*catalog.Target), lost: make(map[target.ID]*time.Timer)}
+	return &targetFollower{edge: e, targets: make(map[target.ID]*catalog.Target), lost: make(map[target.ID]*time.Timer), refused: make(map[target.ID]string)}
 }
 
 func (f *targetFollower) replace(items map[string]*objects.Object) {
@@ -73,6 +75,11 @@
 			f.lose(id)
 		}
 	}
+	for id := range f.refused {
+		if items[string(id)] == nil {
+			delete(f.refused, id)
+		}
+	}
 	for _, o := range items {
 		f.take(o)
 	}
@@ -82,6 +89,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if deleted {
+		delete(f.refused, target.ID(o.Meta.Name))
 		f.lose(target.ID(o.Meta.Name))
 		return
 	}
@@ -91,9 +99,10 @@
 func (f *targetFollower) take(o *objects.Object) {
 	t, err := published.Target(o)
 	if err != nil {
-		f.edge.log.Error("target-refused", zap.String("target", o.Meta.Name), zap.Error(err))
+		f.refuse(target.ID(o.Meta.Name), err)
 		return
 	}
+	delete(f.refused, t.ID)
 	if timer := f.lost[t.ID]; timer != nil {
 		timer.Stop()
 		delete(f.lost, t.ID)
@@ -102,19 +111,42 @@
 	f.targets[t.ID] = t
 	if old == nil || *old != *t {
 		f.edge.log.Info("target", zap.String("target", string(t.ID)), zap.String("service", t.Service), zap.String("addr", t.Addr),
-			zap.String("at", t.Zone), zap.Bool("draining", t.Draining), zap.Stringer("role", t.Role))
+			zap.String("at", t.Zone), zap.Bool("draining", t.Draining), zap.Stringer("role", t.Role), zap.Int64("incarnation", t.Incarnation))
+	}
+}
+
+// maxRefused bounds the refused entries that are remembered, 200 B each.
+const maxRefused = 1000
+
+// refuse takes an entry that names no target for one that is not there.
+//
+// Failure guarded against: another writer's words in the place of a target's entry.
+// Taken for the target's own they would send requests nowhere; kept out for good
+// they would hide that the target is gone. The target itself writes about every
+// second, so that its last good word holds until its next one is due, as after an
+// entry that lapsed. It is logged once for each cause, however often it is written.
+func (f *targetFollower) refuse(id target.ID, cause error) {
+	if f.refused[id] != cause.Error() && len(f.refused) < maxRefused {
+		f.refused[id] = cause.Error()
+		f.edge.log.Error("target-refused", zap.String("target", string(id)), zap.Bool("known", f.targets[id] != nil), zap.Error(cause))
 	}
+	f.loseLater(id)
 }
 
 // lose takes a target out: at once if it had said that it leaves, and else
 // after the grace.
 func (f *targetFollower) lose(id target.ID) {
 	t := f.targets[id]
-	if t == nil || f.lost[id] != nil {
+	if t != nil && t.Draining && f.lost[id] == nil {
+		f.remove(id, "left")
 		return
 	}
-	if t.Draining {
-		f.remove(id, "left")
+	f.loseLater(id)
+}
+
+// loseLater takes a target out after the grace, unless its entry comes back.
+func (f *targetFollower) loseLater(id target.ID) {
+	if f.targets[id] == nil || f.lost[id] != nil {
 		return
 	}
 	f.lost[id] = time.AfterFunc(lostGrace, func() {
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -267,11 +267,9 @@
 	list := func(after string) (*objects.Page, error) { return g.edge.store.List(ctx, kindTargets, after, false) }
 	err := objects.EachPage(list, func(p *objects.Page) error {
 		for i := range p.Items {
+			// What names no target need not be asked: the follower has said so.
 			t, err := published.Target(&p.Items[i])
-			if err != nil {
-				return err
-			}
-			if t.Service == service {
+			if err == nil && t.Service == service {
 				out = append(out, t.ID)
 			}
 		}
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -112,7 +112,8 @@
 		if g.Health.Failing(b.Primary) == 0 {
 			proof = s.prove(ctx, g, b, w.arrived)
 		}
-		a, v := s.try(ctx, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: s.patience(b.Primary)})
+		stood := g.Freshness.Stood(b.Term, b.Primary)
+		a, v := s.try(ctx, b.Primary, w, stood, limits{queue: left(ctx), answer: s.patience(b.Primary)})
 		if v == full {
 			return s.giveUp(w, statement.Busy, "the primary has no time")
 		}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -277,6 +277,9 @@
 		if err != nil {
 			return s.giveUpOpening(w, "no target")
 		}
+		if tx.route.Freshness == catalog.Exact {
+			after = tx.group.Freshness.Stood(tx.belief.Term, id)
+		}
 		if s.openAt(ctx, tx, w, id, after) {
 			return nil
 		}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -155,6 +155,22 @@
 	Position timeline.Position
 }
 
+// Stood returns the position that the leader of a term told last; the zero one if
+// it has told none.
+//
+// Failure guarded against: the primary starts again, empty, and a read that must
+// see everything is sent there before anybody has noticed. It is answered from
+// nothing. A log holds what its own target has told in the same term, unless it is
+// another log: asked for this position, such a target refuses the read.
+func (b *Board) Stood(term timeline.Term, leader target.ID) timeline.Position {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if term != b.term || leader != b.leader || len(b.samples) == 0 {
+		return timeline.Position{}
+	}
+	return b.samples[len(b.samples)-1].position
+}
+
 // Newest returns the newest proof; false if there is none.
 func (b *Board) Newest() (Proof, bool) {
 	b.mu.Lock()
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -112,3 +112,17 @@
 	}
 	require.LessOrEqual(t, len(b.samples), maxSamples+1)
 }
+
+// The primary starts again with an empty log. What it had told in its term is what a
+// read that must see everything asks it for, so that it cannot answer from nothing.
+func TestLeaderIsAskedForWhatItHasTold(t *testing.T) {
+	b := &Board{}
+	require.True(t, b.Stood(1, "p").IsZero())
+	b.Sample(1, "p", at(0), pos(1, 10))
+	b.Sample(1, "p", at(100), pos(1, 12))
+	require.Equal(t, pos(1, 12), b.Stood(1, "p"))
+	require.True(t, b.Stood(1, "q").IsZero(), "another target has told nothing")
+	b.Sample(2, "q", at(200), pos(1, 11))
+	require.True(t, b.Stood(1, "p").IsZero(), "what a discarded branch held is not asked for")
+	require.Equal(t, pos(1, 11), b.Stood(2, "q"))
+}
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -193,7 +193,7 @@
 func targetOf(t *catalog.Target) *gossippb.Target {
 	return &gossippb.Target{
 		Id: string(t.ID), Service: t.Service, Addr: t.Addr, Zone: t.Zone,
-		Slots: int32(t.Slots), Draining: t.Draining, Role: uint32(t.Role),
+		Slots: int32(t.Slots), Draining: t.Draining, Role: uint32(t.Role), Incarnation: t.Incarnation,
 	}
 }
 
@@ -203,7 +203,7 @@
 		id := target.ID(t.GetId())
 		out.Targets[id] = &catalog.Target{
 			ID: id, Service: t.GetService(), Addr: t.GetAddr(), Zone: t.GetZone(),
-			Slots: int(t.GetSlots()), Draining: t.GetDraining(), Role: target.Role(t.GetRole()),
+			Slots: int(t.GetSlots()), Draining: t.GetDraining(), Role: target.Role(t.GetRole()), Incarnation: t.GetIncarnation(),
 		}
 	}
 	return out
--- a/groups/group.go
+++ b/groups/group.go
@@ -66,6 +66,7 @@
 	revokedAt  clock.Time               // when it was
 	deposed    target.ID                // the primary that the attempt replaces
 	leaving    map[target.ID]clock.Time // since when a target is known to leave
+	lives      map[target.ID]life
 }
 
 func newGroup(service string, cfg *Config) *Group {
@@ -106,9 +107,14 @@
 	return g.cfg.Clock.Now().Sub(g.absent)
 }
 
-func (g *Group) listed(targets []*catalog.Target, reign *catalog.Reign) {
+func (g *Group) listed(targets []*catalog.Target, c *catalog.Catalog) {
 	g.noteLeaving(targets)
-	g.Leadership.Listed(targets, reign)
+	for _, t := range g.noteLives(targets, c.TargetsRevision) {
+		g.cfg.Log.Info("target-reborn", zap.String("service", g.Service), zap.String("target", string(t.ID)),
+			zap.Int64("incarnation", t.Incarnation), zap.Int64("revision", c.TargetsRevision))
+		g.Leadership.Reborn(t.ID)
+	}
+	g.Leadership.Listed(targets, c.Reigns[g.Service])
 	g.noteBelief()
 }
 
@@ -223,7 +229,7 @@
 		g.Freshness.Sample(s.Term, id, sent, s.Received)
 		return
 	}
-	if s.Role == target.RoleReplica && s.Paused == 0 {
+	if s.Role == target.RoleReplica && s.Paused == 0 && g.Vouches(id) {
 		g.Freshness.Witness(s.Term, id, sent)
 	}
 }
--- /dev/null
+++ b/groups/lives_test.go
@@ -0,0 +1,72 @@
+package groups
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/target"
+)
+
+// listing is a catalog of one service with a primary "p" and a replica "r" that runs
+// in the given incarnation.
+func listing(h *catalog.Holder, incarnation, revision int64) *catalog.Catalog {
+	h.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s"}}})
+	h.SetTargets(map[target.ID]*catalog.Target{
+		"p": {ID: "p", Service: "s", Role: target.RolePrimary, Incarnation: 1},
+		"r": {ID: "r", Service: "s", Role: target.RoleReplica, Incarnation: incarnation},
+	}, revision)
+	return h.Load()
+}
+
+// An attempt has paused a replica, which starts again and follows the old primary as
+// if nothing was. A VM that has not heard of the attempt must not take its word for a
+// proof that the primary still leads: not before it knows every record up to the
+// entry of the new life, nor while one of them is open or names another primary.
+func TestReplicaThatStartedAgainVouchesOnlyOnceTheRecordsAreKnown(t *testing.T) {
+	h := catalog.NewHolder()
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.NewNop()})
+	r.Update(listing(h, 7, 10))
+	g := r.Group("s")
+	require.True(t, g.Vouches("r"), "it is known in one life only")
+
+	r.Update(listing(h, 8, 20))
+	require.False(t, g.Vouches("r"))
+	require.True(t, g.Vouches("p"))
+	h.SetFleet(nil, nil, 19)
+	require.False(t, g.Vouches("r"), "the records are older than its entry")
+	h.SetFleet(nil, map[string]*catalog.Reign{"s": {Service: "s", Revision: 15, Attempt: &catalog.Attempt{Deposed: "p"}}}, 21)
+	require.False(t, g.Vouches("r"), "an attempt is open that it may have been paused for")
+	h.SetFleet(nil, map[string]*catalog.Reign{"s": {Service: "s", Revision: 22, Primary: "q"}}, 22)
+	require.False(t, g.Vouches("r"), "another target leads")
+	h.SetFleet(nil, map[string]*catalog.Reign{"s": {Service: "s", Revision: 23, Primary: "p"}}, 23)
+	require.True(t, g.Vouches("r"))
+}
+
+// A primary starts again with nothing under its id, and its entry has not changed but
+// for its birth. What it told as the primary before must not count any more.
+func TestPrimaryThatStartedAgainHasNoTermToTell(t *testing.T) {
+	h := catalog.NewHolder()
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.NewNop()})
+	r.Update(listing(h, 7, 10))
+	g := r.Group("s")
+	g.Leadership.Told("p", target.RolePrimary, 4)
+	require.EqualValues(t, 4, g.Leadership.Believed().Term)
+	h.SetTargets(map[target.ID]*catalog.Target{"p": {ID: "p", Service: "s", Role: target.RolePrimary, Incarnation: 2}}, 11)
+	r.Update(h.Load())
+	require.Zero(t, g.Leadership.Believed().Term)
+	require.EqualValues(t, 4, g.Leadership.Highest(), "terms only grow")
+}
+
+// Another writer's entry names a service that the operator has never heard of. Nobody
+// looks for its primary.
+func TestServiceThatNobodyPublishedHasNoGroup(t *testing.T) {
+	h := catalog.NewHolder()
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.NewNop()})
+	listing(h, 7, 10)
+	h.SetTargets(map[target.ID]*catalog.Target{"x": {ID: "x", Service: "nobody"}}, 11)
+	r.Update(h.Load())
+	require.Empty(t, r.All())
+}
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -144,8 +144,14 @@
 }
 
 // Update takes over a new catalog.
+//
+// Failure guarded against: an entry that names a service of nobody's, as another
+// writer's may. The fleet would look for its primary for good, and record attempts
+// to give it one.
 func (r *Registry) Update(c *catalog.Catalog) {
 	for service, targets := range c.ByService {
-		r.Group(service).listed(targets, c.Reigns[service])
+		if c.Service(service) != nil {
+			r.Group(service).listed(targets, c)
+		}
 	}
 }
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -37,9 +37,10 @@
 	replicas := g.Replicas(b.Primary)
 	for i := range replicas {
 		t := replicas[(first+i)%len(replicas)]
+		vouches := g.Vouches(t.ID)
 		s, err := g.Status(ctx, t.ID, askTimeout)
 		switch {
-		case err != nil || s.Role != target.RoleReplica || s.Paused != 0:
+		case !vouches || err != nil || s.Role != target.RoleReplica || s.Paused != 0:
 		case s.Term == b.Term:
 			return nil
 		case s.Term > b.Term:
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/statement"
@@ -89,6 +90,7 @@
 	id   target.ID
 	dial Dialer
 	clk  clock.Clock
+	made *catalog.Target // as it was when the lane was made
 
 	mu        sync.Mutex
 	allowance int
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -329,6 +329,35 @@
 	})
 }
 
+// A target starts again under its id, or moves. Its connections lead to a process that
+// is gone, without a word if its VM lost power: requests must not be sent on them.
+func TestLaneOfATargetThatStartedAgainIsMadeAnew(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		d := &dialer{limit: 1}
+		p := NewPool(monotonic.New(), func(*catalog.Target) Dialer { return d.dial })
+		as := func(made catalog.Target) *catalog.Catalog {
+			return &catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": &made}}
+		}
+		was := catalog.Target{ID: "x", Addr: "10.0.0.1:1", Incarnation: 1}
+		p.Update(as(was), one)
+		c, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
+		require.NoError(t, err)
+		c.Release()
+		leaves := was
+		leaves.Draining, leaves.Role = true, target.RoleReplica
+		p.Update(as(leaves), one)
+		require.False(t, d.open[0].closed, "it is the same process")
+		for i, next := range []catalog.Target{{ID: "x", Addr: was.Addr, Incarnation: 2}, {ID: "x", Addr: "10.0.0.2:1", Incarnation: 2}} {
+			p.Update(as(next), one)
+			require.True(t, d.open[i].closed)
+			c, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
+			require.NoError(t, err)
+			c.Release()
+			require.Len(t, d.open, i+2)
+		}
+	})
+}
+
 // The fleet's own question meets a full lane. It must not wait behind requests:
 // a primary that seems dead is judged by its answer.
 func TestControlDoesNotWaitBehindRequests(t *testing.T) {
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -57,7 +57,7 @@
 	defer p.mu.Unlock()
 	p.targets, p.share = c.Targets, share
 	for id, l := range p.lanes {
-		if c.Targets[id] == nil {
+		if t := c.Targets[id]; t == nil || !l.leadsTo(t) {
 			l.close()
 			delete(p.lanes, id)
 		}
@@ -65,6 +65,15 @@
 	return maps.Clone(p.lanes)
 }
 
+// leadsTo reports whether the lane was made for a target as it is now.
+//
+// Failure guarded against: a target starts again under its id, maybe elsewhere. Its
+// lane's connections lead to a process that is gone, and where that one's VM lost
+// power nothing resets them: each request on one waits for its answer in vain.
+func (l *Lane) leadsTo(t *catalog.Target) bool {
+	return l.made.Addr == t.Addr && l.made.Service == t.Service && l.made.Incarnation == t.Incarnation
+}
+
 // Lane returns the lane to a target, or nil if the target is not known.
 func (p *Pool) Lane(id target.ID) *Lane {
 	p.mu.RLock()
@@ -78,6 +87,7 @@
 	t := p.targets[id]
 	if l = p.lanes[id]; l == nil && t != nil {
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
+		l.made = t
 		p.lanes[id] = l
 	}
 	return l
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// Reborn forgets what a target said before it started again: it leads no more, and
+// what its entry says counts anew.
+func (b *Board) Reborn(id target.ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.claims, id)
+}
+
 // Told takes over a target's own status.
 func (b *Board) Told(id target.ID, role target.Role, term timeline.Term) {
 	b.mu.Lock()
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -51,6 +51,8 @@
 	failed  clock.Time // last resort until then
 	lagging clock.Time // passed over until then
 	lags    int        // how often it lagged since it last served
+	// incarnation is that of the target when it was last looked up; 0 before.
+	incarnation int64
 }
 
 // Board keeps what requests have shown of each target. It is safe for
@@ -115,14 +117,18 @@
 	return min(max(patienceTimes*usual, minPatience), maxPatience)
 }
 
-// Keep forgets the targets for which known returns false.
-func (b *Board) Keep(known func(target.ID) bool) {
+// Keep forgets the targets that are not known any more, and what was seen of a
+// target before it started again. Known returns a target's incarnation.
+func (b *Board) Keep(known func(target.ID) (incarnation int64, is bool)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id := range b.records {
-		if !known(id) {
+	for id, r := range b.records {
+		incarnation, is := known(id)
+		if !is || (r.incarnation != 0 && r.incarnation != incarnation) {
 			delete(b.records, id)
+			continue
 		}
+		r.incarnation = incarnation
 	}
 }
 
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -77,7 +77,23 @@
 func TestForgottenTargetsLeaveNothing(t *testing.T) {
 	b := NewBoard()
 	b.Failed("x", at(0))
-	b.Keep(func(target.ID) bool { return false })
+	b.Keep(func(target.ID) (int64, bool) { return 0, false })
+	require.Empty(t, b.records)
+}
+
+// A target fails, and starts again under its id. What its process before was slow
+// or failing at is no reason to pass over the new one.
+func TestTargetThatStartedAgainIsJudgedAnew(t *testing.T) {
+	b := NewBoard()
+	known := func(incarnation int64) func(target.ID) (int64, bool) {
+		return func(target.ID) (int64, bool) { return incarnation, true }
+	}
+	b.Served("x", at(0), 20*time.Millisecond)
+	b.Keep(known(7))
+	b.Failed("x", at(1))
+	b.Keep(known(7))
+	require.NotZero(t, b.records["x"].failed)
+	b.Keep(known(8))
 	require.Empty(t, b.records)
 }
 
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -66,6 +66,7 @@
 	errNear        = errors.New("a replica is not far behind")
 	errIdle        = errors.New("the primary is not busy")
 	errRecovered   = errors.New("the primary answers again")
+	errReborn      = errors.New("the target has started again and forgotten what it held")
 )
 
 // act makes one attempt and logs what came of it.
@@ -158,6 +159,9 @@
 	if err != nil {
 		return "", err
 	}
+	if err := a.stillPaused(ctx, append(fenced, joined...)); err != nil {
+		return "", err
+	}
 	// All VMs have told by now what they know to be acknowledged.
 	if !takeover.Holds(chosen.Received, a.g.Acknowledged.Bound()) {
 		return "", errLacking
@@ -165,7 +169,7 @@
 	if err := a.designate(ctx, chosen.ID); err != nil {
 		return "", err
 	}
-	if err := a.awaitLead(ctx, chosen.ID); err != nil {
+	if err := a.awaitLead(ctx, chosen); err != nil {
 		a.p.unmoved(a.g.Service, chosen.ID)
 		return chosen.ID, err
 	}
@@ -215,11 +219,19 @@
 var ErrNotRunning = errors.New("the designated target is not running")
 
 // awaitLead waits until the chosen target says that it leads.
-func (a *attempt) awaitLead(ctx context.Context, id target.ID) error {
+//
+// Failure guarded against: it has started again on the way there, and leads with
+// nothing. The other targets would be let go to follow it, and take its empty log
+// for theirs. So the attempt fails with them paused, and the next one finds what
+// was acknowledged there.
+func (a *attempt) awaitLead(ctx context.Context, chosen takeover.Fenced) error {
 	deadline := a.p.cfg.Clock.Now().Add(leadTimeout)
 	for a.p.cfg.Clock.Now().Before(deadline) {
-		s, err := a.g.Status(ctx, id, askTimeout)
+		s, err := a.g.Status(ctx, chosen.ID, askTimeout)
 		if err == nil && s.Role == target.RolePrimary {
+			if !takeover.Holds(s.Received, chosen.Received) {
+				return errors.WithMessage(errReborn, string(chosen.ID))
+			}
 			return nil
 		}
 		time.Sleep(pollEvery)
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -110,6 +110,35 @@
 	return out, failed
 }
 
+// stillPaused asks every paused target again, all at one time after the last was
+// paused, whether it is in the life in which it was paused.
+//
+// Failure guarded against: a replica starts again under its id after it was paused.
+// It has forgotten the pause and its log, receives from the old primary and confirms
+// its commits, of which the other replica, the one that is promoted, has none. It
+// shows as purchases that were confirmed and are not there. A target in another life
+// is not paused, or holds less than it had said.
+func (a *attempt) stillPaused(ctx context.Context, fenced []takeover.Fenced) error {
+	ids := make([]target.ID, len(fenced))
+	had := make(map[target.ID]timeline.Position, len(fenced))
+	for i, f := range fenced {
+		ids[i], had[f.ID] = f.ID, f.Received
+	}
+	answers := each(ids, func(id target.ID) told {
+		s, err := a.orderPatiently(ctx, id, lane.AskStatus)
+		return told{id: id, status: s, err: err}
+	})
+	for _, s := range answers {
+		switch {
+		case s.err != nil:
+			return errors.WithMessage(s.err, "ask "+string(s.id)+" again")
+		case s.status.Paused < a.term || !takeover.Holds(s.status.Received, had[s.id]):
+			return errors.WithMessage(errReborn, string(s.id))
+		}
+	}
+	return nil
+}
+
 // pauseOne pauses a target, and takes only its own word that it is paused.
 //
 // Failure guarded against: one of the others still believes that it leads, from
--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -202,3 +202,38 @@
 	w.nonce = "before"
 	require.False(t, p.abandoned(own, w, "b", start.Add(takeover.OwnLapse)), "an attempt of this process lapses like any other")
 }
+
+// A replica was paused and starts again before anybody is promoted. It has forgotten
+// the pause and follows the old primary, which confirms sales with its help that the
+// other replica lacks. Promoted, that one would have lost them. The same holds for
+// one that is paused again by another VM's order but holds nothing any more.
+func TestPauseBeforeARebirthIsNoFence(t *testing.T) {
+	at := func(n int) timeline.Position { return timeline.Position{Term: term - 1, LSN: timeline.LSN(n)} }
+	paused := statement.Status{Role: target.RoleReplica, Term: term - 1, Paused: term, Received: at(100)}
+	for name, c := range map[string]struct {
+		now  statement.Status
+		dead bool
+		want error
+	}{
+		"it is as it was":            {now: paused},
+		"it has forgotten the pause": {now: statement.Status{Role: target.RoleReplica, Term: term - 1, Received: at(101)}, want: errReborn},
+		"it holds nothing":           {now: statement.Status{Role: target.RoleReplica, Paused: term}, want: errReborn},
+	} {
+		servers := map[target.ID]*server{"b": {status: paused}, "c": {status: c.now}}
+		fenced := []takeover.Fenced{{ID: "b", Received: at(100)}, {ID: "c", Received: at(100)}}
+		require.ErrorIs(t, attemptOn(servers).stillPaused(context.Background(), fenced), c.want, name)
+	}
+	servers := map[target.ID]*server{"b": {status: paused}, "c": {dead: true}}
+	require.Error(t, attemptOn(servers).stillPaused(context.Background(), []takeover.Fenced{{ID: "c"}}))
+}
+
+// The chosen target starts again on the way to its promotion, and leads with nothing.
+// Its peers must not be let go to follow it: they hold what was confirmed.
+func TestChosenTargetMustLeadWithWhatItHeld(t *testing.T) {
+	held := timeline.Position{Term: term - 1, LSN: 100}
+	lead := &server{status: statement.Status{Role: target.RolePrimary, Term: term, Received: held}}
+	a := attemptOn(map[target.ID]*server{"b": lead})
+	require.NoError(t, a.awaitLead(context.Background(), takeover.Fenced{ID: "b", Received: held}))
+	lead.status.Received = timeline.Position{Term: term}
+	require.ErrorIs(t, a.awaitLead(context.Background(), takeover.Fenced{ID: "b", Received: held}), errReborn)
+}
