Refuse at once what no primary serves, and let nobody wait behind a lost answer

And with one statement of a VM at a target at once, a lost answer or a stalled write keeps all that follow it waiting for 0.25 s to 0.65 s. Ruled out: relaying to the other side, as neither its VMs nor the store are reached.

Change: a breaker for each service, open after 0.7 s in which nothing that needs the primary was served, with a probe every 0.2 s; statements that take four times the usual count no more as running; the fleet's own questions are not taken for slow statements; the bound on what runs goes by the VMs that answer, so that few that are left use all slots.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -43,6 +43,7 @@
 	case g.Leadership.Believed().Primary != id || g.Deposing(id):
 		return &lane.UnavailableError{Target: id, Expired: true, Cause: errReplaced}
 	default:
+		g.Breaker.Failed(l.Clock.Now())
 		return &lane.UnavailableError{Target: id, ComeBack: stalledComeBack, Cause: errStalled}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -254,20 +254,42 @@
 
 // follow passes each new catalog to those who act on it.
 func (e *Edge) follow(ctx context.Context) {
+	tick := time.NewTicker(liveEvery)
+	defer tick.Stop()
 	plan := gateways.NewPlan(e.set.Node, e.catalog.Load())
 	for {
 		changed := e.catalog.Changed()
 		c := e.catalog.Load()
-		plan = plan.Next(c)
+		live := e.gossip.live(c)
+		plan = plan.Next(c, live)
 		e.pool.Update(c, plan.Share)
 		e.router.Update(plan, c)
 		e.groups.Update(c)
 		e.gossip.keep(c)
 		e.placing.Keep(c.Incarnation)
+		if !e.awaitNews(ctx, changed, tick.C, live) {
+			return
+		}
+	}
+}
+
+// liveEvery is how often it is looked whether as many VMs answer as before: peers are
+// asked in turn, each about once a second.
+const liveEvery = time.Second
+
+// awaitNews waits until the catalog has changed, or another number of VMs answers. It
+// is false once ctx has ended.
+func (e *Edge) awaitNews(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time, live int) bool {
+	for {
 		select {
 		case <-changed:
+			return true
+		case <-tick:
+			if e.gossip.live(e.catalog.Load()) != live {
+				return true
+			}
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -281,6 +281,24 @@
 	return out, nil
 }
 
+// deadAfter is how long a VM must not have answered to count as not live: longer than
+// its process takes to start anew.
+const deadAfter = 1500 * time.Millisecond
+
+// live is how many of the fleet's VMs answer, this one included.
+func (g *gossiper) live(c *catalog.Catalog) int {
+	now := g.edge.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := len(c.VMs)
+	for vm, since := range g.silent {
+		if _, known := c.VM(vm); known && now.Sub(since) > deadAfter {
+			n--
+		}
+	}
+	return max(n, 1)
+}
+
 // sweepAfter is how long a VM must not have answered before its entry is taken
 // away: far longer than storeAge, after which it holds no permission.
 const sweepAfter = time.Minute
--- a/edge/gossip_internal_test.go
+++ b/edge/gossip_internal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/gossip"
 	"endivemoor.example/endivemoor/groups"
@@ -28,3 +30,21 @@
 	g.take(&gossip.News{Fleet: &gossip.Fleet{Revision: 7}})
 	require.False(t, g.question().Whole)
 }
+
+// Some VMs have not answered for a while, one only just now, and one is off the list.
+func TestLiveVMsAreThoseThatAnswer(t *testing.T) {
+	clk := &steps{now: clock.Time(time.Minute)}
+	g := &gossiper{edge: &Edge{clk: clk}, silent: map[string]clock.Time{
+		"b": clk.now.Add(-time.Minute / 2), "c": clk.now.Add(-deadAfter), "gone": 1,
+	}}
+	h := catalog.NewHolder()
+	h.SetFleet([]catalog.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}, nil, 1)
+	require.Equal(t, 3, g.live(h.Load()))
+	clk.now = clk.now.Add(time.Millisecond)
+	require.Equal(t, 2, g.live(h.Load()))
+}
+
+// steps is a clock that stands still until it is moved.
+type steps struct{ now clock.Time }
+
+func (s *steps) Now() clock.Time { return s.now }
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -57,12 +57,17 @@
 // writeAlone sends a write to the primary. It is sent again only while it
 // surely has not run.
 func (s *Session) writeAlone(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
+	if refused := s.admit(g, w); refused != nil {
+		return refused
+	}
 	for {
 		b, err := s.primary(ctx, g, w)
 		if err != nil {
+			s.unserved(g)
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
 		a, v := s.try(ctx, b.Primary, w, timeline.Position{}, limits{queue: left(ctx), answer: writePatience})
+		s.outage(g, v)
 		switch v {
 		case done:
 			if a.Code != statement.OK {
@@ -71,6 +76,7 @@
 			if !s.stillLeads(ctx, g, b) {
 				return s.inDoubt(ctx, w, b.Primary)
 			}
+			g.Breaker.Served()
 			s.remember(w.route.Service, a.Position)
 			return a
 		case lostAnswer:
@@ -103,9 +109,13 @@
 // questions and 700 calls a second on one of the users' days, for 5 s. A primary
 // that fails to answer is therefore read from first, and proven if it has answered.
 func (s *Session) readExact(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
+	if refused := s.admit(g, w); refused != nil {
+		return refused
+	}
 	for {
 		b, err := s.primary(ctx, g, w)
 		if err != nil {
+			s.unserved(g)
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
 		var proof <-chan bool
@@ -124,8 +134,13 @@
 			proof = s.prove(ctx, g, b, w.arrived)
 		}
 		if v == done && s.proven(w, proof) {
+			g.Breaker.Served()
 			return a
 		}
+		if v == done {
+			s.unserved(g)
+		}
+		s.outage(g, v)
 		if !s.pause(ctx, w) {
 			return s.giveUp(w, statement.Busy, "no proven answer in time")
 		}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -156,6 +156,7 @@
 	s.engine.cfg.Placing.Served(tx.open.Target(), s.engine.cfg.Clock.Now(), r.Took)
 	if !w.writes && tx.proof != nil {
 		if !s.proven(w, tx.proof) {
+			s.unserved(tx.group)
 			return s.failStatement(refuse(statement.Aborted, comeBack, "the primary may have been replaced", s.state))
 		}
 		tx.proof = nil
@@ -239,6 +240,7 @@
 		return a
 	}
 	if a.Code == statement.OK && tx.wrote {
+		tx.group.Breaker.Served()
 		s.remember(tx.route.Service, a.Position)
 	}
 	tx.open.Release()
@@ -275,7 +277,7 @@
 		}
 		id, err := s.placeTransaction(ctx, tx, w, tried, ok)
 		if err != nil {
-			return s.giveUpOpening(w, "no target")
+			return s.giveUpOpening(w, err.Error())
 		}
 		if tx.route.Freshness == catalog.Exact {
 			after = tx.group.Freshness.Stood(tx.belief.Term, id)
@@ -309,8 +311,12 @@
 			return id, nil
 		}
 	}
+	if !tx.group.Breaker.Admits(s.engine.cfg.Clock.Now()) {
+		return "", errOpen
+	}
 	b, err := s.primary(ctx, tx.group, w)
 	if err != nil {
+		s.unserved(tx.group)
 		return "", err
 	}
 	tx.belief = b
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -90,6 +90,8 @@
 type Plan struct {
 	self    string
 	catalog *catalog.Catalog
+	// live is how many of the fleet's VMs answer.
+	live int
 
 	mu sync.Mutex
 	at map[target.ID]drawn
@@ -102,16 +104,17 @@
 	vms   []catalog.VM
 }
 
-// NewPlan returns a VM's plan.
+// NewPlan returns a VM's plan for a fleet whose VMs all answer.
 func NewPlan(self string, c *catalog.Catalog) *Plan {
-	return &Plan{self: self, catalog: c, at: make(map[target.ID]drawn)}
+	return &Plan{self: self, catalog: c, live: len(c.VMs), at: make(map[target.ID]drawn)}
 }
 
-// Next returns the plan for a later state of the catalog. What was drawn is drawn
-// anew only if the fleet has changed, which it does far less often than the
-// configuration.
-func (p *Plan) Next(c *catalog.Catalog) *Plan {
+// Next returns the plan for a later state of the catalog, and for the number of VMs
+// that answer. What was drawn is drawn anew only if the fleet has changed, which it
+// does far less often than the configuration.
+func (p *Plan) Next(c *catalog.Catalog, live int) *Plan {
 	next := NewPlan(p.self, c)
+	next.live = live
 	if !slices.Equal(p.catalog.VMs, c.VMs) {
 		return next
 	}
@@ -149,9 +152,8 @@
 		return Share{Kept: 1, Idle: 1}
 	}
 	if !p.shared(t) {
-		vms := max(len(p.catalog.VMs), 1)
-		kept := int(limit) / vms
-		return Share{Kept: kept, Idle: max(kept/generations, 1), Running: (perSlot*t.Slots + vms - 1) / vms}
+		kept := int(limit) / max(len(p.catalog.VMs), 1)
+		return Share{Kept: kept, Idle: max(kept/generations, 1), Running: p.running(t)}
 	}
 	all := p.of(t)
 	if !holds(all, p.self) {
@@ -161,6 +163,18 @@
 	return Share{Kept: kept, Idle: min(kept, max(kept/generations, running)), Running: running}
 }
 
+// running is this VM's part of what a fleet without gateways sends to a target at
+// once.
+//
+// Failure guarded against: most VMs of the fleet are lost, and those that are left
+// go on to send their small parts: a third of the targets' slots would lie idle
+// while requests wait. So the parts are those of the VMs that answer. Of connections
+// each VM keeps its part of all: the lost ones' may be open still.
+func (p *Plan) running(t *catalog.Target) int {
+	live := max(p.live, 1)
+	return (perSlot*t.Slots + live - 1) / live
+}
+
 // Route returns the gateways to a target in the order in which this VM should
 // try them; none if it should connect by itself.
 func (p *Plan) Route(t *catalog.Target) []catalog.VM {
--- a/gateways/gateways_test.go
+++ b/gateways/gateways_test.go
@@ -89,6 +89,19 @@
 	require.Len(t, first, 2, "the VMs spread over the gateways")
 }
 
+// Seven of nine VMs are lost. The two that are left must be able to keep all slots of a
+// target busy, within the connections that are surely theirs.
+func TestFewVMsThatAreLeftUseAllSlots(t *testing.T) {
+	c, to := known(22, fleet(9, "a", "b", "c"))
+	to.Slots = 3
+	p := NewPlan("vm03", c)
+	require.Equal(t, 1, p.Share(to).Running)
+	few := p.Next(c, 2).Share(to)
+	require.GreaterOrEqual(t, 2*few.Running, to.Slots)
+	require.Equal(t, p.Share(to).Kept, few.Kept)
+	require.Equal(t, 9, p.Next(c, 0).Share(to).Running, "it alone is left")
+}
+
 // All gateways lose power at once. Their targets hold the dead connections for 3 s, and
 // refuse those of the next gateways if both together are more than they take.
 func TestGatewaysLeaveRoomForTheirSuccessors(t *testing.T) {
@@ -178,13 +191,13 @@
 	p := NewPlan("vm03", c)
 	first := p.of(to)
 	same := *c
-	require.Equal(t, p.at, p.Next(&same).at)
+	require.Equal(t, p.at, p.Next(&same, len(same.VMs)).at)
 
 	smaller, _ := known(4, fleet(59, "a", "b", "c"))
-	require.Len(t, p.Next(smaller).of(to), 1, "the limit is another one")
+	require.Len(t, p.Next(smaller, len(smaller.VMs)).of(to), 1, "the limit is another one")
 	fewer, _ := known(32, slices.DeleteFunc(slices.Clone(c.VMs), func(vm catalog.VM) bool { return vm.ID == first[0].ID }))
-	require.NotContains(t, p.Next(fewer).of(to), first[0], "the fleet is another one")
+	require.NotContains(t, p.Next(fewer, len(fewer.VMs)).of(to), first[0], "the fleet is another one")
 	moved := *to
 	moved.Zone = "c"
-	require.Equal(t, "c", p.Next(&same).of(&moved)[0].Zone, "the target is elsewhere")
+	require.Equal(t, "c", p.Next(&same, len(same.VMs)).of(&moved)[0].Zone, "the target is elsewhere")
 }
--- /dev/null
+++ b/groups/breaker_test.go
@@ -0,0 +1,41 @@
+package groups
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A VM is cut off with a primary that confirms nothing. For a moment requests wait, as
+// they do while another primary is made to lead; then they are refused at once, but
+// for one now and then, and as soon as one is served all try again.
+func TestBreakerOpensAfterAWhileAndLetsAProbeThrough(t *testing.T) {
+	var b Breaker
+	require.True(t, b.Admits(ms(0)))
+	b.Failed(ms(0))
+	b.Failed(ms(500))
+	require.True(t, b.Admits(ms(699)))
+	require.True(t, b.Admits(ms(700)), "the probe")
+	require.False(t, b.Admits(ms(701)))
+	require.False(t, b.Admits(ms(899)))
+	require.True(t, b.Admits(ms(900)), "the next probe")
+	b.Failed(ms(1900))
+	require.True(t, b.Admits(ms(1901)))
+	require.False(t, b.Admits(ms(1902)))
+	b.Served()
+	require.True(t, b.Admits(ms(1903)))
+	require.True(t, b.Admits(ms(1904)))
+}
+
+// A quiet service loses one answer. Those who come long after it must not be refused
+// for it.
+func TestOneFailureLongAgoOpensNothing(t *testing.T) {
+	var b Breaker
+	b.Failed(ms(0))
+	for i := range 5 {
+		require.True(t, b.Admits(ms(10_000+i)))
+	}
+	b.Failed(ms(10_010))
+	require.True(t, b.Admits(ms(10_020)))
+	require.True(t, b.Admits(ms(10_030)))
+}
--- a/groups/crowd.go
+++ b/groups/crowd.go
@@ -15,8 +15,8 @@
 // Crowd tells since when aged reads come too late at the primary, because no replica
 // has what they must see. It is safe for concurrent use.
 type Crowd struct {
-	mu          sync.Mutex
-	since, last clock.Time
+	mu   sync.Mutex
+	late streak
 }
 
 // Late records that an aged read which only the primary could serve came too late,
@@ -24,18 +24,12 @@
 func (c *Crowd) Late(now clock.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last == 0 || now.Sub(c.last) > crowdGap {
-		c.since = now
-	}
-	c.last = now
+	c.late.note(now, crowdGap)
 }
 
 // For is how long that has gone on.
 func (c *Crowd) For(now clock.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last == 0 || now.Sub(c.last) > crowdGap {
-		return 0
-	}
-	return now.Sub(c.since)
+	return c.late.lasts(now, crowdGap)
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -49,6 +49,8 @@
 	Health Health
 	// Crowd tells whether reads crowd there.
 	Crowd Crowd
+	// Breaker tells whether requests should wait for the primary.
+	Breaker Breaker
 
 	cfg *Config
 	// slot is the tick in which the group is looked at though nobody uses it.
@@ -159,6 +161,9 @@
 		g.cfg.Log.Info("primary-believed", zap.String("service", g.Service), zap.String("primary", string(now.Primary)),
 			zap.Uint64("term", uint64(now.Term)), zap.String("before", string(g.believed.Primary)), zap.Bool("contested", now.Contested))
 	}
+	if now.Primary != "" && now.Primary != g.believed.Primary {
+		g.Breaker.Served()
+	}
 	g.believed = now
 	if now.Primary != "" {
 		g.absent = 0
--- a/internal/experiment/capacity/edge.go
+++ b/internal/experiment/capacity/edge.go
@@ -87,7 +87,7 @@
 	plan := gateways.NewPlan("vm-0001", c)
 	p := edgePool(c, plan)
 	return nanoseconds(func() {
-		plan = plan.Next(c)
+		plan = plan.Next(c, len(c.VMs))
 		p.Update(c, plan.Share)
 	})
 }
--- a/lane/conn.go
+++ b/lane/conn.go
@@ -29,9 +29,11 @@
 	// what they keep meanwhile is missed by the VMs that serve.
 	asked   bool
 	idle    clock.Time
-	resting bool // guarded by the lane's lock, as the next two
+	resting bool // guarded by the lane's lock, as all that follows
 	handed  clock.Time
-	rested  bool // since it was handed out
+	runs    clock.Time // since when it has run something without a rest
+	rested  bool       // since it was handed out
+	overdue bool       // what it runs takes far longer than usual
 }
 
 // shape is a prepared statement's body: two sessions that prepare the same one
--- a/lane/dial.go
+++ b/lane/dial.go
@@ -46,7 +46,7 @@
 		return l.open
 	}
 	if l.running > 0 {
-		return l.allowance + min(l.resting, burst)
+		return l.allowance + min(l.resting+l.overdue, burst)
 	}
 	return l.allowance + burst
 }
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -109,15 +109,17 @@
 	closed    bool
 	used      clock.Time // when a connection was last asked for
 	inUse     int
-	resting   int   // of those in use, how many run nothing just now
-	running   int   // how many may run something; 0 is any number
-	resuming  queue // transactions that wait to run a statement
-	urgent    queue // the fleet's own orders
+	busy      map[*Conn]struct{} // those that were handed to statements
+	resting   int                // of those in use, how many run nothing just now
+	overdue   int                // and how many run what takes far longer than usual
+	running   int                // how many may run something; 0 is any number
+	resuming  queue              // transactions that wait to run a statement
+	urgent    queue              // the fleet's own orders
 	drain     drain
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
-	l := &Lane{id: id, dial: dial, clk: clk, used: clk.Now()}
+	l := &Lane{id: id, dial: dial, clk: clk, used: clk.Now(), busy: make(map[*Conn]struct{})}
 	l.setShare(share)
 	return l
 }
@@ -172,7 +174,7 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(); c != nil {
-			c.handed, c.rested = now, false
+			l.begin(c, now)
 			l.mu.Unlock()
 			return c, nil
 		}
@@ -215,6 +217,7 @@
 		l.idle = l.idle[:n-1]
 		if c.Alive() {
 			l.inUse++
+			c.handed = 0
 			return c
 		}
 		l.open--
@@ -242,6 +245,7 @@
 		l.open--
 		c.Close()
 	}
+	l.noteOverdue(now)
 	l.grow(now)
 }
 
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -46,7 +46,7 @@
 			break
 		}
 		w := l.waiting.next(now)
-		c.handed, c.rested = now, false
+		l.begin(c, now)
 		l.drain.served(now, l.waiting.Len() > 0)
 		w.ready <- delivery{conn: c}
 	}
@@ -81,7 +81,20 @@
 // mayRun reports whether one more statement may be sent to the target. The
 // target's own queue is first come first served; beyond what keeps its slots
 // busy, requests wait here, in the order of their urgency.
-func (l *Lane) mayRun() bool { return l.running == 0 || l.inUse-l.resting < l.running }
+func (l *Lane) mayRun() bool { return l.running == 0 || l.inUse-l.resting-l.overdue < l.running }
+
+// begin notes that a connection is handed to a statement.
+func (l *Lane) begin(c *Conn, now clock.Time) {
+	c.handed, c.runs, c.rested = now, now, false
+	l.busy[c] = struct{}{}
+}
+
+// end notes that a connection is given back.
+func (l *Lane) end(c *Conn) {
+	delete(l.busy, c)
+	l.setResting(c, false)
+	l.setOverdue(c, false)
+}
 
 // rest notes that a connection in use runs nothing: its transaction waits for
 // its consumer.
@@ -116,6 +129,8 @@
 	if c.resting == resting {
 		return
 	}
+	l.setOverdue(c, false)
+	c.runs = l.clk.Now()
 	c.resting = resting
 	if resting {
 		c.rested = true
@@ -128,7 +143,7 @@
 func (l *Lane) release(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setResting(c, false)
+	l.end(c)
 	if c.handed != 0 && !c.rested {
 		l.waiting.took(l.clk.Now().Sub(c.handed))
 	}
@@ -144,7 +159,8 @@
 func (l *Lane) discard(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setResting(c, false)
+	l.end(c)
 	l.drop(c)
+	l.serve(l.clk.Now())
 	l.grow(l.clk.Now())
 }
