--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"errors"
+	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/statement"
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -55,16 +55,16 @@
 	// second. Their targets hold the dead VMs' connections open for 3 s more, and
 	// refuse the new ones. At 22 connections for 9 VMs of three services, with
 	// everything kept that was ever opened, 0.44 of what is asked in the 2 s from such
-	// an end is earned and 0.86 in the next 2 s; with half of it kept 0.55 and 0.98 (means of three days of high load, one
-	// seed each; worth of those days over five seeds 0.871 and 0.896).
+	// an end is earned and 0.86 in the next 2 s; with half of it kept 0.55 and 0.98
+	// (means of three days of high load, one seed each; worth of those days over five
+	// seeds 0.871 and 0.896).
 	generations = 2
 	// perSlot is how many statements for each of a target's slots a fleet sends it at
 	// once where each VM holds its own connections: one runs, one is next, one is on
 	// its way. The rest wait at the VMs, by how urgent they are; the target's own
 	// queue is first come first served, and one full of statements that will be late
-	// makes all that come late as well. Lanes with such
-	// a bound also tell late requests from others, and refuse hopeless ones. At 9 VMs
-	// and 3 slots it is one for each VM. Worth over four days of high load or lagging
+	// makes all that come late as well. Lanes with such a bound also tell late requests
+	// from others, and refuse hopeless ones. At 9 VMs and 3 slots it is one for each VM. Worth over four days of high load or lagging
 	// replicas, four seeds each, paired: 0.899 -> 0.911 by order and refusals alone,
 	// 0.911 -> 0.915 with two for each VM, 0.919 -> 0.922 with one instead of two.
 	perSlot = 3
