--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -27,7 +28,7 @@
 	queued  int
 	told    []string
 	lose    bool
-	closed  bool
+	closed  atomic.Bool // lanes of several VMs share a dialer
 	refuse  statement.Code
 	refused string
 }
@@ -48,8 +49,8 @@
 func (l *link) QueueResume()                         { l.add("resume") }
 func (l *link) QueueStepDown(timeline.Term)          { l.add("step-down") }
 func (l *link) Flush(time.Duration) error            { return nil }
-func (l *link) Alive() bool                          { return !l.closed }
-func (l *link) Close()                               { l.closed = true }
+func (l *link) Alive() bool                          { return !l.closed.Load() }
+func (l *link) Close()                               { l.closed.Store(true) }
 
 func (l *link) Receive(timeout time.Duration) (*statement.Answer, error) {
 	if l.lose {
@@ -116,7 +117,7 @@
 	}
 	live := 0
 	for _, l := range d.open {
-		if !l.closed {
+		if !l.closed.Load() {
 			live++
 		}
 	}
@@ -150,7 +151,7 @@
 			acquire(t, l).Release()
 		}
 		require.Len(t, d.open, 1)
-		d.open[0].closed = true
+		d.open[0].closed.Store(true)
 		acquire(t, l).Release()
 		require.Len(t, d.open, 2, "one that the target has closed is not handed out")
 	})
@@ -240,7 +241,7 @@
 		l.tend()
 		open := 0
 		for _, x := range d.open {
-			if !x.closed {
+			if !x.closed.Load() {
 				open++
 			}
 		}
@@ -258,13 +259,13 @@
 		require.Len(t, links, 1, "requests that follow each other share one")
 		time.Sleep(2 * yieldIdle)
 		l.tend()
-		require.True(t, links[0].closed)
+		require.True(t, links[0].closed.Load())
 		l.setShare(gateways.Share{Kept: 1, Idle: 1})
 		acquire(t, l).Release()
 		time.Sleep(time.Minute)
 		l.tend()
 		links, _ = d.links()
-		require.False(t, links[1].closed)
+		require.False(t, links[1].closed.Load())
 	})
 }
 
@@ -323,7 +324,7 @@
 		p.Update(&catalog.Catalog{}, one)
 		require.Error(t, <-failed)
 		c.Release()
-		require.True(t, d.open[0].closed)
+		require.True(t, d.open[0].closed.Load())
 		_, err = p.Acquire(context.Background(), "x", Order{}, time.Second)
 		require.Error(t, err)
 	})
@@ -346,10 +347,10 @@
 		leaves := was
 		leaves.Draining, leaves.Role = true, target.RoleReplica
 		p.Update(as(leaves), one)
-		require.False(t, d.open[0].closed, "it is the same process")
+		require.False(t, d.open[0].closed.Load(), "it is the same process")
 		for i, next := range []catalog.Target{{ID: "x", Addr: was.Addr, Incarnation: 2}, {ID: "x", Addr: "10.0.0.2:1", Incarnation: 2}} {
 			p.Update(as(next), one)
-			require.True(t, d.open[i].closed)
+			require.True(t, d.open[i].closed.Load())
 			c, err := p.Acquire(context.Background(), "x", Order{}, time.Second)
 			require.NoError(t, err)
 			c.Release()
