Ask paused targets again by the same function as all others

Cause: the second question before a promotion wrote the loop of attempt.all anew, as it has ids and not entries. Change: allOf takes ids, and all calls it; nothing that is asked or checked is other than before. Ran: lint, promoter, groups and lane under the race detector, the edge package, purity.

--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -124,11 +124,7 @@
 	for i, f := range fenced {
 		ids[i], had[f.ID] = f.ID, f.Received
 	}
-	answers := each(ids, func(id target.ID) told {
-		s, err := a.orderPatiently(ctx, id, lane.AskStatus)
-		return told{id: id, status: s, err: err}
-	})
-	for _, s := range answers {
+	for _, s := range a.allOf(ctx, ids, lane.AskStatus) {
 		switch {
 		case s.err != nil:
 			return errors.WithMessage(s.err, "ask "+string(s.id)+" again")
--- a/promoter/order.go
+++ b/promoter/order.go
@@ -36,7 +36,12 @@
 
 // all sends an order to several targets at once.
 func (a *attempt) all(ctx context.Context, targets []*catalog.Target, ask lane.Ask) []told {
-	return each(idsOf(targets), func(id target.ID) told {
+	return a.allOf(ctx, idsOf(targets), ask)
+}
+
+// allOf is all for targets by their ids.
+func (a *attempt) allOf(ctx context.Context, ids []target.ID, ask lane.Ask) []told {
+	return each(ids, func(id target.ID) told {
 		s, err := a.orderPatiently(ctx, id, ask)
 		return told{id: id, status: s, err: err}
 	})
