Count bytes, questions and calls by purpose, and sum them up from logs

Ruled out: deriving it from the code by hand, which had taken statements for most of the bytes.

Change: package spending counts at the side that opens a connection, by purpose and by whether it leaves the availability zone; questions to targets by reason; calls to the store by kind and verb. Metrics carry them, a log line every ten seconds, and 'endivemoorctl spending LOG...' sums the lines of all VMs.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -20,13 +20,14 @@
 	Output   string        `help:"Form of the output: text or json." enum:"text,json" default:"text"`
 	Timeout  time.Duration `help:"How long a command may take." default:"15s"`
 
-	Profile profileCommands `cmd:"" help:"Check, review, publish and show profiles."`
-	Audit   auditCommands   `cmd:"" help:"Read, verify and export the audit trail."`
-	Fleet   fleetCommands   `cmd:"" help:"Ask the daemons."`
-	Group   groupCommands   `cmd:"" help:"Show database groups."`
-	Target  targetCommands  `cmd:"" help:"Drain targets."`
-	Losses  lossesCommand   `cmd:"" help:"Count by cause, from daemons' logs, what consumers were not served, or too late."`
-	Explain explainCommand  `cmd:"" help:"Show the recorded decision about a request or a promotion, with its evidence."`
+	Profile  profileCommands `cmd:"" help:"Check, review, publish and show profiles."`
+	Audit    auditCommands   `cmd:"" help:"Read, verify and export the audit trail."`
+	Fleet    fleetCommands   `cmd:"" help:"Ask the daemons."`
+	Group    groupCommands   `cmd:"" help:"Show database groups."`
+	Target   targetCommands  `cmd:"" help:"Drain targets."`
+	Losses   lossesCommand   `cmd:"" help:"Count by cause, from daemons' logs, what consumers were not served, or too late."`
+	Spending spendingCommand `cmd:"" help:"Sum up, from daemons' logs, what VMs have spent on bytes, questions and calls, by purpose."`
+	Explain  explainCommand  `cmd:"" help:"Show the recorded decision about a request or a promotion, with its evidence."`
 }
 
 // exited carries the code with which kong ends the parse, as for --help.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,6 +33,7 @@
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/promoter"
 	"endivemoor.example/endivemoor/relay"
+	"endivemoor.example/endivemoor/spending"
 )
 
 const (
@@ -58,6 +59,7 @@
 	set         *boot.Settings
 	log         *zap.Logger
 	metrics     *prometheus.Registry
+	spent       *spending.Meter
 	clk         clock.Clock
 	net         Network
 	incarnation string
@@ -128,19 +130,21 @@
 		metrics:     prometheus.NewRegistry(),
 		incarnation: newIncarnation(set.Node),
 		catalog:     catalog.NewHolder(),
-		store:       objects.New(set.Platform.Addr, newTransport(network)),
 		outage:      outage{clk: clk},
-		duty:        duty.New(set.Duty.Addr, newTransport(network)),
+		duty:        duty.New(set.Duty.Addr, newTransport(network.DialContext)),
 		placing:     placing.NewBoard(),
 	}
+	e.spent = spending.NewMeter(e.metrics)
+	e.store = objects.New(set.Platform.Addr, newTransport(e.dialFor(spending.Store)))
+	e.store.Observe = func(kind string, v objects.Verb) { e.spent.Called(kind, string(v)) }
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.gossip = newGossiper(e)
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Asker: asker{e}, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
-		Eligible: e.gossip.eligible, LeaveAfter: leaveAfter(set), Log: log,
+		Eligible: e.gossip.eligible, Asked: e.spent.Asked, LeaveAfter: leaveAfter(set), Log: log,
 	})
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Asker: e.pool, Groups: e.groups, Clock: e.clk, Log: log, Dial: network.DialContext})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Asker: e.pool, Groups: e.groups, Clock: e.clk, Log: log, Dial: e.dialFor(spending.Relay)})
 	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Asker: e.pool, Clock: e.clk, Log: log, Serves: e.relays, Idle: e.relayIdle})
 	e.counts = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
@@ -167,12 +171,13 @@
 
 // dialer opens links to a target.
 func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
+	targets := e.dialFor(spending.Target)
 	return func(ctx context.Context) (lane.Link, error) {
 		timeout := greetTimeout
 		if by, ok := ctx.Deadline(); ok {
 			timeout = min(timeout, time.Until(by))
 		}
-		link, err := line.Dial(ctx, e.net, t.Addr, t.Service, e.set.Node, t.ID, timeout)
+		link, err := line.Dial(ctx, targets, t.Addr, t.Service, e.set.Node, t.ID, timeout)
 		if err != nil {
 			return nil, err
 		}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -19,6 +19,7 @@
 	"endivemoor.example/endivemoor/gossip"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/platform/published"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -52,7 +53,7 @@
 
 func newGossiper(e *Edge) *gossiper {
 	return &gossiper{
-		edge: e, clients: gossip.NewClients(e.net.DialContext, e.clk),
+		edge: e, clients: gossip.NewClients(e.dialFor(spending.Gossip), e.clk),
 		paused: make(map[string]clock.Time), silent: make(map[string]clock.Time),
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/spending"
 )
 
 // metricsPath is where the metrics are served.
@@ -42,6 +44,12 @@
 		zap.Int64("at-replicas", t.AtReplicas), zap.Int64("at-primary", t.AtPrimary),
 		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.gossip.age(e.clk.Now())),
 		zap.Int64("config", int64(e.configVersion())))
+	e.reportSpent()
+}
+
+// reportSpent logs what the VM has spent since its start.
+func (e *Edge) reportSpent() {
+	e.log.Info(spending.Event, append([]zap.Field{zap.String("incarnation", e.incarnation)}, e.spent.Fields()...)...)
 }
 
 // waitedEvery is the interval of the lines that say for which targets requests
--- a/edge/network.go
+++ b/edge/network.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"endivemoor.example/endivemoor/spending"
 )
 
 const (
@@ -49,9 +51,9 @@
 // Listen implements Network.
 func (kernel) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
-func newTransport(n Network) http.RoundTripper {
+func newTransport(dial spending.DialFunc) http.RoundTripper {
 	return &http.Transport{
-		DialContext:         n.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleCalls,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/groups/group.go
+++ b/groups/group.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -200,13 +201,20 @@
 }
 
 // Status asks a target for its account of itself.
-func (g *Group) Status(ctx context.Context, id target.ID, timeout time.Duration) (statement.Status, error) {
-	return g.Order(ctx, id, lane.AskStatus, timeout)
+func (g *Group) Status(ctx context.Context, id target.ID, why spending.Reason, timeout time.Duration) (statement.Status, error) {
+	return g.exchange(ctx, id, lane.AskStatus, why, timeout)
 }
 
 // Order sends a target a question or an order that is answered with its status,
 // and takes the answer over.
 func (g *Group) Order(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) (statement.Status, error) {
+	return g.exchange(ctx, id, ask, spending.Change, timeout)
+}
+
+func (g *Group) exchange(ctx context.Context, id target.ID, ask lane.Ask, why spending.Reason, timeout time.Duration) (statement.Status, error) {
+	if g.cfg.Asked != nil {
+		g.cfg.Asked(why)
+	}
 	sent := g.cfg.Clock.Now()
 	rows, err := g.cfg.Asker.Control(ctx, id, ask, timeout)
 	if lane.Answered(err) {
@@ -288,15 +296,15 @@
 // would otherwise wait for it for ever.
 func (g *Group) discover() {
 	for _, t := range g.cfg.Catalog.Load().ByService[g.Service] {
-		go g.Ask(context.Background(), t.ID, askTimeout)
+		go g.Ask(context.Background(), t.ID, spending.Discovery, askTimeout)
 	}
 }
 
 // Ask asks a target for its account of itself, and counts silence as a failure
 // from the moment of the question on.
-func (g *Group) Ask(ctx context.Context, id target.ID, timeout time.Duration) {
+func (g *Group) Ask(ctx context.Context, id target.ID, why spending.Reason, timeout time.Duration) {
 	sent := g.cfg.Clock.Now()
-	_, err := g.Status(ctx, id, timeout)
+	_, err := g.Status(ctx, id, why, timeout)
 	if err == nil || lane.Answered(err) {
 		return
 	}
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -11,6 +11,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -51,6 +52,8 @@
 	// Eligible reports whether this VM is surely on the list by which the holder
 	// of an attempt asks VMs to give up their permissions.
 	Eligible func() bool
+	// Asked is told each question and order to a target, unless it is nil.
+	Asked func(why spending.Reason)
 	// LeaveAfter is how long a target that leaves may still be given work; zero
 	// is for ever.
 	LeaveAfter time.Duration
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -8,6 +8,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
@@ -38,7 +39,7 @@
 	for i := range replicas {
 		t := replicas[(first+i)%len(replicas)]
 		vouches := g.Vouches(t.ID)
-		s, err := g.Status(ctx, t.ID, askTimeout)
+		s, err := g.Status(ctx, t.ID, spending.Witness, askTimeout)
 		switch {
 		case !vouches || err != nil || s.Role != target.RoleReplica || s.Paused != 0:
 		case s.Term == b.Term:
@@ -147,7 +148,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := g.Status(ctx, b.Primary, askTimeout); err != nil {
+	if _, err := g.Status(ctx, b.Primary, spending.Sample, askTimeout); err != nil {
 		g.cfg.Log.Debug("status-unanswered", zap.String("target", string(b.Primary)), zap.Error(err))
 		return
 	}
--- a/promoter/abandoned.go
+++ b/promoter/abandoned.go
@@ -8,6 +8,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
@@ -66,7 +67,7 @@
 // left returns the targets that are still paused, and whether it is sure that
 // the believed primary leads.
 func (a *attempt) left(ctx context.Context) (paused []target.ID, settled bool) {
-	s, err := a.g.Status(ctx, a.old, askTimeout)
+	s, err := a.g.Status(ctx, a.old, spending.Change, askTimeout)
 	leader := accountOf(a.old, s, err)
 	var others []takeover.Account
 	for _, t := range a.all(ctx, a.others, lane.AskStatus) {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -11,6 +11,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -227,7 +228,7 @@
 func (a *attempt) awaitLead(ctx context.Context, chosen takeover.Fenced) error {
 	deadline := a.p.cfg.Clock.Now().Add(leadTimeout)
 	for a.p.cfg.Clock.Now().Before(deadline) {
-		s, err := a.g.Status(ctx, chosen.ID, askTimeout)
+		s, err := a.g.Status(ctx, chosen.ID, spending.Change, askTimeout)
 		if err == nil && s.Role == target.RolePrimary {
 			if !takeover.Holds(s.Received, chosen.Received) {
 				return errors.WithMessage(errReborn, string(chosen.ID))
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -56,7 +57,7 @@
 // commits. Otherwise it would be made to step down for a successor that cannot
 // take over, and the service would have no primary at all.
 func (a *attempt) keepsUp(ctx context.Context) error {
-	start, err := a.g.Status(ctx, a.old, askTimeout)
+	start, err := a.g.Status(ctx, a.old, spending.Change, askTimeout)
 	if err != nil {
 		return err
 	}
@@ -76,7 +77,7 @@
 		}
 	}
 	primary := a.p.cfg.Catalog.Load().Targets[a.old]
-	s, err := a.g.Status(ctx, a.old, askTimeout)
+	s, err := a.g.Status(ctx, a.old, spending.Change, askTimeout)
 	if err != nil {
 		return err
 	}
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	end, err := a.g.Status(ctx, a.old, askTimeout)
+	end, err := a.g.Status(ctx, a.old, spending.Change, askTimeout)
 	if err != nil {
 		return nil
 	}
--- a/promoter/pursue.go
+++ b/promoter/pursue.go
@@ -9,6 +9,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -60,7 +61,7 @@
 }
 
 func (p *Promoter) order(ctx context.Context, g *groups.Group, id target.ID, term timeline.Term) {
-	s, err := g.Status(ctx, id, fenceTimeout)
+	s, err := g.Status(ctx, id, spending.Change, fenceTimeout)
 	if err != nil {
 		return
 	}
