Start from lists that may be old, and let peers tell the rest

Change: first lists are those that may be old and cost the store a tenth. They count as of the latest revision read, whatever revision the answer names, so that a watch or a peer tells all that came since; what is not as of now tells nobody that the store was heard of. A VM waits 2.5 s for a first word from peers before it watches itself; a fleet that starts for the first time reads empty lists again up to three times. Watch calls that bring news one right after the other pause from the third on, 50 to 400 ms. A VM that starts anew replaces its entry in one call instead of two.

Left: VMs that know nobody ask the seeds, 4 MB mostly between zones.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -63,6 +63,7 @@
 	clk         clock.Clock
 	net         Network
 	incarnation string
+	started     clock.Time
 	catalog     *catalog.Holder
 	store       *objects.Client
 	outage      outage
@@ -133,6 +134,7 @@
 		outage:      outage{clk: clk},
 		duty:        duty.New(set.Duty.Addr, newTransport(network.DialContext)),
 		placing:     placing.NewBoard(),
+		started:     clk.Now(),
 	}
 	e.spent = spending.NewMeter(e.metrics)
 	e.store = objects.New(set.Platform.Addr, newTransport(e.dialFor(spending.Store)))
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -19,6 +19,9 @@
 // fleet keeps this VM's own entry.
 type fleet struct{ edge *Edge }
 
+// anyRevision replaces an object whatever its revision.
+const anyRevision = 0
+
 // joinRetry is the pause between two tries to write the entry.
 const joinRetry = 500 * time.Millisecond
 
@@ -41,6 +44,13 @@
 	e := f.edge
 	record := vmRecord{Zone: e.set.Zone, Peer: e.set.Listen.Control, Incarnation: e.incarnation, Capacity: e.set.Limits.Capacity()}
 	name := prefixVM + e.set.Node
+	if !e.set.FirstStart {
+		// The entry of the process before is still there: nothing in the store ends by itself.
+		_, err := e.store.Replace(ctx, kindFleet, name, anyRevision, record)
+		if !errors.Is(err, objects.ErrNotFound) {
+			return err
+		}
+	}
 	_, err := e.store.Create(ctx, kindFleet, name, record)
 	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/takeover"
 )
 
@@ -42,11 +43,30 @@
 	return len(e.catalog.Load().VMs) >= restsFrom && e.othersLookOut(restLookouts)
 }
 
+// mayRestIf is mayRest for a kind of which there must be something known.
+//
+// Failure guarded against: a VM starts among lists that are old and empty, and rests
+// because its peers will tell. If it reaches none of them it serves nobody meanwhile.
+func (e *Edge) mayRestIf(known func(*catalog.Catalog) bool) func() bool {
+	return func() bool { return known(e.catalog.Load()) && e.mayRest() }
+}
+
+func knowsConfig(c *catalog.Catalog) bool { return c.Config != nil }
+
+func knowsTargets(c *catalog.Catalog) bool { return len(c.Targets) > 0 }
+
 // othersLookOut reports whether this VM is not among the first so many, and
 // hears of the store from its peers.
 func (e *Edge) othersLookOut(first int) bool {
 	rank := takeover.Turn(lookout, e.set.Node, e.catalog.Load().Names())
-	return rank >= time.Duration(first)*takeover.TurnEvery && e.gossip.age(e.clk.Now()) <= newsAge
+	return rank >= time.Duration(first)*takeover.TurnEvery && e.hearsOrWillHear()
+}
+
+// hearsOrWillHear reports whether peers tell of the store, or have not had the time
+// to since this VM's start.
+func (e *Edge) hearsOrWillHear() bool {
+	now := e.clk.Now()
+	return e.gossip.age(now) <= newsAge || now.Sub(e.started) < firstNews
 }
 
 const (
@@ -63,6 +83,12 @@
 	// newsAge is the age of the newest word from the store, own or a peer's,
 	// from which on a VM looks out for itself.
 	newsAge = 4 * time.Second
+	// firstNews is how long after its start a VM waits for the first word: peers have
+	// told it by then, unless it reaches none of them.
+	firstNews = 2500 * time.Millisecond
+	// fleetFirst bounds how long the other lists wait for that of the fleet, which says
+	// whether this VM is to watch.
+	fleetFirst = 100 * time.Millisecond
 )
 
 // part is a part of a bound, or watchWait if the deployment sets none.
@@ -78,11 +104,40 @@
 	apply := time.Duration(e.set.Bounds.ApplyMS) * time.Millisecond
 	drain := time.Duration(e.set.Bounds.DrainMS) * time.Millisecond
 	for _, w := range []*watch{
-		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), idle: e.mayRest, follower: &configFollower{edge: e}},
-		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), idle: e.mayRest, follower: newTargetFollower(e)},
+		{kind: kindConfig, wait: e.waits(part(apply, watchPart)), idle: e.mayRestIf(knowsConfig), follower: &configFollower{edge: e}},
+		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), idle: e.mayRestIf(knowsTargets), follower: newTargetFollower(e)},
 		{kind: kindFleet, wait: e.waits(fleetWait), idle: e.hearsEnough, follower: newFleetFollower(e)},
 	} {
 		w.store, w.log, w.outage = e.store, e.log, &e.outage
-		go w.run(ctx)
+		if e.set.FirstStart {
+			w.retries = firstRetries
+		}
+		go e.startWatch(ctx, w)
+	}
+}
+
+func (e *Edge) startWatch(ctx context.Context, w *watch) {
+	if w.kind != kindFleet {
+		e.awaitFleet(ctx, fleetFirst)
+	}
+	w.run(ctx)
+}
+
+// awaitFleet waits until the fleet's list is known, for some time at the most.
+func (e *Edge) awaitFleet(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		changed := e.catalog.Changed()
+		if e.catalog.Load().FleetRevision > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -27,6 +27,20 @@
 	watchPart = 0.4
 	// callTimeout bounds a call to the store beyond its waiting time.
 	callTimeout = 1200 * time.Millisecond
+	// thickWithin is how soon after it was sent a watch call must bring news for these
+	// to come thick.
+	thickWithin = 100 * time.Millisecond
+	// thickFrom is how many calls in a row must have: the changes of one event, such
+	// as a change of primary, are told at once.
+	thickFrom = 2
+	// minGather and maxGather bound the pause in which news that come thick gather.
+	minGather = 50 * time.Millisecond
+	maxGather = 400 * time.Millisecond
+	// firstRetries and emptyPause are how often and after which pause a fleet that
+	// starts for the first time reads empty lists again: what the others have written
+	// just now is on them some seconds later, and nobody is served before.
+	firstRetries = 3
+	emptyPause   = time.Second
 )
 
 // watchBackoff spreads the calls of VMs that lost the store together.
@@ -59,6 +73,12 @@
 	follower follower
 	revision int64
 	failures int
+	// listed is set once the kind was listed.
+	listed bool
+	// retries is how often a first list that is empty is read again.
+	retries int
+	// thick counts the calls in a row that brought news at once.
+	thick int
 }
 
 // run follows the kind until ctx ends.
@@ -79,12 +99,23 @@
 		w.outage.note(err)
 		w.note(err)
 		if err == nil {
+			w.gather(ctx)
 			continue
 		}
 		wait.For(ctx, watchBackoff.Delay(w.failures, rnd))
 	}
 }
 
+// gather lets news that come thick come together.
+//
+// Failure guarded against: sixty targets start one after the other, and each of them
+// is a call of each VM that watches, for nothing but its own entry.
+func (w *watch) gather(ctx context.Context) {
+	if w.thick >= thickFrom {
+		wait.For(ctx, min(minGather<<(w.thick-thickFrom), maxGather))
+	}
+}
+
 // idleEvery is how often a watch that rests looks if it is needed.
 const idleEvery = 500 * time.Millisecond
 
@@ -120,6 +151,7 @@
 	wait := w.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	sent := time.Now()
 	p, err := w.store.Watch(ctx, w.kind, w.revision, wait)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.log.Info("history-gone", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
@@ -133,6 +165,11 @@
 		w.follower.apply(&p.Events[i].Object, p.Events[i].Deleted)
 	}
 	w.revision = max(w.revision, p.Revision)
+	w.thick++
+	if len(p.Events) == 0 || time.Since(sent) > thickWithin {
+		w.thick = 0
+	}
+	w.thick = min(w.thick, maxThick)
 	if len(p.Events) > 0 {
 		w.follower.settle(w.revision)
 	}
@@ -140,13 +177,63 @@
 	return nil
 }
 
+// maxThick bounds the count of calls that brought news at once: more double the
+// pause beyond its bound.
+const maxThick = 8
+
+// listFirst reads what the store had some moments ago, which costs it little, and
+// nothing if many VMs do so at once. What has changed since is told by a watch from the
+// latest revision that was read, or by peers, whose lists are of a later one. It
+// reports whether there was anything; the store's word is not as of now, so that the
+// follower has not heard of it.
+//
+// Failure guarded against: a fleet that starts as a whole reads every list once for
+// each VM, beyond the store's rates.
+func (w *watch) listFirst(ctx context.Context) (bool, error) {
+	items, _, err := w.readAll(ctx, true)
+	for n := 0; n < w.retries && err == nil && len(items) == 0 && wait.For(ctx, emptyPause); n++ {
+		items, _, err = w.readAll(ctx, true)
+	}
+	if err != nil || len(items) == 0 {
+		return false, err
+	}
+	latest := int64(0)
+	for _, o := range items {
+		latest = max(latest, o.Meta.Revision)
+	}
+	w.take(items, latest)
+	return true, nil
+}
+
 // list reads all objects. The watch goes on from the revision of the first
 // page: what changes while further pages are read is then told again.
 func (w *watch) list(ctx context.Context) error {
-	items := make(map[string]*objects.Object)
-	first := int64(0)
-	list := func(after string) (*objects.Page, error) { return w.page(ctx, after) }
-	err := objects.EachPage(list, func(p *objects.Page) error {
+	if !w.listed {
+		if ok, err := w.listFirst(ctx); ok || err != nil {
+			return err
+		}
+	}
+	items, first, err := w.readAll(ctx, false)
+	if err != nil {
+		return err
+	}
+	w.take(items, first)
+	w.follower.heard()
+	return nil
+}
+
+func (w *watch) take(items map[string]*objects.Object, revision int64) {
+	w.listed = true
+	w.follower.replace(items)
+	w.revision = revision
+	w.follower.settle(revision)
+}
+
+// readAll reads all objects by their names, and the revision of the first page.
+func (w *watch) readAll(ctx context.Context, stale bool) (items map[string]*objects.Object, first int64, err error) {
+	items = make(map[string]*objects.Object)
+	list := func(after string) (*objects.Page, error) { return w.page(ctx, after, stale) }
+	err = objects.EachPage(list, func(p *objects.Page) error {
 		if first == 0 {
 			first = p.Revision
 		}
@@ -155,18 +242,11 @@
 		}
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	w.follower.replace(items)
-	w.revision = first
-	w.follower.settle(first)
-	w.follower.heard()
-	return nil
+	return items, first, err
 }
 
-func (w *watch) page(ctx context.Context, after string) (*objects.Page, error) {
+func (w *watch) page(ctx context.Context, after string, stale bool) (*objects.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return w.store.List(ctx, w.kind, after, false)
+	return w.store.List(ctx, w.kind, after, stale)
 }
