--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -228,3 +228,21 @@
 		f.fair()
 	})
 }
+
+// Thirty VMs serve a service for the first time, one right after the other, as when a
+// fleet has started. Nobody contests who leads; each of them needs to know the term,
+// and takes another's word for it instead of asking all targets.
+func TestFirstUseOfAServiceAsksLittle(t *testing.T) {
+	const vms = 30
+	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
+		before := f.group.Questions()
+		for name := range f.vms {
+			require.True(t, f.session(name, exact).Query("READ a").OK())
+			time.Sleep(20 * time.Millisecond)
+		}
+		asked := f.group.Questions() - before
+		t.Logf("%d questions", asked)
+		require.Less(t, asked, int64(vms)/3, "who asks all three targets asks at least as much")
+		f.fair()
+	})
+}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -123,23 +123,36 @@
 func (g *gossiper) run(ctx context.Context) {
 	tick := time.NewTicker(pullEvery)
 	defer tick.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
+		if g.edge.set.FirstStart && !g.knowsPeers() && round%seedsEvery != 0 {
+			continue
+		}
 		for _, vm := range g.choose() {
 			go g.pull(ctx, vm)
 		}
 	}
 }
 
+// seedsEvery is in how many rounds a VM that knows no peer asks the seeds once, while
+// the fleet starts for the first time: all of it asks the same three, which know little
+// yet themselves.
+const seedsEvery = 5
+
+func (g *gossiper) knowsPeers() bool {
+	peers := g.peers.Load()
+	return peers != nil && !peers.None()
+}
+
 // choose draws the peers of one round. A VM that knows none yet asks the
 // addresses that its settings name.
 func (g *gossiper) choose() []catalog.VM {
 	peers := g.peers.Load()
-	if peers == nil || peers.None() {
+	if !g.knowsPeers() {
 		peers = partners.Of("", "", g.seeds())
 	}
 	now := g.edge.clk.Now()
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -66,7 +66,15 @@
 // to since this VM's start.
 func (e *Edge) hearsOrWillHear() bool {
 	now := e.clk.Now()
-	return e.gossip.age(now) <= newsAge || now.Sub(e.started) < firstNews
+	return e.gossip.age(now) <= newsAge || now.Sub(e.started) < e.firstNews()
+}
+
+// firstNews is how long after its start a VM waits for the first word.
+func (e *Edge) firstNews() time.Duration {
+	if e.set.FirstStart {
+		return firstNews + firstRetries*emptyPause
+	}
+	return firstNews
 }
 
 const (
--- a/groups/group.go
+++ b/groups/group.go
@@ -312,29 +312,43 @@
 // contradicted.
 func (g *Group) Rediscover() { g.discoverSoon() }
 
-// discoverSoon asks all targets who leads, unless that was done just now.
+// discoverSoon asks who leads, unless that was done just now.
 func (g *Group) discoverSoon() {
 	g.mu.Lock()
 	now := g.cfg.Clock.Now()
 	since := now.Sub(g.discovered)
+	first := g.discovered == 0 || since > forgetRounds
 	due := since >= g.pause || g.discovered == 0
 	if due {
 		g.pause = min(max(g.pause+g.pause/2, discoverEvery), maxDiscover)
-		if since > forgetRounds {
+		if first {
 			g.pause = discoverEvery
 		}
 		g.discovered = now
 	}
 	g.mu.Unlock()
 	if due {
-		g.discover()
+		g.discover(first)
 	}
 }
 
-// discover asks all targets. That the believed primary does not answer counts
-// as its failure: a VM that has just started may never have reached it, and
+// termAge is how old a target's word may be of the term in which it leads: a term
+// stays, and if another one leads by now, a request finds out.
+const termAge = time.Second
+
+// discover asks who leads. If one target is listed to, the first question is for its
+// term alone; the next ones are for all. That the believed primary does not answer
+// counts as its failure: a VM that has just started may never have reached it, and
 // would otherwise wait for it for ever.
-func (g *Group) discover() {
+//
+// Failure guarded against: every VM of a large fleet asks all targets of each service
+// that it meets, when the fleet starts and after each end of it, though nobody
+// contests the lead.
+func (g *Group) discover(first bool) {
+	if b := g.Leadership.Believed(); first && b.Primary != "" && b.Term == 0 && !b.Contested {
+		go g.Ask(context.Background(), b.Primary, spending.Discovery, termAge, askTimeout)
+		return
+	}
 	for _, t := range g.cfg.Catalog.Load().ByService[g.Service] {
 		go g.Ask(context.Background(), t.ID, spending.Discovery, discoverEvery, askTimeout)
 	}
