--- a/catalog/change.go
+++ b/catalog/change.go
@@ -8,9 +8,7 @@
 // Change leads from one version of the configuration to a later one. It is
 // immutable.
 //
-// It gains that a change costs a fleet what has changed and not the whole list: at
-// 2,900 routes one route's change is 76 B a VM instead of 283 KB (encoded, by
-// TestOneRouteCostsOneRoute).
+// It gains that a change costs a fleet what has changed and not the whole list.
 type Change struct {
 	From, To int64
 	// Routes by database and Services by name are those that are new or other.
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -14,8 +14,7 @@
 // ListChange leads from one state of a list, the fleet's or that of the targets, to
 // a later one. It is immutable.
 //
-// It gains that a VM which joins costs the others its entry and not the whole list:
-// at 2,900 VMs 84 B each instead of 182 KB (encoded, by TestOneVMCostsOneVM).
+// It gains that a VM which joins costs the others its entry and not the whole list.
 type ListChange[V Listed] struct {
 	// From and To are revisions of the store.
 	From, To int64
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -15,8 +15,7 @@
 // Failure guarded against: the store drops its history and watches go silent
 // without an end, so that a change is learned only when the call has run out. A
 // few VMs notice in time and tell the others, which may wait long: the fleet's
-// calls do not grow with its size. At nine VMs a calm day takes 494
-// calls instead of 770.
+// calls do not grow with its size.
 func (e *Edge) waits(short time.Duration) func() time.Duration {
 	return func() time.Duration {
 		if e.hearsEnough() {
@@ -34,11 +33,11 @@
 
 // mayRest reports whether this VM may leave it to others to watch the
 // configuration and the targets as well. It learns of a change from its peers,
-// about a second later at 59 VMs.
+// about a second later.
 //
 // Failure guarded against: each change is a call of every VM, so that a fleet
 // which grows faster than the store's rates is turned away, first when many
-// changes come at once. At 59 VMs a day of high load took 4,189 calls.
+// changes come at once.
 func (e *Edge) mayRest() bool {
 	return len(e.catalog.Load().VMs) >= restsFrom && e.othersLookOut(restLookouts)
 }
--- a/edge/outage.go
+++ b/edge/outage.go
@@ -15,7 +15,7 @@
 // Failure guarded against: a store in trouble is called by four callers of each VM,
 // again and again, when it has to come back under that load. It holds because a
 // success of any of them lets all others go on at once, so that nothing is learned
-// later. In an outage of 30 s, 30 VMs make 1,200 calls instead of 3,617, in the model.
+// later.
 type outage struct {
 	clk clock.Clock
 
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -28,8 +28,7 @@
 	// maxTries bounds the targets and times that one statement is tried.
 	maxTries = 6
 	// writePatience is how long a write may take before its answer is taken for
-	// lost: its work of at most 45 ms, a full queue of 150 ms, and the receipt
-	// of a replica, 360 ms behind at most on the users' sheets. Waiting longer
+	// lost: its work, a full queue, and the receipt of a replica. Waiting longer
 	// tells the consumer nothing, and holds one of the primary's connections.
 	writePatience = 650 * time.Millisecond
 	// comeBack is when a consumer that was refused should return, if nothing
@@ -105,8 +104,7 @@
 // readExact reads at the primary, and proves meanwhile that it still leads.
 //
 // Failure guarded against: while nobody leads, every read that waits would ask the
-// replicas and the store for a proof each time that it tries a dead primary: 1,500
-// questions and 700 calls a second on one of the users' days, for 5 s. A primary
+// replicas and the store for a proof each time that it tries a dead primary. A primary
 // that fails to answer is therefore read from first, and proven if it has answered.
 func (s *Session) readExact(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
 	if refused := s.admit(g, w); refused != nil {
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -29,18 +29,14 @@
 	// questions and orders, which open connections beyond all shares.
 	spareShare = 0.1
 	// crowdFrom is the fleet's size from which gateways are used however many
-	// connections a target takes. Its own queue holds 24 statements on the users'
-	// sheets and is first come first served; from there on one statement of each VM
-	// fills it, whoever comes next is refused, and which statement is served in time
-	// is chance. On a day of high load with 89 VMs a target's primary refused 103,683
-	// of 177,017 arrivals and 3,115 consumers were told nothing in time; with gateways
-	// it refused 3,941 of 76,140, and 52 were (worth 0.801 and 0.877).
+	// connections a target takes. A target's own queue is short and first come first
+	// served; from there on one statement of each VM fills it, whoever comes next is
+	// refused, and which statement is served in time is chance.
 	crowdFrom = 24
 	// perTarget is how many gateways a target has. Their queues are where requests
 	// are ordered by when they are due, which one queue does best; a second one
-	// goes on when the first is lost. Six of them, each with four connections, fill
-	// the target's own queue, which is first come first served: 0.857 of worth on a
-	// calm day of the grown Skybridge deployment, and 0.869 with two.
+	// goes on when the first is lost. More of them fill the target's own queue, which
+	// is first come first served.
 	perTarget = 2
 	// leastKept is how many connections a gateway should have at least, so that
 	// one that is held by a transaction does not block all that wait there.
@@ -52,21 +48,15 @@
 	// where each VM holds its own: the present one's, and its successors'.
 	//
 	// Failure guarded against: all VMs lose power at once and start again within a
-	// second. Their targets hold the dead VMs' connections open for 3 s more, and
-	// refuse the new ones. At 22 connections for 9 VMs of three services, with
-	// everything kept that was ever opened, 0.44 of what is asked in the 2 s from such
-	// an end is earned and 0.86 in the next 2 s; with half of it kept 0.55 and 0.98
-	// (means of three days of high load, one seed each; worth of those days over five
-	// seeds 0.871 and 0.896).
+	// second. Their targets hold the dead VMs' connections open for seconds more, and
+	// refuse the new ones.
 	generations = 2
 	// perSlot is how many statements for each of a target's slots a fleet sends it at
 	// once where each VM holds its own connections: one runs, one is next, one is on
 	// its way. The rest wait at the VMs, by how urgent they are; the target's own
 	// queue is first come first served, and one full of statements that will be late
 	// makes all that come late as well. Lanes with such a bound also tell late requests
-	// from others, and refuse hopeless ones. At 9 VMs and 3 slots it is one for each VM. Worth over four days of high load or lagging
-	// replicas, four seeds each, paired: 0.899 -> 0.911 by order and refusals alone,
-	// 0.911 -> 0.915 with two for each VM, 0.919 -> 0.922 with one instead of two.
+	// from others, and refuse hopeless ones.
 	perSlot = 3
 	// usualWeight is that of a VM whose entry does not tell its size.
 	usualWeight = 1
--- a/gossip/revoke.go
+++ b/gossip/revoke.go
@@ -55,10 +55,9 @@
 
 // RevokeAll asks all peers to give up their permissions.
 //
-// In a large fleet it asks some, each of which asks a branch of the others: at 2,900
-// VMs no VM makes more than 54 calls, instead of one VM 2,899 (counted in
-// TestLargeFleetsAreAskedInBranches at 300: 17 instead of 299). A peer counts as
-// answered only if it was itself asked and gave up its permission, whoever asked it.
+// In a large fleet it asks some, each of which asks a branch of the others: calls by
+// one VM grow with the square root of the fleet. A peer counts as answered only if it
+// was itself asked and gave up its permission, whoever asked it.
 func (c *Clients) RevokeAll(ctx context.Context, addrs []string, r Revocation) Revoked {
 	if len(addrs) < branchFrom {
 		return c.revokeEach(ctx, addrs, r)
--- a/groups/breaker.go
+++ b/groups/breaker.go
@@ -10,7 +10,7 @@
 const (
 	// openAfter is for how long nothing that needs the primary must have been served
 	// until requests are refused at once: about as long as it takes until a primary
-	// that has died is found out and another one leads, 0.35 s and 0.3 s.
+	// that has died is found out and another one leads.
 	openAfter = 700 * time.Millisecond
 	// probeEvery is how often one request is let through meanwhile, to see if the
 	// trouble has ended.
--- a/groups/crowd.go
+++ b/groups/crowd.go
@@ -8,8 +8,7 @@
 )
 
 // crowdGap is the time without a late read after which the primary counts as not
-// crowded any more. A VM of the larger deployment has four aged reads a second for a
-// service.
+// crowded any more: a VM of a large fleet has few aged reads a second for a service.
 const crowdGap = time.Second
 
 // Crowd tells since when aged reads come too late at the primary, because no replica
--- a/groups/health.go
+++ b/groups/health.go
@@ -11,9 +11,8 @@
 
 // HoldAfter is how long a write must have been left without an answer, while no
 // other was acknowledged, for those that come next to wait for what becomes of
-// it: as long as for the primary to be taken for stalled. Half of it held back
-// writes of primaries that were merely busy: 0.004 of worth less on twelve days of
-// load, and no difference beyond the noise with this.
+// it: as long as for the primary to be taken for stalled. Less holds back the writes
+// of primaries that are merely busy.
 const HoldAfter = takeover.StalledAfter
 
 // Health tells, from requests and questions, since when the primary has not
@@ -46,9 +45,7 @@
 // doubt, one after the other, until the primary is replaced or its replicas are
 // back. It holds because once a write has been left waiting for HoldAfter the
 // others wait here, where they surely have not run; one at a time goes on, so
-// that the end of the trouble is seen. Of 24 consumers that buy for 4 s at three
-// VMs before such a primary, 45 purchases are in doubt without it, and 22 to 30
-// with it.
+// that the end of the trouble is seen.
 func (h *Health) Hold(id target.ID, now clock.Time) *WriteEnd {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -102,8 +102,8 @@
 }
 
 const (
-	// few is the number of services up to which all of them count as used: 50 B of
-	// proofs each, ten times a second, are 4 KB/s.
+	// few is the number of services up to which all of them count as used: their
+	// proofs are some hundred bytes then.
 	few = 8
 	// useLasts is how long a service counts as used after a request for it.
 	useLasts = time.Minute
@@ -131,8 +131,8 @@
 // Due returns the groups to look at in a tick: those of the services that this VM
 // uses, and in turn a part of the others.
 //
-// At 2,900 services a look at all of them twenty times a second takes 2.8% of a
-// core (1.4 ms each time), of the 4.2% that a VM has for control.
+// A look at all of thousands of services in each tick would take most of the
+// processor time that a VM has for control.
 func (r *Registry) Due(tick int) []*Group {
 	return r.which(func(g *Group, now clock.Time) bool { return g.slot == tick%Ticks || g.inUse(now) })
 }
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -19,15 +19,12 @@
 	// requests wait, if it has some that a transaction holds and runs nothing on. The
 	// target's refusal is the limit that counts.
 	burst = 1
-	// burstIdle is how long a connection beyond those that stay open may lie idle.
-	// With 150 ms 0.005 of worth is lost to opening them again (mean of five days,
-	// five seeds each).
+	// burstIdle is how long a connection beyond those that stay open may lie idle:
+	// closed much sooner it is soon opened again.
 	burstIdle = 500 * time.Millisecond
 	// yieldIdle is how long any connection may lie idle where there is less than
 	// one for each VM. One that a VM keeps is missed by another, whose requests
-	// are refused; opening one takes 12 ms on the users' targets. With 8 for 9 VMs
-	// it served 0.05 more of a day of high load, and 0.04 more of one with a
-	// crashed primary, than keeping them; 50 ms and 150 ms were no better on both.
+	// are refused, and opening one takes some milliseconds only.
 	yieldIdle = 100 * time.Millisecond
 	// refusedPause is how long a lane opens nothing once the target has refused
 	// a connection for their number, and refusedAlone how long if it has none
@@ -40,7 +37,7 @@
 	// elsewhere without waiting for the same failure.
 	unreachablePause = 250 * time.Millisecond
 	// usualDial is how long connecting takes at most if the target can be reached
-	// and has a slot soon: 12 ms of work, and the way.
+	// and has a slot soon.
 	usualDial = 100 * time.Millisecond
 	// calmBacklog is the wait behind all that wait in time below which a target is
 	// overloaded no more: less than the shortest of the objectives.
--- a/lane/overdue.go
+++ b/lane/overdue.go
@@ -8,8 +8,7 @@
 
 const (
 	// overdueTimes what statements take lately is how long one must run to be
-	// overdue, and leastOverdue at least: the longest work on the users' sheets but
-	// for that of one kind of read.
+	// overdue, and leastOverdue at least: longer than most work takes.
 	overdueTimes = 4
 	leastOverdue = 150 * time.Millisecond
 )
@@ -18,9 +17,8 @@
 //
 // Failure guarded against: an answer is lost, or a write waits for a replica that does
 // not confirm it. Where one statement of a VM may run at once, all that follow it to
-// the target wait until its time is over, 0.25 s to 0.65 s. The target has done with
-// it long before, or has it in no slot. Worth over four days with lost answers or
-// stalled writes, four seeds each, paired: 0.921 -> 0.923.
+// the target wait until its time is over. The target has done with it long before, or
+// has it in no slot.
 func (l *Lane) noteOverdue(now clock.Time) {
 	after := max(leastOverdue, overdueTimes*l.waiting.takes)
 	for c := range l.busy {
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -25,8 +25,8 @@
 // concurrent use.
 //
 // A VM of a large fleet uses few of the targets. That lanes are made on first use
-// gains most of what a change of the catalog costs: 31 us instead of 106 ms at 300
-// services and VMs (BenchmarkUpdate), where the time grows with the square.
+// gains most of what a change of the catalog costs, which else grows with the square
+// of the deployment's size.
 type Pool struct {
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// usualLatency is assumed of a target that nothing is known of: about the
-	// work of a read on the users' sheets, 18 to 30 ms.
+	// usualLatency is assumed of a target that nothing is known of: the work of a
+	// usual read.
 	usualLatency = 20 * time.Millisecond
 	// weight of a new latency in the moving average: about the last eight count.
 	weight = 0.125
@@ -29,14 +29,12 @@
 	crossZone = 4 * time.Millisecond
 	// primaryCost is added for the primary: it alone serves writes, and a read
 	// there delays them. It helps out once both replicas have some five of this
-	// VM's reads. Against 25 ms, the share of reads at replicas rose from 0.86 and
-	// 0.90 to 0.90 and 0.94 on the two users' days of high load; the reads' own
-	// latency stayed the same.
+	// VM's reads.
 	primaryCost = 80 * time.Millisecond
 	// failurePause is how long a target that failed is a last resort.
 	failurePause = 500 * time.Millisecond
 	// lagPause is how long a replica that lacked the wanted position is passed
-	// over: about the mean replication delay of the users' services. It doubles
+	// over: about a usual replication delay. It doubles
 	// each time until the replica serves again, up to maxLagPause: one that is
 	// seconds behind would otherwise be asked ten times a second by every VM.
 	lagPause    = 100 * time.Millisecond
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -16,7 +16,7 @@
 // # Alternatives
 //
 // Lending the right to open a connection between VMs was weighed: it leaves the
-// cost of opening, 12 ms of a target's time on the users' sheets, for each turn.
+// cost of opening, some milliseconds of a target's time, for each turn.
 // Streams that carry the target's own protocol were weighed: a stream holds a
 // connection while its consumer is silent, or has to learn where transactions
 // end, which is what the calls here state.
--- a/takeover/choose.go
+++ b/takeover/choose.go
@@ -11,7 +11,7 @@
 )
 
 // Copies is how many targets of a service hold a log, the primary included.
-// The platform does not tell it; each service on the users' sheets has three.
+// The platform does not tell it.
 const Copies = 3
 
 // Enough is how many targets beside the old primary must be stopped for their
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -14,7 +14,7 @@
 	Lapse = 5 * time.Second
 	// OwnLapse is the same for an attempt of this VM's own that a process before
 	// has made: that one sends no further order. What it had sent must have arrived:
-	// with the 0.46 s that a process takes to be started anew this leaves it as long
+	// with the time that a process takes to be started anew this leaves it as long
 	// as Lapse does after Limit.
 	OwnLapse = 2 * time.Second
 	// Settle is how long after another VM's attempt has ended no new one begins.
@@ -45,8 +45,7 @@
 	// CrowdedAfter is how long aged reads must have come too late at a primary that
 	// alone can serve them. Too late is some half a second each, so that replicas that
 	// are a moment behind pass by themselves; and all of them are asked how far they
-	// are. Against 1 s, worth 0.899 -> 0.906 over four days with lagging replicas or a
-	// split, of four seeds each.
+	// are.
 	CrowdedAfter = 300 * time.Millisecond
 	// FarBehind is how far every replica must be behind then: what takes so long to
 	// be applied outlasts a change of primary, some 0.5 s for those who write.
