Prove exact reads while replicas keep silent, by one VM for many

Change: ways to a proof are tried beside each other, the next one after 80 ms; a gateway's renewal includes the store's record, and asks it first for a second once the replicas were of no help, so that the answers of the gateway bring a proof to all.

--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -246,3 +246,51 @@
 		f.fair()
 	})
 }
+
+// The VMs are cut off from both replicas of a service; its primary is well and has
+// the replicas' receipts. Consumers who buy and read at it go on: the store's record
+// shows that it has not been replaced. Were each VM to look for that by itself, reads
+// would wait for silent replicas, and the store be called for each of them.
+func TestSalesGoOnWhileReplicasAreOutOfReach(t *testing.T) {
+	const vms, reads = 30, 10
+	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
+		sessions := make(map[string]*consumer.Session)
+		for name := range f.vms {
+			sessions[name] = f.session(name, exact)
+			require.True(t, sessions[name].Query("READ a").OK())
+			f.world.Net.Cut(name, "ledger-1")
+			f.world.Net.Cut(name, "ledger-2")
+		}
+		time.Sleep(3 * time.Second)
+		before := f.world.Store.Calls()
+		var wait sync.WaitGroup
+		var slow, failed atomic.Int64
+		number := 0
+		for name := range f.vms {
+			start := time.Duration(number) * 31 * time.Millisecond
+			number++
+			wait.Go(func() {
+				time.Sleep(start)
+				for range reads {
+					sent := time.Now()
+					if !sessions[name].Query("READ a").OK() {
+						failed.Add(1)
+					}
+					if time.Since(sent) > 250*time.Millisecond {
+						slow.Add(1)
+					}
+					time.Sleep(time.Second)
+				}
+			})
+		}
+		wait.Wait()
+		calls := f.world.Store.Calls() - before
+		t.Logf("%d failed, %d slow, %d calls", failed.Load(), slow.Load(), calls)
+		require.Zero(t, failed.Load())
+		require.Less(t, slow.Load(), int64(vms*reads)/20)
+		// Two gateways renew their witness at most three times a second each, beside
+		// the watches of six VMs.
+		require.Less(t, calls, 2*3*reads+6*3*reads)
+		f.fair()
+	})
+}
--- a/groups/group.go
+++ b/groups/group.go
@@ -67,6 +67,7 @@
 	pause      time.Duration // until the next round of questions
 	refreshing chan struct{}
 	renewing   bool
+	silent     clock.Time               // until when renewals ask the store first; theirs alone
 	revoked    int64                    // the attempt for which the permission was given up
 	revokedAt  clock.Time               // when it was
 	deposed    target.ID                // the primary that the attempt replaces
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -26,6 +26,12 @@
 	// renewTurn is how long one replica is asked first: a dead one must not hold up
 	// all renewals.
 	renewTurn = time.Second
+	// nextWay is how long one way to a proof may take before the next one is tried
+	// beside it: longer than a question that waits for a slot usually does.
+	nextWay = 80 * time.Millisecond
+	// silentLasts is how long the store is asked before the replicas once only it could
+	// say who leads.
+	silentLasts = time.Second
 )
 
 // Replicas returns the targets other than the primary, those that stay first.
@@ -72,35 +78,80 @@
 }
 
 // witnessSince proves that nobody was promoted at some moment after the given one.
+//
+// Failure guarded against: a primary leads on this side of a network partition and its
+// replicas are on the other, or silent for another reason. Asked one after the other
+// they hold up each exact read for longer than its consumer waits. So the next way is
+// tried beside one that takes long.
 func (g *Group) witnessSince(ctx context.Context, b leadership.Belief, first int, since clock.Time) error {
-	err := g.askReplicas(ctx, b, first, since)
-	if !errors.Is(err, ErrNoWitness) || ctx.Err() != nil {
-		return err
+	if g.Freshness.WitnessedSince(b.Term, since) {
+		return nil
 	}
-	return g.witnessByRecord(ctx, b)
+	replicas, record := g.ways(b, first, since)
+	return tryInTurn(ctx, append(replicas, record))
 }
 
-// askReplicas looks for a witness among the replicas.
-func (g *Group) askReplicas(ctx context.Context, b leadership.Belief, first int, since clock.Time) error {
-	replicas := g.Replicas(b.Primary)
-	for i := range replicas {
-		t := replicas[(first+i)%len(replicas)]
-		vouches := g.Vouches(t.ID)
-		maxAge := max(g.cfg.Clock.Now().Sub(since), 0)
-		s, _, err := g.Recent(ctx, t.ID, spending.Witness, maxAge, askTimeout)
-		switch {
-		case !vouches || err != nil || s.Role != target.RoleReplica || s.Paused != 0:
-		case s.Term == b.Term:
-			return nil
-		case s.Term > b.Term:
-			g.Rediscover()
-			return ErrSuperseded
+// way is one way to a proof. ErrNoWitness says that it did not lead there.
+type way func(ctx context.Context) error
+
+// tryInTurn tries the ways until one leads to a proof or shows that there is none,
+// the next one once the one before has failed or takes long.
+func tryInTurn(ctx context.Context, ways []way) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(ways))
+	next := time.NewTicker(nextWay)
+	defer next.Stop()
+	started, running := 0, 0
+	for {
+		if started < len(ways) {
+			try := ways[started]
+			started++
+			running++
+			go func() { results <- try(ctx) }()
+		}
+		select {
+		case err := <-results:
+			running--
+			if !errors.Is(err, ErrNoWitness) {
+				return err
+			}
+		case <-next.C:
+		case <-ctx.Done():
+			return ErrNoWitness
 		}
-		if ctx.Err() != nil {
-			break
+		if started == len(ways) && running == 0 {
+			return ErrNoWitness
 		}
 	}
-	return ErrNoWitness
+}
+
+// ways are those to a proof, the replicas in the order in which they are asked.
+func (g *Group) ways(b leadership.Belief, first int, since clock.Time) (replicas []way, record way) {
+	all := g.Replicas(b.Primary)
+	for i := range all {
+		id := all[(first+i)%len(all)].ID
+		replicas = append(replicas, func(ctx context.Context) error { return g.askReplica(ctx, b, id, since) })
+	}
+	return replicas, func(ctx context.Context) error { return g.witnessByRecord(ctx, b) }
+}
+
+// askReplica asks one replica to be the witness.
+func (g *Group) askReplica(ctx context.Context, b leadership.Belief, id target.ID, since clock.Time) error {
+	vouches := g.Vouches(id)
+	maxAge := max(g.cfg.Clock.Now().Sub(since), 0)
+	s, _, err := g.Recent(ctx, id, spending.Witness, maxAge, askTimeout)
+	switch {
+	case !vouches || err != nil || s.Role != target.RoleReplica || s.Paused != 0:
+		return ErrNoWitness
+	case s.Term == b.Term:
+		return nil
+	case s.Term > b.Term:
+		g.Rediscover()
+		return ErrSuperseded
+	default:
+		return ErrNoWitness
+	}
 }
 
 // Permitted reports whether the primary may be taken for unchanged at the
@@ -186,12 +237,26 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*askTimeout)
 	defer cancel()
-	now := g.cfg.Clock.Now()
-	if err := g.askReplicas(ctx, g.Leadership.Believed(), int(now/clock.Time(renewTurn)), now.Add(-renewAge)); err != nil {
+	if err := g.renewBy(ctx, g.Leadership.Believed()); err != nil {
 		g.cfg.Log.Debug("no-witness", zap.String("service", g.Service), zap.Error(err))
 	}
 }
 
+// renewBy asks the store first if the replicas were of no help the last time: many VMs
+// go by this one's witness, and it must not grow old while the replicas keep silent.
+func (g *Group) renewBy(ctx context.Context, b leadership.Belief) error {
+	now := g.cfg.Clock.Now()
+	replicas, record := g.ways(b, int(now/clock.Time(renewTurn)), now.Add(-renewAge))
+	if now.Before(g.silent) {
+		return tryInTurn(ctx, append([]way{record}, replicas...))
+	}
+	err := tryInTurn(ctx, append(replicas, record))
+	if g.cfg.Clock.Now().Sub(now) >= nextWay*time.Duration(len(replicas)) {
+		g.silent = g.cfg.Clock.Now().Add(silentLasts)
+	}
+	return err
+}
+
 // Refresh asks the primary and a replica, so that there is evidence of now.
 // Those who call it at once share one round.
 func (g *Group) Refresh(ctx context.Context) {
