Take the store's word of a replaced primary over, and hold it for a moment

Ruled out: VMs without a permission.

Change: a record that contradicts a belief counts for 0.3 s without being read again, and what was read is taken over into the catalog, so that the belief follows.

--- a/edge/reigns.go
+++ b/edge/reigns.go
@@ -66,7 +66,7 @@
 	return r.edge.store.Replace(ctx, kindFleet, name, revision, spec)
 }
 
-// Current returns the service's record as the store has it now.
+// Current returns the service's record as the store has it now, and takes it over.
 func (r reigns) Current(ctx context.Context, service string) (*catalog.Reign, error) {
 	o, err := r.edge.store.Get(ctx, kindFleet, prefixReign+service)
 	if errors.Is(err, objects.ErrNotFound) {
@@ -75,7 +75,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return decodeReign(service, o)
+	now, err := decodeReign(service, o)
+	if err != nil {
+		return nil, err
+	}
+	r.edge.catalog.SetReign(now)
+	return now, nil
 }
 
 // readBack returns the record if it carries our change, and errTaken if it
--- a/groups/group.go
+++ b/groups/group.go
@@ -67,6 +67,7 @@
 	pause      time.Duration // until the next round of questions
 	refreshing chan struct{}
 	renewing   bool
+	superseded superseded
 	silent     clock.Time               // until when renewals ask the store first; theirs alone
 	revoked    int64                    // the attempt for which the permission was given up
 	revokedAt  clock.Time               // when it was
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -205,11 +205,15 @@
 // witnessByRecord is the store's word for Witness.
 func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
 	asked := g.cfg.Clock.Now()
+	if g.knownSuperseded(b, asked) {
+		return ErrSuperseded
+	}
 	r, err := g.cfg.Records.Current(ctx, g.Service)
 	if err != nil {
 		return ErrNoWitness
 	}
 	if r.Attempt != nil || (r.Primary != "" && r.Primary != b.Primary) {
+		g.noteSuperseded(b, asked)
 		g.Rediscover()
 		return ErrSuperseded
 	}
@@ -217,6 +221,32 @@
 	return nil
 }
 
+// supersededLasts is how long the store's word holds that a primary is being replaced,
+// or was: about the time in which the fleet has another one.
+const supersededLasts = 300 * time.Millisecond
+
+// superseded is a belief that the store's record has contradicted.
+type superseded struct {
+	belief leadership.Belief
+	until  clock.Time
+}
+
+// knownSuperseded reports whether the store has contradicted a belief just now.
+//
+// Failure guarded against: a VM that does not reach the new primary goes by the old one,
+// which still answers, and reads the store's record again and again for each statement.
+func (g *Group) knownSuperseded(b leadership.Belief, now clock.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.superseded.belief == b && now.Before(g.superseded.until)
+}
+
+func (g *Group) noteSuperseded(b leadership.Belief, now clock.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.superseded = superseded{belief: b, until: now.Add(supersededLasts)}
+}
+
 // Renew asks a replica for a witness, without being waited for. Calls while it asks
 // are one.
 func (g *Group) Renew() {
