Tell each other which gateways are silent, and give up reads at one that is gone

Every VM finds out for itself, a cost that grows with VMs times gateways.

Change: VMs tell each other, with the age, which peers they could not reach; such a gateway is tried last, and with less patience, for 1.5 s or until it answers. A gateway that rests is tried by a connection of its own instead of a consumer's statement. A call that may be repeated is given up once it and all others at the gateway have gone 100 ms without an answer and no new connection opens there. Calls that may have written wait as before.

--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -294,3 +294,54 @@
 		f.fair()
 	})
 }
+
+// The gateway that most of thirty VMs read through is cut off from them, and stays so.
+// Were each of them to find out by itself, and again after each pause, a read of each
+// VM would wait for it every second or so.
+func TestOneVMsExperienceSparesTheOthers(t *testing.T) {
+	const vms, rounds = 30, 60
+	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
+		sessions := make(map[string]*consumer.Session)
+		c := &catalog.Catalog{Config: &catalog.Config{Services: map[string]*catalog.Service{service: {MaxConnections: 20}}}}
+		for name, vm := range f.vms {
+			sessions[name] = f.session(name, exact)
+			require.True(t, sessions[name].Query("READ a").OK())
+			c.VMs = append(c.VMs, catalog.VM{ID: name, Zone: vm.zone})
+		}
+		primary := &catalog.Target{ID: "ledger-0", Service: service, Zone: "a"}
+		silent := gateways.Choose(primary, c.VMs, 2)[0].ID
+		for name := range f.vms {
+			if name != silent {
+				f.world.Net.Cut(name, silent)
+			}
+		}
+		var wait sync.WaitGroup
+		var slow, failed atomic.Int64
+		number := 0
+		for name := range f.vms {
+			if name == silent {
+				continue
+			}
+			start := time.Duration(number) * 7 * time.Millisecond
+			number++
+			wait.Go(func() {
+				time.Sleep(start)
+				for range rounds {
+					sent := time.Now()
+					if !sessions[name].Query("READ a").OK() {
+						failed.Add(1)
+					}
+					if time.Since(sent) > 100*time.Millisecond {
+						slow.Add(1)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		wait.Wait()
+		t.Logf("%d slow, %d failed", slow.Load(), failed.Load())
+		require.Zero(t, failed.Load())
+		require.Less(t, slow.Load(), int64(vms), "not once for each VM")
+		f.fair()
+	})
+}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -71,7 +71,7 @@
 // Know implements gossip.Source.
 func (g *gossiper) Know() gossip.Knowledge {
 	now := g.edge.clk.Now()
-	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position), StoreAge: g.age(now)}
+	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position), StoreAge: g.age(now), Silences: g.edge.router.Silences()}
 	for _, group := range g.edge.groups.Used() {
 		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < proofAge {
 			k.Proofs[group.Service] = p
@@ -192,6 +192,7 @@
 	now := g.edge.clk.Now()
 	g.mu.Lock()
 	if err != nil {
+		g.edge.router.FoundSilent(vm.Peer, now)
 		g.paused[vm.Peer] = now.Add(peerPause)
 		if g.silent[vm.ID] == 0 {
 			g.silent[vm.ID] = now
@@ -243,6 +244,9 @@
 	if n.Fleet != nil {
 		e.catalog.SetFleet(n.Fleet.VMs, n.Fleet.Reigns, n.Fleet.Revision)
 	}
+	for addr, at := range n.Silences {
+		e.router.HeardSilent(addr, at)
+	}
 	g.noteStore(n.Store)
 }
 
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -79,6 +79,8 @@
 	// Diverged is set if the peer told what has changed in a list, and it does not
 	// fit: whole lists are to be asked for.
 	Diverged bool
+	// Silences are the peers, by address, that somebody could not reach lately, and when.
+	Silences map[string]clock.Time
 	// Store is when the list of the fleet was last known to be complete.
 	Store clock.Time
 }
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -63,6 +63,9 @@
 	for _, e := range in.GetEvidence() {
 		n.Proofs[e.GetService()], n.Acknowledged[e.GetService()] = ProofOf(e, sent)
 	}
+	for _, s := range in.GetSilences() {
+		n.noteSilence(s.GetPeer(), sent.Add(-microseconds(s.GetAgeUs())))
+	}
 	if in.GetConfig() != nil {
 		n.Config = config(in.GetConfig())
 	}
@@ -78,6 +81,13 @@
 	return n
 }
 
+func (n *News) noteSilence(peer string, at clock.Time) {
+	if n.Silences == nil {
+		n.Silences = make(map[string]clock.Time)
+	}
+	n.Silences[peer] = at
+}
+
 // takeFleet takes the fleet's list, or applies what has changed. The records of
 // reigns count by their own revisions, whatever list they come with.
 func (n *News) takeFleet(in *gossippb.Fleet, known *catalog.Catalog) {
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -26,6 +26,8 @@
 	Proofs map[string]freshness.Proof
 	// Acknowledged are positions that new primaries must hold, by service.
 	Acknowledged map[string]timeline.Position
+	// Silences are the peers, by address, that could not be reached lately, and when.
+	Silences map[string]clock.Time
 	// StoreAge is how long ago the list of the fleet was known to be complete.
 	StoreAge time.Duration
 }
@@ -67,6 +69,9 @@
 		}
 		out.Evidence = append(out.Evidence, EvidenceOf(service, p, k.Acknowledged[service], now))
 	}
+	for addr, at := range k.Silences {
+		out.Silences = append(out.Silences, &gossippb.Silence{Peer: addr, AgeUs: uint64(max(now.Sub(at).Microseconds(), 0))})
+	}
 	c := k.Catalog
 	if c.Config != nil && c.Config.Version > in.GetConfigVersion() {
 		tellConfig(out, c, in)
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -56,7 +56,7 @@
 	kind, term := ask.Encode()
 	var out *relaypb.AskReply
 	in := &relaypb.AskRequest{Target: string(id), TimeoutUs: micros(timeout), Kind: kind, Term: term, MaxAgeUs: uint64(micros(maxAge))}
-	err := a.peers.call(ctx, vm, timeout+callSlack, func(ctx context.Context, to relaypb.Relay) (err error) {
+	err := a.peers.call(ctx, vm, timeout+callSlack, false, func(ctx context.Context, to relaypb.Relay) (err error) {
 		out, err = to.Ask(ctx, in)
 		return err
 	})
--- a/relay/client.go
+++ b/relay/client.go
@@ -23,6 +23,10 @@
 	// dialTimeout bounds opening a connection to a gateway, which is at most a
 	// few milliseconds away.
 	dialTimeout = 150 * time.Millisecond
+	// doubtedTimeout is the same for one that others found silent.
+	doubtedTimeout = 40 * time.Millisecond
+	// silenceLasts is how long a peer that was found silent is doubted.
+	silenceLasts = 1500 * time.Millisecond
 	// callSlack is how much longer than the gateway itself its answer is waited
 	// for: the way there and back, and the gateway's own turn on a small VM. It is
 	// taken off the time that the gateway gets.
@@ -47,36 +51,53 @@
 // peers calls gateways. It is safe for concurrent use.
 type peers struct {
 	http *http.Client
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	clk  clock.Clock
 
 	mu sync.Mutex
 	at map[string]*peer // by address
+	// heard are the latest silences of peers, by address, as this VM and others found.
+	heard map[string]clock.Time
 }
 
 // peer is one gateway as this VM knows it.
 type peer struct {
 	relaypb.Relay
+	addr string
+	// failures counts the calls in a row that were not answered.
 	failures int
-	until    clock.Time // left alone until then
+	// resting is set from such a call until a connection has opened again, which is
+	// tried from until on.
+	resting  bool
+	probing  bool
+	until    clock.Time
+	answered clock.Time
+	check    *check // under way; nil if there is none
 }
 
 func newPeers(dial func(ctx context.Context, network, addr string) (net.Conn, error), clk clock.Clock) *peers {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return dial(ctx, network, addr)
-		},
-		MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	p := &peers{dial: dial, clk: clk, at: make(map[string]*peer), heard: make(map[string]clock.Time)}
+	transport := &http.Transport{DialContext: p.connect, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	p.http = &http.Client{Transport: terse.Transport{RoundTripper: transport}}
+	return p
+}
+
+// connect opens a connection, with less patience to a peer that others found silent.
+func (p *peers) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	timeout := dialTimeout
+	if p.doubted(addr) {
+		timeout = doubtedTimeout
 	}
-	return &peers{http: &http.Client{Transport: terse.Transport{RoundTripper: transport}}, clk: clk, at: make(map[string]*peer)}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return p.dial(ctx, network, addr)
 }
 
 func (p *peers) get(addr string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.at[addr] == nil {
-		p.at[addr] = &peer{Relay: relaypb.NewRelayProtobufClient("http://"+addr, p.http)}
+		p.at[addr] = &peer{Relay: relaypb.NewRelayProtobufClient("http://"+addr, p.http), addr: addr}
 	}
 	return p.at[addr]
 }
@@ -90,15 +111,43 @@
 			delete(p.at, addr)
 		}
 	}
+	for addr := range p.heard {
+		if !addrs[addr] {
+			delete(p.heard, addr)
+		}
+	}
 }
 
-// rests reports whether a gateway is left alone.
+// rests reports whether a gateway is left alone. Once its pause is over it is tried
+// again by a connection of its own, and rests until that has opened.
+//
+// Failure guarded against: a gateway is dead or cut off for seconds, and each VM pays for
+// finding out, again and again, with a statement of a consumer's.
 func (p *peers) rests(addr string) bool {
 	now := p.clk.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := p.at[addr]
-	return at != nil && now.Before(at.until)
+	if at == nil || !at.resting {
+		return false
+	}
+	if !now.Before(at.until) && !at.probing {
+		at.probing = true
+		go p.probe(at)
+	}
+	return true
+}
+
+// probe tries to connect to a peer that rests.
+func (p *peers) probe(at *peer) {
+	reached := p.opens(at.addr)
+	p.mu.Lock()
+	at.probing = false
+	at.resting = !reached
+	p.mu.Unlock()
+	if !reached {
+		p.note(at, false)
+	}
 }
 
 func (p *peers) note(at *peer, answered bool) {
@@ -106,12 +155,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if answered {
-		at.failures, at.until = 0, 0
+		at.failures, at.resting, at.until, at.answered = 0, false, 0, now
+		delete(p.heard, at.addr)
 		return
 	}
+	p.heard[at.addr] = now
 	if now.Before(at.until) {
 		return
 	}
+	at.resting = true
 	at.until = now.Add(min(firstPause<<min(at.failures, 8), maxPause))
 	at.failures++
 }
@@ -123,11 +175,20 @@
 // first one has run it. A connection that was obtained may have carried the
 // request, so that only a call which never got one counts as not sent; and the
 // HTTP client repeats no request of its own accord once a part of it was written.
-func (p *peers) call(ctx context.Context, vm catalog.VM, timeout time.Duration, do func(ctx context.Context, to relaypb.Relay) error) error {
+//
+// A call that may be repeated is given up once the gateway cannot be reached any more.
+func (p *peers) call(ctx context.Context, vm catalog.VM, timeout time.Duration, repeatable bool, do func(ctx context.Context, to relaypb.Relay) error) error {
 	at := p.get(vm.Peer)
 	var connected atomic.Bool
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	if repeatable {
+		guarded, give := context.WithCancelCause(ctx)
+		defer give(nil)
+		ctx = guarded
+		end := p.guard(at, give)
+		defer end()
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	err := do(ctx, at.Relay)
 	var answered twirp.Error
--- a/relay/router.go
+++ b/relay/router.go
@@ -109,7 +109,7 @@
 			out = append(out, vm)
 		}
 	}
-	return out
+	return r.peers.trusted(out)
 }
 
 // Proves implements dispatch.Runner: a gateway's answers bring proofs along.
@@ -228,7 +228,7 @@
 func (r *Router) run(ctx context.Context, vm catalog.VM, g *groups.Group, b leadership.Belief, id target.ID, in *relaypb.RunRequest, sent clock.Time, most time.Duration) (*outcome, error) {
 	before := g.Acknowledged.Before()
 	var out *relaypb.RunReply
-	err := r.peers.call(ctx, vm, most+callSlack, func(ctx context.Context, to relaypb.Relay) (err error) {
+	err := r.peers.call(ctx, vm, most+callSlack, in.GetTransaction() == 0 && !in.GetCommits(), func(ctx context.Context, to relaypb.Relay) (err error) {
 		out, err = to.Run(ctx, in)
 		return err
 	})
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -59,7 +59,7 @@
 		ReadOnly: o.Begin.ReadOnly, After: positionOf(o.Begin.After), LeftUs: micros(left), ProofAgeUs: proofAge(g, sent),
 	}
 	var out *relaypb.OpenReply
-	err := r.peers.call(ctx, vm, left+callSlack, func(ctx context.Context, to relaypb.Relay) (err error) {
+	err := r.peers.call(ctx, vm, left+callSlack, true, func(ctx context.Context, to relaypb.Relay) (err error) {
 		out, err = to.Open(ctx, in)
 		return err
 	})
@@ -118,7 +118,7 @@
 	t.ended = true
 	go func() {
 		in := &relaypb.EndRequest{Transaction: t.number, Discard: discard}
-		err := t.router.peers.call(context.Background(), t.vm, endTimeout, func(ctx context.Context, to relaypb.Relay) error {
+		err := t.router.peers.call(context.Background(), t.vm, endTimeout, false, func(ctx context.Context, to relaypb.Relay) error {
 			_, err := to.End(ctx, in)
 			return err
 		})
