Go by a sample of the primary that was asked for lately

Change: a read's evidence starts from a sample that may have a quarter of the age which the read accepts, instead of 200 ms always; one that is already known counts.

--- a/engine/session.go
+++ b/engine/session.go
@@ -157,7 +157,7 @@
 func (s *Session) floor(ctx context.Context, g *groups.Group, route *catalog.Route) (timeline.Position, bool) {
 	p, ok := g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
 	if !ok {
-		g.Refresh(ctx)
+		g.Refresh(ctx, route.MaxAge)
 		p, ok = g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
 	}
 	if ok && route.Freshness == catalog.Own && s.markOf == route.Service && p.Less(s.mark) {
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -146,6 +146,17 @@
 	return timeline.Position{}, false
 }
 
+// Sampled returns when the newest sample of a term was asked for; zero if there is
+// none.
+func (b *Board) Sampled(term timeline.Term) clock.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if term != b.term || len(b.samples) == 0 {
+		return 0
+	}
+	return b.samples[len(b.samples)-1].sent
+}
+
 // Proof is a proven sample: a log that holds Position lacks no commit
 // acknowledged before At.
 type Proof struct {
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -126,3 +126,15 @@
 	require.True(t, b.Stood(1, "p").IsZero(), "what a discarded branch held is not asked for")
 	require.Equal(t, pos(1, 11), b.Stood(2, "q"))
 }
+
+// A read looks for evidence, and the primary has been asked where it stands just now.
+func TestSampledIsOfTheTerm(t *testing.T) {
+	b := &Board{}
+	require.Zero(t, b.Sampled(0))
+	b.Sample(3, "p", at(100), pos(3, 7))
+	b.Sample(3, "p", at(200), pos(3, 8))
+	require.Equal(t, at(200), b.Sampled(3))
+	require.Zero(t, b.Sampled(4))
+	b.Witness(4, "r", at(300))
+	require.Zero(t, b.Sampled(4), "a later term's evidence starts anew")
+}
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -15,9 +15,9 @@
 	"endivemoor.example/endivemoor/target"
 )
 
-// sampleAge is how old a sample may be that aged reads are to go by: it is little
-// beside the ages that routes accept, some 1.5 s.
-const sampleAge = 200 * time.Millisecond
+// samplePart is the part of the age which a read accepts that the sample it goes by may
+// have.
+const samplePart = 0.25
 
 const (
 	// renewAge is how old a witness may be that renews a gateway's: the gateways to
@@ -287,15 +287,16 @@
 	return err
 }
 
-// Refresh asks the primary and a replica, so that there is evidence of now.
-// Those who call it at once share one round.
-func (g *Group) Refresh(ctx context.Context) {
+// Refresh sees to it that there is evidence for reads that accept an age: it asks the
+// primary, unless that was lately, and a replica. Those who call it at once share one
+// round.
+func (g *Group) Refresh(ctx context.Context, maxAge time.Duration) {
 	g.mu.Lock()
 	running := g.refreshing
 	if running == nil {
 		running = make(chan struct{})
 		g.refreshing = running
-		go g.refresh(running)
+		go g.refresh(running, time.Duration(samplePart*float64(maxAge)))
 	}
 	g.mu.Unlock()
 	select {
@@ -304,7 +305,18 @@
 	}
 }
 
-func (g *Group) refresh(done chan struct{}) {
+// sample returns when the primary was asked where it stands, and asks it unless that
+// was at most maxAge ago.
+func (g *Group) sample(ctx context.Context, b leadership.Belief, maxAge time.Duration) (clock.Time, error) {
+	at := g.Freshness.Sampled(b.Term)
+	if at != 0 && g.cfg.Clock.Now().Sub(at) <= maxAge {
+		return at, nil
+	}
+	_, at, err := g.Recent(ctx, b.Primary, spending.Sample, maxAge, askTimeout)
+	return at, err
+}
+
+func (g *Group) refresh(done chan struct{}, sampleAge time.Duration) {
 	defer func() {
 		g.mu.Lock()
 		g.refreshing = nil
@@ -317,7 +329,7 @@
 	if err != nil {
 		return
 	}
-	_, sampled, err := g.Recent(ctx, b.Primary, spending.Sample, sampleAge, askTimeout)
+	sampled, err := g.sample(ctx, b, sampleAge)
 	if err != nil {
 		g.cfg.Log.Debug("status-unanswered", zap.String("target", string(b.Primary)), zap.Error(err))
 		return
