Say which reloaded settings wait for the next start, and that none changes a request's fate

Settings files change on some VMs before others. New: the log line of a reload names the fields that have changed and wait for the next start, so that an operator sees where which settings are in force.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -227,7 +227,12 @@
 	}
 }
 
-// reload reads the settings anew after SIGHUP.
+// reload reads the settings anew after SIGHUP. Only the memory limit is taken over:
+// it is this process's own.
+//
+// Failure guarded against: settings change on some VMs before others, and a request's
+// fate depends on which of them it meets. Whatever else has changed takes effect when a
+// process starts; until then the log says on which VM it is not in force.
 func (e *Edge) reload() {
 	next, err := boot.Load()
 	if err != nil {
@@ -237,7 +242,8 @@
 	if next.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(next.Limits.MemoryMB<<20) * memoryPart))
 	}
-	e.log.Info("settings-reloaded", zap.Int64("memory-mb", next.Limits.MemoryMB))
+	e.log.Info("settings-reloaded", zap.Int64("memory-mb", next.Limits.MemoryMB),
+		zap.Strings("at-next-start", boot.Differences(e.set, next)))
 }
 
 func (e *Edge) listen(failed chan<- error) error {
