Leave the seeds in peace while a fleet starts for the first time; test that start

Change: a first start waits for the store, as long as it may take to tell. Test: 30 VMs start for the first time among empty lists and all serve after nine seconds.

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -123,13 +123,13 @@
 func (g *gossiper) run(ctx context.Context) {
 	tick := time.NewTicker(pullEvery)
 	defer tick.Stop()
-	for round := 0; ; round++ {
+	for {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
-		if g.edge.set.FirstStart && !g.knowsPeers() && round%seedsEvery != 0 {
+		if !g.knowsPeers() && g.storeWillTell() {
 			continue
 		}
 		for _, vm := range g.choose() {
@@ -138,10 +138,12 @@
 	}
 }
 
-// seedsEvery is in how many rounds a VM that knows no peer asks the seeds once, while
-// the fleet starts for the first time: all of it asks the same three, which know little
-// yet themselves.
-const seedsEvery = 5
+// storeWillTell reports whether a VM that knows no peer leaves the seeds in peace: while
+// the fleet starts for the first time all of it would ask the same three VMs, again and
+// again, which know nothing that the store does not tell it in that time.
+func (g *gossiper) storeWillTell() bool {
+	return g.edge.set.FirstStart && g.edge.clk.Now().Sub(g.edge.started) < g.edge.firstNews()
+}
 
 func (g *gossiper) knowsPeers() bool {
 	peers := g.peers.Load()
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -44,6 +44,8 @@
 	vms map[string]*vm
 	// sessions counts those opened: request ids begin with their name.
 	sessions int
+	// firstStart is set while the whole fleet starts for the first time.
+	firstStart bool
 	// ended are earlier processes of VMs that were started again.
 	ended []*vm
 }
@@ -93,6 +95,7 @@
 
 func (f *fleet) start(name, zone string, number int) {
 	set := world.Settings(name, zone, number)
+	set.FirstStart = f.firstStart
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{}), zone: zone, number: number}
 	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
--- a/edge/starts_test.go
+++ b/edge/starts_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,3 +61,28 @@
 		require.Less(t, calls, 2*vms+6*3*3)
 	})
 }
+
+// A fleet starts for the first time. What the operator and the targets have written
+// just now is on no list that may be old, and no VM is on the fleet's. All VMs must serve
+// before the first consumers come, ten seconds later.
+func TestAFleetStartsForTheFirstTime(t *testing.T) {
+	const vms = 30
+	play(t, 0, func(f *fleet) {
+		f.firstStart = true
+		for _, kind := range f.world.Store.Kinds() {
+			require.NotEqual(t, "endivemoor", kind, "no VM was there before")
+		}
+		f.world.Store.HoldStaleEmpty()
+		for i := range vms {
+			f.start(fmt.Sprintf("vm%d", i), zones[i%len(zones)], i+1)
+		}
+		time.Sleep(9 * time.Second)
+		for name := range f.vms {
+			require.True(t, f.session(name, exact).Query("READ a").OK())
+		}
+		calls := f.world.Store.Calls() - f.world.Store.StaleCalls()
+		t.Logf("%d calls", calls)
+		// An entry and three lists for each VM, and nine seconds of six that watch.
+		require.Less(t, calls, 4*vms+6*3*9)
+	})
+}
