Tell of silent gateways only by connections that did not open

Change: only connections that did not open are told, doubted gateways have the same time as others, and a look that ends late by more than 10 ms counts for nothing, for this VM itself stood still. Looks have 100 ms.

--- a/relay/check.go
+++ b/relay/check.go
@@ -12,6 +12,14 @@
 // the shortest of the objectives.
 const checkAfter = 100 * time.Millisecond
 
+const (
+	// checkTimeout bounds that look, so that a read which is given up may still be in time.
+	checkTimeout = 100 * time.Millisecond
+	// stoodStill is how much later than its timeout a look may end for its outcome to
+	// count: this VM itself had no processor else.
+	stoodStill = 10 * time.Millisecond
+)
+
 // errGone says that a gateway could not be reached while it had a call.
 var errGone = errors.New("the gateway cannot be reached any more")
 
@@ -31,6 +39,7 @@
 		quiet := p.clk.Now().Sub(max(at.answered, begun))
 		p.mu.Unlock()
 		if quiet >= checkAfter && !p.reaches(ctx, at) && ctx.Err() == nil {
+			p.heardSilent(at.addr, p.clk.Now())
 			give(errGone)
 			return
 		}
@@ -71,20 +80,25 @@
 }
 
 func (p *peers) check(at *peer, c *check) {
-	c.reached = p.opens(at.addr)
+	c.reached = p.opens(at.addr, checkTimeout)
 	p.mu.Lock()
 	at.check = nil
 	p.mu.Unlock()
 	close(c.done)
 }
 
-// opens reports whether a connection to an address opens.
-func (p *peers) opens(addr string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+// opens reports whether a connection to an address opens in time.
+//
+// Failure guarded against: a VM that is overloaded gets no processor while a connection
+// opens, takes a gateway that is well for silent, and tells others so. They go past it
+// to the target, whose slots new connections take, and which is the more overloaded.
+func (p *peers) opens(addr string, timeout time.Duration) bool {
+	begun := p.clk.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	conn, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
-		return false
+		return p.clk.Now().Sub(begun) > timeout+stoodStill
 	}
 	_ = conn.Close()
 	return true
--- a/relay/client.go
+++ b/relay/client.go
@@ -23,8 +23,6 @@
 	// dialTimeout bounds opening a connection to a gateway, which is at most a
 	// few milliseconds away.
 	dialTimeout = 150 * time.Millisecond
-	// doubtedTimeout is the same for one that others found silent.
-	doubtedTimeout = 40 * time.Millisecond
 	// silenceLasts is how long a peer that was found silent is doubted.
 	silenceLasts = 1500 * time.Millisecond
 	// callSlack is how much longer than the gateway itself its answer is waited
@@ -82,13 +80,9 @@
 	return p
 }
 
-// connect opens a connection, with less patience to a peer that others found silent.
+// connect opens a connection.
 func (p *peers) connect(ctx context.Context, network, addr string) (net.Conn, error) {
-	timeout := dialTimeout
-	if p.doubted(addr) {
-		timeout = doubtedTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return p.dial(ctx, network, addr)
 }
@@ -140,13 +134,14 @@
 
 // probe tries to connect to a peer that rests.
 func (p *peers) probe(at *peer) {
-	reached := p.opens(at.addr)
+	reached := p.opens(at.addr, dialTimeout)
 	p.mu.Lock()
 	at.probing = false
 	at.resting = !reached
 	p.mu.Unlock()
 	if !reached {
 		p.note(at, false)
+		p.heardSilent(at.addr, p.clk.Now())
 	}
 }
 
@@ -159,7 +154,6 @@
 		delete(p.heard, at.addr)
 		return
 	}
-	p.heard[at.addr] = now
 	if now.Before(at.until) {
 		return
 	}
@@ -200,6 +194,7 @@
 	case err == nil:
 		return nil
 	case !connected.Load():
+		p.heardSilent(vm.Peer, p.clk.Now())
 		return errors.WithMessage(errUnreached, err.Error())
 	default:
 		return &dispatch.LostError{Gateway: vm.ID, Cause: err}
--- a/relay/silences.go
+++ b/relay/silences.go
@@ -54,7 +54,9 @@
 // Failure guarded against: a gateway dies, or a partition cuts the fleet in two, and
 // each of hundreds of VMs finds out by itself, for each gateway and with a statement that
 // waits for it. What one VM has found the others hear within a second. They still try a
-// doubted gateway if there is no other: it may be the first VM that was cut off.
+// doubted gateway if there is no other: it may be the first VM that was cut off. Only a
+// connection that did not open is told, for an answer that is late says that a gateway
+// has much to do.
 func (p *peers) trusted(vms []catalog.VM) []catalog.VM {
 	var first, last []catalog.VM
 	for _, vm := range vms {
