--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -194,7 +194,6 @@
 	now := g.edge.clk.Now()
 	g.mu.Lock()
 	if err != nil {
-		g.edge.router.FoundSilent(vm.Peer, now)
 		g.paused[vm.Peer] = now.Add(peerPause)
 		if g.silent[vm.ID] == 0 {
 			g.silent[vm.ID] = now
--- a/relay/silences.go
+++ b/relay/silences.go
@@ -9,9 +9,6 @@
 // and when that was.
 func (r *Router) Silences() map[string]clock.Time { return r.peers.silences() }
 
-// FoundSilent records that this VM could not reach a peer.
-func (r *Router) FoundSilent(addr string, at clock.Time) { r.peers.heardSilent(addr, at) }
-
 // HeardSilent records that another VM could not reach a peer at a moment.
 func (r *Router) HeardSilent(addr string, at clock.Time) { r.peers.heardSilent(addr, at) }
 
