Blame no gateway for a caller that leaves early

Change: a call that its caller left before its time was over says nothing of the gateway. Test: TestWhoLeavesEarlyBlamesNoGateway.

--- a/relay/client.go
+++ b/relay/client.go
@@ -171,10 +171,15 @@
 // HTTP client repeats no request of its own accord once a part of it was written.
 //
 // A call that may be repeated is given up once the gateway cannot be reached any more.
-func (p *peers) call(ctx context.Context, vm catalog.VM, timeout time.Duration, repeatable bool, do func(ctx context.Context, to relaypb.Relay) error) error {
+//
+// Failure guarded against: a caller leaves before its call's time is over, because
+// another way was quicker or its statement's time has ended, and the gateway is taken for
+// silent. Statements go past it to the target, the more so the busier all are.
+func (p *peers) call(caller context.Context, vm catalog.VM, timeout time.Duration, repeatable bool, do func(ctx context.Context, to relaypb.Relay) error) error {
 	at := p.get(vm.Peer)
+	begun := p.clk.Now()
 	var connected atomic.Bool
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	if repeatable {
 		guarded, give := context.WithCancelCause(ctx)
@@ -189,12 +194,16 @@
 	if errors.As(err, &answered) && answered.Code() == twirp.BadRoute {
 		return errDeclined
 	}
-	p.note(at, err == nil)
+	if left := caller.Err() != nil && p.clk.Now().Sub(begun) < timeout-callSlack; err == nil || !left {
+		p.note(at, err == nil)
+	}
 	switch {
 	case err == nil:
 		return nil
 	case !connected.Load():
-		p.heardSilent(vm.Peer, p.clk.Now())
+		if caller.Err() == nil {
+			p.heardSilent(vm.Peer, p.clk.Now())
+		}
 		return errors.WithMessage(errUnreached, err.Error())
 	default:
 		return &dispatch.LostError{Gateway: vm.ID, Cause: err}
--- a/relay/silences_test.go
+++ b/relay/silences_test.go
@@ -13,6 +13,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/relay/relaypb"
 )
 
 // A VM hears from others that a gateway is silent. It tries the other one first, for a
@@ -76,3 +77,26 @@
 		require.Zero(t, at.failures)
 	})
 }
+
+// A VM asks a gateway for a proof and gets one elsewhere first, or its statement's time
+// is over. Nothing shows that the gateway does not answer: were it left alone, the next
+// statements would open connections to the target. A call that has had its whole time
+// shows it.
+func TestWhoLeavesEarlyBlamesNoGateway(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		p := newPeers(nil, monotonic.New())
+		vm := catalog.VM{ID: "g", Peer: "10.0.0.1:1"}
+		silent := func(ctx context.Context, _ relaypb.Relay) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		caller, leave := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer leave()
+		require.Error(t, p.call(caller, vm, 300*time.Millisecond, false, silent))
+		require.False(t, p.rests(vm.Peer))
+		require.False(t, p.doubted(vm.Peer))
+		require.Error(t, p.call(context.Background(), vm, 300*time.Millisecond, false, silent))
+		require.True(t, p.rests(vm.Peer))
+		time.Sleep(time.Second)
+	})
+}
