--- a/relay/ask.go
+++ b/relay/ask.go
@@ -20,7 +20,15 @@
 type Asker struct{ *Router }
 
 // Control implements groups.Asker.
+//
+// Failure guarded against: a change of primary is weighed for a target that is crowded,
+// and each VM of the fleet opens a connection to each target of the service for its
+// question. Connections take slots, and the target is crowded the more.
 func (a Asker) Control(ctx context.Context, id target.ID, ask lane.Ask, timeout time.Duration) ([]string, error) {
+	if ask == lane.AskStatus {
+		rows, _, err := a.Recent(ctx, id, 0, timeout)
+		return rows, err
+	}
 	rows, err := a.cfg.Asker.Control(ctx, id, ask, timeout)
 	var u *lane.UnavailableError
 	if !errors.As(err, &u) || u.Code != statement.TooManyConnections {
--- /dev/null
+++ b/relay/ask_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/target"
+)
+
+// A VM weighs a change of primary and asks a target how it stands. It has a gateway to
+// that target; a connection of its own would take one of the slots that its readers wait
+// for, as would that of every other VM.
+func TestEveryQuestionGoesThroughTheGateway(t *testing.T) {
+	there, here := &talker{}, &talker{}
+	clk := monotonic.New()
+	s := NewServer(ServerConfig{Statuses: NewStatuses(there, clk), Asker: there, Clock: clk, Groups: registryOn(clk), Serves: func(target.ID) bool { return true }})
+	_, handler := s.Handler()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+
+	c := &catalog.Catalog{
+		Config:  &catalog.Config{Services: map[string]*catalog.Service{"s": {Name: "s", MaxConnections: 2}}},
+		Targets: map[target.ID]*catalog.Target{"t": {ID: "t", Service: "s", Zone: "a"}},
+		VMs:     []catalog.VM{{ID: "gateway", Zone: "a", Peer: server.Listener.Addr().String()}, {ID: "me", Zone: "b"}, {ID: "other", Zone: "b"}},
+	}
+	r := NewRouter(RouterConfig{Asker: here, Statuses: NewStatuses(here, clk), Groups: registryOn(clk), Clock: clk, Log: zap.NewNop(), Dial: (&net.Dialer{}).DialContext})
+	r.Update(gateways.NewPlan("me", c), c)
+	_, _, err := Asker{r}.Recent(context.Background(), "t", 0, time.Second)
+	require.NoError(t, err)
+	_, err = Asker{r}.Control(context.Background(), "t", lane.AskStatus, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, 2, there.asked)
+	require.Zero(t, here.asked)
+}
