--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -345,3 +345,60 @@
 		f.fair()
 	})
 }
+
+// A VM and its gateway are cut off together, from the store and from all other VMs, with a
+// primary that has lost its replicas and is replaced. The gateway's answers still bring
+// proofs along, and the two of them agree that nothing has changed. An exact read there must
+// see what was sold elsewhere before it began, or fail.
+func TestCutOffGatewayProvesNothingForLong(t *testing.T) {
+	scarce(t, func(f *fleet) {
+		_, others := roles(f, "ledger-0", "a")
+		reader := others[0]
+		gateway := firstGateway(f, reader)
+		seller := ""
+		for name := range f.vms {
+			if name != reader && name != gateway {
+				seller = name
+			}
+		}
+		c, alone := f.session(seller, exact), f.session(reader, exact)
+		require.True(t, c.Query("WRITE seat 0").OK())
+		require.Equal(t, []string{"0"}, alone.Query("READ seat").Rows)
+		for _, cut := range []string{reader, gateway} {
+			f.world.CutFromStore(cut, true)
+			for other := range f.vms {
+				if other != reader && other != gateway {
+					f.world.Net.Cut(cut, other)
+				}
+			}
+		}
+		f.group.SetDeaf("ledger-0", true)
+		var sold atomic.Int64
+		end := time.Now().Add(8 * time.Second)
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			for n := int64(1); time.Now().Before(end); n++ {
+				if c.Query("WRITE seat " + strconv.FormatInt(n, 10)).OK() {
+					sold.Store(n)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		read := 0
+		for time.Now().Before(end) {
+			before := sold.Load()
+			if a := alone.Query("READ seat"); a.OK() {
+				read++
+				seen, err := strconv.ParseInt(a.Rows[0], 10, 64)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, seen, before, "a stale read was proven")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		wait.Wait()
+		require.Positive(t, read)
+		require.Positive(t, sold.Load(), "another target leads")
+		require.NotEqual(t, "ledger-0", f.group.Leader())
+		f.fair()
+	})
+}
