--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -229,24 +229,6 @@
 	})
 }
 
-// Thirty VMs serve a service for the first time, one right after the other, as when a
-// fleet has started. Nobody contests who leads; each of them needs to know the term,
-// and takes another's word for it instead of asking all targets.
-func TestFirstUseOfAServiceAsksLittle(t *testing.T) {
-	const vms = 30
-	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
-		before := f.group.Questions()
-		for name := range f.vms {
-			require.True(t, f.session(name, exact).Query("READ a").OK())
-			time.Sleep(20 * time.Millisecond)
-		}
-		asked := f.group.Questions() - before
-		t.Logf("%d questions", asked)
-		require.Less(t, asked, int64(vms)/3, "who asks all three targets asks at least as much")
-		f.fair()
-	})
-}
-
 // The VMs are cut off from both replicas of a service; its primary is well and has
 // the replicas' receipts. Consumers who buy and read at it go on: the store's record
 // shows that it has not been replaced. Were each VM to look for that by itself, reads
--- a/groups/group.go
+++ b/groups/group.go
@@ -68,7 +68,7 @@
 	refreshing chan struct{}
 	renewing   bool
 	superseded superseded
-	silent     clock.Time               // until when renewals ask the store first; theirs alone
+	nextLook   clock.Time               // when silent replicas are asked again; 0 while they answer
 	revoked    int64                    // the attempt for which the permission was given up
 	revokedAt  clock.Time               // when it was
 	deposed    target.ID                // the primary that the attempt replaces
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -29,9 +29,8 @@
 	// nextWay is how long one way to a proof may take before the next one is tried
 	// beside it: longer than a question that waits for a slot usually does.
 	nextWay = 80 * time.Millisecond
-	// silentLasts is how long the store is asked before the replicas once only it could
-	// say who leads.
-	silentLasts = time.Second
+	// lookEvery is how often silent replicas are asked whether they answer again.
+	lookEvery = time.Second
 )
 
 // Replicas returns the targets other than the primary, those that stay first.
@@ -282,21 +281,58 @@
 	}
 }
 
-// renewBy asks the store first if the replicas were of no help the last time: many VMs
-// go by this one's witness, and it must not grow old while the replicas keep silent.
+// renewBy asks the store first while the replicas are of no help: many VMs go by this
+// one's witness, and it must not grow old while replicas keep silent.
 func (g *Group) renewBy(ctx context.Context, b leadership.Belief) error {
 	now := g.cfg.Clock.Now()
 	replicas, record := g.ways(b, int(now/clock.Time(renewTurn)), now.Add(-renewAge))
-	if now.Before(g.silent) {
+	if g.replicasSilent() {
+		g.lookForReplicas(now, replicas)
 		return tryInTurn(ctx, append([]way{record}, replicas...))
 	}
 	err := tryInTurn(ctx, append(replicas, record))
-	if g.cfg.Clock.Now().Sub(now) >= nextWay*time.Duration(len(replicas)) {
-		g.silent = g.cfg.Clock.Now().Add(silentLasts)
+	if took := g.cfg.Clock.Now().Sub(now); took >= nextWay*time.Duration(len(replicas)) {
+		g.noteReplicas(now.Add(took + lookEvery))
 	}
 	return err
 }
 
+// replicasSilent reports whether the replicas were of no help lately.
+func (g *Group) replicasSilent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nextLook != 0
+}
+
+// noteReplicas sets when silent replicas are asked again; 0 is that they answer.
+func (g *Group) noteReplicas(nextLook clock.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextLook = nextLook
+}
+
+// lookForReplicas asks silent replicas every now and then, beside the store.
+//
+// Failure guarded against: renewals that go back to the replicas to see whether they
+// answer again let the witness grow old meanwhile, and each VM that goes by it looks for
+// a proof of its own.
+func (g *Group) lookForReplicas(now clock.Time, replicas []way) {
+	g.mu.Lock()
+	due := now >= g.nextLook
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	g.noteReplicas(now.Add(lookEvery))
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*askTimeout)
+		defer cancel()
+		if tryInTurn(ctx, replicas) == nil {
+			g.noteReplicas(0)
+		}
+	}()
+}
+
 // Refresh sees to it that there is evidence for reads that accept an age: it asks the
 // primary, unless that was lately, and a replica. Those who call it at once share one
 // round.
--- a/groups/witness_test.go
+++ b/groups/witness_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/target"
@@ -37,6 +41,51 @@
 	return &r.reign, nil
 }
 
+// askedTargets note who was asked, and answer nothing.
+type askedTargets struct {
+	silentTargets
+	mu  sync.Mutex
+	ids []target.ID
+}
+
+func (a *askedTargets) Recent(ctx context.Context, id target.ID, maxAge, timeout time.Duration) ([]string, time.Duration, error) {
+	a.mu.Lock()
+	a.ids = append(a.ids, id)
+	a.mu.Unlock()
+	return a.silentTargets.Recent(ctx, id, maxAge, timeout)
+}
+
+func (a *askedTargets) take() []target.ID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := slices.Sorted(slices.Values(a.ids))
+	a.ids = nil
+	return out
+}
+
+// A fleet of hundreds of VMs starts, and each of them meets each service for the first
+// time. Nobody contests who leads: one question tells the term. Only if that target does
+// not answer are all asked, for another one may lead by then.
+func TestFirstUseAsksOnlyTheListedPrimary(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		a := &askedTargets{}
+		h := catalog.NewHolder()
+		reg := NewRegistry(Config{Catalog: h, Clock: monotonic.New(), Log: zap.NewNop(), Asker: a})
+		reg.Update(listing(h, 7, 10))
+		time.Sleep(time.Second) // no moment of the daemon's life is its clock's zero
+		ctx, cancel := context.WithTimeout(context.Background(), discoverEvery/2)
+		defer cancel()
+		_, err := reg.Group("s").Primary(ctx)
+		require.ErrorIs(t, err, ErrNoPrimary)
+		require.Equal(t, []target.ID{"p"}, a.take())
+		ctx, cancel = context.WithTimeout(context.Background(), 2*discoverEvery)
+		defer cancel()
+		_, err = reg.Group("s").Primary(ctx)
+		require.ErrorIs(t, err, ErrNoPrimary)
+		require.Equal(t, []target.ID{"p", "r"}, a.take())
+	})
+}
+
 // A partition has cut a VM off from a new primary. The old one still answers it, and
 // each of its reads looks for a proof until its time is over. The store says the same
 // each time; read for each try of hundreds of VMs, it is called beyond its rates.
