--- a/groups/witness_test.go
+++ b/groups/witness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/lane"
@@ -19,6 +21,19 @@
 	"endivemoor.example/endivemoor/target"
 )
 
+// atomicClock stands still until it is moved, also beside goroutines that read it.
+type atomicClock struct{ now atomic.Int64 }
+
+func (c *atomicClock) Now() clock.Time { return clock.Time(c.now.Load()) }
+
+func (c *atomicClock) pass(d time.Duration) { c.now.Add(int64(d)) }
+
+func newAtomicClock() *atomicClock {
+	c := &atomicClock{}
+	c.pass(time.Second)
+	return c
+}
+
 // silentTargets answer nobody.
 type silentTargets struct{}
 
@@ -90,7 +105,7 @@
 // each of its reads looks for a proof until its time is over. The store says the same
 // each time; read for each try of hundreds of VMs, it is called beyond its rates.
 func TestAReplacedPrimaryIsLookedUpOnceInAWhile(t *testing.T) {
-	clk := &manual{now: 1}
+	clk := newAtomicClock()
 	h := catalog.NewHolder()
 	r := &record{reign: catalog.Reign{Service: "s", Revision: 9, Primary: "new"}}
 	reg := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), Asker: silentTargets{}, Records: r, Eligible: func() bool { return false }})
@@ -98,29 +113,29 @@
 	g := reg.Group("s")
 	b := leadership.Belief{Primary: "p", Term: 3}
 	for range 20 {
-		require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.now), ErrSuperseded)
-		clk.now = clk.now.Add(10 * time.Millisecond)
+		require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.Now()), ErrSuperseded)
+		clk.pass(10 * time.Millisecond)
 	}
 	require.Equal(t, 1, r.read)
-	require.ErrorIs(t, g.Prove(context.Background(), leadership.Belief{Primary: "q", Term: 4}, 0, clk.now), ErrSuperseded)
+	require.ErrorIs(t, g.Prove(context.Background(), leadership.Belief{Primary: "q", Term: 4}, 0, clk.Now()), ErrSuperseded)
 	require.Equal(t, 2, r.read, "another belief is looked up")
 
 	r.reign = catalog.Reign{Service: "s", Revision: 12, Primary: "p"}
-	clk.now = clk.now.Add(replacedLasts)
-	require.NoError(t, g.Prove(context.Background(), b, 0, clk.now), "it leads again")
+	clk.pass(replacedLasts)
+	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()), "it leads again")
 }
 
 // While an attempt is under way its end must be seen soon: the primary may stay.
 func TestAnAttemptIsLookedUpAgainSoon(t *testing.T) {
-	clk := &manual{now: 1}
+	clk := newAtomicClock()
 	h := catalog.NewHolder()
 	r := &record{reign: catalog.Reign{Service: "s", Revision: 9, Attempt: &catalog.Attempt{Deposed: "p"}}}
 	reg := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), Asker: silentTargets{}, Records: r, Eligible: func() bool { return false }})
 	reg.Update(listing(h, 7, 10))
 	g := reg.Group("s")
 	b := leadership.Belief{Primary: "p", Term: 3}
-	require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.now), ErrSuperseded)
+	require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.Now()), ErrSuperseded)
 	r.reign = catalog.Reign{Service: "s", Revision: 10, Primary: "p"}
-	clk.now = clk.now.Add(replacingLasts)
-	require.NoError(t, g.Prove(context.Background(), b, 0, clk.now))
+	clk.pass(replacingLasts)
+	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
 }
--- a/relay/ask_test.go
+++ b/relay/ask_test.go
@@ -39,6 +39,6 @@
 	require.NoError(t, err)
 	_, err = Asker{r}.Control(context.Background(), "t", lane.AskStatus, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, 2, there.asked)
-	require.Zero(t, here.asked)
+	require.Equal(t, 2, there.count())
+	require.Zero(t, here.count())
 }
--- a/relay/statuses_test.go
+++ b/relay/statuses_test.go
@@ -36,6 +36,13 @@
 	err   error
 }
 
+// count is how often it was asked.
+func (k *talker) count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.asked
+}
+
 const talks = 10 * time.Millisecond
 
 func (k *talker) Control(_ context.Context, id target.ID, _ lane.Ask, _ time.Duration) ([]string, error) {
@@ -66,7 +73,7 @@
 			})
 		}
 		wg.Wait()
-		require.Equal(t, 1, k.asked)
+		require.Equal(t, 1, k.count())
 	})
 }
 
@@ -81,7 +88,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(talks)
-		require.Equal(t, 3, k.asked)
+		require.Equal(t, 3, k.count())
 		_, age, err := s.Recent(context.Background(), "t", 2*talks, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, talks+time.Millisecond, age, "since the latest question was sent")
@@ -89,7 +96,7 @@
 		_, age, err = s.Recent(context.Background(), "t", talks, time.Second)
 		require.NoError(t, err)
 		require.Zero(t, age)
-		require.Equal(t, 4, k.asked)
+		require.Equal(t, 4, k.count())
 	})
 }
 
@@ -102,7 +109,7 @@
 		require.Error(t, err)
 		_, _, err = s.Recent(context.Background(), "t", time.Second, time.Second)
 		require.Error(t, err)
-		require.Equal(t, 2, k.asked)
+		require.Equal(t, 2, k.count())
 	})
 }
 
