--- a/ack/gate.go
+++ b/ack/gate.go
@@ -100,7 +100,7 @@
 // Lease acknowledges while the group's permission lasts.
 type Lease struct {
 	// MaxDrift bounds the difference in rate between the clocks of a proxy and
-	// of the promoter, as a fraction such as 0.001.
+	// of the promoter, as a fraction.
 	MaxDrift float64
 	// Margin is what the answer's way to the caller may take.
 	Margin time.Duration
--- a/admission/policy.go
+++ b/admission/policy.go
@@ -30,7 +30,7 @@
 	Score(l *Lane, now clock.Time) float64
 }
 
-// minWorth keeps a kind of worth 0 from waiting for ever.
+// minWorth keeps a kind that is worth nothing from waiting for ever.
 const minWorth = 0.01
 
 // DelayRatio is the head-of-line delay ratio policy. A kind of twice the worth
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -177,7 +177,7 @@
 
 // ahead estimates how many waiting requests will be served before a new one of
 // kind k: all of the kinds that are worth as much, and of a lesser one the part
-// that the ratio of worths lets by.
+// that the worths' ratio lets by.
 func (q *Queue) ahead(k *profile.Kind) int {
 	own := max(k.Worth, minWorth)
 	var n float64
--- a/edge/reload_internal_test.go
+++ b/edge/reload_internal_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/BurntSushi/toml"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -13,40 +14,34 @@
 	"endivemoor.example/endivemoor/platform/boot"
 )
 
-const settingsText = `node = "edge-1"
-zone = "a"
-%s
-[listen]
-front = "10.1.0.1:1"
-ready = "10.1.0.1:2"
-[platform]
-addr = "10.200.0.1:1"
-[cloud-api]
-addr = "10.200.0.2:1"
-`
-
 // The platform changes the settings of some VMs before those of others, and tells them
 // by a signal. Were a VM to take over the new bounds at once, a request would be served
 // here and refused there. It goes on as it has started, and its log says what waits.
 func TestReloadedSettingsChangeNoRequestsFate(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "local.toml")
-	write := func(more string) *boot.Settings {
-		text := []byte(string(bytes.Replace([]byte(settingsText), []byte("%s"), []byte(more), 1)))
-		require.NoError(t, os.WriteFile(path, text, 0o600))
-		s, err := boot.Parse(path, text)
-		require.NoError(t, err)
-		return s
-	}
 	t.Setenv(boot.Variable, path)
+	write := func(s boot.Settings) {
+		var text bytes.Buffer
+		require.NoError(t, toml.NewEncoder(&text).Encode(s))
+		require.NoError(t, os.WriteFile(path, text.Bytes(), 0o600))
+	}
+	set := boot.Settings{
+		Node: "edge-1", Zone: "a", Listen: boot.Listen{Consumers: "10.1.0.1:1", Ready: "10.1.0.1:2"},
+		Platform: boot.Platform{Addr: "10.200.0.1:1"}, Duty: boot.Duty{Addr: "10.200.0.2:1"},
+	}
 	var log bytes.Buffer
-	e := &Edge{set: write(""), log: logging.New(&log, zap.NewAtomicLevel())}
-	before := *e.set
-	write("heartbeat-ms = 7\nbootstrap = true")
+	e := &Edge{set: &set, log: logging.New(&log, zap.NewAtomicLevel())}
+	before, next := set, set
+	next.HeartbeatMS, next.FirstStart = 7, true
+	write(next)
 	e.reload()
 	require.Equal(t, before, *e.set)
 	require.Contains(t, log.String(), "settings-reloaded")
-	require.Contains(t, log.String(), "heartbeat-ms")
-	require.Contains(t, log.String(), "bootstrap")
+	changed := boot.Differences(&set, &next)
+	require.Len(t, changed, 2)
+	for _, field := range changed {
+		require.Contains(t, log.String(), field)
+	}
 
 	log.Reset()
 	require.NoError(t, os.WriteFile(path, []byte("node = "), 0o600))
--- a/failover/config.go
+++ b/failover/config.go
@@ -79,7 +79,7 @@
 	// primary, before a promotion ends that. It is longer than a promotion.
 	BlockedAfter time.Duration
 	// RepairAfter is how long a replica may stand still behind its primary, or
-	// be fenced at a term without a primary, before it is repaired.
+	// be fenced at a term without a primary, before it is mended.
 	RepairAfter time.Duration
 
 	// Guards is for tests of this module only.
