Tell how old the evidence for each list is, what becomes of pulls, and when a watch rests

On-call engineers could not tell three hypotheses of an incident apart. A VM behind on the configuration showed one age only, that of the fleet's list; a pull that ended at its limit left no trace; and no line said when a VM left the watch of a kind to others.

- recency keeps, for each list and version, as of which moment a copy is known to be the store's; VMs tell it to each other (Mark).
Decisions do not go by it yet.
- endivemoor_evidence_age_seconds{list}, config-age and targets-age in the summary.
- endivemoor_pulls_total{result}, news-lost and news-regained, once each.
- watch-rests and watch-resumed, by kind.

The moment of the store's word is that of an answer's first byte: what follows may take long.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,6 +32,7 @@
 	"endivemoor.example/endivemoor/platform/line"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/promoter"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/relay"
 	"endivemoor.example/endivemoor/spending"
 )
@@ -65,6 +66,7 @@
 	incarnation string
 	started     clock.Time
 	catalog     *catalog.Holder
+	recency     recency.Board
 	store       *objects.Client
 	outage      outage
 	duty        *duty.Client
--- a/edge/fleetfollower.go
+++ b/edge/fleetfollower.go
@@ -8,7 +8,9 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/platform/objects"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -113,7 +115,10 @@
 	return out, nil
 }
 
-func (f *fleetFollower) heard() { f.edge.gossip.heardStore() }
+func (f *fleetFollower) heard(revision int64, at clock.Time) {
+	f.edge.gossip.heardStore()
+	f.edge.confirm(recency.Fleet, revision, at)
+}
 
 func (f *fleetFollower) settle(revision int64) {
 	vms := make([]catalog.VM, 0, len(f.vms))
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -7,8 +7,10 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/platform/published"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -18,7 +20,11 @@
 )
 
 // configFollower takes over the operator's configuration.
-type configFollower struct{ edge *Edge }
+type configFollower struct {
+	edge *Edge
+	// refused is set while the store's version is one that cannot be decoded.
+	refused bool
+}
 
 func (f *configFollower) replace(items map[string]*objects.Object) {
 	if o := items[published.NameConfig]; o != nil {
@@ -31,6 +37,7 @@
 		return
 	}
 	c, err := published.Config(o)
+	f.refused = err != nil
 	if err != nil {
 		f.edge.log.Error("configuration-refused", zap.Int64("revision", o.Meta.Revision), zap.Error(err))
 		return
@@ -42,7 +49,11 @@
 
 func (f *configFollower) settle(int64) {}
 
-func (f *configFollower) heard() {}
+func (f *configFollower) heard(revision int64, at clock.Time) {
+	if !f.refused {
+		f.edge.confirm(recency.Config, revision, at)
+	}
+}
 
 // lostGrace is how long a target whose entry vanished without notice is kept.
 //
@@ -168,7 +179,9 @@
 	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", why))
 }
 
-func (f *targetFollower) heard() {}
+func (f *targetFollower) heard(revision int64, at clock.Time) {
+	f.edge.confirm(recency.Targets, revision, at)
+}
 
 func (f *targetFollower) settle(revision int64) {
 	f.mu.Lock()
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -40,11 +40,12 @@
 
 // gossiper pulls from peers, and answers them.
 type gossiper struct {
-	edge    *Edge
-	clients *gossip.Clients
-	store   atomic.Int64 // clock.Time at which the fleet's list was complete
-	peers   atomic.Pointer[partners.Peers]
-	whole   atomic.Bool // set if whole lists are to be asked for, until one came
+	edge     *Edge
+	clients  *gossip.Clients
+	store    atomic.Int64 // clock.Time at which the fleet's list was complete
+	peers    atomic.Pointer[partners.Peers]
+	whole    atomic.Bool // set if whole lists are to be asked for, until one came
+	outcomes pullOutcomes
 
 	mu     sync.Mutex
 	paused map[string]clock.Time // by address, until when
@@ -56,7 +57,8 @@
 	return &gossiper{
 		edge: e, clients: gossip.NewClients(e.dialFor(spending.Gossip), e.clk),
 		paused: make(map[string]clock.Time), silent: make(map[string]clock.Time),
-		rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		outcomes: newPullOutcomes(e.log, e.metrics, e.started),
 	}
 }
 
@@ -71,7 +73,11 @@
 // Know implements gossip.Source.
 func (g *gossiper) Know() gossip.Knowledge {
 	now := g.edge.clk.Now()
-	k := gossip.Knowledge{Catalog: g.edge.catalog.Load(), Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position), StoreAge: g.age(now), Silences: g.edge.router.Silences()}
+	c := g.edge.catalog.Load()
+	k := gossip.Knowledge{
+		Catalog: c, Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position),
+		StoreAge: g.age(now), Marks: g.edge.marks(c), Silences: g.edge.router.Silences(),
+	}
 	for _, group := range g.edge.groups.Used() {
 		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < proofAge {
 			k.Proofs[group.Service] = p
@@ -192,6 +198,7 @@
 func (g *gossiper) pull(ctx context.Context, vm catalog.VM) {
 	news, err := g.clients.Pull(ctx, vm.Peer, g.question())
 	now := g.edge.clk.Now()
+	g.outcomes.note(now, vm.ID, err)
 	g.mu.Lock()
 	if err != nil {
 		g.paused[vm.Peer] = now.Add(peerPause)
@@ -249,6 +256,9 @@
 		e.router.HeardSilent(addr, at)
 	}
 	g.noteStore(n.Store)
+	for l, m := range n.Marks {
+		e.recency.Note(l, m)
+	}
 }
 
 // RevokeAll implements promoter.Fleet. The list is read anew, so that no VM
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -115,7 +115,7 @@
 		{kind: kindTargets, wait: e.waits(part(drain, watchPart)), idle: e.mayRestIf(knowsTargets), follower: newTargetFollower(e)},
 		{kind: kindFleet, wait: e.waits(fleetWait), idle: e.hearsEnough, follower: newFleetFollower(e)},
 	} {
-		w.store, w.log, w.outage = e.store, e.log, &e.outage
+		w.store, w.log, w.outage, w.clk = e.store, e.log, &e.outage, e.clk
 		if e.set.FirstStart {
 			w.retries = firstRetries
 		}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/spending"
 )
 
@@ -32,6 +33,12 @@
 			Name: "endivemoor_config_version", Help: "Version of the configuration in force."},
 			e.configVersion),
 	)
+	for _, l := range recency.Lists() {
+		e.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "endivemoor_evidence_age_seconds", Help: "Time since this VM's copy of a list was known to be the store's.",
+			ConstLabels: prometheus.Labels{"list": l.String()}},
+			func() float64 { return e.evidenceAge(l).Seconds() }))
+	}
 }
 
 // summaryEvery is the interval of the line that shows that a VM is well, or not.
@@ -43,7 +50,8 @@
 	e.log.Info("summary", zap.Int64("served", t.Served), zap.Int64("failed", t.Failed),
 		zap.Int64("at-replicas", t.AtReplicas), zap.Int64("at-primary", t.AtPrimary),
 		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.gossip.age(e.clk.Now())),
-		zap.Int64("config", int64(e.configVersion())))
+		zap.Int64("config", int64(e.configVersion())), zap.Duration("config-age", e.evidenceAge(recency.Config)),
+		zap.Duration("targets-age", e.evidenceAge(recency.Targets)))
 	e.reportSpent()
 }
 
--- /dev/null
+++ b/edge/pulls.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/clock"
+)
+
+// newsLostAfter is for how long no peer must have answered before a VM logs that it
+// hears no news.
+const newsLostAfter = time.Second
+
+// Results of pulls, as the metrics name them.
+const (
+	pullAnswered = "answered"
+	pullTimedOut = "timed-out"
+	pullFailed   = "failed"
+)
+
+// pullOutcomes tells people what became of pulls: counters by result, and a line when
+// news are lost and regained.
+type pullOutcomes struct {
+	log     *zap.Logger
+	results *prometheus.CounterVec
+
+	mu       sync.Mutex
+	answered clock.Time
+	missed   int
+	lost     bool
+}
+
+func newPullOutcomes(log *zap.Logger, r prometheus.Registerer, started clock.Time) pullOutcomes {
+	results := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivemoor_pulls_total", Help: "Pulls of news from peers, by result."}, []string{"result"})
+	r.MustRegister(results)
+	return pullOutcomes{log: log, results: results, answered: started}
+}
+
+// note takes over what became of one pull from a peer.
+func (o *pullOutcomes) note(now clock.Time, peer string, err error) {
+	o.results.WithLabelValues(pullResult(err)).Inc()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil {
+		o.missed++
+		o.noteLost(now, peer, err)
+		return
+	}
+	if o.lost {
+		o.log.Info("news-regained", zap.Duration("after", now.Sub(o.answered)), zap.Int("missed", o.missed), zap.String("peer", peer))
+	}
+	o.answered, o.missed, o.lost = now, 0, false
+}
+
+func (o *pullOutcomes) noteLost(now clock.Time, peer string, err error) {
+	if o.lost || now.Sub(o.answered) < newsLostAfter {
+		return
+	}
+	o.lost = true
+	o.log.Warn("news-lost", zap.Int("missed", o.missed), zap.String("peer", peer), zap.String("result", pullResult(err)), zap.Error(err))
+}
+
+func pullResult(err error) string {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return pullAnswered
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return pullTimedOut
+	default:
+		return pullFailed
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/retry"
@@ -55,8 +56,9 @@
 	// settle is called after each list and each set of changes, with the
 	// revision up to which all is known.
 	settle(revision int64)
-	// heard is called whenever the store has answered.
-	heard()
+	// heard is called whenever the store has answered: all that was taken over is
+	// complete as of a revision, and was at a moment.
+	heard(revision int64, at clock.Time)
 }
 
 // watch keeps one kind of objects in step with the store.
@@ -68,6 +70,7 @@
 	// the kind was listed; nil never does.
 	idle     func() bool
 	outage   *outage
+	clk      clock.Clock
 	store    *objects.Client
 	log      *zap.Logger
 	follower follower
@@ -122,10 +125,12 @@
 // rest waits until peers tell too little. The kind is then listed anew: what
 // peers told meanwhile is not in the follower's own books.
 func (w *watch) rest(ctx context.Context) {
+	w.log.Info("watch-rests", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 	for w.idle() && wait.For(ctx, idleEvery) {
 		continue
 	}
 	w.revision = 0
+	w.log.Info("watch-resumed", zap.String("kind", w.kind))
 }
 
 // note logs the loss of the store and its return, once each.
@@ -173,10 +178,15 @@
 	if len(p.Events) > 0 {
 		w.follower.settle(w.revision)
 	}
-	w.follower.heard()
+	w.heard(p.Answered)
 	return nil
 }
 
+// heard tells the follower as of when it is up to date.
+func (w *watch) heard(answered time.Time) {
+	w.follower.heard(w.revision, w.clk.Now().Add(-time.Since(answered)))
+}
+
 // maxThick bounds the count of calls that brought news at once: more double the
 // pause beyond its bound.
 const maxThick = 8
@@ -217,8 +227,8 @@
 	if err != nil {
 		return err
 	}
-	w.take(items, first)
-	w.follower.heard()
+	w.take(items, first.Revision)
+	w.heard(first.Answered)
 	return nil
 }
 
@@ -229,13 +239,13 @@
 	w.follower.settle(revision)
 }
 
-// readAll reads all objects by their names, and the revision of the first page.
-func (w *watch) readAll(ctx context.Context, stale bool) (items map[string]*objects.Object, first int64, err error) {
+// readAll reads all objects by their names, and returns the first page as well.
+func (w *watch) readAll(ctx context.Context, stale bool) (items map[string]*objects.Object, first *objects.Page, err error) {
 	items = make(map[string]*objects.Object)
 	list := func(after string) (*objects.Page, error) { return w.page(ctx, after, stale) }
 	err = objects.EachPage(list, func(p *objects.Page) error {
-		if first == 0 {
-			first = p.Revision
+		if first == nil {
+			first = p
 		}
 		for i := range p.Items {
 			items[p.Items[i].Meta.Name] = &p.Items[i]
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -83,6 +84,8 @@
 	Silences map[string]clock.Time
 	// Store is when the list of the fleet was last known to be complete.
 	Store clock.Time
+	// Marks are the peer's evidence that its copies are up to date.
+	Marks map[recency.List]recency.Mark
 }
 
 // Question is what a VM asks of a peer.
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -7,6 +7,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -66,6 +67,9 @@
 	for _, s := range in.GetSilences() {
 		n.noteSilence(s.GetPeer(), sent.Add(-microseconds(s.GetAgeUs())))
 	}
+	n.noteMark(recency.Config, in.GetConfigMark(), sent)
+	n.noteMark(recency.Targets, in.GetTargetsMark(), sent)
+	n.noteMark(recency.Fleet, in.GetFleetMark(), sent)
 	if in.GetConfig() != nil {
 		n.Config = config(in.GetConfig())
 	}
@@ -81,6 +85,30 @@
 	return n
 }
 
+// tellMarks encodes the evidence for each list, with its age.
+func tellMarks(out *gossippb.PullReply, marks map[recency.List]recency.Mark, now clock.Time) {
+	out.ConfigMark = markOf(marks[recency.Config], now)
+	out.TargetsMark = markOf(marks[recency.Targets], now)
+	out.FleetMark = markOf(marks[recency.Fleet], now)
+}
+
+func markOf(m recency.Mark, now clock.Time) *gossippb.Mark {
+	if m.At == 0 {
+		return nil
+	}
+	return &gossippb.Mark{Version: m.Version, Revision: m.Revision, AgeUs: uint64(max(now.Sub(m.At).Microseconds(), 0)) + 1}
+}
+
+func (n *News) noteMark(l recency.List, m *gossippb.Mark, sent clock.Time) {
+	if m == nil {
+		return
+	}
+	if n.Marks == nil {
+		n.Marks = make(map[recency.List]recency.Mark)
+	}
+	n.Marks[l] = recency.Mark{Version: m.GetVersion(), Revision: m.GetRevision(), At: sent.Add(-microseconds(m.GetAgeUs()))}
+}
+
 func (n *News) noteSilence(peer string, at clock.Time) {
 	if n.Silences == nil {
 		n.Silences = make(map[string]clock.Time)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -89,6 +90,20 @@
 	require.Equal(t, p, got)
 }
 
+// Guards against evidence for a list that looks younger than it is, or is told of another list.
+func TestMarksAreToldByListAndNeverYounger(t *testing.T) {
+	theirs, ours := &manual{now: clock.Time(time.Hour)}, &manual{now: clock.Time(time.Minute)}
+	mark := recency.Mark{Version: 9, Revision: 40, At: theirs.now.Add(-2 * time.Second)}
+	_, c, addr := start(t, Knowledge{Catalog: full(), Marks: map[recency.List]recency.Mark{recency.Config: mark}}, theirs, ours)
+	n, err := c.Pull(context.Background(), addr, Question{Self: "me", Known: full()})
+	require.NoError(t, err)
+	require.Len(t, n.Marks, 1, "nothing is told of lists without evidence")
+	got := n.Marks[recency.Config]
+	require.Equal(t, []int64{9, 40}, []int64{got.Version, got.Revision})
+	require.LessOrEqual(t, got.At, ours.now.Add(-2*time.Second))
+	require.Greater(t, got.At, ours.now.Add(-2001*time.Millisecond))
+}
+
 func TestRevokeAndSilence(t *testing.T) {
 	s, c, addr := start(t, Knowledge{Catalog: full()}, &manual{}, &manual{})
 	out := c.RevokeAll(context.Background(), []string{addr}, Revocation{Service: "s", Revision: 30, Deposed: "a"})
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -30,6 +31,8 @@
 	Silences map[string]clock.Time
 	// StoreAge is how long ago the list of the fleet was known to be complete.
 	StoreAge time.Duration
+	// Marks are the evidence that its copies of the store's lists are up to date.
+	Marks map[recency.List]recency.Mark
 }
 
 // Source tells what this VM knows, and takes revocations.
@@ -72,6 +75,7 @@
 	for addr, at := range k.Silences {
 		out.Silences = append(out.Silences, &gossippb.Silence{Peer: addr, AgeUs: uint64(max(now.Sub(at).Microseconds(), 0))})
 	}
+	tellMarks(out, k.Marks, now)
 	c := k.Catalog
 	if c.Config != nil && c.Config.Version > in.GetConfigVersion() {
 		tellConfig(out, c, in)
