--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -46,6 +46,9 @@
 	sessions int
 	// firstStart is set while the whole fleet starts for the first time.
 	firstStart bool
+	// applyWithin is the deployment's bound for a configuration to be in force; 0 is that
+	// of world.Settings.
+	applyWithin time.Duration
 	// ended are earlier processes of VMs that were started again.
 	ended []*vm
 }
@@ -96,6 +99,9 @@
 func (f *fleet) start(name, zone string, number int) {
 	set := world.Settings(name, zone, number)
 	set.FirstStart = f.firstStart
+	if f.applyWithin > 0 {
+		set.Bounds.ApplyMS = f.applyWithin.Milliseconds()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{}), zone: zone, number: number}
 	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -25,12 +25,13 @@
 	cut       map[[2]string]bool
 	conns     map[*conn]bool
 	kills     map[string]int // by host
-	delay     atomic.Int64   // time.Duration
+	links     map[string]*link
+	delay     atomic.Int64 // time.Duration
 }
 
 // New returns an empty network.
 func New() *Network {
-	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), conns: make(map[*conn]bool), kills: make(map[string]int)}
+	return &Network{listeners: make(map[string]*listener), cut: make(map[[2]string]bool), conns: make(map[*conn]bool), kills: make(map[string]int), links: make(map[string]*link)}
 }
 
 // Host is one host's view of the network.
@@ -308,9 +309,16 @@
 	}
 }
 
-// Write implements net.Conn. It never blocks: the other end's buffer has no
-// bound.
+// Write implements net.Conn. It never blocks, as the other end's buffer has no bound,
+// unless one of the hosts has a link with a rate.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.net.rated(c.local, c.remote) {
+		return c.writeRated(b)
+	}
+	return c.write(b)
+}
+
+func (c *conn) write(b []byte) (int, error) {
 	c.mu.Lock()
 	closed, broken := c.closed, c.broken
 	c.mu.Unlock()
@@ -323,7 +331,8 @@
 	if broken || p.closed {
 		return 0, syscall.EPIPE
 	}
-	p.in = append(p.in, chunk{data: append([]byte(nil), b...), due: time.Now().Add(time.Duration(c.net.delay.Load()))})
+	due := c.net.arrival(c.local, c.remote, len(b)).Add(time.Duration(c.net.delay.Load()))
+	p.in = append(p.in, chunk{data: append([]byte(nil), b...), due: due})
 	p.wakeLocked()
 	return len(b), nil
 }
