Rest on evidence for the list itself, and look before its bound is over

Cause, one of three: a VM left the watch of the configuration to others while its store age was below 4 s, and that was the age of the fleet's list. Peers that lack a version keep that age young, and so does a watch of the fleet's records that works beside one of the configuration that does not.

Now each list has its own evidence (recency): it speaks of a version, and counts for a VM that has that version or a later one. A VM looks for itself once the evidence is older than 0.6 to 0.7 of the list's own bound (before: 4 s, whatever the bound, so that a deployment with 3 s had no chance). VMs differ in it, so that the first ones tell the others. A watch of the configuration goes on from the revision that the evidence names, so that looking costs no list. Those that look out wait for a quarter of the bound, a little less than each other: their evidence must reach all before they look.

The same cause elsewhere: the list of targets rested on the fleet's age as well; and the fleet's age itself was taken from a peer whose list did not fit (lists-diverged) and so was not taken. A permission goes by that age. Both go by their own marks now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -65,25 +66,27 @@
 	net         Network
 	incarnation string
 	started     clock.Time
-	catalog     *catalog.Holder
-	recency     recency.Board
-	store       *objects.Client
-	outage      outage
-	duty        *duty.Client
-	pool        *lane.Pool
-	local       *dispatch.Local
-	router      *relay.Router
-	relay       *relay.Server
-	groups      *groups.Registry
-	placing     *placing.Board
-	counts      *engine.Metrics
-	engine      *engine.Engine
-	fleet       *fleet
-	gossip      *gossiper
-	promoter    *promoter.Promoter
-	sessions    *sessions
-	listeners   []net.Listener
-	ends        ends
+	// haste is where in lookAfterSpread this VM is, from 0 to 1.
+	haste     float64
+	catalog   *catalog.Holder
+	recency   recency.Board
+	store     *objects.Client
+	outage    outage
+	duty      *duty.Client
+	pool      *lane.Pool
+	local     *dispatch.Local
+	router    *relay.Router
+	relay     *relay.Server
+	groups    *groups.Registry
+	placing   *placing.Board
+	counts    *engine.Metrics
+	engine    *engine.Engine
+	fleet     *fleet
+	gossip    *gossiper
+	promoter  *promoter.Promoter
+	sessions  *sessions
+	listeners []net.Listener
+	ends      ends
 }
 
 // Options are what the command line sets.
@@ -137,6 +140,7 @@
 		duty:        duty.New(set.Duty.Addr, newTransport(network.DialContext)),
 		placing:     placing.NewBoard(),
 		started:     clk.Now(),
+		haste:       mathrand.Float64(),
 	}
 	e.spent = spending.NewMeter(e.metrics)
 	e.store = objects.New(set.Platform.Addr, newTransport(e.dialFor(spending.Store)))
--- a/edge/fleetfollower.go
+++ b/edge/fleetfollower.go
@@ -116,7 +116,6 @@
 }
 
 func (f *fleetFollower) heard(revision int64, at clock.Time) {
-	f.edge.gossip.heardStore()
 	f.edge.confirm(recency.Fleet, revision, at)
 }
 
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -20,6 +20,7 @@
 	"endivemoor.example/endivemoor/partners"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/platform/published"
+	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -42,7 +43,6 @@
 type gossiper struct {
 	edge     *Edge
 	clients  *gossip.Clients
-	store    atomic.Int64 // clock.Time at which the fleet's list was complete
 	peers    atomic.Pointer[partners.Peers]
 	whole    atomic.Bool // set if whole lists are to be asked for, until one came
 	outcomes pullOutcomes
@@ -76,7 +76,7 @@
 	c := g.edge.catalog.Load()
 	k := gossip.Knowledge{
 		Catalog: c, Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position),
-		StoreAge: g.age(now), Marks: g.edge.marks(c), Silences: g.edge.router.Silences(),
+		Marks: g.edge.marks(c), Silences: g.edge.router.Silences(),
 	}
 	for _, group := range g.edge.groups.Used() {
 		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < proofAge {
@@ -94,31 +94,10 @@
 	return group.Acknowledged.Bound()
 }
 
-// heardStore records that the fleet's list is complete as of now.
-func (g *gossiper) heardStore() { g.noteStore(g.edge.clk.Now()) }
-
-func (g *gossiper) noteStore(at clock.Time) {
-	for {
-		old := g.store.Load()
-		if int64(at) <= old || g.store.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
-}
-
-// age is how long ago the fleet's list was complete.
-func (g *gossiper) age(now clock.Time) time.Duration {
-	at := g.store.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return now.Sub(clock.Time(at))
-}
-
 // eligible reports whether this VM is surely on the list by which others ask
 // for permissions: the list is young, and this run of the VM is on it.
 func (g *gossiper) eligible() bool {
-	if g.edge.ends.leaving.Load() || g.age(g.edge.clk.Now()) > storeAge {
+	if g.edge.ends.leaving.Load() || g.edge.evidenceAge(recency.Fleet) > storeAge {
 		return false
 	}
 	vm, ok := g.edge.catalog.Load().VM(g.edge.set.Node)
@@ -255,7 +234,6 @@
 	for addr, at := range n.Silences {
 		e.router.HeardSilent(addr, at)
 	}
-	g.noteStore(n.Store)
 	for l, m := range n.Marks {
 		e.recency.Note(l, m)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -28,7 +28,7 @@
 			func() float64 { return float64(e.sessions.count()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "endivemoor_store_age_seconds", Help: "Time since the fleet's list was known to be complete."},
-			func() float64 { return e.gossip.age(e.clk.Now()).Seconds() }),
+			func() float64 { return e.evidenceAge(recency.Fleet).Seconds() }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "endivemoor_config_version", Help: "Version of the configuration in force."},
 			e.configVersion),
@@ -49,7 +49,7 @@
 	t := e.counts.Totals()
 	e.log.Info("summary", zap.Int64("served", t.Served), zap.Int64("failed", t.Failed),
 		zap.Int64("at-replicas", t.AtReplicas), zap.Int64("at-primary", t.AtPrimary),
-		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.gossip.age(e.clk.Now())),
+		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.evidenceAge(recency.Fleet)),
 		zap.Int64("config", int64(e.configVersion())), zap.Duration("config-age", e.evidenceAge(recency.Config)),
 		zap.Duration("targets-age", e.evidenceAge(recency.Targets)))
 	e.reportSpent()
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -19,13 +19,13 @@
 	// bound of its own. A call that returns without news costs as much as one with.
 	watchWait = 10 * time.Second
 	// fleetWait is that of the fleet's own records: it bounds the age of the
-	// list that permissions go by, and tells the VMs that wait long that the
-	// store is heard of. It is below newsAge.
+	// list that permissions go by. It is below newsAge.
 	fleetWait = 2 * time.Second
 	// watchPart is the part of a bound that one watch call may wait: a change
 	// that a silent watch has missed must still be in force in time, after
-	// callTimeout and the list that follows.
-	watchPart = 0.4
+	// callTimeout and the list that follows, and the evidence that a call brings must
+	// reach all VMs before they look for themselves.
+	watchPart = 0.25
 	// callTimeout bounds a call to the store beyond its waiting time.
 	callTimeout = 1200 * time.Millisecond
 	// thickWithin is how soon after it was sent a watch call must bring news for these
@@ -64,18 +64,23 @@
 // watch keeps one kind of objects in step with the store.
 type watch struct {
 	kind string
-	// wait returns how long one call waits for news.
-	wait func() time.Duration
+	// short is how long one call waits for news.
+	short time.Duration
+	// others reports whether others look out, so that calls may wait for watchWait.
+	others func() bool
 	// idle reports whether peers tell enough, so that nothing is watched once
 	// the kind was listed; nil never does.
-	idle     func() bool
-	outage   *outage
-	clk      clock.Clock
-	store    *objects.Client
-	log      *zap.Logger
-	follower follower
-	revision int64
-	failures int
+	idle func() bool
+	// resumeFrom returns the revision from which the watch goes on after a rest; nil, or
+	// a result of 0, lists the kind anew.
+	resumeFrom func() int64
+	outage     *outage
+	clk        clock.Clock
+	store      *objects.Client
+	log        *zap.Logger
+	follower   follower
+	revision   int64
+	failures   int
 	// listed is set once the kind was listed.
 	listed bool
 	// retries is how often a first list that is empty is read again.
@@ -122,15 +127,19 @@
 // idleEvery is how often a watch that rests looks if it is needed.
 const idleEvery = 500 * time.Millisecond
 
-// rest waits until peers tell too little. The kind is then listed anew: what
-// peers told meanwhile is not in the follower's own books.
+// rest waits until peers tell too little. Unless the watch can go on from where peers
+// have come, the kind is then listed anew: what they told meanwhile is not in the
+// follower's own books.
 func (w *watch) rest(ctx context.Context) {
 	w.log.Info("watch-rests", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 	for w.idle() && wait.For(ctx, idleEvery) {
 		continue
 	}
 	w.revision = 0
-	w.log.Info("watch-resumed", zap.String("kind", w.kind))
+	if w.resumeFrom != nil {
+		w.revision = w.resumeFrom()
+	}
+	w.log.Info("watch-resumed", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 }
 
 // note logs the loss of the store and its return, once each.
@@ -153,11 +162,8 @@
 	if w.revision == 0 {
 		return w.list(ctx)
 	}
-	wait := w.wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	sent := time.Now()
-	p, err := w.store.Watch(ctx, w.kind, w.revision, wait)
+	p, err := w.await(ctx)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.log.Info("history-gone", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 		w.revision = 0
@@ -182,6 +188,21 @@
 	return nil
 }
 
+// await waits for news: shortly where this VM looks out, and long otherwise.
+func (w *watch) await(ctx context.Context) (*objects.Page, error) {
+	wait := watchWait
+	if !w.others() {
+		wait = time.Duration(float64(w.short) * (1 - shortSpread*rand.Float64()))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return w.store.Watch(ctx, w.kind, w.revision, wait)
+}
+
+// shortSpread is the part of a short wait by which calls differ, so that those of the
+// VMs that look out do not end together: the youngest evidence counts.
+const shortSpread = 0.25
+
 // heard tells the follower as of when it is up to date.
 func (w *watch) heard(answered time.Time) {
 	w.follower.heard(w.revision, w.clk.Now().Add(-time.Since(answered)))
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -82,8 +82,6 @@
 	Diverged bool
 	// Silences are the peers, by address, that somebody could not reach lately, and when.
 	Silences map[string]clock.Time
-	// Store is when the list of the fleet was last known to be complete.
-	Store clock.Time
 	// Marks are the peer's evidence that its copies are up to date.
 	Marks map[recency.List]recency.Mark
 }
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -60,7 +60,7 @@
 // later than that, so that every moment is at least as early as it truly was.
 // Changes are applied to what the question said to be known.
 func newsOf(in *gossippb.PullReply, known *catalog.Catalog, sent clock.Time) *News {
-	n := &News{Proofs: make(map[string]freshness.Proof, len(in.GetEvidence())), Acknowledged: make(map[string]timeline.Position), Store: sent.Add(-microseconds(in.GetStoreAgeUs()))}
+	n := &News{Proofs: make(map[string]freshness.Proof, len(in.GetEvidence())), Acknowledged: make(map[string]timeline.Position)}
 	for _, e := range in.GetEvidence() {
 		n.Proofs[e.GetService()], n.Acknowledged[e.GetService()] = ProofOf(e, sent)
 	}
@@ -92,6 +92,14 @@
 	out.FleetMark = markOf(marks[recency.Fleet], now)
 }
 
+// ageOf is the age of evidence.
+func ageOf(m recency.Mark, now clock.Time) time.Duration {
+	if m.At == 0 {
+		return recency.Unknown
+	}
+	return now.Sub(m.At)
+}
+
 func markOf(m recency.Mark, now clock.Time) *gossippb.Mark {
 	if m.At == 0 {
 		return nil
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -29,8 +28,6 @@
 	Acknowledged map[string]timeline.Position
 	// Silences are the peers, by address, that could not be reached lately, and when.
 	Silences map[string]clock.Time
-	// StoreAge is how long ago the list of the fleet was known to be complete.
-	StoreAge time.Duration
 	// Marks are the evidence that its copies of the store's lists are up to date.
 	Marks map[recency.List]recency.Mark
 }
@@ -64,8 +61,8 @@
 // Pull implements gossippb.Gossip.
 func (s *Server) Pull(_ context.Context, in *gossippb.PullRequest) (*gossippb.PullReply, error) {
 	k := s.source.Know()
-	out := &gossippb.PullReply{StoreAgeUs: uint64(k.StoreAge.Microseconds())}
 	now := s.clk.Now()
+	out := &gossippb.PullReply{StoreAgeUs: uint64(ageOf(k.Marks[recency.Fleet], now).Microseconds())}
 	for service, p := range k.Proofs {
 		if in.GetSelects() && !slices.Contains(in.GetServices(), service) {
 			continue
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// Silence makes the open connections between two hosts carry nothing any more, without
+// an end; new ones work.
+func (n *Network) Silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if pair(c.local, c.remote) == pair(a, b) {
+			c.silent.Store(true)
+		}
+	}
+}
+
 func (n *Network) setCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -226,6 +238,7 @@
 	net           *Network
 	local, remote string
 	peer          *conn
+	silent        atomic.Bool
 
 	mu       sync.Mutex
 	in       []chunk
@@ -254,7 +267,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
-		held := c.net.isCut(c.local, c.remote)
+		held := c.silent.Load() || c.net.isCut(c.local, c.remote)
 		c.mu.Lock()
 		n, wait, err := c.take(b, held)
 		changed := c.changed
@@ -325,13 +338,14 @@
 	if closed {
 		return 0, net.ErrClosed
 	}
+	// The network's lock goes before those of connections.
+	due := c.net.arrival(c.local, c.remote, len(b)).Add(time.Duration(c.net.delay.Load()))
 	p := c.peer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if broken || p.closed {
 		return 0, syscall.EPIPE
 	}
-	due := c.net.arrival(c.local, c.remote, len(b)).Add(time.Duration(c.net.delay.Load()))
 	p.in = append(p.in, chunk{data: append([]byte(nil), b...), due: due})
 	p.wakeLocked()
 	return len(b), nil
