--- a/edge/largeconfig_test.go
+++ b/edge/largeconfig_test.go
@@ -121,3 +121,23 @@
 		f.inForce(lastOf(routes))
 	})
 }
+
+// Guards against a VM that sits in a long watch which has gone silent after those that look out were turned away.
+func TestConfigurationIsInForceThoughWatchesAreSilent(t *testing.T) {
+	fast := func(string, []string) int { return 0 }
+	playOverLinks(t, 9, fast, func(f *fleet) {
+		names := slices.Collect(maps.Keys(f.vms))
+		for _, name := range lookoutsOf(names)[:3] {
+			f.world.Store.RefuseKind(name, "config")
+		}
+		f.world.SetRoutes(routesUpTo(9)...)
+		time.Sleep(time.Second)
+		for _, name := range names {
+			f.world.SilenceStore(name)
+		}
+		routes := routesUpTo(10)
+		f.world.SetRoutes(routes...)
+		time.Sleep(applyWithin)
+		f.inForce(lastOf(routes))
+	})
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -104,6 +104,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errUnheard) {
+			w.log.Info("watch-shortened", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
+			continue
+		}
 		w.outage.note(err)
 		w.note(err)
 		if err == nil {
@@ -188,12 +192,15 @@
 	return nil
 }
 
+// errUnheard says that a long call was ended because others look out no more.
+var errUnheard = errors.New("others do not look out any more")
+
 // await waits for news: shortly where this VM looks out, and long otherwise.
 func (w *watch) await(ctx context.Context) (*objects.Page, error) {
-	wait := watchWait
-	if !w.others() {
-		wait = time.Duration(float64(w.short) * (1 - shortSpread*rand.Float64()))
+	if w.others() {
+		return w.awaitLong(ctx)
 	}
+	wait := time.Duration(float64(w.short) * (1 - shortSpread*rand.Float64()))
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	return w.store.Watch(ctx, w.kind, w.revision, wait)
@@ -203,6 +210,42 @@
 // VMs that look out do not end together: the youngest evidence counts.
 const shortSpread = 0.25
 
+// awaitLong waits for news while others look out.
+//
+// Failure guarded against: this VM's call has gone silent when those that look out are
+// gone or turned away, and it learns of a change only after watchWait.
+func (w *watch) awaitLong(ctx context.Context) (*objects.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	ctx, unheard := context.WithCancelCause(ctx)
+	done := make(chan struct{})
+	defer close(done)
+	go w.cutShort(done, unheard)
+	p, err := w.store.Watch(ctx, w.kind, w.revision, watchWait)
+	if err != nil && errors.Is(context.Cause(ctx), errUnheard) {
+		return nil, errUnheard
+	}
+	return p, err
+}
+
+// cutShort ends a long call once others do not look out any more.
+func (w *watch) cutShort(done <-chan struct{}, unheard context.CancelCauseFunc) {
+	tick := time.NewTicker(idleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			unheard(nil)
+			return
+		case <-tick.C:
+			if !w.others() {
+				unheard(errUnheard)
+				return
+			}
+		}
+	}
+}
+
 // heard tells the follower as of when it is up to date.
 func (w *watch) heard(answered time.Time) {
 	w.follower.heard(w.revision, w.clk.Now().Add(-time.Since(answered)))
