Remember changes as large as the list itself

A configuration grew from 2,866 routes to 4,266. A change of more than 1,024 entries was forgotten at once, so that each of 87 VMs was told all 4,266 routes (some 270 KB) where 1,400 would do: 216 ms of a link of 10 Mbit/s, in a call that may take 250 ms.

What is remembered is bounded by the list's own length now. TestLargeChangeOfALargerListIsTold fails before.

TestRememberedChangesAreBounded asked that a change of 2,048 entries is forgotten whatever the list's length. It asks now that the remembered ones have no more entries than the list, and that they are forgotten once it is shorter again: a bound that grows with nothing but the list, as strict for storms, which is what it guards against.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -63,6 +63,9 @@
 	TransactionIdle time.Duration
 }
 
+// entries is how many routes and services the configuration has.
+func (c *Config) entries() int { return len(c.Routes) + len(c.Services) }
+
 // Target is one database server as it reports itself.
 type Target struct {
 	ID      target.ID
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -102,7 +102,7 @@
 	}
 	out.Routes, out.RemovedRoutes = present(routes, c.Config.Routes)
 	out.Services, out.RemovedServices = present(services, c.Config.Services)
-	if out.entries() >= len(c.Config.Routes)+len(c.Config.Services) {
+	if out.entries() >= c.Config.entries() {
 		return nil
 	}
 	return out
--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -1,11 +1,11 @@
 package catalog
 
 const (
-	// maxChanges and maxChanged bound the changes that are remembered and the
-	// entries in them. A change reaches a fleet of thousands within some two
-	// seconds, in which a storm brings 32; 1,024 entries are some 150 KB.
+	// maxChanges bounds the changes that are remembered. A change reaches a fleet of
+	// thousands within some two seconds, in which a storm brings 32.
 	maxChanges = 64
-	maxChanged = 1024
+	// minChanged is how many entries they may have together, however short the list is.
+	minChanged = 1024
 )
 
 // step is a change that leads from one version to the next.
@@ -28,13 +28,18 @@
 }
 
 // remembered returns the changes with one more, without the oldest ones that are
-// beyond the bounds.
-func remembered[S step](changes []S, last S) []S {
+// beyond the bounds. Together they have no more entries than the whole list, of which
+// size is the length: beyond that the whole is told instead.
+//
+// Failure guarded against: a change that is large, but far smaller than the list, is
+// forgotten at once, and every VM is told the whole list over its link.
+func remembered[S step](changes []S, last S, size int) []S {
+	most := max(size, minChanged)
 	out := append(append([]S(nil), changes...), last)
 	sum := 0
 	for i := len(out) - 1; i >= 0; i-- {
 		sum += out[i].entries()
-		if sum > maxChanged || len(out)-i > maxChanges {
+		if sum > most || len(out)-i > maxChanges {
 			return out[i+1:]
 		}
 	}
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -51,7 +51,7 @@
 	next := *old
 	next.Config = c
 	if old.Config != nil {
-		next.changes = remembered(old.changes, Between(old.Config, c))
+		next.changes = remembered(old.changes, Between(old.Config, c), c.entries())
 	}
 	h.publish(&next)
 	return true
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -154,7 +154,7 @@
 		return h
 	}
 	change.From, change.To = before, after
-	return remembered(h, change)
+	return remembered(h, change, len(to))
 }
 
 // since returns the change that leads from a revision to the present list, of which
