Read large lists from peers range by range, each in a call of its own

Cause, the second of three: a pull is bounded by 250 ms and carried the whole configuration, some 270 KB of 4,266 routes, which takes 216 ms of a free link of 10 Mbit/s. Two pulls at once, or any other traffic, and neither ended in time. Nothing of them was kept, the next ones came 200 ms later: the link was full of what nobody could use, and the VM got no proofs, targets or marks either. Evidence: incoming links full (1.1 to 1.4 MB/s) on 15 VMs, on each from the new version's ack until it has it; 2 to 3.4 MB by gossip there, 0.4 to 0.9 MB elsewhere. Processors below 5%. Its names now compress as badly as real ones.

The class is bulk data in a path with a deadline for small messages, retried from nothing. What is small goes on meanwhile. It holds for the lists of targets and VMs as well, which are as large in fleets of hundreds and were told whole in one reply (the same fault, not seen yet). VMs of an earlier version are told all, as before.

Ruled out: a longer limit for pulls (a VM that cannot be reached would be found out as much later, and two whole lists still share a link), fewer pulls (the same in fleets of three).

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -46,6 +46,7 @@
 	peers    atomic.Pointer[partners.Peers]
 	whole    atomic.Bool // set if whole lists are to be asked for, until one came
 	outcomes pullOutcomes
+	fetching atomic.Bool // set while a bulk is read
 
 	mu     sync.Mutex
 	paused map[string]clock.Time // by address, until when
@@ -175,7 +176,8 @@
 }
 
 func (g *gossiper) pull(ctx context.Context, vm catalog.VM) {
-	news, err := g.clients.Pull(ctx, vm.Peer, g.question())
+	q := g.question()
+	news, err := g.clients.Pull(ctx, vm.Peer, q)
 	now := g.edge.clk.Now()
 	g.outcomes.note(now, vm.ID, err)
 	g.mu.Lock()
@@ -191,6 +193,26 @@
 	delete(g.silent, vm.ID)
 	g.mu.Unlock()
 	g.take(news)
+	g.fetch(ctx, vm, q, news.Bulks)
+}
+
+// fetch reads the lists that were too large for a peer's answer, one at a time: two would
+// share this VM's link, and the same list from two peers would fill it twice. What is
+// not read now is offered again by whoever is asked next.
+func (g *gossiper) fetch(ctx context.Context, vm catalog.VM, q gossip.Question, bulks []gossip.Bulk) {
+	if len(bulks) == 0 || g.fetching.Swap(true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	for _, b := range bulks {
+		began := g.edge.clk.Now()
+		news, err := g.clients.Fetch(ctx, vm.Peer, q, b)
+		g.edge.log.Info("bulk-read", zap.String("peer", vm.ID), zap.Int("bytes", b.Size()), zap.Duration("took", g.edge.clk.Now().Sub(began)), zap.Error(err))
+		if err != nil {
+			return
+		}
+		g.take(news)
+	}
 }
 
 // keep takes over the fleet's list, and forgets peers that are no longer on it.
--- a/edge/largeconfig_test.go
+++ b/edge/largeconfig_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/catalog"
@@ -27,7 +29,8 @@
 	out := standardRoutes()
 	for i := len(out); i < n; i++ {
 		out = append(out, catalog.Route{
-			Database: fmt.Sprintf("tenant%04dx7", i), Service: service, Freshness: catalog.Bounded, MaxAge: 1500 * time.Millisecond,
+			// Names that compress no better than those of tenants do.
+			Database: strconv.FormatUint(xxhash.Sum64String(strconv.Itoa(i)), 36), Service: service, Freshness: catalog.Bounded, MaxAge: 1500 * time.Millisecond,
 			StatementTimeout: time.Second, Objective: 400 * time.Millisecond, Priority: 2,
 		})
 	}
--- a/edge/pulls.go
+++ b/edge/pulls.go
@@ -1,15 +1,14 @@
 package edge
 
 import (
-	"net"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/internal/wait"
 )
 
 // newsLostAfter is for how long no peer must have answered before a VM logs that it
@@ -67,11 +66,10 @@
 }
 
 func pullResult(err error) string {
-	var timeout net.Error
 	switch {
 	case err == nil:
 		return pullAnswered
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case wait.IsTimeout(err):
 		return pullTimedOut
 	default:
 		return pullFailed
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -84,6 +84,8 @@
 	Silences map[string]clock.Time
 	// Marks are the peer's evidence that its copies are up to date.
 	Marks map[recency.List]recency.Mark
+	// Bulks are lists that are too large to come along; Fetch reads them.
+	Bulks []Bulk
 }
 
 // Question is what a VM asks of a peer.
@@ -104,7 +106,7 @@
 	known := q.Known
 	in := &gossippb.PullRequest{
 		Vm: q.Self, TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision,
-		TakesChanges: !q.Whole, Selects: q.Selects, Services: q.Services,
+		TakesChanges: !q.Whole, TakesBulks: true, Selects: q.Selects, Services: q.Services,
 	}
 	if known.Config != nil {
 		in.ConfigVersion = known.Config.Version
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -67,6 +67,7 @@
 	for _, s := range in.GetSilences() {
 		n.noteSilence(s.GetPeer(), sent.Add(-microseconds(s.GetAgeUs())))
 	}
+	n.Bulks = bulksOf(in.GetBulks())
 	n.noteMark(recency.Config, in.GetConfigMark(), sent)
 	n.noteMark(recency.Targets, in.GetTargetsMark(), sent)
 	n.noteMark(recency.Fleet, in.GetFleetMark(), sent)
--- a/gossip/revoke_test.go
+++ b/gossip/revoke_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/gossip/gossippb"
@@ -74,6 +75,10 @@
 	return &gossippb.PullReply{}, nil
 }
 
+func (d *deaf) Read(context.Context, *gossippb.ReadRequest) (*gossippb.ReadReply, error) {
+	return nil, twirp.NewError(twirp.BadRoute, "not known")
+}
+
 func (d *deaf) Revoke(_ context.Context, in *gossippb.RevokeRequest) (*gossippb.RevokeReply, error) {
 	p := d.source.Revoke(in.GetService(), in.GetRevision(), target.ID(in.GetDeposed()))
 	return &gossippb.RevokeReply{AcknowledgedTerm: uint64(p.Term), AcknowledgedNumber: uint64(p.LSN)}, nil
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -46,11 +46,12 @@
 	source  Source
 	clients *Clients
 	clk     clock.Clock
+	bulks   *bulks
 }
 
 // NewHandler returns the HTTP face of a Server, which asks others by clients.
 func NewHandler(source Source, clients *Clients, clk clock.Clock) http.Handler {
-	return terse.Handler(gossippb.NewGossipServer(&Server{source: source, clients: clients, clk: clk}))
+	return terse.Handler(gossippb.NewGossipServer(&Server{source: source, clients: clients, clk: clk, bulks: newBulks()}))
 }
 
 // NewHTTPServer returns the server that peers call.
@@ -73,17 +74,34 @@
 		out.Silences = append(out.Silences, &gossippb.Silence{Peer: addr, AgeUs: uint64(max(now.Sub(at).Microseconds(), 0))})
 	}
 	tellMarks(out, k.Marks, now)
-	c := k.Catalog
-	if c.Config != nil && c.Config.Version > in.GetConfigVersion() {
-		tellConfig(out, c, in)
+	return out, s.tellLists(out, in, k.Catalog)
+}
+
+// tellLists tells of each list that is later than the peer's what has changed, or all
+// of it.
+func (s *Server) tellLists(out *gossippb.PullReply, in *gossippb.PullRequest, c *catalog.Catalog) error {
+	tell := func(l recency.List, from, to int64, build func(*gossippb.PullReply)) error {
+		if to <= from {
+			return nil
+		}
+		if !in.GetTakesChanges() {
+			from = whole
+		}
+		return s.tellList(out, in, bulkKey{l, from, to}, build)
+	}
+	version := int64(0)
+	if c.Config != nil {
+		version = c.Config.Version
 	}
-	if c.TargetsRevision > in.GetTargetsRevision() {
-		tellTargets(out, c, in)
+	err := tell(recency.Config, in.GetConfigVersion(), version, func(out *gossippb.PullReply) { tellConfig(out, c, in) })
+	if err != nil {
+		return err
 	}
-	if c.FleetRevision > in.GetFleetRevision() {
-		tellFleet(out, c, in)
+	err = tell(recency.Targets, in.GetTargetsRevision(), c.TargetsRevision, func(out *gossippb.PullReply) { tellTargets(out, c, in) })
+	if err != nil {
+		return err
 	}
-	return out, nil
+	return tell(recency.Fleet, in.GetFleetRevision(), c.FleetRevision, func(out *gossippb.PullReply) { tellFleet(out, c, in) })
 }
 
 // tellConfig tells what leads to the present configuration, or all of it.
