Bound the store's answers by their progress instead of their length

A configuration of 780 KB takes 0.63 s of a free link of 10 Mbit/s, and the links were not free. The call was ended though its bytes came, and asked for again from its beginning.

An answer must begin within 1.2 s, as before; then it must come on, and be whole within 10 s. A call that is silent ends as soon as it did.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -23,10 +23,10 @@
 	fleetWait = 2 * time.Second
 	// watchPart is the part of a bound that one watch call may wait: a change
 	// that a silent watch has missed must still be in force in time, after
-	// callTimeout and the list that follows, and the evidence that a call brings must
+	// objects.AnswerWithin and the list that follows, and the evidence that a call brings must
 	// reach all VMs before they look for themselves.
 	watchPart = 0.25
-	// callTimeout bounds a call to the store beyond its waiting time.
+	// callTimeout bounds a call to the store that changes or reads one small object.
 	callTimeout = 1200 * time.Millisecond
 	// thickWithin is how soon after it was sent a watch call must bring news for these
 	// to come thick.
@@ -201,8 +201,6 @@
 		return w.awaitLong(ctx)
 	}
 	wait := time.Duration(float64(w.short) * (1 - shortSpread*rand.Float64()))
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	return w.store.Watch(ctx, w.kind, w.revision, wait)
 }
 
@@ -215,8 +213,6 @@
 // Failure guarded against: this VM's call has gone silent when those that look out are
 // gone or turned away, and it learns of a change only after watchWait.
 func (w *watch) awaitLong(ctx context.Context) (*objects.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
 	ctx, unheard := context.WithCancelCause(ctx)
 	done := make(chan struct{})
 	defer close(done)
@@ -306,7 +302,7 @@
 // readAll reads all objects by their names, and returns the first page as well.
 func (w *watch) readAll(ctx context.Context, stale bool) (items map[string]*objects.Object, first *objects.Page, err error) {
 	items = make(map[string]*objects.Object)
-	list := func(after string) (*objects.Page, error) { return w.page(ctx, after, stale) }
+	list := func(after string) (*objects.Page, error) { return w.store.List(ctx, w.kind, after, stale) }
 	err = objects.EachPage(list, func(p *objects.Page) error {
 		if first == nil {
 			first = p
@@ -318,9 +314,3 @@
 	})
 	return items, first, err
 }
-
-func (w *watch) page(ctx context.Context, after string, stale bool) (*objects.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return w.store.List(ctx, w.kind, after, stale)
-}
