Distrust what a VM has seen of a primary while its own path is bad

Cause: the VMs whose links were full took primaries for silent that served everybody else (i-34c18b9a01 served 84 to 100 requests a second up to then), and began to replace them. Their orders took seconds: b-3 recorded an attempt at 70.5 s and ordered the promotion at 74.7 s, and nobody led meanwhile. Evidence: the attempts of b-3 and a-16 in the platform's log, two VMs of the four whose links were full for the longest time.

A VM that has reached no peer for 0.6 s (a refused connection counts as reached) goes on with an attempt only if all other targets answer its questions within 150 ms, and a primary that seemed silent does not answer then. Once it reaches others again it forgets what went unanswered, as after a standstill of its own.

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -261,6 +261,9 @@
 	}
 }
 
+// Reaches implements promoter.Fleet.
+func (g *gossiper) Reaches(now clock.Time) bool { return g.outcomes.reaches(now) }
+
 // RevokeAll implements promoter.Fleet. The list is read anew, so that no VM
 // is missed that joined before the attempt was recorded; one that joins later
 // sees the attempt before it sees itself on the list.
--- a/edge/pulls.go
+++ b/edge/pulls.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -15,6 +17,10 @@
 // hears no news.
 const newsLostAfter = time.Second
 
+// apartAfter is for how long no peer must have been reached before a VM takes itself for
+// cut off: two rounds of pulls, and the time that a call has.
+const apartAfter = 600 * time.Millisecond
+
 // Results of pulls, as the metrics name them.
 const (
 	pullAnswered = "answered"
@@ -30,15 +36,17 @@
 
 	mu       sync.Mutex
 	answered clock.Time
-	missed   int
-	lost     bool
+	// reached is when a peer has answered, or its host has refused a connection.
+	reached clock.Time
+	missed  int
+	lost    bool
 }
 
 func newPullOutcomes(log *zap.Logger, r prometheus.Registerer, started clock.Time) pullOutcomes {
 	results := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivemoor_pulls_total", Help: "Pulls of news from peers, by result."}, []string{"result"})
 	r.MustRegister(results)
-	return pullOutcomes{log: log, results: results, answered: started}
+	return pullOutcomes{log: log, results: results, answered: started, reached: started}
 }
 
 // note takes over what became of one pull from a peer.
@@ -46,6 +54,9 @@
 	o.results.WithLabelValues(pullResult(err)).Inc()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		o.reached = now
+	}
 	if err != nil {
 		o.missed++
 		o.noteLost(now, peer, err)
@@ -65,6 +76,13 @@
 	o.log.Warn("news-lost", zap.Int("missed", o.missed), zap.String("peer", peer), zap.String("result", pullResult(err)), zap.Error(err))
 }
 
+// reaches reports whether this VM has reached any peer lately, or has not tried.
+func (o *pullOutcomes) reaches(now clock.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.missed == 0 || now.Sub(o.reached) < apartAfter
+}
+
 func pullResult(err error) string {
 	switch {
 	case err == nil:
--- a/internal/memnet/link.go
+++ b/internal/memnet/link.go
@@ -17,15 +17,34 @@
 }
 
 // SetRate bounds what a host sends, and what it receives, in bytes per second; 0 is no
-// bound. Set it before the host has connections.
+// bound, and what waits arrives at once.
 func (n *Network) SetRate(host string, rate int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if rate == 0 {
-		delete(n.links, host)
+	if rate > 0 {
+		n.links[host] = &link{rate: rate}
 		return
 	}
-	n.links[host] = &link{rate: rate}
+	delete(n.links, host)
+	for c := range n.conns {
+		c.hurry(host)
+	}
+	// Writers wait for what the other end has.
+	for c := range n.conns {
+		c.wake()
+	}
+}
+
+// hurry lets all that is on its way from or to a host arrive at this end.
+func (c *conn) hurry(host string) {
+	if c.local != host && c.remote != host {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.in {
+		c.in[i].due = time.Now()
+	}
 }
 
 func (n *Network) rated(a, b string) bool {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -67,6 +67,7 @@
 	errNear        = errors.New("a replica is not far behind")
 	errIdle        = errors.New("the primary is not busy")
 	errRecovered   = errors.New("the primary answers again")
+	errOwnPath     = errors.New("this VM reaches no other, and targets only slowly: its own path may be at fault")
 	errReborn      = errors.New("the target has started again and forgotten what it held")
 )
 
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -18,7 +18,10 @@
 	if len(a.others) < a.enough() {
 		return errTooFew
 	}
-	statuses := a.all(ctx, a.others, lane.AskStatus)
+	statuses, err := a.askOthers(ctx)
+	if err != nil {
+		return err
+	}
 	holds := false
 	for _, s := range statuses {
 		if s.err != nil {
@@ -44,6 +47,38 @@
 	}
 }
 
+// promptAnswers is how soon all other targets must answer a VM that reaches no other VM.
+//
+// Failure guarded against: a VM's own link is full. What it asks goes unanswered or is
+// answered late, so that it takes a primary for silent that serves everybody else, and
+// its orders take seconds, in which the service has no primary. A VM that is the last
+// one left is answered promptly.
+const promptAnswers = 150 * time.Millisecond
+
+// askOthers asks all other targets for their status. A VM that reaches no other VM trusts
+// what it has seen of the primary only while its own path is good.
+func (a *attempt) askOthers(ctx context.Context) ([]told, error) {
+	asked, reached := a.p.cfg.Clock.Now(), a.p.reachesOthers()
+	statuses := a.all(ctx, a.others, lane.AskStatus)
+	took := a.p.cfg.Clock.Now().Sub(asked)
+	if reached && a.p.reachesOthers() {
+		return statuses, nil
+	}
+	if took > promptAnswers {
+		return nil, errOwnPath
+	}
+	if a.reason.Unanswered() && a.answersNow(ctx) {
+		return nil, errRecovered
+	}
+	return statuses, nil
+}
+
+// answersNow reports whether the old primary answers a question.
+func (a *attempt) answersNow(ctx context.Context) bool {
+	_, err := a.g.Status(ctx, a.old, spending.Change, askTimeout)
+	return err == nil
+}
+
 // enough is how many other targets are needed. A planned change knows where
 // the old primary's log ends, so that one which holds that will do.
 func (a *attempt) enough() int {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -40,6 +40,9 @@
 	// permission. The list is read from the store after the attempt was
 	// recorded there.
 	RevokeAll(ctx context.Context, held *catalog.Reign) bool
+	// Reaches reports whether this VM reaches any other at a moment, as far as it has
+	// tried.
+	Reaches(now clock.Time) bool
 }
 
 // Config of a Promoter.
@@ -77,8 +80,9 @@
 
 // Promoter watches all services.
 type Promoter struct {
-	cfg  Config
-	last clock.Time // when Look was last called
+	cfg   Config
+	last  clock.Time // when Look was last called
+	apart clock.Time // since when this VM reaches no other; 0 if it does
 
 	mu      sync.Mutex
 	watched map[string]*watched
@@ -124,17 +128,35 @@
 func (p *Promoter) Look(ctx context.Context, n int) {
 	now := p.cfg.Clock.Now()
 	if p.last != 0 && now.Sub(p.last) > stoodStill {
+		p.cfg.Log.Info("stood-still")
 		p.forgive(now)
 	}
 	p.last = now
+	p.noteApart(now)
 	for _, g := range p.cfg.Groups.Due(n) {
 		p.look(ctx, g, now)
 	}
 }
 
-// forgive forgets failures that this VM's own standstill explains.
+// noteApart notes whether this VM reaches others. Once it does again, what went
+// unanswered meanwhile says nothing of the primaries.
+func (p *Promoter) noteApart(now clock.Time) {
+	switch reaches := p.reachesOthers(); {
+	case reaches && p.apart != 0:
+		p.cfg.Log.Info("reaches-others", zap.Duration("apart", now.Sub(p.apart)))
+		p.apart = 0
+		p.forgive(now)
+	case !reaches && p.apart == 0:
+		p.cfg.Log.Warn("reaches-nobody")
+		p.apart = now
+	}
+}
+
+// reachesOthers reports whether this VM reaches any other.
+func (p *Promoter) reachesOthers() bool { return p.cfg.Fleet.Reaches(p.cfg.Clock.Now()) }
+
+// forgive forgets failures that this VM's own state explains.
 func (p *Promoter) forgive(now clock.Time) {
-	p.cfg.Log.Info("stood-still")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, g := range p.cfg.Groups.All() {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -91,6 +91,9 @@
 // Planned reports whether the old primary is expected to cooperate.
 func (r Reason) Planned() bool { return r == ReasonLeaving || r == ReasonBehind }
 
+// Unanswered reports whether what was asked of the primary went unanswered.
+func (r Reason) Unanswered() bool { return r == ReasonSilent || r == ReasonRefusing }
+
 // Answers reports whether the primary answers, whatever else ails the service.
 func (r Reason) Answers() bool {
 	return r == ReasonAbandoned || r == ReasonStalled || r == ReasonBehind
