--- a/catalog/changes.go
+++ b/catalog/changes.go
@@ -30,9 +30,6 @@
 // remembered returns the changes with one more, without the oldest ones that are
 // beyond the bounds. Together they have no more entries than the whole list, of which
 // size is the length: beyond that the whole is told instead.
-//
-// Failure guarded against: a change that is large, but far smaller than the list, is
-// forgotten at once, and every VM is told the whole list over its link.
 func remembered[S step](changes []S, last S, size int) []S {
 	most := max(size, minChanged)
 	out := append(append([]S(nil), changes...), last)
--- a/edge/lookout.go
+++ b/edge/lookout.go
@@ -53,9 +53,6 @@
 
 // upToDate reports whether there is young evidence for this VM's copy of a list, or
 // peers have not had the time to bring any since its start.
-//
-// Failure guarded against: a VM rests on evidence of something else, such as another
-// list or a version that it does not have, and never looks for itself.
 func (e *Edge) upToDate(l recency.List) bool {
 	return e.evidenceAge(l) <= e.lookAfter(l) || e.clk.Now().Sub(e.started) < e.firstNews()
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -208,10 +208,8 @@
 // VMs that look out do not end together: the youngest evidence counts.
 const shortSpread = 0.25
 
-// awaitLong waits for news while others look out.
-//
-// Failure guarded against: this VM's call has gone silent when those that look out are
-// gone or turned away, and it learns of a change only after watchWait.
+// awaitLong waits for news while others look out. It ends when they do not any more, as
+// the call may have gone silent.
 func (w *watch) awaitLong(ctx context.Context) (*objects.Page, error) {
 	ctx, unheard := context.WithCancelCause(ctx)
 	done := make(chan struct{})
--- a/gossip/bulk.go
+++ b/gossip/bulk.go
@@ -49,13 +49,8 @@
 	used clock.Time
 }
 
-// bulks are lists too large for one reply. A peer reads them range by range, each in a
-// call of its own.
-//
-// Failure guarded against: a list takes longer over a slow link than a call may. The
-// call ends, the next one begins from nothing, the link is full of what nobody can use,
-// and the VM gets neither this list nor anything else. Ranges that have arrived are
-// kept, and each is small enough for the time that a call has.
+// bulks are lists too large for one reply. A peer reads them range by range: each fits
+// into the time of a call, and those that have arrived are kept if the next one is late.
 type bulks struct {
 	mu      sync.Mutex
 	kept    map[uint64]*bulk
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -47,12 +47,8 @@
 	}
 }
 
-// promptAnswers is how soon all other targets must answer a VM that reaches no other VM.
-//
-// Failure guarded against: a VM's own link is full. What it asks goes unanswered or is
-// answered late, so that it takes a primary for silent that serves everybody else, and
-// its orders take seconds, in which the service has no primary. A VM that is the last
-// one left is answered promptly.
+// promptAnswers is how soon all other targets must answer a VM that reaches no other VM:
+// the last VM of a fleet is answered promptly, one whose own link is full is not.
 const promptAnswers = 150 * time.Millisecond
 
 // askOthers asks all other targets for their status. A VM that reaches no other VM trusts
