One function each for the configuration's version and for a mark's age

The version, 0 if there is no configuration, was worked out in four places (edge twice, gossip's client and server), and the age of a mark, unknown if there is none, in two. Catalog.ConfigVersion and Mark.Age serve all.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -169,6 +169,14 @@
 	return t.Incarnation, true
 }
 
+// ConfigVersion is the version of the configuration; 0 if none was learned.
+func (c *Catalog) ConfigVersion() int64 {
+	if c.Config == nil {
+		return 0
+	}
+	return c.Config.Version
+}
+
 // VM returns the named VM's entry; false if the fleet's list has none.
 func (c *Catalog) VM(name string) (VM, bool) {
 	at, ok := slices.BinarySearchFunc(c.VMs, name, func(vm VM, name string) int { return cmp.Compare(vm.ID, name) })
--- a/edge/evidence.go
+++ b/edge/evidence.go
@@ -12,10 +12,7 @@
 func versionOf(c *catalog.Catalog, l recency.List) int64 {
 	switch l {
 	case recency.Config:
-		if c.Config == nil {
-			return 0
-		}
-		return c.Config.Version
+		return c.ConfigVersion()
 	case recency.Targets:
 		return c.TargetsRevision
 	default:
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -31,7 +31,7 @@
 			func() float64 { return e.evidenceAge(recency.Fleet).Seconds() }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "endivemoor_config_version", Help: "Version of the configuration in force."},
-			e.configVersion),
+			func() float64 { return float64(e.catalog.Load().ConfigVersion()) }),
 	)
 	for _, l := range recency.Lists() {
 		e.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -50,7 +50,7 @@
 	e.log.Info("summary", zap.Int64("served", t.Served), zap.Int64("failed", t.Failed),
 		zap.Int64("at-replicas", t.AtReplicas), zap.Int64("at-primary", t.AtPrimary),
 		zap.Int("sessions", e.sessions.count()), zap.Duration("store-age", e.evidenceAge(recency.Fleet)),
-		zap.Int64("config", int64(e.configVersion())), zap.Duration("config-age", e.evidenceAge(recency.Config)),
+		zap.Int64("config", e.catalog.Load().ConfigVersion()), zap.Duration("config-age", e.evidenceAge(recency.Config)),
 		zap.Duration("targets-age", e.evidenceAge(recency.Targets)))
 	e.reportSpent()
 }
@@ -72,14 +72,6 @@
 	}
 }
 
-func (e *Edge) configVersion() float64 {
-	c := e.catalog.Load().Config
-	if c == nil {
-		return 0
-	}
-	return float64(c.Version)
-}
-
 // serveMetrics serves the metrics. A daemon that cannot serve them goes on.
 func (e *Edge) serveMetrics(addr string) {
 	ln, err := e.net.Listen(addr)
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -105,12 +105,9 @@
 func (c *Clients) Pull(ctx context.Context, addr string, q Question) (*News, error) {
 	known := q.Known
 	in := &gossippb.PullRequest{
-		Vm: q.Self, TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision,
+		Vm: q.Self, ConfigVersion: known.ConfigVersion(), TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision,
 		TakesChanges: !q.Whole, TakesBulks: true, Selects: q.Selects, Services: q.Services,
 	}
-	if known.Config != nil {
-		in.ConfigVersion = known.Config.Version
-	}
 	sent := c.clk.Now()
 	out, err := c.client(addr).Pull(ctx, in)
 	if err != nil {
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -93,19 +93,11 @@
 	out.FleetMark = markOf(marks[recency.Fleet], now)
 }
 
-// ageOf is the age of evidence.
-func ageOf(m recency.Mark, now clock.Time) time.Duration {
-	if m.At == 0 {
-		return recency.Unknown
-	}
-	return now.Sub(m.At)
-}
-
 func markOf(m recency.Mark, now clock.Time) *gossippb.Mark {
 	if m.At == 0 {
 		return nil
 	}
-	return &gossippb.Mark{Version: m.Version, Revision: m.Revision, AgeUs: uint64(max(now.Sub(m.At).Microseconds(), 0)) + 1}
+	return &gossippb.Mark{Version: m.Version, Revision: m.Revision, AgeUs: uint64(max(m.Age(now).Microseconds(), 0)) + 1}
 }
 
 func (n *News) noteMark(l recency.List, m *gossippb.Mark, sent clock.Time) {
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -63,7 +63,7 @@
 func (s *Server) Pull(_ context.Context, in *gossippb.PullRequest) (*gossippb.PullReply, error) {
 	k := s.source.Know()
 	now := s.clk.Now()
-	out := &gossippb.PullReply{StoreAgeUs: uint64(ageOf(k.Marks[recency.Fleet], now).Microseconds())}
+	out := &gossippb.PullReply{StoreAgeUs: uint64(k.Marks[recency.Fleet].Age(now).Microseconds())}
 	for service, p := range k.Proofs {
 		if in.GetSelects() && !slices.Contains(in.GetServices(), service) {
 			continue
@@ -89,11 +89,7 @@
 		}
 		return s.tellList(out, in, bulkKey{l, from, to}, build)
 	}
-	version := int64(0)
-	if c.Config != nil {
-		version = c.Config.Version
-	}
-	err := tell(recency.Config, in.GetConfigVersion(), version, func(out *gossippb.PullReply) { tellConfig(out, c, in) })
+	err := tell(recency.Config, in.GetConfigVersion(), c.ConfigVersion(), func(out *gossippb.PullReply) { tellConfig(out, c, in) })
 	if err != nil {
 		return err
 	}
--- a/recency/recency.go
+++ b/recency/recency.go
@@ -52,6 +52,15 @@
 	At clock.Time
 }
 
+// Age is how long ago the copy was known to be the store's; Unknown if there is no
+// evidence.
+func (m Mark) Age(now clock.Time) time.Duration {
+	if m.At == 0 {
+		return Unknown
+	}
+	return now.Sub(m.At)
+}
+
 // Board keeps the marks of one VM. It is safe for concurrent use.
 type Board struct {
 	mu    sync.Mutex
@@ -96,9 +105,5 @@
 
 // Age is how long ago a copy of a version was known to be the store's.
 func (b *Board) Age(l List, version int64, now clock.Time) time.Duration {
-	m := b.Newest(l, version)
-	if m.At == 0 {
-		return Unknown
-	}
-	return now.Sub(m.At)
+	return b.Newest(l, version).Age(now)
 }
