Encode a bulk once for all who ask for it at the same moment

Right after a large change many peers pull at once, each found no bulk kept, and each had the list encoded and compressed: the most work at the busiest moment of a small VM. More than eight of them also pushed each other's bulks out, so that some were offered what was gone before they read it. Encoding is done by one at a time, and who waited finds what the first has made. Replies are the same.

--- a/gossip/bulk.go
+++ b/gossip/bulk.go
@@ -52,6 +52,9 @@
 // bulks are lists too large for one reply. A peer reads them range by range: each fits
 // into the time of a call, and those that have arrived are kept if the next one is late.
 type bulks struct {
+	// encoding is held while a list is encoded: who asks for the same meanwhile finds it.
+	encoding sync.Mutex
+
 	mu      sync.Mutex
 	kept    map[uint64]*bulk
 	readers map[string]clock.Time
@@ -151,6 +154,8 @@
 		build(out)
 		return nil
 	}
+	s.bulks.encoding.Lock()
+	defer s.bulks.encoding.Unlock()
 	now := s.clk.Now()
 	if offer := s.bulks.find(key, now); offer != nil {
 		out.Bulks = append(out.Bulks, offer)
--- a/gossip/bulk_test.go
+++ b/gossip/bulk_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,6 +78,20 @@
 	require.Len(t, s.bulks.kept, maxBulks)
 }
 
+// Guards against a list that is encoded once for each of those who ask at the same moment.
+func TestBulkIsEncodedOnceForAllWhoAskAtOnce(t *testing.T) {
+	s := &Server{source: &source{known: thousands()}, clk: &manual{now: clock.Time(time.Hour)}, bulks: newBulks()}
+	var asked sync.WaitGroup
+	for range 2 * maxBulks {
+		asked.Go(func() {
+			_, err := s.Pull(context.Background(), &gossippb.PullRequest{TakesBulks: true, TakesChanges: true})
+			require.NoError(t, err)
+		})
+	}
+	asked.Wait()
+	require.Len(t, s.bulks.kept, 1)
+}
+
 // Guards against a link that many read over at once, so that no range arrives in time.
 func TestFewReadAtOnce(t *testing.T) {
 	now := clock.Time(time.Hour)
