End the look beside a long watch by its context

A channel told what the call's context already tells. No change of behaviour; TestConfigurationIsInForceThoughWatchesAreSilent and the others of edge as they are.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -213,10 +213,9 @@
 // awaitLong waits for news while others look out. It ends when they do not any more, as
 // the call may have gone silent.
 func (w *watch) awaitLong(ctx context.Context) (*objects.Page, error) {
-	ctx, unheard := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	defer close(done)
-	go w.cutShort(done, unheard)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	go w.cutShort(ctx, end)
 	p, err := w.store.Watch(ctx, w.kind, w.revision, watchWait)
 	if err != nil && errors.Is(context.Cause(ctx), errUnheard) {
 		return nil, errUnheard
@@ -225,17 +224,16 @@
 }
 
 // cutShort ends a long call once others do not look out any more.
-func (w *watch) cutShort(done <-chan struct{}, unheard context.CancelCauseFunc) {
+func (w *watch) cutShort(ctx context.Context, end context.CancelCauseFunc) {
 	tick := time.NewTicker(idleEvery)
 	defer tick.Stop()
 	for {
 		select {
-		case <-done:
-			unheard(nil)
+		case <-ctx.Done():
 			return
 		case <-tick.C:
 			if !w.others() {
-				unheard(errUnheard)
+				end(errUnheard)
 				return
 			}
 		}
