One loop of paced reads for two gateway tests; stories out of comments

Two tests repeated a loop of sessions that read now and then and count failed and slow reads: readByTurns. Their assertions and bounds are the same. The tests' stories, which their comments told: - TestSalesThroughGatewaysNeedFewQuestions: thirty VMs sell a ticket now and then through two gateways, too seldom to see by themselves that the primary leads. Were each sale to ask a replica, each would cost a question. - TestSalesGoOnWhileReplicasAreOutOfReach: the VMs are cut off from both replicas of a service whose primary is well. The store's record shows that it has not been replaced; one looks for all. - TestOneVMsExperienceSparesTheOthers: the gateway of most VMs is cut off for good. Were each to find out by itself, a read of each would wait every second or so. - TestCutOffGatewayProvesNothingForLong: a VM and its gateway are cut off with a primary that is replaced, and agree that nothing has changed. An exact read there must see what was sold elsewhere, or fail. - TestReloadedSettingsChangeNoRequestsFate: settings change on some VMs before others; were the bounds taken over at once, a request would be served here and refused there.

--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -195,10 +195,7 @@
 	})
 }
 
-// Thirty VMs sell through two gateways, each of them a ticket now and then: too
-// seldom to see by itself that the primary still leads. Were every sale to ask a
-// replica for that, each statement would cost a question, and a larger fleet more
-// of them; a gateway sees them all, and asks for all.
+// Guards against a question to a replica for each sale of a VM that sells seldom.
 func TestSalesThroughGatewaysNeedFewQuestions(t *testing.T) {
 	const vms, sales = 30, 8
 	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
@@ -229,10 +226,42 @@
 	})
 }
 
-// The VMs are cut off from both replicas of a service; its primary is well and has
-// the replicas' receipts. Consumers who buy and read at it go on: the store's record
-// shows that it has not been replaced. Were each VM to look for that by itself, reads
-// would wait for silent replicas, and the store be called for each of them.
+// paced is how sessions read: each so often, one begins apart from the next.
+type paced struct {
+	reads        int
+	every, apart time.Duration
+	// slow is how long a read takes at least that counts as slow.
+	slow time.Duration
+}
+
+// readByTurns lets sessions read beside each other, and counts reads that failed and
+// that were slow.
+func readByTurns(sessions map[string]*consumer.Session, p paced) (failed, slow int64) {
+	var wait sync.WaitGroup
+	var failures, late atomic.Int64
+	number := 0
+	for _, session := range sessions {
+		start := time.Duration(number) * p.apart
+		number++
+		wait.Go(func() {
+			time.Sleep(start)
+			for range p.reads {
+				sent := time.Now()
+				if !session.Query("READ a").OK() {
+					failures.Add(1)
+				}
+				if time.Since(sent) > p.slow {
+					late.Add(1)
+				}
+				time.Sleep(p.every)
+			}
+		})
+	}
+	wait.Wait()
+	return failures.Load(), late.Load()
+}
+
+// Guards against reads that wait for silent replicas, and a call to the store for each of them.
 func TestSalesGoOnWhileReplicasAreOutOfReach(t *testing.T) {
 	const vms, reads = 30, 10
 	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
@@ -245,31 +274,11 @@
 		}
 		time.Sleep(3 * time.Second)
 		before := f.world.Store.Calls()
-		var wait sync.WaitGroup
-		var slow, failed atomic.Int64
-		number := 0
-		for name := range f.vms {
-			start := time.Duration(number) * 31 * time.Millisecond
-			number++
-			wait.Go(func() {
-				time.Sleep(start)
-				for range reads {
-					sent := time.Now()
-					if !sessions[name].Query("READ a").OK() {
-						failed.Add(1)
-					}
-					if time.Since(sent) > 250*time.Millisecond {
-						slow.Add(1)
-					}
-					time.Sleep(time.Second)
-				}
-			})
-		}
-		wait.Wait()
+		failed, slow := readByTurns(sessions, paced{reads: reads, every: time.Second, apart: 31 * time.Millisecond, slow: 250 * time.Millisecond})
 		calls := f.world.Store.Calls() - before
-		t.Logf("%d failed, %d slow, %d calls", failed.Load(), slow.Load(), calls)
-		require.Zero(t, failed.Load())
-		require.Less(t, slow.Load(), int64(vms*reads)/20)
+		t.Logf("%d failed, %d slow, %d calls", failed, slow, calls)
+		require.Zero(t, failed)
+		require.Less(t, slow, int64(vms*reads)/20)
 		// Two gateways renew their witness at most three times a second each, beside
 		// the watches of six VMs.
 		require.Less(t, calls, 2*3*reads+6*3*reads)
@@ -277,9 +286,7 @@
 	})
 }
 
-// The gateway that most of thirty VMs read through is cut off from them, and stays so.
-// Were each of them to find out by itself, and again after each pause, a read of each
-// VM would wait for it every second or so.
+// Guards against a silent gateway that each VM finds out about by itself, again after each pause.
 func TestOneVMsExperienceSparesTheOthers(t *testing.T) {
 	const vms, rounds = 30, 60
 	playOn(t, vms, database.Options{MaxConnections: 20}, func(f *fleet) {
@@ -297,41 +304,16 @@
 				f.world.Net.Cut(name, silent)
 			}
 		}
-		var wait sync.WaitGroup
-		var slow, failed atomic.Int64
-		number := 0
-		for name := range f.vms {
-			if name == silent {
-				continue
-			}
-			start := time.Duration(number) * 7 * time.Millisecond
-			number++
-			wait.Go(func() {
-				time.Sleep(start)
-				for range rounds {
-					sent := time.Now()
-					if !sessions[name].Query("READ a").OK() {
-						failed.Add(1)
-					}
-					if time.Since(sent) > 100*time.Millisecond {
-						slow.Add(1)
-					}
-					time.Sleep(100 * time.Millisecond)
-				}
-			})
-		}
-		wait.Wait()
-		t.Logf("%d slow, %d failed", slow.Load(), failed.Load())
-		require.Zero(t, failed.Load())
-		require.Less(t, slow.Load(), int64(vms), "not once for each VM")
+		delete(sessions, silent)
+		failed, slow := readByTurns(sessions, paced{reads: rounds, every: 100 * time.Millisecond, apart: 7 * time.Millisecond, slow: 100 * time.Millisecond})
+		t.Logf("%d slow, %d failed", slow, failed)
+		require.Zero(t, failed)
+		require.Less(t, slow, int64(vms), "not once for each VM")
 		f.fair()
 	})
 }
 
-// A VM and its gateway are cut off together, from the store and from all other VMs, with a
-// primary that has lost its replicas and is replaced. The gateway's answers still bring
-// proofs along, and the two of them agree that nothing has changed. An exact read there must
-// see what was sold elsewhere before it began, or fail.
+// Guards against a stale exact read at a VM that is cut off together with its gateway and a superseded primary.
 func TestCutOffGatewayProvesNothingForLong(t *testing.T) {
 	scarce(t, func(f *fleet) {
 		_, others := roles(f, "ledger-0", "a")
--- a/edge/reload_internal_test.go
+++ b/edge/reload_internal_test.go
@@ -14,9 +14,7 @@
 	"endivemoor.example/endivemoor/platform/boot"
 )
 
-// The platform changes the settings of some VMs before those of others, and tells them
-// by a signal. Were a VM to take over the new bounds at once, a request would be served
-// here and refused there. It goes on as it has started, and its log says what waits.
+// Guards against a request whose fate depends on whether its VM has reloaded its settings.
 func TestReloadedSettingsChangeNoRequestsFate(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "local.toml")
 	t.Setenv(boot.Variable, path)
