Callers have API keys, and connections serve one workspace

What callers saw: nothing of keys existed.

Cause: the configuration's workspaces and keys were not read, and a session kept no key.

A lane's connections serve the workspace that they were opened for: requests wait in order, those with a connection of their workspace run, the others have one opened, and the one idle for longest makes room. All VMs send a workspace's requests to the same one of a target's two gateways.

A first form starved workspaces whose requests met connections that always went back to a request of their own workspace; found by TestBusyWorkspacesStarveNobody. Ruled out: opening more on each release (dials that nobody needs any more).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,6 +39,8 @@
 	Objective time.Duration
 	// Priority orders operations under load; 0 is the highest.
 	Priority int
+	// Public routes serve callers whose key nobody holds.
+	Public bool
 }
 
 // Service is a group of targets, one of which leads.
@@ -61,10 +63,19 @@
 	Services map[string]*Service
 	// TransactionIdle is how long a transaction may stay without a statement.
 	TransactionIdle time.Duration
+	// Keyed is set if callers are known by API keys. Without it, Workspaces and Keys
+	// are empty and everybody is served.
+	Keyed bool
+	// Workspaces by name.
+	Workspaces map[string]*Workspace
+	// Keys by digest.
+	Keys map[string]*Key
 }
 
-// entries is how many routes and services the configuration has.
-func (c *Config) entries() int { return len(c.Routes) + len(c.Services) }
+// entries is how many routes, services, workspaces and keys the configuration has.
+func (c *Config) entries() int {
+	return len(c.Routes) + len(c.Services) + len(c.Workspaces) + len(c.Keys)
+}
 
 // Target is one database server as it reports itself.
 type Target struct {
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -14,17 +14,23 @@
 	// Routes by database and Services by name are those that are new or other.
 	Routes   map[string]*Route
 	Services map[string]*Service
-	// RemovedRoutes and RemovedServices are gone.
-	RemovedRoutes, RemovedServices []string
-	// TransactionIdle is that of the later version.
+	// Workspaces by name and Keys by digest are those that are new or other.
+	Workspaces map[string]*Workspace
+	Keys       map[string]*Key
+	// RemovedRoutes, RemovedServices, RemovedWorkspaces and RemovedKeys are gone.
+	RemovedRoutes, RemovedServices, RemovedWorkspaces, RemovedKeys []string
+	// TransactionIdle and Keyed are those of the later version.
 	TransactionIdle time.Duration
+	Keyed           bool
 }
 
 // Between returns the change that leads from one configuration to another.
 func Between(from, to *Config) *Change {
-	c := &Change{From: from.Version, To: to.Version, TransactionIdle: to.TransactionIdle}
+	c := &Change{From: from.Version, To: to.Version, TransactionIdle: to.TransactionIdle, Keyed: to.Keyed}
 	c.Routes, c.RemovedRoutes = differences(from.Routes, to.Routes)
 	c.Services, c.RemovedServices = differences(from.Services, to.Services)
+	c.Workspaces, c.RemovedWorkspaces = differences(from.Workspaces, to.Workspaces)
+	c.Keys, c.RemovedKeys = differences(from.Keys, to.Keys)
 	return c
 }
 
@@ -59,10 +65,16 @@
 		Routes:          changed(base.Routes, c.Routes, c.RemovedRoutes),
 		Services:        changed(base.Services, c.Services, c.RemovedServices),
 		TransactionIdle: c.TransactionIdle,
+		Keyed:           c.Keyed,
+		Workspaces:      changed(base.Workspaces, c.Workspaces, c.RemovedWorkspaces),
+		Keys:            changed(base.Keys, c.Keys, c.RemovedKeys),
 	}
 }
 
 func changed[V any](base, other map[string]*V, gone []string) map[string]*V {
+	if base == nil && len(other) == 0 {
+		return nil
+	}
 	out := make(map[string]*V, len(base)+len(other))
 	maps.Copy(out, base)
 	maps.Copy(out, other)
@@ -72,9 +84,10 @@
 	return out
 }
 
-// entries is how many routes and services the change tells of.
+// entries is how many routes, services, workspaces and keys the change tells of.
 func (c *Change) entries() int {
-	return len(c.Routes) + len(c.Services) + len(c.RemovedRoutes) + len(c.RemovedServices)
+	return len(c.Routes) + len(c.Services) + len(c.Workspaces) + len(c.Keys) +
+		len(c.RemovedRoutes) + len(c.RemovedServices) + len(c.RemovedWorkspaces) + len(c.RemovedKeys)
 }
 
 func (c *Change) from() int64 { return c.From }
@@ -94,14 +107,19 @@
 // counts, so all of them are named first and then looked up in the present
 // configuration.
 func (c *Catalog) merged(chain []*Change) *Change {
-	out := &Change{From: chain[0].From, To: c.Config.Version, TransactionIdle: c.Config.TransactionIdle}
+	out := &Change{From: chain[0].From, To: c.Config.Version, TransactionIdle: c.Config.TransactionIdle, Keyed: c.Config.Keyed}
 	routes, services := make(map[string]bool), make(map[string]bool)
+	workspaces, keys := make(map[string]bool), make(map[string]bool)
 	for _, step := range chain {
 		note(routes, step.Routes, step.RemovedRoutes)
 		note(services, step.Services, step.RemovedServices)
+		note(workspaces, step.Workspaces, step.RemovedWorkspaces)
+		note(keys, step.Keys, step.RemovedKeys)
 	}
 	out.Routes, out.RemovedRoutes = present(routes, c.Config.Routes)
 	out.Services, out.RemovedServices = present(services, c.Config.Services)
+	out.Workspaces, out.RemovedWorkspaces = present(workspaces, c.Config.Workspaces)
+	out.Keys, out.RemovedKeys = present(keys, c.Config.Keys)
 	if out.entries() >= c.Config.entries() {
 		return nil
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -181,12 +181,16 @@
 // dialer opens links to a target.
 func (e *Edge) dialer(t *catalog.Target) lane.Dialer {
 	targets := e.dialFor(spending.Target)
-	return func(ctx context.Context) (lane.Link, error) {
+	return func(ctx context.Context, workspace string) (lane.Link, error) {
+		who := workspace
+		if who == "" {
+			who = e.set.Node
+		}
 		timeout := greetTimeout
 		if by, ok := ctx.Deadline(); ok {
 			timeout = min(timeout, time.Until(by))
 		}
-		link, err := line.Dial(ctx, targets, t.Addr, t.Service, e.set.Node, t.ID, timeout)
+		link, err := line.Dial(ctx, targets, t.Addr, t.Service, who, t.ID, timeout)
 		if err != nil {
 			return nil, err
 		}
--- a/edge/gateway_test.go
+++ b/edge/gateway_test.go
@@ -48,7 +48,7 @@
 
 // firstGateway returns the gateway that a VM uses for the primary.
 func firstGateway(f *fleet, self string) string {
-	return gateways.NewPlan(self, scarceCatalog(f)).Route(&catalog.Target{ID: "ledger-0", Service: service, Zone: "a"})[0].ID
+	return gateways.NewPlan(self, scarceCatalog(f)).Route(&catalog.Target{ID: "ledger-0", Service: service, Zone: "a"}, "")[0].ID
 }
 
 // Nine VMs stand before targets that take nine connections each, a tenth of them
--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -69,13 +69,13 @@
 		return
 	}
 	defer s.remove(c)
-	database, err := c.ReadStartup(startupTimeout)
+	startup, err := c.ReadStartup(startupTimeout)
 	if err != nil {
 		s.refuseStartup(c, err)
 		return
 	}
 	s.awaitConfig()
-	session, refusal := s.edge.engine.Open(database)
+	session, refusal := s.edge.engine.Open(startup.Database, startup.Key)
 	if refusal != nil {
 		_ = c.Refuse(refusal.Code, refusal.Text, writeTimeout)
 		return
@@ -152,7 +152,7 @@
 		default:
 			return
 		}
-		if err := c.Write(answer, writeTimeout); err != nil {
+		if err := c.Write(answer, writeTimeout); err != nil || answer.Code == statement.Unauthorized {
 			return
 		}
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -45,15 +45,16 @@
 // Failure guarded against: a VM that has just started knows no route, and tells
 // consumers that their database does not exist. They take that for final. It holds
 // because only a configuration can say what there is not.
-func (e *Engine) Open(database string) (*Session, *statement.Answer) {
+func (e *Engine) Open(database string, key catalog.KeyDigest) (*Session, *statement.Answer) {
 	c := e.cfg.Catalog.Load()
 	if c.Config == nil {
 		return nil, refuse(statement.Busy, unconfigured, "come back: this VM has no configuration yet", statement.Idle)
 	}
-	if c.Route(database) == nil {
-		return nil, statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
+	s := &Session{engine: e, database: database, key: key}
+	if _, _, refused := s.lookUp(); refused != nil {
+		return nil, refused
 	}
-	return &Session{engine: e, database: database}, nil
+	return s, nil
 }
 
 // near reports whether a target is in this VM's availability zone.
--- a/engine/session.go
+++ b/engine/session.go
@@ -17,6 +17,7 @@
 type Session struct {
 	engine   *Engine
 	database string
+	key      catalog.KeyDigest
 	values   map[string]string
 	prepared map[string]*lane.Prepared
 	// mark is the end of the log after this session's last own commit, in the
@@ -131,11 +132,11 @@
 	if s.state == statement.InTransaction {
 		return s.runInTransaction(ctx, w)
 	}
-	route := s.engine.cfg.Catalog.Load().Route(s.database)
-	if route == nil {
-		return statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
+	route, caller, refused := s.lookUp()
+	if refused != nil {
+		return refused
 	}
-	w.route = route
+	w.route, w.workspace = route, caller.Name()
 	a := s.runAlone(ctx, w)
 	s.explain(w, a)
 	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/dispatch"
@@ -22,6 +23,7 @@
 // transaction is a session's open one.
 type transaction struct {
 	route    *catalog.Route
+	caller   callers.Caller
 	group    *groups.Group
 	readOnly bool
 	// began is when its first byte arrived: its reads must see what had been
@@ -45,7 +47,7 @@
 // order says how urgent a statement of the transaction is: the objective is for
 // all of them together.
 func (tx *transaction) order(w *work) lane.Order {
-	return order(tx.route, w.arrived.Add(-tx.spent))
+	return order(tx.route, tx.caller.Name(), w.arrived.Add(-tx.spent))
 }
 
 // begin opens a transaction here; the target hears of it with the first
@@ -54,12 +56,12 @@
 	if s.state == statement.InTransaction {
 		return s.failStatement(statement.Failure(statement.Malformed, "a transaction is open already", s.state))
 	}
-	route := s.engine.cfg.Catalog.Load().Route(s.database)
-	if route == nil {
-		return statement.Failure(statement.NoDatabase, "no route has this database", statement.Idle)
+	route, caller, refused := s.lookUp()
+	if refused != nil {
+		return refused
 	}
 	s.tx = &transaction{
-		route: route, readOnly: st.ReadOnly, began: s.engine.cfg.Clock.Now(),
+		route: route, caller: caller, readOnly: st.ReadOnly, began: s.engine.cfg.Clock.Now(),
 		group: s.engine.cfg.Groups.Use(route.Service),
 	}
 	s.state = statement.InTransaction
@@ -109,7 +111,10 @@
 // runInTransaction serves a read or a write of the open transaction.
 func (s *Session) runInTransaction(ctx context.Context, w *work) *statement.Answer {
 	tx := s.tx
-	w.route = tx.route
+	w.route, w.workspace = tx.route, tx.caller.Name()
+	if !s.keeps(tx) {
+		return s.failStatement(unauthorized(s.state))
+	}
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(s.engine.cfg.Clock.Now()))
 	defer cancel()
 	if tx.open == nil {
@@ -183,6 +188,11 @@
 	w := &work{st: st, route: tx.route, arrived: s.engine.cfg.Clock.Now()}
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(w.arrived))
 	defer cancel()
+	if !s.keeps(tx) {
+		s.abandon()
+		s.state = statement.Idle
+		return statement.Failure(statement.Aborted, "the caller's key was taken away; the transaction is rolled back", statement.Idle)
+	}
 	if tx.open == nil {
 		if failure := s.open(ctx, tx, w); failure != nil {
 			s.abandon()
--- a/engine/try.go
+++ b/engine/try.go
@@ -48,7 +48,7 @@
 // try sends a statement to one target and returns its answer.
 func (s *Session) try(ctx context.Context, id target.ID, w *work, after timeline.Position, most limits) (*statement.Answer, verdict) {
 	w.tries++
-	claim := dispatch.Claim{Order: order(w.route, w.arrived), Queue: most.queue}
+	claim := dispatch.Claim{Order: order(w.route, w.workspace, w.arrived), Queue: most.queue}
 	begun := s.engine.cfg.Clock.Now()
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, most.answer))
 	s.account(w, begun, r, err)
--- a/engine/work.go
+++ b/engine/work.go
@@ -19,9 +19,11 @@
 	prepared *lane.Prepared
 	writes   bool
 	route    *catalog.Route
-	arrived  clock.Time
-	ledger   ledger
-	tries    int
+	// workspace is whose statement it is; empty if nobody's.
+	workspace string
+	arrived   clock.Time
+	ledger    ledger
+	tries     int
 	// full counts the targets in a row that had no time for the statement;
 	// comeBack is when the last of them will have, and refusal says why it has not.
 	full     int
@@ -37,9 +39,9 @@
 	return arrived.Add(route.StatementTimeout)
 }
 
-// order says how urgent a statement is to the queue for connections.
-func order(route *catalog.Route, arrived clock.Time) lane.Order {
-	return lane.Order{Due: arrived.Add(route.Objective), Priority: route.Priority}
+// order says how urgent a statement is to the queue for connections, and whose.
+func order(route *catalog.Route, workspace string, arrived clock.Time) lane.Order {
+	return lane.Order{Due: arrived.Add(route.Objective), Priority: route.Priority, Workspace: workspace}
 }
 
 // refuse is the answer to a statement that has not run, with a time to come
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -167,15 +167,34 @@
 
 // Route returns the gateways to a target in the order in which this VM should
 // try them; none if it should connect by itself.
-func (p *Plan) Route(t *catalog.Target) []catalog.VM {
+//
+// The requests of one workspace go to the same gateway from everywhere, as a connection
+// serves one workspace only: spread over the gateways they would need one at each.
+func (p *Plan) Route(t *catalog.Target, workspace string) []catalog.VM {
 	if !p.shared(t) {
 		return nil
 	}
 	all := p.of(t)
-	if holds(all, p.self) {
+	if workspace != "" {
+		all = slices.Clone(all)
+		preferBy(workspace, all)
+	}
+	self := slices.IndexFunc(all, func(vm catalog.VM) bool { return vm.ID == p.self })
+	switch {
+	case self < 0:
+		return all
+	case workspace == "":
 		return nil
+	default:
+		return all[:self]
 	}
-	return all
+}
+
+// preferBy orders gateways by a name, so that each comes first for as many names.
+func preferBy(name string, vms []catalog.VM) {
+	slices.SortStableFunc(vms, func(a, b catalog.VM) int {
+		return cmp.Compare(preference(name, b.ID), preference(name, a.ID))
+	})
 }
 
 func holds(vms []catalog.VM, name string) bool {
@@ -193,15 +212,13 @@
 		return d.vms
 	}
 	vms := Choose(t, p.catalog.VMs, count)
-	slices.SortStableFunc(vms, func(a, b catalog.VM) int {
-		return cmp.Compare(preference(p.self, b.ID), preference(p.self, a.ID))
-	})
+	preferBy(p.self, vms)
 	p.at[t.ID] = drawn{zone: t.Zone, count: count, vms: vms}
 	return vms
 }
 
-// preference spreads the VMs of a fleet over a target's gateways.
-func preference(self, gateway string) uint64 { return xxhash.Sum64String(self + "/" + gateway) }
+// preference spreads names over a target's gateways.
+func preference(name, gateway string) uint64 { return xxhash.Sum64String(name + "/" + gateway) }
 
 // Choose draws a number of gateways to a target, from its own availability zone
 // as far as that has VMs: a statement then crosses zones as often as if its VM
--- a/gateways/gateways_test.go
+++ b/gateways/gateways_test.go
@@ -36,7 +36,7 @@
 		c, to := known(x.limit, fleet(x.vms, "a", "b", "c"))
 		to.Slots = 3
 		p := NewPlan("vm03", c)
-		require.Empty(t, p.Route(to))
+		require.Empty(t, p.Route(to, ""))
 		require.Equal(t, Share{Kept: x.kept, Idle: x.idle, Running: x.running}, p.Share(to))
 		require.GreaterOrEqual(t, x.running*x.vms, 3*to.Slots, "no slot lies idle while statements wait")
 	}
@@ -55,7 +55,7 @@
 	for _, vm := range vms {
 		p := NewPlan(vm.ID, c)
 		share := p.Share(to)
-		require.Equal(t, share.Lent, len(p.Route(to)) > 0)
+		require.Equal(t, share.Lent, len(p.Route(to, "")) > 0)
 		if !share.Lent {
 			holders++
 			running += share.Running
@@ -76,7 +76,7 @@
 		p := NewPlan(vm.ID, c)
 		share := p.Share(to)
 		kept += share.Kept
-		route := p.Route(to)
+		route := p.Route(to, "")
 		require.Equal(t, share.Lent, len(route) > 0, "a VM that holds none has a way to one that does")
 		if share.Lent {
 			first[route[0].ID]++
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -71,10 +71,10 @@
 	n.noteMark(recency.Config, in.GetConfigMark(), sent)
 	n.noteMark(recency.Targets, in.GetTargetsMark(), sent)
 	n.noteMark(recency.Fleet, in.GetFleetMark(), sent)
-	if in.GetConfig() != nil {
+	if in.GetConfig().GetTellsWorkspaces() {
 		n.Config = config(in.GetConfig())
 	}
-	if in.GetConfigChange() != nil {
+	if in.GetConfigChange().GetTellsWorkspaces() {
 		n.Config = change(in.GetConfigChange()).Apply(known.Config)
 	}
 	if in.GetTargets() != nil {
@@ -155,6 +155,7 @@
 	return &gossippb.Config{
 		Version: c.Version, Routes: routesOf(c.Routes), Services: servicesOf(c.Services),
 		TransactionIdleMs: c.TransactionIdle.Milliseconds(),
+		TellsWorkspaces:   true, Keyed: c.Keyed, Workspaces: workspacesOf(c.Workspaces), Keys: keysOf(c.Keys),
 	}
 }
 
@@ -162,6 +163,7 @@
 	return &catalog.Config{
 		Version: in.GetVersion(), Routes: routes(in.GetRoutes()), Services: services(in.GetServices()),
 		TransactionIdle: milliseconds(in.GetTransactionIdleMs()),
+		Keyed:           in.GetKeyed(), Workspaces: workspaces(in.GetWorkspaces()), Keys: keys(in.GetKeys()),
 	}
 }
 
@@ -170,6 +172,8 @@
 		From: c.From, Version: c.To, Routes: routesOf(c.Routes), Services: servicesOf(c.Services),
 		RemovedRoutes: c.RemovedRoutes, RemovedServices: c.RemovedServices,
 		TransactionIdleMs: c.TransactionIdle.Milliseconds(),
+		TellsWorkspaces:   true, Keyed: c.Keyed, Workspaces: workspacesOf(c.Workspaces), Keys: keysOf(c.Keys),
+		RemovedWorkspaces: c.RemovedWorkspaces, RemovedKeys: digestsOf(c.RemovedKeys),
 	}
 }
 
@@ -178,6 +182,8 @@
 		From: in.GetFrom(), To: in.GetVersion(), Routes: routes(in.GetRoutes()), Services: services(in.GetServices()),
 		RemovedRoutes: in.GetRemovedRoutes(), RemovedServices: in.GetRemovedServices(),
 		TransactionIdle: milliseconds(in.GetTransactionIdleMs()),
+		Keyed:           in.GetKeyed(), Workspaces: workspaces(in.GetWorkspaces()), Keys: keys(in.GetKeys()),
+		RemovedWorkspaces: in.GetRemovedWorkspaces(), RemovedKeys: digests(in.GetRemovedKeys()),
 	}
 }
 
@@ -189,7 +195,7 @@
 		out = append(out, &gossippb.Route{
 			Name: r.Name, Database: r.Database, Service: r.Service, Freshness: uint32(r.Freshness),
 			MaxAgeUs: r.MaxAge.Microseconds(), StatementTimeoutUs: r.StatementTimeout.Microseconds(),
-			ObjectiveUs: r.Objective.Microseconds(), Priority: int32(r.Priority),
+			ObjectiveUs: r.Objective.Microseconds(), Priority: int32(r.Priority), Public: r.Public,
 		})
 	}
 	return out
@@ -201,7 +207,7 @@
 		out[r.GetDatabase()] = &catalog.Route{
 			Name: r.GetName(), Database: r.GetDatabase(), Service: r.GetService(), Freshness: catalog.Freshness(r.GetFreshness()),
 			MaxAge: time.Duration(r.GetMaxAgeUs()) * time.Microsecond, StatementTimeout: time.Duration(r.GetStatementTimeoutUs()) * time.Microsecond,
-			Objective: time.Duration(r.GetObjectiveUs()) * time.Microsecond, Priority: int(r.GetPriority()),
+			Objective: time.Duration(r.GetObjectiveUs()) * time.Microsecond, Priority: int(r.GetPriority()), Public: r.GetPublic(),
 		}
 	}
 	return out
--- a/lane/conn.go
+++ b/lane/conn.go
@@ -20,10 +20,12 @@
 	// Target is where it leads.
 	Target target.ID
 
-	lane     *Lane
-	values   map[string]string
-	prepared map[shape]string
-	named    int
+	lane *Lane
+	// workspace is whose requests it serves, as the target was told when it was opened.
+	workspace string
+	values    map[string]string
+	prepared  map[shape]string
+	named     int
 	// asked is set if it was opened for a question of the fleet's own. Where
 	// connections are few, it is closed after it: each VM asks now and then, and
 	// what they keep meanwhile is missed by the VMs that serve.
--- a/lane/control.go
+++ b/lane/control.go
@@ -41,7 +41,7 @@
 	l.mu.Lock()
 	closed := l.closed
 	l.used = l.clk.Now()
-	c := l.takeIdle()
+	c := l.takeIdleIf(func(*Conn) bool { return true })
 	l.mu.Unlock()
 	if closed {
 		return nil, errClosed
@@ -49,13 +49,14 @@
 	if c != nil {
 		return c, nil
 	}
-	link, err := l.dial(ctx)
+	link, err := l.dial(ctx, "")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
 		return nil, l.unavailable(err)
 	}
-	l.open++
 	l.inUse++
-	return &Conn{Link: link, Target: l.id, lane: l, asked: true}, nil
+	c = l.opened(link, "")
+	c.asked = true
+	return c, nil
 }
--- a/lane/dial.go
+++ b/lane/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,20 +27,54 @@
 	return l.open == 0 && l.dialing > 0 && now.Sub(l.dialSince) > usualDial
 }
 
-// grow opens connections for the requests that wait.
+// grow opens connections for the requests that wait, the most urgent first. Where the
+// lane has as many as it may have, one that serves another workspace makes room.
 func (l *Lane) grow(now clock.Time) {
-	if l.closed || !l.mayRun() {
+	if l.waiting.Len() == 0 {
 		return
 	}
-	for l.dialing < min(maxDialing, l.waiting.Len()) && l.open+l.dialing < l.most(now) {
+	waiting := l.waiting.counts()
+	l.growFor(now, func(w *waiter) bool { return l.dialsFor[w.order.Workspace] < waiting[w.order.Workspace] })
+}
+
+// growFor opens connections for the requests that lack one.
+func (l *Lane) growFor(now clock.Time, lacks func(w *waiter) bool) {
+	if l.closed || !l.mayRun() || l.waiting.Len() == 0 || l.dialing >= maxDialing {
+		return
+	}
+	if l.open+l.dialing >= l.most(now) && len(l.idle) == 0 {
+		return
+	}
+	for l.dialing < maxDialing {
+		w := l.waiting.first(lacks)
+		if w == nil || !l.makeRoom(now, w.order.Workspace) {
+			return
+		}
 		if l.dialing == 0 {
 			l.dialSince = now
 		}
 		l.dialing++
-		go l.openOne()
+		l.dialsFor[w.order.Workspace]++
+		go l.openOne(w.order.Workspace)
 	}
 }
 
+// makeRoom reports whether a connection may be opened for a workspace. It closes the
+// one that has been idle for longest of those of others, if there are too many else.
+func (l *Lane) makeRoom(now clock.Time, workspace string) bool {
+	if l.open+l.dialing < l.most(now) {
+		return true
+	}
+	for i, c := range l.idle {
+		if c.workspace != workspace {
+			l.idle = slices.Delete(l.idle, i, i+1)
+			l.shut(c)
+			return true
+		}
+	}
+	return false
+}
+
 // most is how many connections the lane may have now.
 func (l *Lane) most(now clock.Time) int {
 	if now.Before(l.refused) {
@@ -51,35 +86,40 @@
 	return l.allowance + burst
 }
 
-func (l *Lane) openOne() {
-	link, err := l.dial(context.Background())
+func (l *Lane) openOne(workspace string) {
+	link, err := l.dial(context.Background(), workspace)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dialing--
+	if l.dialsFor[workspace]--; l.dialsFor[workspace] == 0 {
+		delete(l.dialsFor, workspace)
+	}
 	now := l.clk.Now()
 	if err != nil {
-		l.dialFailed(now, err)
+		l.dialFailed(now, workspace, err)
 		return
 	}
 	l.down, l.downCause = 0, nil
-	l.open++
 	l.inUse++
-	l.hand(&Conn{Link: link, Target: l.id, lane: l})
+	l.hand(l.opened(link, workspace))
 }
 
 // dialFailed lets the requests that wait go elsewhere, if no connection is
 // left that may become free for them.
-func (l *Lane) dialFailed(now clock.Time, err error) {
+func (l *Lane) dialFailed(now clock.Time, workspace string, err error) {
 	unavailable := l.unavailable(err)
 	if unavailable.Code != statement.OK {
 		l.refused = now.Add(l.refusalPause())
 	} else {
 		l.down, l.downCause = now.Add(unreachablePause), err
 	}
-	if l.open > 0 || l.dialing > 0 {
+	if l.open == 0 && l.dialing == 0 {
+		l.refuse(now, unavailable, anyone)
 		return
 	}
-	l.refuseAll(now, unavailable)
+	if unavailable.Code == statement.OK && l.openFor[workspace] == 0 && l.dialsFor[workspace] == 0 {
+		l.refuse(now, unavailable, func(w *waiter) bool { return w.order.Workspace == workspace })
+	}
 }
 
 // unavailable turns a dialer's error into that of those who wait.
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,9 +74,9 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
-// Dialer opens a link to a target. A refusal by the target is reported by
-// Refusal.
-type Dialer func(ctx context.Context) (Link, error)
+// Dialer opens a link to a target for a workspace's requests. A refusal by the target
+// is reported by Refusal.
+type Dialer func(ctx context.Context, workspace string) (Link, error)
 
 // Refusal is implemented by a dialer's error if the target itself refused.
 type Refusal interface {
@@ -97,7 +98,9 @@
 	lent      bool // connections are not kept
 	idle      []*Conn
 	open      int
+	openFor   map[string]int // by workspace
 	dialing   int
+	dialsFor  map[string]int // by workspace
 	waiting   queue
 	refused   clock.Time // until when nothing beyond is opened
 	down      clock.Time // until when it is not tried again
@@ -116,7 +119,10 @@
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
-	l := &Lane{id: id, dial: dial, clk: clk, used: clk.Now(), busy: make(map[*Conn]struct{})}
+	l := &Lane{
+		id: id, dial: dial, clk: clk, used: clk.Now(), busy: make(map[*Conn]struct{}),
+		openFor: make(map[string]int), dialsFor: make(map[string]int),
+	}
 	l.setShare(share)
 	return l
 }
@@ -170,7 +176,7 @@
 		return nil, err
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
-		if c := l.takeIdle(); c != nil {
+		if c := l.takeIdle(o.Workspace); c != nil {
 			l.begin(c, now)
 			l.mu.Unlock()
 			return c, nil
@@ -183,6 +189,7 @@
 	}
 	w := &waiter{order: o, ready: make(chan delivery, 1)}
 	l.waiting.push(w)
+	l.serve(now)
 	l.grow(now)
 	l.mu.Unlock()
 	return l.await(ctx, w, timeout)
@@ -207,25 +214,48 @@
 	return d.conn, d.err
 }
 
-// takeIdle hands out the most recently used idle connection that is alive.
-func (l *Lane) takeIdle() *Conn {
-	for n := len(l.idle); n > 0; n = len(l.idle) {
-		c := l.idle[n-1]
-		l.idle = l.idle[:n-1]
+// takeIdle hands out the most recently used idle connection of a workspace that is
+// alive.
+func (l *Lane) takeIdle(workspace string) *Conn {
+	return l.takeIdleIf(func(c *Conn) bool { return c.workspace == workspace })
+}
+
+func (l *Lane) takeIdleIf(fits func(c *Conn) bool) *Conn {
+	for i := len(l.idle) - 1; i >= 0; i-- {
+		c := l.idle[i]
+		if !fits(c) {
+			continue
+		}
+		l.idle = slices.Delete(l.idle, i, i+1)
 		if c.Alive() {
 			l.inUse++
 			c.handed = 0
 			return c
 		}
-		l.open--
-		c.Close()
+		l.shut(c)
 	}
 	return nil
 }
 
-// refuseAll tells all that wait why they get no connection.
-func (l *Lane) refuseAll(now clock.Time, err error) {
-	for w := l.waiting.next(now); w != nil; w = l.waiting.next(now) {
+// opened counts a new connection.
+func (l *Lane) opened(link Link, workspace string) *Conn {
+	l.open++
+	l.openFor[workspace]++
+	return &Conn{Link: link, Target: l.id, lane: l, workspace: workspace}
+}
+
+// shut closes a connection that is not in use.
+func (l *Lane) shut(c *Conn) {
+	l.open--
+	if l.openFor[c.workspace]--; l.openFor[c.workspace] == 0 {
+		delete(l.openFor, c.workspace)
+	}
+	c.Close()
+}
+
+// refuse tells those that wait, and fit, why they get no connection.
+func (l *Lane) refuse(now clock.Time, err error, fits func(*waiter) bool) {
+	for w := l.waiting.next(now, fits); w != nil; w = l.waiting.next(now, fits) {
 		w.ready <- delivery{err: err}
 	}
 }
@@ -239,8 +269,7 @@
 	for len(l.idle) > 0 && l.mayClose(now.Sub(l.idle[0].idle)) {
 		c := l.idle[0]
 		l.idle = l.idle[1:]
-		l.open--
-		c.Close()
+		l.shut(c)
 	}
 	l.noteOverdue(now)
 	l.grow(now)
@@ -279,9 +308,8 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	for _, c := range l.idle {
-		l.open--
-		c.Close()
+		l.shut(c)
 	}
 	l.idle = nil
-	l.refuseAll(l.clk.Now(), &UnavailableError{Target: l.id, Cause: errors.New("the target is gone")})
+	l.refuse(l.clk.Now(), &UnavailableError{Target: l.id, Cause: errors.New("the target is gone")}, anyone)
 }
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -100,7 +100,7 @@
 	return d.open, d.dials
 }
 
-func (d *dialer) dial(context.Context) (Link, error) {
+func (d *dialer) dial(context.Context, string) (Link, error) {
 	d.count()
 	d.mu.Lock()
 	hangs := d.hangs
--- a/lane/order.go
+++ b/lane/order.go
@@ -7,13 +7,16 @@
 	"endivemoor.example/endivemoor/clock"
 )
 
-// Order says how urgent a request is.
+// Order says how urgent a request is, and whose.
 type Order struct {
 	// Due is when its answer should be there to meet the objective.
 	Due clock.Time
 	// Priority is the operator's; 0 is the highest. It breaks ties, and goes before
 	// Due at a target that has more to do than it can.
 	Priority int
+	// Workspace is whose request it is; empty if nobody's. Only a connection that was
+	// opened for the workspace serves it.
+	Workspace string
 }
 
 // before reports whether a request goes before another one.
@@ -110,10 +113,12 @@
 	q.inTime.push(w)
 }
 
-// next takes out the request that goes first; nil if none waits.
-func (q *queue) next(now clock.Time) *waiter {
-	for q.inTime.Len() > 0 {
-		w := heap.Pop(&q.inTime).(*waiter)
+// anyone fits every request.
+func anyone(*waiter) bool { return true }
+
+// next takes out the request that goes first of those that fit; nil if none does.
+func (q *queue) next(now clock.Time, fits func(*waiter) bool) *waiter {
+	for w := q.inTime.take(fits); w != nil; w = q.inTime.take(fits) {
 		if !q.judges || w.order.Due.After(now.Add(q.takes)) {
 			return w
 		}
@@ -122,11 +127,31 @@
 		}
 		q.late.push(w)
 	}
-	if q.late.Len() > 0 {
+	w := q.late.take(fits)
+	if w != nil {
 		q.lateServed = now
-		return heap.Pop(&q.late).(*waiter)
 	}
-	return nil
+	return w
+}
+
+// first returns the request that goes first of those that fit, and leaves it there.
+func (q *queue) first(fits func(*waiter) bool) *waiter {
+	if w := q.inTime.best(fits); w != nil {
+		return w
+	}
+	return q.late.best(fits)
+}
+
+// counts returns how many requests of each workspace wait.
+func (q *queue) counts() map[string]int {
+	out := make(map[string]int)
+	for _, w := range q.inTime.all {
+		out[w.order.Workspace]++
+	}
+	for _, w := range q.late.all {
+		out[w.order.Workspace]++
+	}
+	return out
 }
 
 // hopeless takes out the late requests of an overloaded target.
@@ -181,6 +206,35 @@
 
 func (h *waiters) push(w *waiter) { heap.Push(h, w) }
 
+// best returns the request that goes first of those that fit; nil if none does.
+func (h *waiters) best(fits func(*waiter) bool) *waiter {
+	best := -1
+	for i, w := range h.all {
+		if !fits(w) {
+			continue
+		}
+		if i == 0 {
+			return w
+		}
+		if best < 0 || h.Less(i, best) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return h.all[best]
+}
+
+// take is best, and takes the request out.
+func (h *waiters) take(fits func(*waiter) bool) *waiter {
+	w := h.best(fits)
+	if w != nil {
+		heap.Remove(h, w.index)
+	}
+	return w
+}
+
 // Len implements heap.Interface.
 func (h *waiters) Len() int { return len(h.all) }
 
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,35 +21,52 @@
 		l.drop(c)
 		return
 	}
-	l.inUse--
-	c.idle = l.clk.Now()
-	l.idle = append(l.idle, c)
-	l.serve(c.idle)
+	now := l.clk.Now()
+	if l.mustYield(now) {
+		l.drop(c)
+	} else {
+		l.inUse--
+		c.idle = now
+		l.idle = append(l.idle, c)
+	}
+	l.serve(now)
+	l.growFor(now, l.lacks)
+}
+
+// lacks reports whether a request waits for a workspace that has no connection, nor one
+// on its way.
+func (l *Lane) lacks(w *waiter) bool {
+	return l.openFor[w.order.Workspace] == 0 && l.dialsFor[w.order.Workspace] == 0
+}
+
+// mustYield reports whether a connection that comes back is to be closed for the request
+// that goes first.
+//
+// Failure guarded against: each connection that comes back is wanted by another request of
+// its own workspace, and a workspace that has none waits until its time is over.
+func (l *Lane) mustYield(now clock.Time) bool {
+	if len(l.idle) > 0 || l.open+l.dialing < l.most(now) || l.dialing >= maxDialing {
+		return false
+	}
+	w := l.waiting.first(anyone)
+	return w != nil && l.lacks(w)
 }
 
 // serve gives idle connections to those that wait, as many as may run.
 func (l *Lane) serve(now clock.Time) {
 	for l.urgent.Len() > 0 {
-		c := l.takeIdle()
+		c := l.takeIdleIf(func(*Conn) bool { return true })
 		if c == nil {
 			break
 		}
-		l.urgent.next(now).ready <- delivery{conn: c}
+		l.urgent.next(now, anyone).ready <- delivery{conn: c}
 	}
 	for l.resuming.Len() > 0 && l.mayRun() {
-		w := l.resuming.next(now)
+		w := l.resuming.next(now, anyone)
 		l.setResting(w.held, false)
 		w.ready <- delivery{conn: w.held}
 	}
-	for l.waiting.Len() > 0 && l.mayRun() {
-		c := l.takeIdle()
-		if c == nil {
-			break
-		}
-		w := l.waiting.next(now)
-		l.begin(c, now)
-		l.drain.served(now, l.waiting.Len() > 0)
-		w.ready <- delivery{conn: c}
+	for l.waiting.Len() > 0 && l.mayRun() && l.serveOne(now) {
 	}
 	if l.drain.after(l.waiting.inTime.Len()) < calmBacklog {
 		l.waiting.setOverloaded(false)
@@ -63,6 +81,26 @@
 	}
 }
 
+// serveOne gives an idle connection to the request that goes first of those that one
+// fits; false if none does.
+func (l *Lane) serveOne(now clock.Time) bool {
+	w := l.waiting.next(now, func(w *waiter) bool {
+		return slices.ContainsFunc(l.idle, func(c *Conn) bool { return c.workspace == w.order.Workspace })
+	})
+	if w == nil {
+		return false
+	}
+	c := l.takeIdle(w.order.Workspace)
+	if c == nil {
+		l.waiting.push(w)
+		return true
+	}
+	l.begin(c, now)
+	l.drain.served(now, l.waiting.Len() > 0)
+	w.ready <- delivery{conn: c}
+	return true
+}
+
 // hopeless reports whether a request would be late if it waited now, at a target
 // that has no time for late ones.
 func (l *Lane) hopeless(now clock.Time, o Order) bool {
@@ -151,9 +189,8 @@
 }
 
 func (l *Lane) drop(c *Conn) {
-	l.open--
 	l.inUse--
-	c.Close()
+	l.shut(c)
 }
 
 func (l *Lane) discard(c *Conn) {
--- /dev/null
+++ b/lane/workspace_test.go
@@ -0,0 +1,106 @@
+package lane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/internal/bubble"
+)
+
+// forWorkspace asks for a connection, which must be of the workspace.
+func forWorkspace(t *testing.T, l *Lane, workspace string, timeout time.Duration) *Conn {
+	t.Helper()
+	c, err := l.Acquire(context.Background(), Order{Workspace: workspace, Due: l.clk.Now().Add(200 * time.Millisecond)}, timeout)
+	require.NoError(t, err)
+	require.Equal(t, workspace, c.workspace)
+	return c
+}
+
+// Guards against: a statement on a connection that was opened for another workspace.
+func TestConnectionServesOneWorkspace(t *testing.T) {
+	inBubble(t, 10, 10, func(l *Lane, d *dialer) {
+		forWorkspace(t, l, "north", time.Second).Release()
+		forWorkspace(t, l, "south", time.Second).Release()
+		forWorkspace(t, l, "north", time.Second).Release()
+		_, dials := d.links()
+		require.Equal(t, 2, dials, "the first one is used again")
+	})
+}
+
+// Guards against: workspaces that find no room because others keep all connections.
+func TestIdleConnectionOfAnotherWorkspaceMakesRoom(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		d := &dialer{limit: 3}
+		l := newLane("x", d.dial, monotonic.New(), gateways.Share{Kept: 3, Idle: 3, Running: 2})
+		for i := range 12 {
+			forWorkspace(t, l, fmt.Sprint("w", i), 100*time.Millisecond).Release()
+		}
+		require.Equal(t, 3, l.Load().Open)
+	})
+}
+
+// Guards against: a workspace that waits behind others' statements until its time is over,
+// while each connection goes back to a workspace that has one.
+func TestBusyWorkspacesStarveNobody(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		d := &dialer{limit: 2}
+		l := newLane("x", d.dial, monotonic.New(), gateways.Share{Kept: 2, Idle: 2, Running: 2})
+		var wait sync.WaitGroup
+		end := time.Now().Add(2 * time.Second)
+		for i := range 6 {
+			wait.Go(func() {
+				for time.Now().Before(end) {
+					c := forWorkspace(t, l, fmt.Sprint("busy", i%2), time.Second)
+					time.Sleep(10 * time.Millisecond)
+					c.Release()
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for range 5 {
+			forWorkspace(t, l, "quiet", 300*time.Millisecond).Release()
+			time.Sleep(100 * time.Millisecond)
+		}
+		wait.Wait()
+	})
+}
+
+// Guards against: requests of a workspace that has no connection, which wait in vain and
+// go unnoticed while the target is gone and others' connections still seem to be open.
+func TestWorkspaceWithoutAConnectionLearnsThatTheTargetIsGone(t *testing.T) {
+	inBubble(t, 10, 10, func(l *Lane, d *dialer) {
+		forWorkspace(t, l, "north", time.Second).Release()
+		d.mu.Lock()
+		d.err = errors.New("no route")
+		d.mu.Unlock()
+		_, err := l.Acquire(context.Background(), Order{Workspace: "south"}, time.Second)
+		var u *UnavailableError
+		require.ErrorAs(t, err, &u)
+		require.False(t, u.Expired)
+		synctest.Wait()
+	})
+}
+
+// Guards against: an overload that is not found because the requests passed over count as
+// served.
+func TestPassedOverRequestsAreNotServed(t *testing.T) {
+	q := &queue{judges: true}
+	for _, w := range []string{"a", "b"} {
+		q.push(&waiter{order: Order{Workspace: w, Due: 1}})
+	}
+	require.Nil(t, q.next(10, func(w *waiter) bool { return w.order.Workspace == "c" }))
+	require.Equal(t, 2, q.Len())
+	served := q.lateServed
+	require.Nil(t, q.next(20, func(w *waiter) bool { return w.order.Workspace == "c" }))
+	require.Equal(t, served, q.lateServed)
+	require.Equal(t, "b", q.next(30, func(w *waiter) bool { return w.order.Workspace == "b" }).order.Workspace)
+}
--- a/relay/ask.go
+++ b/relay/ask.go
@@ -50,7 +50,7 @@
 
 // ask tries the gateways to a target; errUnreached if none of them can say.
 func (a Asker) ask(ctx context.Context, id target.ID, ask lane.Ask, maxAge, timeout time.Duration) ([]string, time.Duration, error) {
-	for _, vm := range a.route(id) {
+	for _, vm := range a.route(id, "") {
 		if rows, age, err := a.askAt(ctx, vm, id, ask, maxAge, timeout); !isGateway(err) {
 			return rows, age, err
 		}
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -20,13 +20,13 @@
 func claimOf(service string, id target.ID, c dispatch.Claim, now clock.Time) *relaypb.Claim {
 	return &relaypb.Claim{
 		Service: service, Target: string(id), DueUs: micros(c.Order.Due.Sub(now)),
-		Priority: int32(c.Order.Priority), QueueUs: micros(c.Queue),
+		Priority: int32(c.Order.Priority), QueueUs: micros(c.Queue), Workspace: c.Order.Workspace,
 	}
 }
 
 func claim(in *relaypb.Claim, now clock.Time) dispatch.Claim {
 	return dispatch.Claim{
-		Order: lane.Order{Due: now.Add(duration(in.GetDueUs())), Priority: int(in.GetPriority())},
+		Order: lane.Order{Due: now.Add(duration(in.GetDueUs())), Priority: int(in.GetPriority()), Workspace: in.GetWorkspace()},
 		Queue: duration(in.GetQueueUs()),
 	}
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -94,7 +94,7 @@
 
 // route returns the gateways to try for a target; none if this VM connects by
 // itself, as it also does if none of them answers.
-func (r *Router) route(id target.ID) []catalog.VM {
+func (r *Router) route(id target.ID, workspace string) []catalog.VM {
 	p := r.plan.Load()
 	if p == nil {
 		return nil
@@ -104,7 +104,7 @@
 		return nil
 	}
 	var out []catalog.VM
-	for _, vm := range p.Route(t) {
+	for _, vm := range p.Route(t, workspace) {
 		if len(out) < maxGateways && !r.peers.rests(vm.Peer) {
 			out = append(out, vm)
 		}
@@ -113,11 +113,11 @@
 }
 
 // Proves implements dispatch.Runner: a gateway's answers bring proofs along.
-func (r *Router) Proves(id target.ID) bool { return len(r.route(id)) > 0 }
+func (r *Router) Proves(id target.ID) bool { return len(r.route(id, "")) > 0 }
 
 // Load implements dispatch.Runner.
 func (r *Router) Load(id target.ID) lane.Load {
-	if len(r.route(id)) == 0 {
+	if len(r.route(id, "")) == 0 {
 		return r.cfg.Local.Load(id)
 	}
 	now := r.cfg.Clock.Now()
@@ -168,9 +168,9 @@
 // through tries the gateways to a target in turn, while the statement may pass.
 // The result is whether one of them has settled it; err is then what came of it.
 // If no gateway can say anything of the target, it is not settled.
-func (r *Router) through(id target.ID, try func(vm catalog.VM) error) (settled bool, err error) {
+func (r *Router) through(id target.ID, workspace string, try func(vm catalog.VM) error) (settled bool, err error) {
 	var silent error
-	for _, vm := range r.route(id) {
+	for _, vm := range r.route(id, workspace) {
 		err := try(vm)
 		if err == nil || !mayPass(err) {
 			return true, err
@@ -185,7 +185,7 @@
 // Run implements dispatch.Runner.
 func (r *Router) Run(ctx context.Context, id target.ID, claim dispatch.Claim, job *dispatch.Job) (*dispatch.Result, error) {
 	var out *dispatch.Result
-	settled, err := r.through(id, func(vm catalog.VM) (err error) {
+	settled, err := r.through(id, claim.Order.Workspace, func(vm catalog.VM) (err error) {
 		out, err = r.runAt(ctx, vm, id, claim, job)
 		return err
 	})
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -35,7 +35,7 @@
 func (r *Router) Open(ctx context.Context, id target.ID, claim dispatch.Claim, o *dispatch.Opening) (dispatch.Transaction, *statement.Answer, error) {
 	var tx dispatch.Transaction
 	var a *statement.Answer
-	settled, err := r.through(id, func(vm catalog.VM) (err error) {
+	settled, err := r.through(id, claim.Order.Workspace, func(vm catalog.VM) (err error) {
 		tx, a, err = r.openAt(ctx, vm, id, claim, o)
 		return err
 	})
--- a/statement/answer.go
+++ b/statement/answer.go
@@ -40,13 +40,15 @@
 	Malformed
 	// TooLarge: the message is larger than the protocol allows.
 	TooLarge
+	// Unauthorized: not run, nobody holds the caller's key.
+	Unauthorized
 	// Other is a code that this version does not know.
 	Other
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "lagging", "read-only", "wrong-node", "too-many-connections", "no-statement",
-	"failed", "timeout", "in-doubt", "no-database", "malformed", "too-large", "other",
+	"failed", "timeout", "in-doubt", "no-database", "malformed", "too-large", "unauthorized", "other",
 }
 
 // String returns the code's name in logs.
