Workspaces' limits hold over the fleet, dealt to three owners each

Change: ratelimit deals a workspace's limit in equal parts to three VMs of different zones by rendezvous hashing; each keeps a token bucket of its part. A VM takes a token from the nearest owner before an operation is sent (a single statement, or the first one of a transaction), asks the next one after 40 ms, and is refused at once, as not run and with a time to come back, if none has one. What has not run gives its token back. Tokens last 200 ms by the clock that counts suspension; an owner that starts anew begins almost empty; a VM that becomes an owner waits 1.5 s.

Ruled out by the window's arithmetic: equal parts for all VMs (of 2 operations a second each of 76 VMs lets one through in 38 s), tokens that last a second (a burst of a fifth of the window above the limit).

Open: a VM that is cut off from all that know of a joined VM goes on as the owner of what that one has taken over.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,7 @@
 	local     *dispatch.Local
 	router    *relay.Router
 	relay     *relay.Server
+	limits    *limits
 	groups    *groups.Registry
 	placing   *placing.Board
 	counts    *engine.Metrics
@@ -151,14 +152,15 @@
 		Catalog: e.catalog, Asker: asker{e}, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
 		Eligible: e.gossip.eligible, Asked: e.spent.Asked, LeaveAfter: leaveAfter(set), Log: log,
 	})
+	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
 	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Asker: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Asker: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.relays, Idle: e.relayIdle})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Asker: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.relays, Idle: e.relayIdle, Draw: e.limits.Draw})
 	e.counts = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
-		Log: log, Metrics: e.counts, Zone: set.Zone,
+		Log: log, Metrics: e.counts, Zone: set.Zone, Limiter: e.limits,
 	})
 	e.fleet = &fleet{edge: e}
 	e.registerMetrics()
@@ -288,6 +290,7 @@
 		plan = plan.Next(c, live)
 		e.pool.Update(c, plan.Share)
 		e.router.Update(plan, c)
+		e.limits.update(c)
 		e.groups.Update(c)
 		e.gossip.keep(c)
 		e.placing.Keep(c.Incarnation)
--- a/engine/alone.go
+++ b/engine/alone.go
@@ -43,6 +43,17 @@
 	g := s.engine.cfg.Groups.Use(w.route.Service)
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(s.engine.cfg.Clock.Now()))
 	defer cancel()
+	if refused := s.charge(ctx, w); refused != nil {
+		return refused
+	}
+	a := s.serveAlone(ctx, g, w)
+	if a.Code == statement.Busy && !w.ran {
+		s.uncharge(w)
+	}
+	return a
+}
+
+func (s *Session) serveAlone(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
 	switch {
 	case w.writes:
 		return s.writeAlone(ctx, g, w)
--- a/engine/caller.go
+++ b/engine/caller.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"context"
+	"strconv"
+
 	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/statement"
@@ -26,6 +29,31 @@
 	return callers.Keeps(s.engine.cfg.Catalog.Load().Config, tx.route, s.key, tx.caller)
 }
 
+// charge lets an operation through if the caller's workspace is within its limit; a
+// non-nil answer refuses it.
+func (s *Session) charge(ctx context.Context, w *work) *statement.Answer {
+	workspace := w.caller.Workspace
+	if workspace == nil {
+		return nil
+	}
+	begun := s.engine.cfg.Clock.Now()
+	comeBack, ok := s.engine.cfg.Limiter.Take(ctx, workspace)
+	w.spend(phaseLimit, begun, s.engine.cfg.Clock.Now())
+	if ok {
+		return nil
+	}
+	s.engine.cfg.Metrics.limited()
+	text := "workspace " + workspace.Name + " is at its limit of " + strconv.FormatFloat(workspace.Rate, 'g', -1, 64) + " operations a second"
+	return refuse(statement.Busy, max(comeBack, minComeBack), text, s.state)
+}
+
+// uncharge gives back what an operation was charged that has not run.
+func (s *Session) uncharge(w *work) {
+	if w.caller.Workspace != nil {
+		s.engine.cfg.Limiter.Return(w.caller.Workspace)
+	}
+}
+
 func unauthorized(state statement.State) *statement.Answer {
 	return statement.Failure(statement.Unauthorized, "nobody holds this key", state)
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,17 @@
 	Metrics *Metrics
 	// Zone is this VM's availability zone.
 	Zone string
+	// Limiter bounds what workspaces may ask for.
+	Limiter Limiter
+}
+
+// Limiter bounds the operations of workspaces over the whole fleet. It is safe for
+// concurrent use.
+type Limiter interface {
+	// Take lets one operation through, or says when to come back.
+	Take(ctx context.Context, w *catalog.Workspace) (comeBack time.Duration, ok bool)
+	// Return gives back what was taken for an operation that has not run.
+	Return(w *catalog.Workspace)
 }
 
 // Engine opens sessions. It is safe for concurrent use.
--- a/engine/metrics.go
+++ b/engine/metrics.go
@@ -15,6 +15,7 @@
 	operations *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	reads      *prometheus.CounterVec
+	refusals   prometheus.Counter
 
 	served, failed, atReplicas, atPrimary atomic.Int64
 }
@@ -49,7 +50,9 @@
 			Name: "endivemoor_aged_reads_total", Help: "Reads that accept an age, by the role of the target."},
 			[]string{"role"}),
 	}
-	r.MustRegister(m.operations, m.latency, m.reads)
+	m.refusals = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivemoor_limit_refusals_total", Help: "Operations refused because their workspace was at its limit."})
+	r.MustRegister(m.operations, m.latency, m.reads, m.refusals)
 	return m
 }
 
@@ -71,6 +74,13 @@
 	m.latency.WithLabelValues(freshness, access).Observe(now.Sub(w.arrived).Seconds())
 }
 
+// limited counts an operation beyond its workspace's limit.
+func (m *Metrics) limited() {
+	if m != nil {
+		m.refusals.Inc()
+	}
+}
+
 func (m *Metrics) placed(atPrimary bool) {
 	if m == nil {
 		return
--- a/engine/phases.go
+++ b/engine/phases.go
@@ -25,10 +25,12 @@
 	phaseProof
 	// phasePause is the pause between two tries.
 	phasePause
+	// phaseLimit is the wait for the word that the workspace is within its limit.
+	phaseLimit
 	phases
 )
 
-var phaseNames = [phases]string{"primary", "queue", "target", "lost-answer", "proof", "retry"}
+var phaseNames = [phases]string{"primary", "queue", "target", "lost-answer", "proof", "retry", "limit"}
 
 // ledger is how long a statement has spent in each phase.
 type ledger [phases]time.Duration
--- a/engine/session.go
+++ b/engine/session.go
@@ -136,7 +136,7 @@
 	if refused != nil {
 		return refused
 	}
-	w.route, w.workspace = route, caller.Name()
+	w.route, w.caller = route, caller
 	a := s.runAlone(ctx, w)
 	s.explain(w, a)
 	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -111,14 +111,14 @@
 // runInTransaction serves a read or a write of the open transaction.
 func (s *Session) runInTransaction(ctx context.Context, w *work) *statement.Answer {
 	tx := s.tx
-	w.route, w.workspace = tx.route, tx.caller.Name()
+	w.route, w.caller = tx.route, tx.caller
 	if !s.keeps(tx) {
 		return s.failStatement(unauthorized(s.state))
 	}
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(s.engine.cfg.Clock.Now()))
 	defer cancel()
 	if tx.open == nil {
-		if failure := s.open(ctx, tx, w); failure != nil {
+		if failure := s.openCharged(ctx, tx, w); failure != nil {
 			s.explain(w, failure)
 			return s.failStatement(failure)
 		}
@@ -185,7 +185,7 @@
 		return statement.Failure(statement.Malformed, "no transaction is open", s.state)
 	}
 	tx := s.tx
-	w := &work{st: st, route: tx.route, arrived: s.engine.cfg.Clock.Now()}
+	w := &work{st: st, route: tx.route, caller: tx.caller, arrived: s.engine.cfg.Clock.Now()}
 	ctx, cancel := context.WithTimeout(ctx, deadline(w.route, w.arrived).Sub(w.arrived))
 	defer cancel()
 	if !s.keeps(tx) {
@@ -194,7 +194,7 @@
 		return statement.Failure(statement.Aborted, "the caller's key was taken away; the transaction is rolled back", statement.Idle)
 	}
 	if tx.open == nil {
-		if failure := s.open(ctx, tx, w); failure != nil {
+		if failure := s.openCharged(ctx, tx, w); failure != nil {
 			s.abandon()
 			s.state, failure.State = statement.Idle, statement.Idle
 			return failure
@@ -276,6 +276,19 @@
 	}
 }
 
+// openCharged starts the transaction at a target if its caller's workspace is within its
+// limit. A non-nil answer says why it could not: nothing has run.
+func (s *Session) openCharged(ctx context.Context, tx *transaction, w *work) *statement.Answer {
+	if refused := s.charge(ctx, w); refused != nil {
+		return refused
+	}
+	failure := s.open(ctx, tx, w)
+	if failure != nil {
+		s.uncharge(w)
+	}
+	return failure
+}
+
 // open starts the transaction at a target. A non-nil answer says why it could
 // not: nothing has run.
 func (s *Session) open(ctx context.Context, tx *transaction, w *work) *statement.Answer {
--- a/engine/try.go
+++ b/engine/try.go
@@ -48,7 +48,7 @@
 // try sends a statement to one target and returns its answer.
 func (s *Session) try(ctx context.Context, id target.ID, w *work, after timeline.Position, most limits) (*statement.Answer, verdict) {
 	w.tries++
-	claim := dispatch.Claim{Order: order(w.route, w.workspace, w.arrived), Queue: most.queue}
+	claim := dispatch.Claim{Order: order(w.route, w.caller.Name(), w.arrived), Queue: most.queue}
 	begun := s.engine.cfg.Clock.Now()
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, most.answer))
 	s.account(w, begun, r, err)
@@ -97,7 +97,7 @@
 		}
 		return unsent
 	}
-	w.full = 0
+	w.full, w.ran = 0, true
 	e.blame(id, lost)
 	e.cfg.Log.Debug("answer-lost", zap.String("request", w.st.ID), zap.String("target", string(id)), zap.Error(err))
 	return lostAnswer
@@ -107,6 +107,7 @@
 func (s *Session) judge(id target.ID, w *work, r *dispatch.Result) verdict {
 	e := s.engine
 	a, now := r.Answer, e.cfg.Clock.Now()
+	w.ran = w.ran || !a.Code.NotRun()
 	switch {
 	case a.Code == statement.OK:
 		e.cfg.Placing.Served(id, now, r.Took)
--- a/engine/work.go
+++ b/engine/work.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/lane"
@@ -19,11 +20,12 @@
 	prepared *lane.Prepared
 	writes   bool
 	route    *catalog.Route
-	// workspace is whose statement it is; empty if nobody's.
-	workspace string
-	arrived   clock.Time
-	ledger    ledger
-	tries     int
+	caller   callers.Caller
+	arrived  clock.Time
+	ledger   ledger
+	// ran is set once the statement may have run at a target.
+	ran   bool
+	tries int
 	// full counts the targets in a row that had no time for the statement;
 	// comeBack is when the last of them will have, and refusal says why it has not.
 	full     int
--- a/relay/server.go
+++ b/relay/server.go
@@ -33,6 +33,8 @@
 	Serves func(id target.ID) bool
 	// Idle is how long a transaction may stay without a statement.
 	Idle func() time.Duration
+	// Draw takes tokens of the part of a workspace's limit that this VM owns.
+	Draw func(workspace string, want int) (tokens int, comeBack time.Duration)
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
@@ -213,6 +215,12 @@
 	return rows, 0, err
 }
 
+// Draw implements relaypb.Relay.
+func (s *Server) Draw(_ context.Context, in *relaypb.DrawRequest) (*relaypb.DrawReply, error) {
+	tokens, comeBack := s.cfg.Draw(in.GetWorkspace(), int(in.GetWant()))
+	return &relaypb.DrawReply{Tokens: uint32(tokens), ComeBackUs: micros(comeBack)}, nil
+}
+
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
 	h := s.leave(in.GetTransaction())
