Eras of the store: revisions, records and attempts survive a restore

What callers would see: the store comes back from a copy some seconds old, revisions go back and are given out again. Lists of the restored store have lower revisions than the ones at hand and are never taken; a watch goes on from a revision that means something else now; a conditional change lands on top of another VM's; a token is lower than one the platform has seen; a record that has lost an attempt proves a primary that was replaced.

A watch or a condition of an earlier era does not hold; answers of one are none; a list of two is none. edge notes eras, its own and those that peers tell; the first one is no change. A record of leadership tells the era in which it was written and proves nothing in another. A VM whose entry is lost writes it again within a second. Old VMs' revisions have no era and count as older.

Ruled out: a type of its own through all packages (each comparison would have to be found; one number keeps them right), dropping everything known at a restore (sales stop), beginning attempts at once under the higher token (the holder of the lost one may promote after it).

Evidence: the stand-in of the store restores itself; its disorder of holders is judged in every scenario.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -100,7 +100,14 @@
 type Reign struct {
 	Service string
 	// Revision is the store's revision of this record.
-	Revision int64
+	Revision Revision
+	// Era is the store's as the record was written. One that was written in an earlier
+	// era than its Revision's tells what was so before the store came back from an older
+	// copy: later records may be lost.
+	Era int64
+	// Lost is set if there is no record any more, as the store came back from an older
+	// copy; Revision is then 0.
+	Lost bool
 	// Primary is the target last promoted by the fleet; empty if none was.
 	Primary target.ID
 	// Holder is the VM that made the last attempt; empty if none was made.
@@ -134,7 +141,7 @@
 	VMs []VM
 	// TargetsRevision and FleetRevision are the store's revisions up to which
 	// Targets, and VMs with Reigns, are complete.
-	TargetsRevision, FleetRevision int64
+	TargetsRevision, FleetRevision Revision
 	// changes lead to Config, the oldest first, each from where the one before ends.
 	changes []*Change
 	// fleetHistory and targetsHistory lead to VMs and Targets in the same way.
@@ -206,5 +213,8 @@
 	return out
 }
 
+// Era is the latest era of the store that the lists are of.
+func (c *Catalog) Era() int64 { return max(EraOf(c.TargetsRevision), EraOf(c.FleetRevision)) }
+
 // Complete reports whether enough is known to serve requests.
 func (c *Catalog) Complete() bool { return c.Config != nil && len(c.Targets) > 0 }
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -82,6 +82,9 @@
 	next := *h.Load()
 	next.Reigns = laterReigns(next.Reigns, reigns)
 	taken := revision >= next.FleetRevision
+	if taken && EraOf(revision) > EraOf(next.FleetRevision) {
+		next.Reigns = ofEra(next.Reigns, EraOf(revision))
+	}
 	if taken {
 		next.setVMs(slices.SortedFunc(slices.Values(vms), byName), revision)
 	}
@@ -106,6 +109,19 @@
 	return out
 }
 
+// ofEra replaces the records that the store has lost as it came back from an older copy:
+// those that are not on its list any more.
+func ofEra(reigns map[string]*Reign, era int64) map[string]*Reign {
+	out := make(map[string]*Reign, len(reigns))
+	for service, r := range reigns {
+		if EraOf(r.Revision) < era {
+			r = &Reign{Service: service, Lost: true}
+		}
+		out[service] = r
+	}
+	return out
+}
+
 // SetReign takes over one service's record unless a later one is known.
 func (h *Holder) SetReign(r *Reign) {
 	h.mu.Lock()
--- /dev/null
+++ b/catalog/revision_test.go
@@ -0,0 +1,35 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against: evidence or a token of a store that is no more which passes for newer.
+func TestALaterEraIsTheHigherRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		era, count := rapid.Int64Range(0, 8000).Draw(t, "era"), rapid.Int64Range(0, 1<<40-1).Draw(t, "count")
+		r := RevisionOf(era, count)
+		require.Equal(t, era, EraOf(r))
+		require.Equal(t, count, CountOf(r))
+		require.Greater(t, RevisionOf(era+1, 0), r)
+		require.Less(t, r, int64(1)<<53, "a whole number in JSON")
+	})
+	require.EqualValues(t, 412, RevisionOf(0, 412), "a store without eras")
+}
+
+// Guards against: records that go on though the store has lost them, and ones that are
+// lost with the list of an era that was known.
+func TestRecordsThatTheStoreHasLost(t *testing.T) {
+	h := NewHolder()
+	h.SetFleet(nil, map[string]*Reign{"a": {Service: "a", Revision: RevisionOf(1, 450), Attempt: &Attempt{}}, "b": {Service: "b", Revision: RevisionOf(1, 300)}}, RevisionOf(1, 500))
+	h.SetFleet(nil, map[string]*Reign{"b": {Service: "b", Revision: RevisionOf(2, 300), Era: 1}}, RevisionOf(2, 310))
+	c := h.Load()
+	require.Equal(t, &Reign{Service: "a", Lost: true}, c.Reigns["a"])
+	require.EqualValues(t, 1, c.Reigns["b"].Era)
+	require.False(t, h.SetFleet(nil, nil, RevisionOf(1, 900)), "a late list of the era before")
+	h.SetReign(&Reign{Service: "a", Revision: RevisionOf(2, 311), Era: 2})
+	require.False(t, h.Load().Reigns["a"].Lost)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -70,6 +70,7 @@
 	haste     float64
 	catalog   *catalog.Holder
 	recency   recency.Board
+	eras      *eras
 	store     *objects.Client
 	outage    outage
 	duty      *duty.Client
@@ -144,13 +145,16 @@
 		haste:       mathrand.Float64(),
 	}
 	e.spent = spending.NewMeter(e.metrics)
+	e.eras = newEras(log, clk, e.metrics)
 	e.store = objects.New(set.Platform.Addr, newTransport(e.dialFor(spending.Store)))
 	e.store.Observe = func(kind string, v objects.Verb) { e.spent.Called(kind, string(v)) }
+	e.store.ObserveEra = e.eras.note
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.gossip = newGossiper(e)
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Asker: asker{e}, Clock: e.clk, Decode: line.ParseStatus, Records: reigns{e},
 		Eligible: e.gossip.eligible, Asked: e.spent.Asked, LeaveAfter: leaveAfter(set), Log: log,
+		Era: e.eras.current,
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
@@ -168,6 +172,7 @@
 	e.promoter = promoter.New(promoter.Config{
 		Node: set.Node, Catalog: e.catalog, Groups: e.groups, Records: reigns{e},
 		Platform: designator{e.duty}, Fleet: e.gossip, Clock: e.clk, Log: log, Nonce: rand.Text,
+		Era: e.eras.current, RestoredAt: e.eras.restoredAt,
 	})
 	return e
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -63,19 +63,25 @@
 // keepEvery is how often the entries of the fleet are looked after.
 const keepEvery = 10 * time.Second
 
+// afterRestore is how long after the store has come back from an older copy a VM looks if
+// its entry is there: the list of the new era has come by then.
+const afterRestore = 700 * time.Millisecond
+
 // keep writes this VM's entry again if it was taken away, as after a long
-// partition, and takes away those of VMs that are long dead. Nothing in the
+// partition, or lost by the store, and takes away those of VMs that are long dead. Nothing in the
 // store ends by itself.
 func (f *fleet) keep(ctx context.Context) {
 	tick := time.NewTicker(keepEvery)
 	defer tick.Stop()
 	for {
+		e := f.edge
 		select {
 		case <-tick.C:
+		case <-e.eras.next():
+			wait.For(ctx, afterRestore)
 		case <-ctx.Done():
 			return
 		}
-		e := f.edge
 		c := e.catalog.Load()
 		if vm, ok := c.VM(e.set.Node); c.FleetRevision > 0 && (!ok || vm.Incarnation != e.incarnation) && !e.ends.leaving.Load() {
 			e.log.Info("entry-missing")
--- a/edge/fleetfollower.go
+++ b/edge/fleetfollower.go
@@ -38,6 +38,8 @@
 	Primary target.ID      `json:"primary,omitempty"`
 	Holder  string         `json:"holder,omitempty"`
 	Attempt *attemptRecord `json:"attempt,omitempty"`
+	// Era is the store's as the record was written.
+	Era int64 `json:"era,omitempty"`
 }
 
 type attemptRecord struct {
@@ -66,6 +68,7 @@
 
 func (f *fleetFollower) replace(items map[string]*objects.Object) {
 	clear(f.vms)
+	clear(f.reigns)
 	for _, o := range items {
 		f.apply(o, false)
 	}
@@ -108,7 +111,7 @@
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
 		return nil, errors.Wrap(err, "decode reign")
 	}
-	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary, Holder: r.Holder}
+	out := &catalog.Reign{Service: service, Revision: o.Meta.Revision, Primary: r.Primary, Holder: r.Holder, Era: r.Era}
 	if r.Attempt != nil {
 		out.Attempt = &catalog.Attempt{Holder: r.Holder, Nonce: r.Attempt.Nonce, Deposed: r.Attempt.Deposed}
 	}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -96,13 +96,15 @@
 }
 
 // eligible reports whether this VM is surely on the list by which others ask
-// for permissions: the list is young, and this run of the VM is on it.
+// for permissions: the list is young and of the store's present era, and this run of the
+// VM is on it.
 func (g *gossiper) eligible() bool {
 	if g.edge.ends.leaving.Load() || g.edge.evidenceAge(recency.Fleet) > storeAge {
 		return false
 	}
-	vm, ok := g.edge.catalog.Load().VM(g.edge.set.Node)
-	return ok && vm.Incarnation == g.edge.incarnation
+	c := g.edge.catalog.Load()
+	vm, ok := c.VM(g.edge.set.Node)
+	return catalog.EraOf(c.FleetRevision) == g.edge.eras.current() && ok && vm.Incarnation == g.edge.incarnation
 }
 
 // run pulls until ctx ends.
@@ -257,6 +259,7 @@
 		e.router.HeardSilent(addr, at)
 	}
 	for l, m := range n.Marks {
+		e.eras.noteRevision(m.Revision)
 		e.recency.Note(l, m)
 	}
 }
@@ -286,7 +289,8 @@
 	for addr, cause := range out.Unanswered {
 		g.edge.log.Info("permission-unanswered", zap.String("service", held.Service), zap.String("peer", peers[addr]), zap.Error(cause))
 	}
-	return len(out.Unanswered) == 0
+	// A VM whose entry the store has lost is not on the list, and may not know it yet.
+	return len(out.Unanswered) == 0 && !g.edge.eras.younger(storeAge)
 }
 
 // ListTargets implements promoter.Fleet.
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -216,4 +216,5 @@
 	v := f.group.Judge()
 	require.Empty(f.t, v.Lost, "acknowledged commits are lost")
 	require.Empty(f.t, v.Twice, "writes took effect twice")
+	require.Empty(f.t, f.world.Store.Disorder(), "holders are out of order")
 }
--- a/edge/matrix_test.go
+++ b/edge/matrix_test.go
@@ -45,6 +45,7 @@
 	{"store-down", "store down", "store up"},
 	{"store-loses", "store loses 3", ""},
 	{"store-forgets", "store forgets", ""},
+	{"store-restored", "store restored 200ms 3s", ""},
 	{"slow-net", "slow-net 40ms", "slow-net 0s"},
 }
 
--- a/edge/reigns.go
+++ b/edge/reigns.go
@@ -37,9 +37,11 @@
 
 // write changes a record that has the known revision. What became of a change
 // whose answer was lost is read back: it may have been made, and it may still
-// be made later, as long as the record has the revision that it asks for.
+// be made later, as long as the record has the revision that it asks for. One that was
+// made in a later era of the store than that of the revision counts for nothing.
 func (r reigns) write(ctx context.Context, known *catalog.Reign, spec reignRecord) (*catalog.Reign, error) {
 	name := prefixReign + known.Service
+	spec.Era = r.edge.eras.current()
 	o, err := r.put(ctx, name, known.Revision, spec)
 	for errors.Is(err, objects.ErrNoAnswer) {
 		if o, err = r.readBack(ctx, name, known.Revision, spec); err != nil {
@@ -56,6 +58,9 @@
 		return nil, err
 	}
 	r.edge.catalog.SetReign(now)
+	if now.Era != catalog.EraOf(now.Revision) {
+		return nil, &objects.EraError{Done: true}
+	}
 	return now, nil
 }
 
@@ -70,7 +75,7 @@
 func (r reigns) Current(ctx context.Context, service string) (*catalog.Reign, error) {
 	o, err := r.edge.store.Get(ctx, kindFleet, prefixReign+service)
 	if errors.Is(err, objects.ErrNotFound) {
-		return &catalog.Reign{Service: service}, nil
+		return &catalog.Reign{Service: service, Era: r.edge.eras.ofMissing()}, nil
 	}
 	if err != nil {
 		return nil, err
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -40,6 +40,8 @@
 			f.world.Store.LoseAnswers(number(a[1]))
 		case "forgets":
 			f.world.Store.DropHistory()
+		case "restored":
+			f.world.RestoreStore(length(a[1]), length(a[2]))
 		case "refuses":
 			f.world.CutFromStore(a[1], true)
 		default:
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -288,7 +288,7 @@
 }
 
 func reignOf(r *catalog.Reign) *gossippb.Reign {
-	out := &gossippb.Reign{Service: r.Service, Revision: r.Revision, Primary: string(r.Primary), Holder: r.Holder}
+	out := &gossippb.Reign{Service: r.Service, Revision: r.Revision, Primary: string(r.Primary), Holder: r.Holder, Era: r.Era}
 	if r.Attempt != nil {
 		out.AttemptNonce, out.AttemptDeposed = r.Attempt.Nonce, string(r.Attempt.Deposed)
 	}
@@ -301,7 +301,7 @@
 		out.VMs = append(out.VMs, catalog.VM{ID: vm.GetId(), Zone: vm.GetZone(), Peer: vm.GetPeer(), Incarnation: vm.GetIncarnation(), Capacity: vm.GetCapacity()})
 	}
 	for _, r := range in.GetReigns() {
-		reign := &catalog.Reign{Service: r.GetService(), Revision: r.GetRevision(), Primary: target.ID(r.GetPrimary()), Holder: r.GetHolder()}
+		reign := &catalog.Reign{Service: r.GetService(), Revision: r.GetRevision(), Primary: target.ID(r.GetPrimary()), Holder: r.GetHolder(), Era: r.GetEra()}
 		if r.GetAttemptNonce() != "" {
 			reign.Attempt = &catalog.Attempt{Holder: r.GetHolder(), Nonce: r.GetAttemptNonce(), Deposed: target.ID(r.GetAttemptDeposed())}
 		}
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -61,7 +61,9 @@
 	// LeaveAfter is how long a target that leaves may still be given work; zero
 	// is for ever.
 	LeaveAfter time.Duration
-	Log        *zap.Logger
+	// Era is the latest era of the store that is known; nil is that it has one only.
+	Era func() int64
+	Log *zap.Logger
 }
 
 // Registry holds the groups of all services. It is safe for concurrent use.
@@ -73,6 +75,9 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
+	if cfg.Era == nil {
+		cfg.Era = func() int64 { return 0 }
+	}
 	return &Registry{cfg: cfg, groups: make(map[string]*Group)}
 }
 
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -176,10 +176,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ended := r != nil && r.Revision > g.revoked
+	ended := r != nil && endedSince(r, g.revoked)
 	return g.revoked != 0 && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
 }
 
+// endedSince reports whether a record tells that the attempt of a revision has ended. One
+// of a later era of the store tells nothing of it: the attempt's own may be lost while its
+// holder goes on.
+func endedSince(r *catalog.Reign, revoked catalog.Revision) bool {
+	return r.Revision > revoked && catalog.EraOf(r.Revision) == catalog.EraOf(revoked)
+}
+
 // Revoke gives up this VM's permission for the attempt of a revision, which is
 // to replace a primary.
 func (g *Group) Revoke(revision int64, deposed target.ID) {
@@ -197,11 +204,15 @@
 	r := g.cfg.Catalog.Load().Reigns[g.Service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ended := r != nil && r.Attempt == nil && r.Revision > g.revoked
+	ended := r != nil && r.Attempt == nil && endedSince(r, g.revoked)
 	return id != "" && id == g.deposed && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.Lapse
 }
 
 // witnessByRecord is the store's word for Witness.
+//
+// Failure guarded against: the store comes back from a copy that it made before a primary
+// was replaced, and its record says that nothing has changed. A record counts in the era
+// in which it was written.
 func (g *Group) witnessByRecord(ctx context.Context, b leadership.Belief) error {
 	asked := g.cfg.Clock.Now()
 	if g.knownSuperseded(b, asked) {
@@ -212,6 +223,9 @@
 		return ErrNoWitness
 	}
 	replaced := r.Primary != "" && r.Primary != b.Primary
+	if r.Era != g.cfg.Era() {
+		return ErrNoWitness
+	}
 	if r.Attempt != nil || replaced {
 		g.noteSuperseded(b, asked, replaced && r.Attempt == nil)
 		g.Rediscover()
--- a/groups/witness_test.go
+++ b/groups/witness_test.go
@@ -18,6 +18,7 @@
 	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -139,3 +140,36 @@
 	clk.pass(replacingLasts)
 	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
 }
+
+// Guards against: a primary proven by a record of before the store came back from an older
+// copy, though another one was promoted since.
+func TestRecordOfAnEarlierEraProvesNothing(t *testing.T) {
+	clk := newAtomicClock()
+	h := catalog.NewHolder()
+	r := &record{reign: catalog.Reign{Service: "s", Revision: catalog.RevisionOf(2, 9), Era: 1, Primary: "p"}}
+	reg := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), Asker: silentTargets{}, Records: r, Eligible: func() bool { return false },
+		Era: func() int64 { return 2 }})
+	reg.Update(listing(h, 7, 10))
+	g := reg.Group("s")
+	b := leadership.Belief{Primary: "p", Term: 3}
+	require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.Now()), ErrNoWitness)
+	r.reign = catalog.Reign{Service: "s", Era: 1}
+	require.ErrorIs(t, g.Prove(context.Background(), b, 0, clk.Now()), ErrNoWitness, "a record that is not there")
+	r.reign = catalog.Reign{Service: "s", Revision: catalog.RevisionOf(2, 12), Era: 2, Primary: "p"}
+	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
+}
+
+// Guards against: a permission that comes back while the holder of an attempt goes on whose
+// record the store has lost.
+func TestPermissionDoesNotComeBackWithALaterEra(t *testing.T) {
+	clk := newAtomicClock()
+	h := catalog.NewHolder()
+	reg := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), Eligible: func() bool { return true }})
+	g := reg.Group("s")
+	g.Revoke(catalog.RevisionOf(1, 450), "p")
+	h.SetReign(&catalog.Reign{Service: "s", Revision: catalog.RevisionOf(2, 300), Primary: "p"})
+	require.True(t, g.hasRevoked())
+	require.True(t, g.Deposing("p"))
+	clk.pass(takeover.Lapse)
+	require.False(t, g.hasRevoked())
+}
--- a/promoter/abandoned.go
+++ b/promoter/abandoned.go
@@ -23,7 +23,7 @@
 // the whole Lapse has to pass, also if this VM's own process before was the holder.
 func (p *Promoter) abandoned(r *catalog.Reign, w *watched, leads target.ID, now clock.Time) bool {
 	if r.Attempt == nil {
-		return false
+		return outdated(r) && now.Sub(w.seen) >= takeover.Lapse
 	}
 	lapse := p.lapse(r, w)
 	if leads == r.Attempt.Deposed {
@@ -32,6 +32,21 @@
 	return now.Sub(w.seen) >= lapse
 }
 
+// outdated reports whether a record is of before the store came back from an older copy,
+// or lost by that: an attempt may have been recorded since, and left targets paused. It is
+// written again by whoever tidies.
+func outdated(r *catalog.Reign) bool {
+	return r.Lost || r.Era < catalog.EraOf(r.Revision)
+}
+
+// deposed is the target that the recorded attempt was to replace; empty if there is none.
+func deposed(r *catalog.Reign) target.ID {
+	if r.Attempt == nil {
+		return ""
+	}
+	return r.Attempt.Deposed
+}
+
 // tidy undoes what an attempt has left behind whose holder is gone. It is false
 // if it is not sure who leads, so that nothing was done.
 //
@@ -46,7 +61,7 @@
 	if _, settled := a.left(ctx); !settled {
 		return false
 	}
-	if err := a.record(ctx, a.known.Attempt.Deposed); err != nil {
+	if err := a.record(ctx, deposed(a.known)); err != nil {
 		log.Info("takeover-not-ours", zap.Error(err))
 		return true
 	}
@@ -77,7 +92,7 @@
 			paused = append(paused, o.ID)
 		}
 	}
-	return paused, takeover.Settled(leader, others, a.known.Attempt.Deposed)
+	return paused, takeover.Settled(leader, others, deposed(a.known))
 }
 
 func accountOf(id target.ID, s statement.Status, err error) takeover.Account {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -68,6 +68,7 @@
 	errIdle        = errors.New("the primary is not busy")
 	errRecovered   = errors.New("the primary answers again")
 	errOwnPath     = errors.New("this VM reaches no other, and targets only slowly: its own path may be at fault")
+	errRestored    = errors.New("the store has come back from an older copy: the attempt's record may be lost")
 	errReborn      = errors.New("the target has started again and forgotten what it held")
 )
 
@@ -151,6 +152,9 @@
 	if err != nil {
 		return "", err
 	}
+	if a.restored() {
+		return "", errRestored
+	}
 	if len(joined) > 0 {
 		fencedAt = a.p.cfg.Clock.Now()
 	}
@@ -201,6 +205,9 @@
 		if left <= 0 {
 			return errLate
 		}
+		if a.restored() {
+			return errRestored
+		}
 		a.ordered = true
 		call, cancel := context.WithTimeout(ctx, min(left, designateTimeout))
 		err := a.p.cfg.Platform.Promote(call, a.p.cfg.Node, a.held.Revision, a.g.Service, id)
@@ -216,6 +223,10 @@
 	}
 }
 
+// restored reports whether the store has come back from an older copy since the attempt was
+// recorded. Another VM may then begin one, and no order of this one may come after.
+func (a *attempt) restored() bool { return a.p.cfg.Era() != catalog.EraOf(a.held.Revision) }
+
 // ErrNotRunning is what a Designator returns if the target does not run: the
 // order was refused for good.
 var ErrNotRunning = errors.New("the designated target is not running")
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -58,6 +58,11 @@
 	Log      *zap.Logger
 	// Nonce returns a new name for an attempt.
 	Nonce func() string
+	// Era is the latest era of the store that is known, and RestoredAt when it was first
+	// heard of; 0 is that this process knows no other. If they are nil the store has one
+	// era only.
+	Era        func() int64
+	RestoredAt func() clock.Time
 }
 
 const (
@@ -105,6 +110,10 @@
 
 // New returns a Promoter.
 func New(cfg Config) *Promoter {
+	if cfg.Era == nil {
+		cfg.Era = func() int64 { return 0 }
+		cfg.RestoredAt = func() clock.Time { return 0 }
+	}
 	return &Promoter{cfg: cfg, watched: make(map[string]*watched)}
 }
 
@@ -187,7 +196,7 @@
 	}
 	p.pursue(ctx, g, w, now)
 	known := p.known(g.Service)
-	others := p.othersAct(known, w, now)
+	others := p.othersAct(known, w, now) || p.restoredLately(now)
 	signs := p.signs(g, b.Primary, now)
 	signs.Settled = now.Sub(w.seen)
 	if p.suspicious(g, b.Primary, now) && now.Sub(w.asked) >= askEvery {
@@ -256,6 +265,17 @@
 	}
 }
 
+// restoredLately reports whether the store has come back from an older copy so lately
+// that an attempt whose record is lost may still be under way.
+//
+// Failure guarded against: a VM begins an attempt of its own beside one that the store has
+// forgotten. Both replace the primary, one of them under a token that is lower than what the
+// platform has seen.
+func (p *Promoter) restoredLately(now clock.Time) bool {
+	at := p.cfg.RestoredAt()
+	return at != 0 && now.Sub(at) < takeover.Settle
+}
+
 // lapse is how long an attempt is left to its holder.
 //
 // Failure guarded against: the holder of an attempt is killed and starts anew. It
--- a/store/client/client.go
+++ b/store/client/client.go
@@ -253,7 +253,10 @@
 func changeError(key string, err error) error {
 	var conflict *objects.ConflictError
 	var known *store.ConflictError
+	var era *objects.EraError
 	switch {
+	case errors.As(err, &era) && !era.Done:
+		return &store.ConflictError{Key: key}
 	case errors.As(err, &known):
 		return known
 	case errors.As(err, &conflict):
