Soak: API keys, revocations, lowered limits and a restored store

Seeds from 9000 on give each VM's callers a key of one of three workspaces, and draw three further troubles: a key taken away, a limit lowered, the store restored from a copy three seconds old. The stand-in's verdict counts statements under a wrong or revoked key, windows above a limit, and holders out of order. Earlier seeds play as they did.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -34,6 +35,10 @@
 	8048, // a line that was logged after the log was closed ended the process
 }
 
+// firstKeyed is the first seed whose callers have API keys. Those before play as they
+// always did.
+const firstKeyed = 9000
+
 // Offsets of ports from a soak's first one, beside those of the stand-in.
 const (
 	soakServers     = 3
@@ -66,6 +71,8 @@
 	vms     []*soakVM
 	servers []*faultProxy
 	crashed map[string]bool
+	// keyed is set for seeds whose callers have API keys, and whose store may be restored.
+	keyed bool
 	// ends are what lasts, and must end.
 	ends []func()
 }
@@ -86,6 +93,9 @@
 		_, written := os.Stat(s.settings(*soakVMs))
 		return err == nil && written == nil
 	})
+	if s.keyed = seed >= firstKeyed; s.keyed {
+		s.order("raise", lines.Workspaces[0])
+	}
 	for i := 1; i <= soakServers; i++ {
 		s.servers = append(s.servers, newFaultProxy(t, s.local(i+soakProxyOffset), s.local(i)))
 	}
@@ -163,7 +173,14 @@
 	if err != nil {
 		return nil, consumer.Answer{Lost: true}
 	}
-	return consumer.Open(conn, name, database)
+	if !s.keyed {
+		return consumer.Open(conn, name, database)
+	}
+	key := lines.Key(lines.Workspaces[n%len(lines.Workspaces)])
+	if _, err := s.ask("/caller?" + url.Values{"name": {name}, "key": {key}}.Encode()); err != nil {
+		return nil, consumer.Answer{Lost: true}
+	}
+	return consumer.OpenAs(conn, name, key, database)
 }
 
 func (s *soak) play() {
@@ -189,7 +206,7 @@
 	require.NoError(s.t, err)
 	s.t.Logf("%d sales, %s", sales, verdict)
 	require.Empty(s.t, broken)
-	require.Contains(s.t, verdict, "lost=0 twice=0")
+	require.Contains(s.t, verdict, "lost=0 twice=0 misnamed=0 unheld=0 exceeded=0 disorder=0")
 }
 
 // goesOn waits until further sales are made.
@@ -215,6 +232,12 @@
 	end()
 }
 
+// trouble is one that may strike; do is told its name.
+type trouble struct {
+	name string
+	do   func(name string)
+}
+
 // strike draws one trouble.
 func (s *soak) strike() {
 	vm := s.vms[s.random.IntN(len(s.vms))]
@@ -224,10 +247,7 @@
 	if s.random.IntN(3) == 0 {
 		proxy = vm.store
 	}
-	all := []struct {
-		name string
-		do   func(name string)
-	}{
+	all := []trouble{
 		{"kill " + vm.name, func(name string) { s.kill(name, vm) }},
 		{"pause " + vm.name, func(name string) { s.pause(name, vm) }},
 		{"stop " + vm.name, func(name string) { s.stop(name, vm) }},
@@ -259,9 +279,23 @@
 			s.later(name, proxy.heal)
 		}},
 	}
-	trouble := all[s.random.IntN(len(all))]
-	s.t.Logf("%s", trouble.name)
-	trouble.do(trouble.name)
+	if s.keyed {
+		workspace := lines.Workspaces[s.random.IntN(len(lines.Workspaces))]
+		all = append(all, []trouble{
+			{"store restored", func(string) { s.order("store-restored", "") }},
+			{"revoke " + workspace, func(name string) {
+				s.order("revoke", workspace)
+				s.later(name, func() { s.order("grant", workspace) })
+			}},
+			{"lower " + workspace, func(name string) {
+				s.order("lower", workspace)
+				s.later(name, func() { s.order("raise", workspace) })
+			}},
+		}...)
+	}
+	drawn := all[s.random.IntN(len(all))]
+	s.t.Logf("%s", drawn.name)
+	drawn.do(drawn.name)
 }
 
 // gone reports whether a daemon's process has ended.
