--- a/ctl/losses.go
+++ b/ctl/losses.go
@@ -16,6 +16,8 @@
 type lossesCommand struct {
 	Logs   []string      `arg:"" help:"Log files of daemons." type:"existingfile"`
 	Window time.Duration `help:"Length of the spans in the second table." default:"2s"`
+	// ByWorkspace splits the first table.
+	ByWorkspace bool `help:"Count the causes for each workspace."`
 }
 
 // lossReport is the JSON form.
@@ -37,8 +39,12 @@
 		}
 		all = append(all, found...)
 	}
-	report := lossReport{Causes: list(losses.ByCause(all)), Windows: list(losses.ByWindow(all, c.Window))}
-	return r.print(report, func(w io.Writer) { printLosses(w, report) })
+	causes := losses.ByCause(all)
+	if c.ByWorkspace {
+		causes = losses.ByWorkspace(all)
+	}
+	report := lossReport{Causes: list(causes), Windows: list(losses.ByWindow(all, c.Window))}
+	return r.print(report, func(w io.Writer) { printLosses(w, report, c.ByWorkspace) })
 }
 
 func readLosses(path string) ([]losses.Loss, error) {
@@ -51,10 +57,16 @@
 	return found, errors.WithMessage(err, path)
 }
 
-func printLosses(out io.Writer, report lossReport) {
+func printLosses(out io.Writer, report lossReport, byWorkspace bool) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if byWorkspace {
+		fmt.Fprint(w, "WORKSPACE\t")
+	}
 	fmt.Fprintln(w, "KIND\tCODE\tCAUSE\tCOUNT\tLONGEST\tREQUEST")
 	for _, row := range report.Causes {
+		if byWorkspace {
+			fmt.Fprintf(w, "%s\t", row.Workspace)
+		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", row.Kind, row.Code, row.Cause, row.Count, row.Longest, row.Request)
 	}
 	fmt.Fprintln(w, "\nFROM\tCOUNT\tMOST OFTEN")
--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -77,6 +77,8 @@
 	s.awaitConfig()
 	session, refusal := s.edge.engine.Open(startup.Database, startup.Key)
 	if refusal != nil {
+		s.edge.log.Info("session-refused", zap.String("database", startup.Database), zap.Stringer("code", refusal.Code), zap.String("text", refusal.Text),
+			zap.Int64("config", s.edge.catalog.Load().ConfigVersion()))
 		_ = c.Refuse(refusal.Code, refusal.Text, writeTimeout)
 		return
 	}
--- a/engine/caller.go
+++ b/engine/caller.go
@@ -21,6 +21,7 @@
 	if !ok {
 		return nil, callers.Caller{}, unauthorized(statement.Idle)
 	}
+	s.workspace = caller.Name()
 	return route, caller, nil
 }
 
@@ -47,6 +48,11 @@
 	return refuse(statement.Busy, max(comeBack, minComeBack), text, s.state)
 }
 
+// accountFor counts an operation under its workspace.
+func (s *Session) accountFor(w *work, a *statement.Answer) {
+	s.engine.cfg.Metrics.ofWorkspace(s.engine.cfg.Catalog.Load().Config, w.caller.Name(), a.Code)
+}
+
 // uncharge gives back what an operation was charged that has not run.
 func (s *Session) uncharge(w *work) {
 	if w.caller.Workspace != nil {
--- /dev/null
+++ b/engine/labels_test.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/catalog"
+)
+
+// Guards against: metrics that grow with the number of workspaces.
+func TestFewWorkspacesHaveLabels(t *testing.T) {
+	c := &catalog.Config{Workspaces: make(map[string]*catalog.Workspace)}
+	for i := range 10_000 {
+		name := fmt.Sprint("w", i)
+		c.Workspaces[name] = &catalog.Workspace{Name: name, Limited: true, Rate: float64(i)}
+	}
+	c.Workspaces["free"] = &catalog.Workspace{Name: "free"}
+	var l labeller
+	seen := make(map[string]bool)
+	for name := range c.Workspaces {
+		seen[l.of(c, name)] = true
+	}
+	require.Len(t, seen, labelled+1)
+	require.Equal(t, "w9999", l.of(c, "w9999"))
+	require.Equal(t, "free", l.of(c, "free"))
+	require.Equal(t, otherWorkspaces, l.of(c, "w3"))
+	require.Equal(t, "w3", l.of(&catalog.Config{Workspaces: map[string]*catalog.Workspace{"w3": {Name: "w3"}}}, "w3"))
+}
--- a/engine/metrics.go
+++ b/engine/metrics.go
@@ -16,6 +16,8 @@
 	latency    *prometheus.HistogramVec
 	reads      *prometheus.CounterVec
 	refusals   prometheus.Counter
+	workspaces *prometheus.CounterVec
+	labels     labeller
 
 	served, failed, atReplicas, atPrimary atomic.Int64
 }
@@ -52,7 +54,10 @@
 	}
 	m.refusals = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivemoor_limit_refusals_total", Help: "Operations refused because their workspace was at its limit."})
-	r.MustRegister(m.operations, m.latency, m.reads, m.refusals)
+	m.workspaces = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivemoor_workspace_operations_total", Help: "Operations by workspace and result; all but the largest workspaces are counted together."},
+		[]string{"workspace", "result"})
+	r.MustRegister(m.operations, m.latency, m.reads, m.refusals, m.workspaces)
 	return m
 }
 
@@ -81,6 +86,13 @@
 	}
 }
 
+// ofWorkspace counts an operation of a workspace.
+func (m *Metrics) ofWorkspace(c *catalog.Config, workspace string, code statement.Code) {
+	if m != nil && workspace != "" {
+		m.workspaces.WithLabelValues(m.labels.of(c, workspace), code.String()).Inc()
+	}
+}
+
 func (m *Metrics) placed(atPrimary bool) {
 	if m == nil {
 		return
--- a/engine/phases.go
+++ b/engine/phases.go
@@ -63,7 +63,7 @@
 	if a.Code != statement.OK {
 		event = "statement-unserved"
 	}
-	s.engine.cfg.Log.Info(event, zap.String("request", w.st.ID), zap.String("database", s.database),
+	s.engine.cfg.Log.Info(event, zap.String("request", w.st.ID), zap.String("database", s.database), zap.String("workspace", w.caller.Name()),
 		zap.Stringer("code", a.Code), zap.String("cause", w.ledger.cause()), zap.Duration("after", after),
 		zap.Int("tries", w.tries), zap.Duration("queue", w.ledger[phaseQueue]), zap.Duration("target-took", w.ledger[phaseTarget]),
 		zap.Duration("lost", w.ledger[phaseLost]), zap.Duration("primary", w.ledger[phasePrimary]))
--- a/engine/session.go
+++ b/engine/session.go
@@ -18,8 +18,10 @@
 	engine   *Engine
 	database string
 	key      catalog.KeyDigest
-	values   map[string]string
-	prepared map[string]*lane.Prepared
+	// workspace is whose its last operation was; empty if nobody's.
+	workspace string
+	values    map[string]string
+	prepared  map[string]*lane.Prepared
 	// mark is the end of the log after this session's last own commit, in the
 	// service that markOf names.
 	mark   timeline.Position
@@ -50,7 +52,7 @@
 	a := s.handle(ctx, st)
 	if a.Code != statement.OK {
 		s.engine.cfg.Log.Info("statement-failed", zap.String("request", st.ID), zap.Stringer("verb", st.Verb),
-			zap.String("database", s.database), zap.Stringer("code", a.Code), zap.String("text", a.Text),
+			zap.String("database", s.database), zap.String("workspace", s.workspace), zap.Stringer("code", a.Code), zap.String("text", a.Text),
 			zap.Duration("after", s.engine.cfg.Clock.Now().Sub(arrived)))
 	}
 	return a
@@ -139,6 +141,7 @@
 	w.route, w.caller = route, caller
 	a := s.runAlone(ctx, w)
 	s.explain(w, a)
+	s.accountFor(w, a)
 	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
 	return a
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -202,6 +202,7 @@
 	}
 	a := s.sendCommit(ctx, tx, w)
 	s.explain(w, a)
+	s.accountFor(w, a)
 	s.engine.cfg.Metrics.done(tx.route, &work{arrived: tx.began, writes: tx.wrote, route: tx.route}, a, s.engine.cfg.Clock.Now())
 	return a
 }
--- a/losses/losses.go
+++ b/losses/losses.go
@@ -34,6 +34,8 @@
 	Kind     Kind
 	Request  string
 	Database string
+	// Workspace is whose statement it was; empty if nobody's.
+	Workspace string
 	// Code is the answer's.
 	Code string
 	// Cause is the phase that took the most time: see package engine.
@@ -54,7 +56,7 @@
 
 // lossOf decodes the fields of a line that says of a loss.
 func lossOf(f map[string]string) Loss {
-	l := Loss{Kind: Unserved, Request: f["request"], Database: f["database"], Code: f["code"], Cause: f["cause"]}
+	l := Loss{Kind: Unserved, Request: f["request"], Database: f["database"], Workspace: f["workspace"], Code: f["code"], Cause: f["cause"]}
 	if f["event"] == eventLate {
 		l.Kind = Late
 	}
@@ -68,10 +70,12 @@
 
 // Row is one line of a table.
 type Row struct {
-	Kind  Kind   `json:"kind"`
-	Code  string `json:"code"`
-	Cause string `json:"cause"`
-	Count int    `json:"count"`
+	// Workspace is set in tables by workspace only.
+	Workspace string `json:"workspace,omitempty"`
+	Kind      Kind   `json:"kind"`
+	Code      string `json:"code"`
+	Cause     string `json:"cause"`
+	Count     int    `json:"count"`
 	// Longest is the longest time that one of them took.
 	Longest time.Duration `json:"longest"`
 	// Request is that one's id, from which its lines lead on.
@@ -79,16 +83,22 @@
 }
 
 // ByCause counts losses by kind, code and cause, the most frequent first.
-func ByCause(all []Loss) []Row {
+func ByCause(all []Loss) []Row { return count(all, func(Loss) string { return "" }) }
+
+// ByWorkspace is ByCause for each workspace.
+func ByWorkspace(all []Loss) []Row { return count(all, func(l Loss) string { return l.Workspace }) }
+
+func count(all []Loss, workspace func(Loss) string) []Row {
 	type key struct {
+		workspace   string
 		kind        Kind
 		code, cause string
 	}
 	at := make(map[key]*Row)
 	for _, l := range all {
-		k := key{l.Kind, l.Code, l.Cause}
+		k := key{workspace(l), l.Kind, l.Code, l.Cause}
 		if at[k] == nil {
-			at[k] = &Row{Kind: l.Kind, Code: l.Code, Cause: l.Cause}
+			at[k] = &Row{Workspace: k.workspace, Kind: l.Kind, Code: l.Code, Cause: l.Cause}
 		}
 		r := at[k]
 		r.Count++
@@ -101,7 +111,7 @@
 		out = append(out, *r)
 	}
 	slices.SortFunc(out, func(a, b Row) int {
-		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Cause, b.Cause))
+		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Cause, b.Cause))
 	})
 	return out
 }
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -33,3 +33,15 @@
 	require.Equal(t, "queue", windows[0].Cause)
 	require.Equal(t, "primary", windows[1].Cause)
 }
+
+func TestLossesAreCountedByWorkspace(t *testing.T) {
+	all, err := Read(strings.NewReader(`time=2026-09-25T05:56:18Z event=statement-unserved request=r1 workspace=north code=busy cause=limit after=0.01
+time=2026-09-25T05:56:19Z event=statement-unserved request=r2 workspace=south code=busy cause=limit after=0.02
+time=2026-09-25T05:56:19Z event=statement-unserved request=r3 workspace=north code=busy cause=limit after=0.03
+`))
+	require.NoError(t, err)
+	require.Equal(t, []Row{
+		{Workspace: "north", Kind: Unserved, Code: "busy", Cause: "limit", Count: 2, Longest: 30 * time.Millisecond, Request: "r3"},
+		{Workspace: "south", Kind: Unserved, Code: "busy", Cause: "limit", Count: 1, Longest: 20 * time.Millisecond, Request: "r2"},
+	}, ByWorkspace(all))
+}
