Limits: no wait where no owner answers, nor for one that has left

Change: owners that are known to be silent are asked for 60 ms only, and the caller is told to return at once, as its next try meets another VM. The wait of a new owner is for a former one that is on the list still: who leaves stops granting before its entry goes. An empty list tells nothing, and owners stay for 3 s after a restore. A refusal for another reason no longer names the limit as its cause.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +17,16 @@
 	// ownerPatience is how long one owner's answer is waited for before the next one is
 	// asked as well.
 	ownerPatience = 40 * time.Millisecond
-	// ownersPatience bounds the wait for all of them.
+	// ownersPatience bounds the wait for all of them, and silentPatience if none has
+	// answered lately.
 	ownersPatience = 250 * time.Millisecond
-	// ownersAway is when a caller should return if no owner answers.
-	ownersAway = 250 * time.Millisecond
+	silentPatience = 60 * time.Millisecond
+	// ownersAway is when a caller should return if no owner answers: at once, as its next
+	// try reaches another VM, which may be on the better side of a cut.
+	ownersAway = 30 * time.Millisecond
+	// ownersRest is for how long after a restore of the store the owners stay as they
+	// were: entries of VMs that it has lost are written again by then.
+	ownersRest = 3 * time.Second
 )
 
 // limits lets the operations of workspaces through, as far as their limits go, and
@@ -40,8 +47,14 @@
 }
 
 // update takes over a new catalog. It is called by one goroutine.
+//
+// Failure guarded against: the store comes back from an older copy without the entries of
+// many VMs, which write them again. Each of them would be a new owner that has to wait, and
+// whole workspaces would be without one.
 func (l *limits) update(c *catalog.Catalog) {
-	l.plan.Store(l.plan.Load().Next(c.VMs, l.edge.clk.Now()))
+	if !l.edge.eras.younger(ownersRest) {
+		l.plan.Store(l.plan.Load().Next(c.VMs, l.edge.clk.Now()))
+	}
 	if c.Config == nil {
 		return
 	}
@@ -56,7 +69,7 @@
 	now := l.edge.clk.Now()
 	part := l.plan.Load().Part(workspace, now)
 	c := l.edge.catalog.Load().Config
-	if part.Of == 0 || c == nil || c.Workspaces[workspace] == nil {
+	if part.Of == 0 || c == nil || c.Workspaces[workspace] == nil || l.edge.ends.leaving.Load() {
 		return 0, ownersAway
 	}
 	l.mu.Lock()
@@ -117,7 +130,7 @@
 
 // ask asks the owners in turn, and the next one as well if one takes long.
 func (l *limits) ask(ctx context.Context, workspace string, want int) (comeBack time.Duration, ok bool) {
-	owners := l.awake(l.plan.Load().Nearest(workspace, l.edge.set.Zone))
+	owners, patience := l.awake(l.plan.Load().Nearest(workspace, l.edge.set.Zone))
 	answers := make(chan drawn, len(owners))
 	asked, answered := 0, 0
 	next := func() {
@@ -128,9 +141,14 @@
 	}
 	slow := time.NewTicker(ownerPatience)
 	defer slow.Stop()
-	end := time.NewTimer(ownersPatience)
+	end := time.NewTimer(patience)
 	defer end.Stop()
-	comeBack = ownersAway
+	comeBack = time.Duration(math.MaxInt64)
+	defer func() {
+		if !ok && comeBack == math.MaxInt64 {
+			comeBack = ownersAway
+		}
+	}()
 	for next(); answered < len(owners); {
 		select {
 		case a := <-answers:
@@ -153,8 +171,9 @@
 	return comeBack, false
 }
 
-// awake leaves out the owners that did not answer just now, unless none has.
-func (l *limits) awake(owners []catalog.VM) []catalog.VM {
+// awake leaves out the owners that did not answer just now, unless none has: then all are
+// asked again, and not waited for long.
+func (l *limits) awake(owners []catalog.VM) ([]catalog.VM, time.Duration) {
 	out := make([]catalog.VM, 0, len(owners))
 	for _, vm := range owners {
 		if vm.ID == l.edge.set.Node || !l.edge.router.Rests(vm) {
@@ -162,9 +181,9 @@
 		}
 	}
 	if len(out) == 0 {
-		return owners
+		return owners, silentPatience
 	}
-	return out
+	return out, ownersPatience
 }
 
 // drawAt asks one owner, and keeps what it gives.
--- a/engine/caller.go
+++ b/engine/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
@@ -30,6 +31,9 @@
 	return callers.Keeps(s.engine.cfg.Catalog.Load().Config, tx.route, s.key, tx.caller)
 }
 
+// unnoticed is a wait for the word of a limit that explains nothing.
+const unnoticed = time.Millisecond
+
 // charge lets an operation through if the caller's workspace is within its limit; a
 // non-nil answer refuses it.
 func (s *Session) charge(ctx context.Context, w *work) *statement.Answer {
@@ -39,7 +43,9 @@
 	}
 	begun := s.engine.cfg.Clock.Now()
 	comeBack, ok := s.engine.cfg.Limiter.Take(ctx, workspace)
-	w.spend(phaseLimit, begun, s.engine.cfg.Clock.Now())
+	if took := s.engine.cfg.Clock.Now().Sub(begun); !ok || took > unnoticed {
+		w.ledger[phaseLimit] += max(took, time.Nanosecond)
+	}
 	if ok {
 		return nil
 	}
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -16,8 +16,9 @@
 //   - A VM that is cut off, frozen or starts anew has no tokens but those that an owner
 //     gave it, and they lapse by a clock that counts while it is suspended.
 //   - An owner that starts anew begins with an almost empty bucket, whatever the burst.
-//   - A VM that becomes an owner waits until the others have learned of it, or else the
-//     former owner and the new one would both fill their buckets.
+//   - A VM that becomes an owner in the place of another that lives waits until that one
+//     has learned of it, or else both would fill their buckets. One that leaves stops
+//     before its entry is taken off the list.
 //
 // What a deployment tolerates above the limit pays for what is left: the time for which
 // tokens last, and the first tokens of an owner that starts anew.
--- a/ratelimit/owners.go
+++ b/ratelimit/owners.go
@@ -15,8 +15,8 @@
 const (
 	// parts is how many owners a workspace has.
 	parts = 3
-	// settleAfter is how long a VM waits before it acts as an owner that it was not
-	// before: the former one has learned of it by then.
+	// settleAfter is how long a VM waits before it acts as an owner in the place of another
+	// that lives: the former one has learned of it by then.
 	settleAfter = 1500 * time.Millisecond
 	// remembered is how long replaced lists are kept: an owner for so long has a full
 	// bucket, and need not prove more.
@@ -41,9 +41,9 @@
 	return &Plan{self: self, vms: vms, since: now, of: make(map[string][]catalog.VM)}
 }
 
-// Next returns the plan for a later state of the list.
+// Next returns the plan for a later state of the list. An empty list tells nothing.
 func (p *Plan) Next(vms []catalog.VM, now clock.Time) *Plan {
-	if slices.EqualFunc(p.vms, vms, func(a, b catalog.VM) bool { return a.ID == b.ID && a.Zone == b.Zone && a.Peer == b.Peer }) {
+	if len(vms) == 0 || slices.EqualFunc(p.vms, vms, func(a, b catalog.VM) bool { return a.ID == b.ID && a.Zone == b.Zone && a.Peer == b.Peer }) {
 		return p
 	}
 	next := NewPlan(p.self, vms, now)
@@ -90,12 +90,22 @@
 	for ; q != nil && q.owns(workspace); q = q.before {
 		out.Since = q.since
 	}
-	if q == p || (q != nil && now.Sub(out.Since) < settleAfter) {
+	if q == p || (q != nil && now.Sub(out.Since) < settleAfter && p.displaces(q.Owners(workspace), workspace)) {
 		return Part{}
 	}
 	return out
 }
 
+// displaces reports whether one of some former owners of a workspace is on the list still,
+// and no owner any more: it goes on until it has learned of that. One that is off the list
+// has stopped before.
+func (p *Plan) displaces(former []catalog.VM, workspace string) bool {
+	return slices.ContainsFunc(former, func(vm catalog.VM) bool {
+		is := func(other catalog.VM) bool { return other.ID == vm.ID }
+		return slices.ContainsFunc(p.vms, is) && !slices.ContainsFunc(p.Owners(workspace), is)
+	})
+}
+
 func (p *Plan) owns(workspace string) bool {
 	return slices.ContainsFunc(p.Owners(workspace), func(vm catalog.VM) bool { return vm.ID == p.self })
 }
