Limits: a VM that reaches nobody refuses at once

Such a VM knows that asking is in vain, and refuses at once, so that the caller's next try meets another VM.

Evidence: TestVMsThatReachNoOwnerRefuseAtOnce.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -171,8 +171,9 @@
 	return comeBack, false
 }
 
-// awake leaves out the owners that did not answer just now, unless none has: then all are
-// asked again, and not waited for long.
+// awake leaves out the owners that did not answer just now. If none has, all are asked
+// again and not waited for long; none is by a VM that reaches nobody, as it knows already
+// that it will be in vain.
 func (l *limits) awake(owners []catalog.VM) ([]catalog.VM, time.Duration) {
 	out := make([]catalog.VM, 0, len(owners))
 	for _, vm := range owners {
@@ -180,10 +181,14 @@
 			out = append(out, vm)
 		}
 	}
-	if len(out) == 0 {
+	switch {
+	case len(out) > 0:
+		return out, ownersPatience
+	case l.edge.gossip.Reaches(l.edge.clk.Now()):
 		return owners, silentPatience
+	default:
+		return nil, silentPatience
 	}
-	return out, ownersPatience
 }
 
 // drawAt asks one owner, and keeps what it gives.
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -158,8 +158,9 @@
 		time.Sleep(time.Second)
 		alone := f.ask("h", 50, "vm4")
 		time.Sleep(3 * time.Second)
-		served, _, _ := alone.end()
+		served, refused, failed := alone.end()
 		require.LessOrEqual(t, served, int64(30), "by the third that this VM may own")
+		require.Greater(t, refused, 9*failed, "nearly all know at once that it is in vain")
 		f.lawful()
 	})
 }
