--- a/catalog/revision_test.go
+++ b/catalog/revision_test.go
@@ -20,8 +20,7 @@
 	require.EqualValues(t, 412, RevisionOf(0, 412), "a store without eras")
 }
 
-// Guards against: records that go on though the store has lost them, and ones that are
-// lost with the list of an era that was known.
+// Guards against: records that go on though the store has lost them, and ones that are lost with the list of an era that was known.
 func TestRecordsThatTheStoreHasLost(t *testing.T) {
 	h := NewHolder()
 	h.SetFleet(nil, map[string]*Reign{"a": {Service: "a", Revision: RevisionOf(1, 450), Attempt: &Attempt{}}, "b": {Service: "b", Revision: RevisionOf(1, 300)}}, RevisionOf(1, 500))
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -79,8 +79,7 @@
 	return out
 }
 
-// Guards against: a flood that gets more than its limit, or less, or takes another
-// workspace's service.
+// Guards against: a flood that gets more than its limit, or less, or takes another workspace's service.
 func TestFloodGetsItsLimitAndNoMore(t *testing.T) {
 	for _, vms := range []int{9, 30} {
 		play(t, vms, func(f *fleet) {
@@ -149,8 +148,7 @@
 	})
 }
 
-// Guards against: VMs that let operations through on their own because no owner of a
-// limit can be reached, and operations that wait in vain there.
+// Guards against: VMs that let operations through on their own because no owner of a limit can be reached, and operations that wait in vain there.
 func TestVMsThatReachNoOwnerRefuseAtOnce(t *testing.T) {
 	play(t, 9, func(f *fleet) {
 		f.keyed(limitedTo(20, "hot", "h"))
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -26,8 +26,7 @@
 	f.fair()
 }
 
-// Guards against: a fleet that goes on by lists, watches and evidence of a store that is no
-// more.
+// Guards against: a fleet that goes on by lists, watches and evidence of a store that is no more.
 func TestRestoredStoreStopsNoSales(t *testing.T) {
 	for _, vms := range []int{3, 30} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
@@ -41,8 +40,7 @@
 	}
 }
 
-// Guards against: two attempts at once, or a promotion by a record that says nothing, if
-// the store forgets an attempt at any step of it.
+// Guards against: two attempts at once, or a promotion by a record that says nothing, if the store forgets an attempt at any step of it.
 func TestStoreRestoredAtEveryStepOfAnAttempt(t *testing.T) {
 	every := 100 * time.Millisecond * raceThins
 	ages := []time.Duration{600 * time.Millisecond, 3 * time.Second}
@@ -61,8 +59,7 @@
 	}
 }
 
-// Guards against: VMs cut off from the new primary that prove the old one by a record which
-// the store has of before the change.
+// Guards against: VMs cut off from the new primary that prove the old one by a record which the store has of before the change.
 func TestOldRecordProvesNothing(t *testing.T) {
 	play(t, 6, func(f *fleet) {
 		f.restored(15*time.Second, func() {
--- a/groups/witness_test.go
+++ b/groups/witness_test.go
@@ -141,8 +141,7 @@
 	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
 }
 
-// Guards against: a primary proven by a record of before the store came back from an older
-// copy, though another one was promoted since.
+// Guards against: a primary proven by a record of before the store came back from an older copy, though another one was promoted since.
 func TestRecordOfAnEarlierEraProvesNothing(t *testing.T) {
 	clk := newAtomicClock()
 	h := catalog.NewHolder()
@@ -159,8 +158,7 @@
 	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
 }
 
-// Guards against: a permission that comes back while the holder of an attempt goes on whose
-// record the store has lost.
+// Guards against: a permission that comes back while the holder of an attempt goes on whose record the store has lost.
 func TestPermissionDoesNotComeBackWithALaterEra(t *testing.T) {
 	clk := newAtomicClock()
 	h := catalog.NewHolder()
--- a/lane/workspace_test.go
+++ b/lane/workspace_test.go
@@ -48,8 +48,7 @@
 	})
 }
 
-// Guards against: a workspace that waits behind others' statements until its time is over,
-// while each connection goes back to a workspace that has one.
+// Guards against: a workspace that waits behind others' statements until its time is over, while each connection goes back to a workspace that has one.
 func TestBusyWorkspacesStarveNobody(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: 2}
@@ -74,8 +73,7 @@
 	})
 }
 
-// Guards against: requests of a workspace that has no connection, which wait in vain and
-// go unnoticed while the target is gone and others' connections still seem to be open.
+// Guards against: requests of a workspace that has no connection, which wait in vain and go unnoticed while the target is gone and others' connections still seem to be open.
 func TestWorkspaceWithoutAConnectionLearnsThatTheTargetIsGone(t *testing.T) {
 	inBubble(t, 10, 10, func(l *Lane, d *dialer) {
 		forWorkspace(t, l, "north", time.Second).Release()
@@ -90,8 +88,7 @@
 	})
 }
 
-// Guards against: an overload that is not found because the requests passed over count as
-// served.
+// Guards against: an overload that is not found because the requests passed over count as served.
 func TestPassedOverRequestsAreNotServed(t *testing.T) {
 	q := &queue{judges: true}
 	for _, w := range []string{"a", "b"} {
--- a/promoter/restore_test.go
+++ b/promoter/restore_test.go
@@ -54,8 +54,7 @@
 	require.Greater(t, d.tokens[0], catalog.RevisionOf(1, 450), "tokens rise over eras")
 }
 
-// Guards against: targets that stay paused for good, as the record of who paused them is
-// lost.
+// Guards against: targets that stay paused for good, as the record of who paused them is lost.
 func TestOutdatedRecordIsTidiedOnceNobodyCanAct(t *testing.T) {
 	p := New(restoredStore(2, clock.Time(time.Second)))
 	start := clock.Time(time.Minute)
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -165,8 +165,7 @@
 	}
 }
 
-// Guards against: a limit that lets less through than it says while a workspace floods
-// the fleet.
+// Guards against: a limit that lets less through than it says while a workspace floods the fleet.
 func TestAFloodGetsItsLimit(t *testing.T) {
 	for _, n := range []int{3, 76, 1000} {
 		for _, rate := range []float64{5, 23, 125} {
@@ -210,8 +209,7 @@
 	require.LessOrEqual(t, refused, 3)
 }
 
-// Guards against: two VMs that both act as the owner of one part, as one joins and the
-// other has not heard of it.
+// Guards against: two VMs that both act as the owner of one part, as one joins and the other has not heard of it.
 func TestANewOwnerWaitsForTheFormerOne(t *testing.T) {
 	f := newFleet(30, limit(60))
 	former := f.owners
@@ -227,8 +225,7 @@
 	require.Equal(t, parts, f.vms[joined.ID].plan.Part(workspace, f.now).Of)
 }
 
-// Guards against: workspaces refused while VMs are stopped in turn, each of which has told
-// that it leaves.
+// Guards against: workspaces refused while VMs are stopped in turn, each of which has told that it leaves.
 func TestTheSuccessorOfAnOwnerThatLeftNeedNotWait(t *testing.T) {
 	f := newFleet(30, limit(60))
 	f.leave(f.owners[0])
@@ -251,8 +248,7 @@
 	return slices.ContainsFunc(vms, func(other catalog.VM) bool { return other.ID == vm.ID })
 }
 
-// Guards against: any schedule of restarts, cuts, freezes, joins, lowered limits and
-// floods that lets more through than the limit.
+// Guards against: any schedule of restarts, cuts, freezes, joins, lowered limits and floods that lets more through than the limit.
 func TestLimitHoldsInAnySchedule(t *testing.T) {
 	for _, n := range []int{3, 76, 1000} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -361,8 +357,7 @@
 	}
 }
 
-// Guards against: an owner that goes on from a bucket which filled while another VM was
-// the owner.
+// Guards against: an owner that goes on from a bucket which filled while another VM was the owner.
 func TestAnOwnerThatReturnsHasNoOldBucket(t *testing.T) {
 	l, now, w := NewLedger(0), clock.Time(time.Hour), limit(3)
 	w.Burst = 300
@@ -373,8 +368,7 @@
 	require.Equal(t, 2, tokens)
 }
 
-// Guards against: tokens that a VM saves up, or had before it was suspended, and spends
-// beside those of a later window.
+// Guards against: tokens that a VM saves up, or had before it was suspended, and spends beside those of a later window.
 func TestTokensLapse(t *testing.T) {
 	p, now := NewPurse(), clock.Time(time.Hour)
 	p.Put(workspace, now, 2)
