--- a/edge/edge.go
+++ b/edge/edge.go
@@ -309,15 +309,15 @@
 // asked in turn, each about once a second.
 const liveEvery = time.Second
 
-// awaitNews waits until the catalog has changed, or another number of VMs answers. It
-// is false once ctx has ended.
+// awaitNews waits until the catalog has changed, another number of VMs answers, or the
+// owners of limits are due to change. It is false once ctx has ended.
 func (e *Edge) awaitNews(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time, live int) bool {
 	for {
 		select {
 		case <-changed:
 			return true
 		case <-tick:
-			if e.gossip.live(e.catalog.Load()) != live {
+			if c := e.catalog.Load(); e.gossip.live(c) != live || e.limits.behind(c) {
 				return true
 			}
 		case <-ctx.Done():
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -1,8 +1,8 @@
 package edge
 
 import (
+	"cmp"
 	"context"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,7 +52,7 @@
 // many VMs, which write them again. Each of them would be a new owner that has to wait, and
 // whole workspaces would be without one.
 func (l *limits) update(c *catalog.Catalog) {
-	if !l.edge.eras.younger(ownersRest) {
+	if !l.holds() {
 		l.plan.Store(l.plan.Load().Next(c.VMs, l.edge.clk.Now()))
 	}
 	if c.Config == nil {
@@ -64,6 +64,12 @@
 	l.purse.Keep(c.Config.Workspaces)
 }
 
+// holds reports whether the owners stay as they are, whatever the list says.
+func (l *limits) holds() bool { return l.edge.eras.younger(ownersRest) && !l.plan.Load().IsOf(nil) }
+
+// behind reports whether the owners are to be those of another list.
+func (l *limits) behind(c *catalog.Catalog) bool { return len(c.VMs) > 0 && !l.holds() && !l.plan.Load().IsOf(c.VMs) }
+
 // Draw takes tokens of the part that this VM owns of a workspace's limit.
 func (l *limits) Draw(workspace string, want int) (tokens int, comeBack time.Duration) {
 	now := l.edge.clk.Now()
@@ -128,9 +134,18 @@
 	err      error
 }
 
-// ask asks the owners in turn, and the next one as well if one takes long.
+// ask asks the owners for a token, and says when to come back if none has one.
 func (l *limits) ask(ctx context.Context, workspace string, want int) (comeBack time.Duration, ok bool) {
 	owners, patience := l.awake(l.plan.Load().Nearest(workspace, l.edge.set.Zone))
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	comeBack, ok = l.askInTurn(ctx, owners, workspace, want)
+	return cmp.Or(comeBack, ownersAway), ok
+}
+
+// askInTurn asks one owner after the other, and the next one as well if one takes long. If
+// none has a token, the result is the earliest time that one of them told, or 0.
+func (l *limits) askInTurn(ctx context.Context, owners []catalog.VM, workspace string, want int) (comeBack time.Duration, ok bool) {
 	answers := make(chan drawn, len(owners))
 	asked, answered := 0, 0
 	next := func() {
@@ -141,14 +156,6 @@
 	}
 	slow := time.NewTicker(ownerPatience)
 	defer slow.Stop()
-	end := time.NewTimer(patience)
-	defer end.Stop()
-	comeBack = time.Duration(math.MaxInt64)
-	defer func() {
-		if !ok && comeBack == math.MaxInt64 {
-			comeBack = ownersAway
-		}
-	}()
 	for next(); answered < len(owners); {
 		select {
 		case a := <-answers:
@@ -156,14 +163,12 @@
 			if a.tokens > 0 && l.spend(workspace) {
 				return 0, true
 			}
-			if a.err == nil {
-				comeBack = min(comeBack, a.comeBack)
+			if a.err == nil && (comeBack == 0 || a.comeBack < comeBack) {
+				comeBack = a.comeBack
 			}
 			next()
 		case <-slow.C:
 			next()
-		case <-end.C:
-			return comeBack, false
 		case <-ctx.Done():
 			return comeBack, false
 		}
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -162,3 +162,17 @@
 		f.lawful()
 	})
 }
+
+// Guards against: workspaces without an owner while VMs whose entries the store has lost write them again.
+func TestRestoreThatLosesAllVMsRefusesNobody(t *testing.T) {
+	play(t, 9, func(f *fleet) {
+		f.keyed(limitedTo(100, "calm", "c"))
+		calm := f.ask("c", 60, names(9)...)
+		time.Sleep(time.Second)
+		f.world.RestoreStore(100*time.Millisecond, 20*time.Second)
+		time.Sleep(6 * time.Second)
+		served, refused, _ := calm.end()
+		require.Zero(t, refused, "of %d", served)
+		f.lawful()
+	})
+}
--- a/ratelimit/owners.go
+++ b/ratelimit/owners.go
@@ -43,7 +43,7 @@
 
 // Next returns the plan for a later state of the list. An empty list tells nothing.
 func (p *Plan) Next(vms []catalog.VM, now clock.Time) *Plan {
-	if len(vms) == 0 || slices.EqualFunc(p.vms, vms, func(a, b catalog.VM) bool { return a.ID == b.ID && a.Zone == b.Zone && a.Peer == b.Peer }) {
+	if len(vms) == 0 || p.IsOf(vms) {
 		return p
 	}
 	next := NewPlan(p.self, vms, now)
@@ -54,6 +54,11 @@
 	return next
 }
 
+// IsOf reports whether the plan is of a list, or of one that makes the same owners.
+func (p *Plan) IsOf(vms []catalog.VM) bool {
+	return slices.EqualFunc(p.vms, vms, func(a, b catalog.VM) bool { return a.ID == b.ID && a.Zone == b.Zone && a.Peer == b.Peer })
+}
+
 // forget drops the plans that were replaced long ago.
 func (p *Plan) forget(now clock.Time) {
 	for q := p; q != nil; q = q.before {
