--- a/edge/limits.go
+++ b/edge/limits.go
@@ -68,7 +68,9 @@
 func (l *limits) holds() bool { return l.edge.eras.younger(ownersRest) && !l.plan.Load().IsOf(nil) }
 
 // behind reports whether the owners are to be those of another list.
-func (l *limits) behind(c *catalog.Catalog) bool { return len(c.VMs) > 0 && !l.holds() && !l.plan.Load().IsOf(c.VMs) }
+func (l *limits) behind(c *catalog.Catalog) bool {
+	return len(c.VMs) > 0 && !l.holds() && !l.plan.Load().IsOf(c.VMs)
+}
 
 // Draw takes tokens of the part that this VM owns of a workspace's limit.
 func (l *limits) Draw(workspace string, want int) (tokens int, comeBack time.Duration) {
