--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -72,6 +72,15 @@
 	playOn(t, n, database.Options{}, scenario)
 }
 
+// sizes are those of a small and of a large fleet; under the race detector the small one
+// only, for the time that it takes.
+func sizes(small, large int) []int {
+	if raceThins > 1 {
+		return []int{small}
+	}
+	return []int{small, large}
+}
+
 // playOn runs a scenario against targets of a kind.
 func playOn(t *testing.T, n int, opt database.Options, scenario func(f *fleet)) {
 	opt.Service, opt.Lag, opt.Work = service, 60*time.Millisecond, 5*time.Millisecond
