Count who waits only if a connection could be opened; drop a function that nobody calls

lane.grow built a map of all that wait, for each request and each tick, before it looked whether the lane may open anything at all: under load it mostly may not. What it looks at is mayGrow now, which grow asks first. Catalog.Era was left from a first form of the eras; edge keeps them. No behaviour changes: tests of lane, catalog, relay, gateways and gossip, and those of edge on workspaces, limits, gateways and restores pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -213,8 +213,5 @@
 	return out
 }
 
-// Era is the latest era of the store that the lists are of.
-func (c *Catalog) Era() int64 { return max(EraOf(c.TargetsRevision), EraOf(c.FleetRevision)) }
-
 // Complete reports whether enough is known to serve requests.
 func (c *Catalog) Complete() bool { return c.Config != nil && len(c.Targets) > 0 }
--- a/lane/dial.go
+++ b/lane/dial.go
@@ -30,7 +30,7 @@
 // grow opens connections for the requests that wait, the most urgent first. Where the
 // lane has as many as it may have, one that serves another workspace makes room.
 func (l *Lane) grow(now clock.Time) {
-	if l.waiting.Len() == 0 {
+	if !l.mayGrow(now) {
 		return
 	}
 	waiting := l.waiting.counts()
@@ -39,10 +39,7 @@
 
 // growFor opens connections for the requests that lack one.
 func (l *Lane) growFor(now clock.Time, lacks func(w *waiter) bool) {
-	if l.closed || !l.mayRun() || l.waiting.Len() == 0 || l.dialing >= maxDialing {
-		return
-	}
-	if l.open+l.dialing >= l.most(now) && len(l.idle) == 0 {
+	if !l.mayGrow(now) {
 		return
 	}
 	for l.dialing < maxDialing {
@@ -59,6 +56,14 @@
 	}
 }
 
+// mayGrow reports whether a connection could be opened if a request lacks one.
+func (l *Lane) mayGrow(now clock.Time) bool {
+	if l.closed || !l.mayRun() || l.waiting.Len() == 0 || l.dialing >= maxDialing {
+		return false
+	}
+	return l.open+l.dialing < l.most(now) || len(l.idle) > 0
+}
+
 // makeRoom reports whether a connection may be opened for a workspace. It closes the
 // one that has been idle for longest of those of others, if there are too many else.
 func (l *Lane) makeRoom(now clock.Time, workspace string) bool {
