edge, catalog: heartbeats of targets are no change of their list

Cause: a target rewrites its entry each heartbeat, and the watchers installed each batch of such events as a new list of all targets. Every VM of the fleet then pulled, decoded, compared and distributed that list several times a second. The cost of a VM grew with targets, and with VMs times targets for the fleet.

Change: the follower publishes only if an entry has changed, or if another list was installed in the catalog since; heartbeats advance the evidence (recency) alone. The catalog advances the revision of an equal list without counting it as a change, so nothing is woken, diffed or told. A peer's change may begin at a revision between two batches: watchers receive the store's changes in different batches, so revisions of equal lists differ.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -147,6 +147,8 @@
 	// fleetHistory and targetsHistory are the same for VMs and Targets.
 	fleetHistory   history[VM]
 	targetsHistory history[Target]
+	// fleetDigest and targetsDigest are the digests of VMs and Targets.
+	fleetDigest, targetsDigest uint64
 }
 
 // VM is an entry of the fleet's own list.
@@ -187,6 +189,13 @@
 	return t.Incarnation, true
 }
 
+// FleetDigest returns the digest of the fleet's list. Equal lists have equal digests, whatever their
+// revisions; the digest of an empty list is 0.
+func (c *Catalog) FleetDigest() uint64 { return c.fleetDigest }
+
+// TargetsDigest is FleetDigest for the list of targets.
+func (c *Catalog) TargetsDigest() uint64 { return c.targetsDigest }
+
 // ConfigVersion returns the version of the configuration; 0 if there is none yet.
 func (c *Catalog) ConfigVersion() int64 {
 	if c.Config == nil {
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -57,7 +57,8 @@
 }
 
 // SetTargets replaces all targets by those in the store at a revision, unless a later list is
-// installed. It reports whether it did.
+// installed. It reports whether it did. A list of equal targets only advances the revision, which
+// does not count as a change.
 func (h *Holder) SetTargets(targets map[target.ID]*Target, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -65,13 +66,25 @@
 	if revision < next.TargetsRevision {
 		return false
 	}
-	next.targetsHistory = next.targetsHistory.next(listOfTargets(next.Targets), listOfTargets(targets), next.TargetsRevision, revision)
-	next.Targets, next.TargetsRevision = targets, revision
-	next.ByService = byService(targets)
+	if sameEra(next.TargetsRevision, revision) && maps.EqualFunc(next.Targets, targets, equalTargets) {
+		next.TargetsRevision = revision
+		h.current.Store(&next)
+		return true
+	}
+	next.setTargets(targets, revision)
 	h.publish(&next)
 	return true
 }
 
+// setTargets installs a list, and retains the change from the previous one.
+func (c *Catalog) setTargets(targets map[target.ID]*Target, revision int64) {
+	to := listOfTargets(targets)
+	c.targetsDigest = to.digest()
+	c.targetsHistory = c.targetsHistory.next(listOfTargets(c.Targets), to, c.targetsDigest, c.TargetsRevision, revision)
+	c.Targets, c.TargetsRevision = targets, revision
+	c.ByService = byService(targets)
+}
+
 // SetFleet replaces the list of VMs by the one in the store at a revision, unless a later one is
 // installed, and merges the leadership records that are later than the installed ones. It reports
 // whether the list was replaced.
@@ -93,7 +106,9 @@
 
 // setVMs installs a list, and retains the change from the previous one.
 func (c *Catalog) setVMs(vms []VM, revision int64) {
-	c.fleetHistory = c.fleetHistory.next(listOf(c.VMs), listOf(vms), c.FleetRevision, revision)
+	to := listOf(vms)
+	c.fleetDigest = to.digest()
+	c.fleetHistory = c.fleetHistory.next(listOf(c.VMs), to, c.fleetDigest, c.FleetRevision, revision)
 	c.VMs, c.FleetRevision = vms, revision
 }
 
@@ -141,6 +156,13 @@
 	close(*old)
 }
 
+// sameEra reports whether a list was installed in the era of a revision.
+func sameEra(installed, revision Revision) bool {
+	return installed != 0 && EraOf(installed) == EraOf(revision)
+}
+
+func equalTargets(a, b *Target) bool { return *a == *b }
+
 func byService(targets map[target.ID]*Target) map[string][]*Target {
 	out := make(map[string][]*Target)
 	for _, t := range targets {
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -82,9 +82,9 @@
 	return sum
 }
 
-// changeTo returns the change that leads to another list, without its revisions.
-func (l list[V]) changeTo(to list[V]) *ListChange[V] {
-	out := &ListChange[V]{Digest: to.digest()}
+// changeTo returns the change that leads to another list of a given digest, without its revisions.
+func (l list[V]) changeTo(to list[V], digest uint64) *ListChange[V] {
+	out := &ListChange[V]{Digest: digest}
 	for name, v := range to {
 		if old, ok := l[name]; !ok || old != v {
 			out.Updated = append(out.Updated, v)
@@ -121,6 +121,9 @@
 	return out, out.digest() == c.Digest
 }
 
+// DigestOfTargets returns the digest of a list of targets, by which lists are compared.
+func DigestOfTargets(targets map[target.ID]*Target) uint64 { return listOfTargets(targets).digest() }
+
 // ApplyVMs returns the result of a change on the fleet's list, in the order of the names; false if
 // the change does not apply to that list.
 func ApplyVMs(c *ListChange[VM], base []VM) ([]VM, bool) {
@@ -144,12 +147,13 @@
 // the previous one ends with.
 type history[V ListEntry] []*ListChange[V]
 
-// next returns the history with one more change. The first list starts an empty history.
-func (h history[V]) next(from, to list[V], before, after int64) history[V] {
+// next returns the history with one more change, to a list of the given digest. The first list starts
+// an empty history.
+func (h history[V]) next(from, to list[V], digest uint64, before, after int64) history[V] {
 	if before == 0 {
 		return nil
 	}
-	change := from.changeTo(to)
+	change := from.changeTo(to, digest)
 	if before == after && change.entries() == 0 {
 		return h
 	}
@@ -160,11 +164,20 @@
 // since returns the change that leads from a revision to the current list, in which find looks up an
 // entry; nil if the changes since that revision are not retained, or if the change has no fewer
 // entries than the full list.
+//
+// The revision need not be one at which this list changed: VMs that watch the store receive its
+// changes in different batches. The change then contains entries that the other list has already,
+// and the digest shows whether it leads to the same list.
 func (h history[V]) since(revision int64, size int, find func(name string) (V, bool)) *ListChange[V] {
-	chain := since(h, revision)
-	if len(chain) == 0 {
+	if len(h) == 0 || revision < h[0].From {
+		return nil
+	}
+	// A step may begin and end at the same revision, as when a target's grace period ends.
+	first := slices.IndexFunc(h, func(c *ListChange[V]) bool { return c.To > revision || c.From == revision })
+	if first < 0 {
 		return nil
 	}
+	chain := h[first:]
 	last := chain[len(chain)-1]
 	out := &ListChange[V]{From: revision, To: last.To, Digest: last.Digest}
 	touched := make(map[string]bool)
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -72,6 +73,10 @@
 	refused map[target.ID]string
 	// revision is the store's revision up to which targets is complete.
 	revision int64
+	// unpublished is set while targets differs from the list that was last published.
+	unpublished bool
+	// published is the digest of that list.
+	published uint64
 }
 
 func newTargetFollower(e *Edge) *targetFollower {
@@ -94,6 +99,7 @@
 	for _, o := range items {
 		f.put(o)
 	}
+	f.unpublished = true
 }
 
 func (f *targetFollower) apply(o *objects.Object, deleted bool) {
@@ -119,8 +125,9 @@
 		delete(f.removals, t.ID)
 	}
 	old := f.targets[t.ID]
-	f.targets[t.ID] = t
 	if old == nil || *old != *t {
+		f.targets[t.ID] = t
+		f.unpublished = true
 		f.edge.log.Info("target", zap.String("target", string(t.ID)), zap.String("service", t.Service), zap.String("addr", t.Addr),
 			zap.String("at", t.Zone), zap.Bool("draining", t.Draining), zap.Stringer("role", t.Role), zap.Int64("incarnation", t.Incarnation))
 	}
@@ -175,6 +182,7 @@
 func (f *targetFollower) remove(id target.ID, reason string) {
 	delete(f.targets, id)
 	delete(f.removals, id)
+	f.unpublished = true
 	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", reason))
 }
 
@@ -182,13 +190,20 @@
 	f.edge.recordConfirmation(recency.Targets, revision, at)
 }
 
+// publish installs the targets in the catalog if they have changed, or if another list was installed
+// there since.
+//
+// Failure guarded against: every heartbeat of a target is an event of the watch. Installed as a new
+// list, each batch of them makes every VM of the fleet receive, compare and distribute the list of
+// all targets several times a second, although nothing has changed.
 func (f *targetFollower) publish(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = revision
-	out := make(map[target.ID]*catalog.Target, len(f.targets))
-	for id, t := range f.targets {
-		out[id] = t
+	if !f.unpublished && f.edge.catalog.Load().TargetsDigest() == f.published {
+		return
+	}
+	if f.edge.catalog.SetTargets(maps.Clone(f.targets), revision) {
+		f.unpublished, f.published = false, catalog.DigestOfTargets(f.targets)
 	}
-	f.edge.catalog.SetTargets(out, revision)
 }
