gossip: tell no list that the peer has already

Cause: VMs that read the same list at different revisions, as when a whole fleet starts, sent each other the full list, since none remembers how the other came to its revision. The full list was also encoded and kept once for each revision that a peer announced.

Change: a pull announces the digests of its lists, and an equal list is answered with its revision alone. One bulk of a full list serves all peers. A VM that receives the digest that it has keeps its own list.

--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -66,50 +66,64 @@
 	if revision < next.TargetsRevision {
 		return false
 	}
-	if sameEra(next.TargetsRevision, revision) && maps.EqualFunc(next.Targets, targets, equalTargets) {
-		next.TargetsRevision = revision
-		h.current.Store(&next)
-		return true
-	}
-	next.setTargets(targets, revision)
-	h.publish(&next)
+	h.install(&next, next.setTargets(targets, revision))
 	return true
 }
 
-// setTargets installs a list, and retains the change from the previous one.
-func (c *Catalog) setTargets(targets map[target.ID]*Target, revision int64) {
+// setTargets installs a list, retains the change from the previous one, and reports whether it
+// differs from that one.
+func (c *Catalog) setTargets(targets map[target.ID]*Target, revision int64) (changed bool) {
+	if sameEra(c.TargetsRevision, revision) && maps.EqualFunc(c.Targets, targets, equalTargets) {
+		c.TargetsRevision = revision
+		return false
+	}
 	to := listOfTargets(targets)
 	c.targetsDigest = to.digest()
 	c.targetsHistory = c.targetsHistory.next(listOfTargets(c.Targets), to, c.targetsDigest, c.TargetsRevision, revision)
 	c.Targets, c.TargetsRevision = targets, revision
 	c.ByService = byService(targets)
+	return true
 }
 
+func equalTargets(a, b *Target) bool { return *a == *b }
+
 // SetFleet replaces the list of VMs by the one in the store at a revision, unless a later one is
 // installed, and merges the leadership records that are later than the installed ones. It reports
-// whether the list was replaced.
+// whether the list was replaced. As in SetTargets, equal entries do not count as a change.
 func (h *Holder) SetFleet(vms []VM, records map[string]*LeadershipRecord, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := *h.Load()
-	next.LeadershipRecords = laterRecords(next.LeadershipRecords, records)
-	later := revision >= next.FleetRevision
-	if later && EraOf(revision) > EraOf(next.FleetRevision) {
+	old := h.Load()
+	next := *old
+	next.LeadershipRecords = laterRecords(old.LeadershipRecords, records)
+	later := revision >= old.FleetRevision
+	if later && EraOf(revision) > EraOf(old.FleetRevision) {
 		next.LeadershipRecords = markLost(next.LeadershipRecords, EraOf(revision))
 	}
-	if later {
-		next.setVMs(slices.SortedFunc(slices.Values(vms), byName), revision)
+	changed := !maps.Equal(old.LeadershipRecords, next.LeadershipRecords)
+	if later && next.setVMs(slices.SortedFunc(slices.Values(vms), byName), revision) {
+		changed = true
 	}
-	h.publish(&next)
+	h.install(&next, changed)
 	return later
 }
 
-// setVMs installs a list, and retains the change from the previous one.
-func (c *Catalog) setVMs(vms []VM, revision int64) {
+// setVMs is setTargets for the list of VMs.
+func (c *Catalog) setVMs(vms []VM, revision int64) (changed bool) {
+	if sameEra(c.FleetRevision, revision) && slices.Equal(c.VMs, vms) {
+		c.FleetRevision = revision
+		return false
+	}
 	to := listOf(vms)
 	c.fleetDigest = to.digest()
 	c.fleetHistory = c.fleetHistory.next(listOf(c.VMs), to, c.fleetDigest, c.FleetRevision, revision)
 	c.VMs, c.FleetRevision = vms, revision
+	return true
+}
+
+// sameEra reports whether a list was installed in the era of a revision.
+func sameEra(installed, revision Revision) bool {
+	return installed != 0 && EraOf(installed) == EraOf(revision)
 }
 
 func laterRecords(current, offered map[string]*LeadershipRecord) map[string]*LeadershipRecord {
@@ -149,6 +163,15 @@
 	h.publish(&next)
 }
 
+// install replaces the catalog, and wakes those that wait for a change if it is one.
+func (h *Holder) install(c *Catalog, changed bool) {
+	if !changed {
+		h.current.Store(c)
+		return
+	}
+	h.publish(c)
+}
+
 func (h *Holder) publish(c *Catalog) {
 	h.current.Store(c)
 	next := make(chan struct{})
@@ -156,13 +179,6 @@
 	close(*old)
 }
 
-// sameEra reports whether a list was installed in the era of a revision.
-func sameEra(installed, revision Revision) bool {
-	return installed != 0 && EraOf(installed) == EraOf(revision)
-}
-
-func equalTargets(a, b *Target) bool { return *a == *b }
-
 func byService(targets map[target.ID]*Target) map[string][]*Target {
 	out := make(map[string][]*Target)
 	for _, t := range targets {
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -202,14 +202,23 @@
 	return out
 }
 
-// FleetSince returns the change of the fleet's list since a revision; nil if the full list must be
-// sent.
-func (c *Catalog) FleetSince(revision int64) *ListChange[VM] {
+// FleetSince returns the change of the fleet's list since a revision, at which it had a digest, or 0
+// if that is not known; nil if the full list must be sent.
+//
+// Failure guarded against: the VMs of a fleet that starts read the same list at different revisions.
+// None of them remembers how the others came to theirs, and each sends every other the full list.
+func (c *Catalog) FleetSince(revision int64, digest uint64) *ListChange[VM] {
+	if digest != 0 && digest == c.fleetDigest {
+		return &ListChange[VM]{From: revision, To: c.FleetRevision, Digest: digest}
+	}
 	return c.fleetHistory.since(revision, len(c.VMs), c.VM)
 }
 
 // TargetsSince is FleetSince for the list of targets.
-func (c *Catalog) TargetsSince(revision int64) *ListChange[Target] {
+func (c *Catalog) TargetsSince(revision int64, digest uint64) *ListChange[Target] {
+	if digest != 0 && digest == c.targetsDigest {
+		return &ListChange[Target]{From: revision, To: c.TargetsRevision, Digest: digest}
+	}
 	return c.targetsHistory.since(revision, len(c.Targets), func(name string) (Target, bool) {
 		if t := c.Targets[target.ID(name)]; t != nil {
 			return *t, true
--- a/catalog/listchange_test.go
+++ b/catalog/listchange_test.go
@@ -40,7 +40,7 @@
 		}
 		now := h.Load()
 		for _, at := range states {
-			change := now.FleetSince(at.revision)
+			change := now.FleetSince(at.revision, 0)
 			if change == nil {
 				continue
 			}
@@ -67,7 +67,7 @@
 	}
 	h.SetFleet(append([]VM{early}, many...), nil, 10)
 	h.SetFleet(append([]VM{early, late}, many...), nil, 12)
-	change := h.Load().FleetSince(10)
+	change := h.Load().FleetSince(10, 0)
 	require.Equal(t, []VM{late}, change.Updated)
 	_, ok := ApplyVMs(change, many)
 	require.False(t, ok)
@@ -94,11 +94,11 @@
 	dropped := h.Load().Targets
 	h.SetTargets(targets("a", "b", "c", "d"), 12)
 	now := h.Load()
-	applied, ok := ApplyTargets(now.TargetsSince(10), retained)
+	applied, ok := ApplyTargets(now.TargetsSince(10, 0), retained)
 	require.True(t, ok, "an entry dropped at the same revision is part of the change")
 	require.Equal(t, now.Targets, applied)
-	_, ok = ApplyTargets(now.TargetsSince(10), dropped)
+	_, ok = ApplyTargets(now.TargetsSince(10, 0), dropped)
 	require.True(t, ok)
-	_, ok = ApplyTargets(now.TargetsSince(10), targets("a", "b", "c", "other"))
+	_, ok = ApplyTargets(now.TargetsSince(10, 0), targets("a", "b", "c", "other"))
 	require.False(t, ok)
 }
--- a/gossip/bulk.go
+++ b/gossip/bulk.go
@@ -149,13 +149,22 @@
 	return &gossippb.ReadReply{Data: data}, nil
 }
 
-// addList adds one list, as build encodes it, to a reply: inline if it is small or the peer does not
-// take bulks, and otherwise as the offer of a bulk.
-func (s *Server) addList(out *gossippb.PullReply, in *gossippb.PullRequest, key bulkKey, build func(*gossippb.PullReply)) error {
+// key returns the key of the bulk that holds the update. One bulk of a full list serves all peers.
+func (u *listUpdate) key() bulkKey {
+	if u.full {
+		return bulkKey{u.list, fullList, u.to}
+	}
+	return bulkKey{u.list, u.known, u.to}
+}
+
+// addList adds the update of one list to a reply: inline if it is small or the peer does not take
+// bulks, and otherwise as the offer of a bulk.
+func (s *Server) addList(out *gossippb.PullReply, in *gossippb.PullRequest, u listUpdate) error {
 	if !in.GetTakesBulks() {
-		build(out)
+		u.addTo(out)
 		return nil
 	}
+	key := u.key()
 	s.bulks.encoding.Lock()
 	defer s.bulks.encoding.Unlock()
 	now := s.clk.Now()
@@ -164,7 +173,7 @@
 		return nil
 	}
 	part := &gossippb.PullReply{}
-	build(part)
+	u.addTo(part)
 	if proto.Size(part) <= inlineBytes {
 		proto.Merge(out, part)
 		return nil
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -107,6 +107,7 @@
 	known := q.Known
 	in := &gossippb.PullRequest{
 		Vm: q.Self, ConfigVersion: known.ConfigVersion(), TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision,
+		TargetsDigest: known.TargetsDigest(), FleetDigest: known.FleetDigest(),
 		TakesChanges: !q.FullLists, TakesBulks: true, Selects: q.Selects, Services: q.Services,
 	}
 	sent := c.clk.Now()
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -124,6 +124,10 @@
 	if in.GetFrom() == 0 {
 		return
 	}
+	if in.GetDigest() == known.FleetDigest() {
+		n.Fleet.VMs = known.VMs
+		return
+	}
 	change := &catalog.ListChange[catalog.VM]{From: in.GetFrom(), To: in.GetRevision(), Updated: n.Fleet.VMs, Removed: in.GetGone(), Digest: in.GetDigest()}
 	vms, ok := catalog.ApplyVMs(change, known.VMs)
 	n.Fleet.VMs = vms
@@ -138,6 +142,10 @@
 	if in.GetFrom() == 0 {
 		return
 	}
+	if in.GetDigest() == known.TargetsDigest() {
+		n.Targets.Targets = known.Targets
+		return
+	}
 	change := &catalog.ListChange[catalog.Target]{From: in.GetFrom(), To: in.GetRevision(), Removed: in.GetGone(), Digest: in.GetDigest()}
 	for _, t := range n.Targets.Targets {
 		change.Updated = append(change.Updated, *t)
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -80,53 +80,62 @@
 // addLists adds each list that is newer than the peer's to a reply: what has changed in it, or the
 // full list.
 func (s *Server) addLists(out *gossippb.PullReply, in *gossippb.PullRequest, c *catalog.Catalog) error {
-	add := func(l recency.List, from, to int64, build func(*gossippb.PullReply)) error {
-		if to <= from {
-			return nil
+	for _, u := range []listUpdate{configUpdate(c, in), targetsUpdate(c, in), fleetUpdate(c, in)} {
+		if u.to <= u.known {
+			continue
 		}
-		if !in.GetTakesChanges() {
-			from = fullList
+		if err := s.addList(out, in, u); err != nil {
+			return err
 		}
-		return s.addList(out, in, bulkKey{l, from, to}, build)
-	}
-	err := add(recency.Config, in.GetConfigVersion(), c.ConfigVersion(), func(out *gossippb.PullReply) { addConfig(out, c, in) })
-	if err != nil {
-		return err
-	}
-	err = add(recency.Targets, in.GetTargetsRevision(), c.TargetsRevision, func(out *gossippb.PullReply) { addTargets(out, c, in) })
-	if err != nil {
-		return err
 	}
-	return add(recency.Fleet, in.GetFleetRevision(), c.FleetRevision, func(out *gossippb.PullReply) { addFleet(out, c, in) })
+	return nil
 }
 
-// addConfig adds the change that leads to the current configuration, or the full configuration.
-func addConfig(out *gossippb.PullReply, c *catalog.Catalog, in *gossippb.PullRequest) {
+// listUpdate is what brings a peer's copy of one list up to date.
+type listUpdate struct {
+	list recency.List
+	// known is the version that the peer has, and to the current one.
+	known, to int64
+	// full is set if the update is the full list, whichever version the peer has.
+	full bool
+	// addTo adds the update to a reply.
+	addTo func(*gossippb.PullReply)
+}
+
+// configUpdate is the change of the configuration, or the full configuration.
+func configUpdate(c *catalog.Catalog, in *gossippb.PullRequest) listUpdate {
+	var change *catalog.Change
 	if in.GetTakesChanges() {
-		if change := c.ConfigSince(in.GetConfigVersion()); change != nil {
+		change = c.ConfigSince(in.GetConfigVersion())
+	}
+	addTo := func(out *gossippb.PullReply) {
+		if change != nil {
 			out.ConfigChange = changeOf(change)
 			return
 		}
+		out.Config = configOf(c.Config)
 	}
-	out.Config = configOf(c.Config)
+	return listUpdate{recency.Config, in.GetConfigVersion(), c.ConfigVersion(), change == nil, addTo}
 }
 
-// addTargets adds the change of the list of targets, or the full list.
-func addTargets(out *gossippb.PullReply, c *catalog.Catalog, in *gossippb.PullRequest) {
+// targetsUpdate is the change of the list of targets, or the full list.
+func targetsUpdate(c *catalog.Catalog, in *gossippb.PullRequest) listUpdate {
 	var change *catalog.ListChange[catalog.Target]
 	if in.GetTakesChanges() {
-		change = c.TargetsSince(in.GetTargetsRevision())
+		change = c.TargetsSince(in.GetTargetsRevision(), in.GetTargetsDigest())
 	}
-	out.Targets = targetsOf(c, change)
+	addTo := func(out *gossippb.PullReply) { out.Targets = targetsOf(c, change) }
+	return listUpdate{recency.Targets, in.GetTargetsRevision(), c.TargetsRevision, change == nil, addTo}
 }
 
-// addFleet adds the change of the fleet's list, or the full list.
-func addFleet(out *gossippb.PullReply, c *catalog.Catalog, in *gossippb.PullRequest) {
+// fleetUpdate is the change of the fleet's list, or the full list.
+func fleetUpdate(c *catalog.Catalog, in *gossippb.PullRequest) listUpdate {
 	var change *catalog.ListChange[catalog.VM]
 	if in.GetTakesChanges() {
-		change = c.FleetSince(in.GetFleetRevision())
+		change = c.FleetSince(in.GetFleetRevision(), in.GetFleetDigest())
 	}
-	out.Fleet = fleetOf(c, change)
+	addTo := func(out *gossippb.PullReply) { out.Fleet = fleetOf(c, change) }
+	return listUpdate{recency.Fleet, in.GetFleetRevision(), c.FleetRevision, change == nil, addTo}
 }
 
 // Revoke implements gossippb.Gossip.
