groups: derive a service's state only when its targets or record change

Cause: every new catalog made a VM derive the state of all services again, with some maps for each. A VM that joins or leaves is a new catalog on all VMs, so that a restart of the fleet cost VMs x services on each VM.

Change: a group compares its targets and its record with those of its latest update and returns if they are equal.

--- a/groups/group.go
+++ b/groups/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,10 @@
 	slot int
 	used atomic.Int64 // clock.Time of the latest request for the service
 
+	// targets and record are those of the latest update.
+	targets []*catalog.Target
+	record  *catalog.LeadershipRecord
+
 	mu               sync.Mutex
 	state            leadership.State
 	changed          chan struct{}
@@ -114,6 +119,22 @@
 	return g.cfg.Clock.Now().Sub(g.absentSince)
 }
 
+// update takes the service's targets and leadership record from a catalog. It is called by one
+// goroutine only.
+//
+// Failure guarded against: each VM that joins or leaves makes every other VM derive the state of all
+// services again, and when many VMs restart their processors do little else.
+func (g *Group) update(targets []*catalog.Target, c *catalog.Catalog) {
+	record := c.LeadershipRecords[g.Service]
+	if record == g.record && slices.EqualFunc(targets, g.targets, equalTargets) {
+		return
+	}
+	g.targets, g.record = targets, record
+	g.updateTargets(targets, c)
+}
+
+func equalTargets(a, b *catalog.Target) bool { return *a == *b }
+
 func (g *Group) updateTargets(targets []*catalog.Target, c *catalog.Catalog) {
 	g.recordDraining(targets)
 	for _, t := range g.recordIncarnations(targets, c.TargetsRevision) {
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -159,7 +159,7 @@
 func (r *Registry) Update(c *catalog.Catalog) {
 	for service, targets := range c.ByService {
 		if c.Service(service) != nil {
-			r.Group(service).updateTargets(targets, c)
+			r.Group(service).update(targets, c)
 		}
 	}
 }
