edge: continue the watch of a stale list from its first page

Cause: the watch continued from the latest revision in the whole list. Of a list of several pages, an object may change on a page that was already read, before an object on a later page does; the watch never reported that change. With one page, as in fleets of up to the page's size, this cannot happen. Entries of VMs, which are written once, stayed missing on a watcher.

Change: the watch continues from the latest revision of the first page. The revision that is announced to peers stays the latest one: digests show there whether a change leads to the same list.

Test: TestChangeBetweenThePagesOfAListIsReceived failed before.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -253,24 +253,33 @@
 
 // listStale reads a slightly outdated list. Such a read costs the store little, and nothing extra
 // if many VMs make it at once. Later changes are received from a watch that starts at the latest
-// revision in the list, or from peers, whose lists are more recent. It reports whether the list had
-// any objects. The reply is not current, so the follower is not confirmed.
+// revision on the list's first page, or from peers, whose lists are more recent and whose digests
+// show whether a change leads to the same list. It reports whether the list had any objects. The
+// reply is not current, so the follower is not confirmed.
+//
+// Failure guarded against: an object changes on a page that was already read, and a later page has
+// an object that changed after it. A watch from the latest revision of all pages would never report
+// the first change.
 //
 // Failure guarded against: when a whole fleet starts, each VM reads every list once, which exceeds
 // the store's rates.
 func (w *watch) listStale(ctx context.Context) (bool, error) {
-	items, _, err := w.readAll(ctx, true)
+	items, first, err := w.readAll(ctx, true)
 	for n := 0; n < w.retries && err == nil && len(items) == 0 && wait.For(ctx, emptyListDelay); n++ {
-		items, _, err = w.readAll(ctx, true)
+		items, first, err = w.readAll(ctx, true)
 	}
 	if err != nil || len(items) == 0 {
 		return false, err
 	}
-	latest := int64(0)
+	latest, latestOfFirst := int64(0), int64(0)
 	for _, o := range items {
 		latest = max(latest, o.Meta.Revision)
 	}
+	for i := range first.Items {
+		latestOfFirst = max(latestOfFirst, first.Items[i].Meta.Revision)
+	}
 	w.replace(items, latest)
+	w.revision = latestOfFirst
 	return true, nil
 }
 
