edge: an attempt lists the VMs without the leadership records

Cause: VMs and leadership records share a kind, and the records' names come first. An attempt read all of them, page by page, to list the VMs: the time without a primary grew with the services that were ever promoted.

Change: the list begins after the records.

Test: TestListOfVMsDoesNotReadTheLeadershipRecords: 4 calls before, 2 now.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -105,10 +105,13 @@
 	f.edge.log.Info("entry-swept", zap.String("of", vm), zap.Error(err))
 }
 
-// listVMs reads the fleet's list from the store.
+// listVMs reads the fleet's list from the store, without the leadership records, whose names come
+// before those of the VMs.
 func (e *Edge) listVMs(ctx context.Context) ([]catalog.VM, error) {
 	var out []catalog.VM
-	list := func(after string) (*objects.Page, error) { return e.store.List(ctx, kindFleet, after, false) }
+	list := func(after string) (*objects.Page, error) {
+		return e.store.List(ctx, kindFleet, max(after, prefixVM), false)
+	}
 	err := objects.EachPage(list, func(p *objects.Page) error {
 		for i := range p.Items {
 			node, ok := strings.CutPrefix(p.Items[i].Meta.Name, prefixVM)
