edge: a VM of a large fleet gets its first lists from its neighbors

Cause: when a whole fleet starts, each VM read the lists of VMs and of targets and the configuration from the store: 21 pages and some 1.5 MB for each of 986 VMs before 3,000 targets, or 1.5 GB over a link of 1 Gbit/s. The bytes grow with VMs x (VMs + targets).

Change: a VM reads the one page of the fleet's list that follows its own name. If the list has more pages, it gets all lists from the VMs on that page, and only the first few of them, in the order of the designated watchers, read the store. After 5 to 7.5 s without a copy, or in a fleet of one page, it reads the lists as before. A VM that the store refuses uses its seeds, as before.

Weighed: the seeds alone (three VMs serve the whole fleet), and one reader for each zone (must be agreed upon, and may be dead).

TestAFleetStartsWhileItsFirstReadersAreRefused.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,7 @@
 	recency       recency.Tracker
 	eras          *eras
 	store         *objects.Client
+	firstCopies   *firstCopies
 	outage        outage
 	duty          *duty.Client
 	pool          *lane.Pool
@@ -151,6 +152,7 @@
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.gossip = newGossiper(e)
+	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -217,8 +217,16 @@
 	}
 }
 
+// setNeighbors sets the peers of a VM that does not have the fleet's list yet.
+func (g *gossiper) setNeighbors(vms []catalog.VM) {
+	g.peers.CompareAndSwap(nil, partners.New(g.edge.settings.Node, g.edge.settings.Zone, vms))
+}
+
 // updatePeers sets the peers from the fleet's list and forgets those that are no longer on it.
 func (g *gossiper) updatePeers(c *catalog.Catalog) {
+	if c.FleetRevision == 0 {
+		return
+	}
 	g.peers.Store(partners.New(g.edge.settings.Node, g.edge.settings.Zone, c.VMs))
 	addrs, names := make(map[string]bool, len(c.VMs)), make(map[string]bool, len(c.VMs))
 	for _, vm := range c.VMs {
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -49,6 +49,8 @@
 	// applyWithin is the deployment's bound for a configuration to be in force; 0 uses that of
 	// world.Settings.
 	applyWithin time.Duration
+	// seeds are the peers that the settings of a VM name.
+	seeds []string
 	// ended holds earlier processes of restarted VMs.
 	ended []*vm
 }
@@ -107,7 +109,7 @@
 
 func (f *fleet) start(name, zone string, number int) {
 	set := world.Settings(name, zone, number)
-	set.FirstStart = f.firstStart
+	set.FirstStart, set.Seeds = f.firstStart, f.seeds
 	if f.applyWithin > 0 {
 		set.Bounds.ApplyMS = f.applyWithin.Milliseconds()
 	}
--- a/edge/starts_test.go
+++ b/edge/starts_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/platform/standin/world"
 )
 
 // startAmongOldLists restarts a VM that then reads lists which are some seconds old: a route was
@@ -86,3 +87,61 @@
 		require.Less(t, calls, 4*vms+6*3*9)
 	})
 }
+
+// storePageSize is the page size of the store in tests of fleets whose list takes several pages.
+const storePageSize = 30
+
+// Guards against: each VM of a fleet that starts reads all lists from the store, whose link the bytes
+// of VMs x (VMs + targets) entries then occupy. What a VM reads must not grow with the fleet.
+func TestAFleetThatStartsReadsFewPages(t *testing.T) {
+	for _, vms := range fleetSizes(60, 120) {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			runFleet(t, vms, func(f *fleet) {
+				f.world.Store.SetPageSize(storePageSize)
+				time.Sleep(3 * time.Second)
+				for name := range f.vms {
+					f.kill(name)
+				}
+				time.Sleep(time.Second)
+				before := f.world.Store.StaleCalls()
+				for name := range f.vms {
+					f.restartVM(name)
+				}
+				time.Sleep(5 * time.Second)
+				for name := range f.vms {
+					require.True(t, f.session(name, exact).Query("READ a").OK(), name)
+				}
+				pages := f.world.Store.StaleCalls() - before
+				t.Logf("%d pages of stale lists", pages)
+				// Two pages for each VM, and all lists for the few that read them for the others.
+				require.Less(t, pages, 3*vms)
+			})
+		})
+	}
+}
+
+// Guards against: VMs that wait for lists from peers of which none has read them, because the store
+// refuses most of those that would.
+func TestAFleetStartsWhileItsFirstReadersAreRefused(t *testing.T) {
+	runFleet(t, 60, func(f *fleet) {
+		f.world.Store.SetPageSize(storePageSize)
+		time.Sleep(3 * time.Second)
+		for name := range f.vms {
+			f.kill(name)
+		}
+		time.Sleep(time.Second)
+		for i := range 60 {
+			f.world.CutFromStore(fmt.Sprint("vm", i), i%3 != 0)
+		}
+		for i := range 3 {
+			f.seeds = append(f.seeds, world.Settings("", "", i+1).Listen.Control)
+		}
+		for name := range f.vms {
+			f.restartVM(name)
+		}
+		time.Sleep(10 * time.Second)
+		for name := range f.vms {
+			f.session(name, bounded)
+		}
+	})
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -94,7 +94,7 @@
 func (w *watch) run(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
-		if w.revision != 0 && w.maySuspend != nil && w.maySuspend() {
+		if w.maySuspend != nil && w.maySuspend() {
 			w.suspend(ctx)
 			continue
 		}
--- a/edge/watchers.go
+++ b/edge/watchers.go
@@ -130,6 +130,7 @@
 // each VM that joins to every other VM, and the number of calls would grow with the square of the
 // fleet's size.
 func (e *Edge) startWatches(ctx context.Context) {
+	go e.firstCopies.decide(ctx)
 	e.startWatch(ctx, recency.Config, &watch{kind: kindConfig, maySuspend: e.maySuspendWatch(recency.Config), resumeFrom: e.configRevision, follower: &configFollower{edge: e}})
 	e.startWatch(ctx, recency.Targets, &watch{kind: kindTargets, maySuspend: e.maySuspendWatch(recency.Targets), follower: newTargetFollower(e)})
 	e.startWatch(ctx, recency.Fleet, &watch{kind: kindFleet, maySuspend: e.mayWaitLong(recency.Fleet), follower: newFleetFollower(e)})
@@ -148,6 +149,7 @@
 		w.retries = emptyListRetries
 	}
 	go func() {
+		e.firstCopies.await(ctx, l)
 		if l != recency.Fleet {
 			e.awaitFleet(ctx, fleetListTimeout)
 		}
