edge: a watch resumes from the copy of its peers

Cause: a VM that heard from no peer for long listed VMs and targets anew, 21 pages at 986 VMs and 3,000 targets, since its follower had not received what peers sent.

Change: the watch resumes from the catalog, at the revision as of which peers have confirmed it, and lists only if that is not known or its history is gone. A list of targets counts as complete only up to the revision at which no target was retained without its entry, so that removals are received again.

--- a/edge/fleetfollower.go
+++ b/edge/fleetfollower.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -74,6 +75,17 @@
 	}
 }
 
+func (f *fleetFollower) adopt(c *catalog.Catalog) {
+	clear(f.vms)
+	for _, vm := range c.VMs {
+		f.vms[vm.ID] = vm
+	}
+	f.records = maps.Clone(c.LeadershipRecords)
+	if f.records == nil {
+		f.records = make(map[string]*catalog.LeadershipRecord)
+	}
+}
+
 func (f *fleetFollower) apply(o *objects.Object, deleted bool) {
 	if node, ok := strings.CutPrefix(o.Meta.Name, prefixVM); ok {
 		f.applyVM(node, o, deleted)
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -50,6 +50,8 @@
 
 func (f *configFollower) publish(int64) {}
 
+func (f *configFollower) adopt(*catalog.Catalog) {}
+
 func (f *configFollower) confirm(revision int64, at clock.Time) {
 	if !f.refused {
 		f.edge.recordConfirmation(recency.Config, revision, at)
@@ -73,6 +75,8 @@
 	refused map[target.ID]string
 	// revision is the store's revision up to which targets is complete.
 	revision int64
+	// complete is the latest confirmed revision at which removals was empty; 0 if there is none.
+	complete int64
 	// unpublished is set while targets differs from the list that was last published.
 	unpublished bool
 	// published is the digest of that list.
@@ -102,6 +106,18 @@
 	f.unpublished = true
 }
 
+func (f *targetFollower) adopt(c *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, timer := range f.removals {
+		timer.Stop()
+		delete(f.removals, id)
+	}
+	clear(f.refused)
+	f.targets = maps.Clone(c.Targets)
+	f.unpublished, f.published = false, c.TargetsDigest()
+}
+
 func (f *targetFollower) apply(o *objects.Object, deleted bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -186,8 +202,16 @@
 	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", reason))
 }
 
+// confirm counts the list as complete only up to the last revision at which no target was retained
+// without its entry. A VM that resumes its watch from there receives the removals again.
 func (f *targetFollower) confirm(revision int64, at clock.Time) {
-	f.edge.recordConfirmation(recency.Targets, revision, at)
+	f.mu.Lock()
+	if len(f.removals) == 0 {
+		f.complete = revision
+	}
+	complete := f.complete
+	f.mu.Unlock()
+	f.edge.recordConfirmation(recency.Targets, complete, at)
 }
 
 // publish installs the targets in the catalog if they have changed, or if another list was installed
--- a/edge/followers_internal_test.go
+++ b/edge/followers_internal_test.go
@@ -82,3 +82,27 @@
 	require.Nil(t, e.catalog.Load().Targets["removed"])
 	require.Len(t, e.catalog.Load().Targets, 3)
 }
+
+// Guards against: a target that stays listed for good at a VM that resumes its watch. The entry had
+// expired when the VM got the list from a peer, which retained the target for its grace period.
+func TestRetainedTargetIsRemovedAgainAfterAResume(t *testing.T) {
+	f, _ := newFollowerOf(3)
+	e := f.edge
+	f.confirm(5, clock.Time(5))
+	f.apply(heartbeat("t0", 6, "ready"), true)
+	f.publish(6)
+	f.confirm(6, clock.Time(6))
+	c, revision := e.copyOf(recency.Targets)
+	require.NotNil(t, c.Targets["t0"], "it is retained")
+	require.EqualValues(t, 5, revision, "a watch from here receives the removal")
+
+	other := newTargetFollower(e)
+	other.adopt(c)
+	other.apply(heartbeat("t0", 6, "ready"), true)
+	require.NotNil(t, other.removals["t0"])
+	f.remove("t0", "lost")
+	other.remove("t0", "lost")
+	f.confirm(7, clock.Time(7))
+	_, revision = e.copyOf(recency.Targets)
+	require.EqualValues(t, 7, revision)
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
@@ -59,6 +60,8 @@
 	// confirm is called after each reply of the store: the applied objects are complete as of the
 	// revision, and were current at the given time.
 	confirm(revision int64, at clock.Time)
+	// adopt replaces all objects by those of a catalog, which peers have kept up to date.
+	adopt(c *catalog.Catalog)
 }
 
 // watch keeps the objects of one kind in sync with the store.
@@ -72,16 +75,16 @@
 	// maySuspend reports whether peers provide enough updates for the watch to be suspended once
 	// the kind was listed; nil never suspends.
 	maySuspend func() bool
-	// resumeFrom returns the revision from which the watch resumes after it was suspended. If it is
-	// nil or returns 0, the kind is listed again.
-	resumeFrom func() int64
-	outage     *outage
-	clk        clock.Clock
-	store      *objects.Client
-	log        *zap.Logger
-	follower   follower
-	revision   int64
-	failures   int
+	// copyOf returns a catalog and the store's revision as of which its copy of the kind is complete; 0
+	// if that is not known.
+	copyOf   func() (*catalog.Catalog, int64)
+	outage   *outage
+	clk      clock.Clock
+	store    *objects.Client
+	log      *zap.Logger
+	follower follower
+	revision int64
+	failures int
 	// listed is set after the first list.
 	listed bool
 	// retries is how often an empty first list is read again.
@@ -132,9 +135,11 @@
 // coverCheckInterval is how often a VM checks whether designated watchers still cover a kind.
 const coverCheckInterval = 500 * time.Millisecond
 
-// suspend waits until peers provide too few updates. Unless the watch can resume from the revision
-// that peers have reached, the kind is then listed again, because the follower has not received the
-// updates from peers.
+// suspend waits until peers provide too few updates. The watch then resumes from the copy that peers
+// have provided, or lists the kind again if it is not known as of when that copy is complete.
+//
+// Failure guarded against: updates from peers stop for many VMs at once, as when the store is slow,
+// and each of them lists VMs and targets anew. The store becomes slower, and more VMs follow.
 func (w *watch) suspend(ctx context.Context) {
 	w.log.Info("watch-rests", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 	for w.maySuspend() {
@@ -142,9 +147,9 @@
 			return
 		}
 	}
-	w.revision = 0
-	if w.resumeFrom != nil {
-		w.revision = w.resumeFrom()
+	c, revision := w.copyOf()
+	if w.revision = revision; revision != 0 {
+		w.follower.adopt(c)
 	}
 	w.log.Info("watch-resumed", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 }
--- a/edge/watch_internal_test.go
+++ b/edge/watch_internal_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/platform/objects"
@@ -35,6 +36,7 @@
 
 func (f recordingFollower) publish(int64)             {}
 func (f recordingFollower) confirm(int64, clock.Time) {}
+func (f recordingFollower) adopt(*catalog.Catalog)    {}
 
 // pagedStore answers lists of two pages. Between the two, "a" joins on the first page, and the second
 // page has an object that changed after that.
--- a/edge/watchers.go
+++ b/edge/watchers.go
@@ -131,20 +131,22 @@
 // fleet's size.
 func (e *Edge) startWatches(ctx context.Context) {
 	go e.firstCopies.decide(ctx)
-	e.startWatch(ctx, recency.Config, &watch{kind: kindConfig, maySuspend: e.maySuspendWatch(recency.Config), resumeFrom: e.configRevision, follower: &configFollower{edge: e}})
+	e.startWatch(ctx, recency.Config, &watch{kind: kindConfig, maySuspend: e.maySuspendWatch(recency.Config), follower: &configFollower{edge: e}})
 	e.startWatch(ctx, recency.Targets, &watch{kind: kindTargets, maySuspend: e.maySuspendWatch(recency.Targets), follower: newTargetFollower(e)})
 	e.startWatch(ctx, recency.Fleet, &watch{kind: kindFleet, maySuspend: e.mayWaitLong(recency.Fleet), follower: newFleetFollower(e)})
 }
 
-// configRevision returns the store's revision as of which the configuration in force is known to be
-// current; 0 if there is none.
-func (e *Edge) configRevision() int64 {
-	return e.recency.Newest(recency.Config, versionOf(e.catalog.Load(), recency.Config)).Revision
+// copyOf returns the catalog and the store's revision as of which its copy of a list is complete; 0 if
+// that is not known.
+func (e *Edge) copyOf(l recency.List) (*catalog.Catalog, int64) {
+	c := e.catalog.Load()
+	return c, e.recency.Newest(l, versionOf(c, l)).Revision
 }
 
 func (e *Edge) startWatch(ctx context.Context, l recency.List, w *watch) {
 	w.short, w.covered = e.shortWait(l), e.mayWaitLong(l)
 	w.store, w.log, w.outage, w.clk = e.store, e.log, &e.outage, e.clk
+	w.copyOf = func() (*catalog.Catalog, int64) { return e.copyOf(l) }
 	if e.settings.FirstStart {
 		w.retries = emptyListRetries
 	}
--- a/edge/watchers_test.go
+++ b/edge/watchers_test.go
@@ -72,3 +72,29 @@
 		}
 	})
 }
+
+// Guards against: VMs that hear nothing from their peers and read whole lists from the store, which
+// makes a slow store slower. They continue from the lists that their peers had sent, and miss no
+// change.
+func TestWatchResumesFromTheCopyOfPeers(t *testing.T) {
+	runFleet(t, 30, func(f *fleet) {
+		f.world.Store.SetPageSize(storePageSize / 10)
+		time.Sleep(3 * time.Second)
+		before := f.world.Store.ListCalls()
+		apart := []string{"vm7", "vm8", "vm9"}
+		for _, one := range apart {
+			for other := range f.vms {
+				if other != one {
+					f.world.Net.Cut(one, other)
+				}
+			}
+		}
+		route := catalog.Route{Database: "extra", Service: service, Freshness: catalog.Bounded, MaxAge: 10 * time.Second, StatementTimeout: time.Second, Objective: time.Second}
+		f.world.SetRoutes(append(standardRoutes(), route)...)
+		time.Sleep(8 * time.Second)
+		require.Zero(t, f.world.Store.ListCalls()-before)
+		for _, one := range apart {
+			require.True(t, f.session(one, "extra").Query("READ a").OK())
+		}
+	})
+}
