takeover: few VMs at a time act on a reason that all of them find in lists

Cause: of a large fleet all VMs but eight had the same delay, the longest. They learn of a draining primary and of the attempt to replace it from peers at about the same time, and those that learned of the primary first queried its targets and tried to record an attempt. The queries grew with the fleet.

Change: for reasons found in lists (leaving, absent, abandoned) the VMs after the first eight wait in groups, each as large as all before it, for the time that a record takes to spread. Reasons that only a VM's own requests show are acted on as before: those VMs are few.

TestListedReasonsAreActedOnByFewVMsAtATime at 3 to 3,000 VMs.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -412,3 +412,28 @@
 		f.checkInvariants()
 	})
 }
+
+// maxQueriesToReplace bounds the status queries of a planned change of primary, whatever the fleet's
+// size: those of the attempt, and of the first few VMs that consider one.
+const maxQueriesToReplace = 60
+
+// Guards against: a change of primary that every VM of the fleet tries to make, because all of them
+// learn from the lists that the primary drains, and most of them do so before they learn that another
+// VM makes the change.
+func TestFewVMsTryToReplaceADrainingPrimary(t *testing.T) {
+	for _, vms := range fleetSizes(40, 120) {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			runFleet(t, vms, func(f *fleet) {
+				time.Sleep(3 * time.Second)
+				before := f.group.StatusQueries()
+				f.world.Drain(service, "ledger-0")
+				time.Sleep(4 * time.Second)
+				require.NotEqual(t, "ledger-0", f.group.Leader())
+				queries := f.group.StatusQueries() - before
+				t.Logf("%d status queries", queries)
+				require.Less(t, queries, int64(maxQueriesToReplace))
+				f.checkInvariants()
+			})
+		})
+	}
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -213,7 +213,7 @@
 	if reason == takeover.ReasonNone || w.busy || now.Before(w.notBefore) || others {
 		return
 	}
-	if now.Sub(w.reasonSince) < p.staggerDelay(g.Service) {
+	if now.Sub(w.reasonSince) < p.staggerDelay(g.Service, reason) {
 		return
 	}
 	w.busy = true
@@ -286,8 +286,12 @@
 	return takeover.ExpireAfter
 }
 
-func (p *Promoter) staggerDelay(service string) time.Duration {
-	return takeover.StaggerDelay(service, p.cfg.Node, p.cfg.Catalog.Load().VMNames())
+func (p *Promoter) staggerDelay(service string, reason takeover.Reason) time.Duration {
+	vms := p.cfg.Catalog.Load().VMNames()
+	if reason.Listed() {
+		return takeover.ListedStaggerDelay(service, p.cfg.Node, vms)
+	}
+	return takeover.StaggerDelay(service, p.cfg.Node, vms)
 }
 
 // done makes this VM's next attempt possible after a pause.
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -59,6 +59,9 @@
 	StaggerInterval = 40 * time.Millisecond
 	// maxStaggerSteps bounds the delay of the last VM of a large fleet.
 	maxStaggerSteps = 8
+	// recordSpreadTime is how long a record that one VM has written takes to reach most of a large
+	// fleet through its peers.
+	recordSpreadTime = time.Second
 )
 
 // Reason is why a service needs another primary.
@@ -93,6 +96,12 @@
 // Unanswered reports whether the primary has left requests and queries unanswered.
 func (r Reason) Unanswered() bool { return r == ReasonUnresponsive || r == ReasonRefusing }
 
+// Listed reports whether every VM of the fleet finds the reason in the lists, and not only the VMs
+// whose requests meet the fault.
+func (r Reason) Listed() bool {
+	return r == ReasonLeaving || r == ReasonAbsent || r == ReasonAbandoned
+}
+
 // Answers reports whether the primary answers, whatever other fault the service has.
 func (r Reason) Answers() bool {
 	return r == ReasonAbandoned || r == ReasonStalled || r == ReasonBehind
@@ -144,6 +153,27 @@
 // StaggerDelay is how long a VM waits before it makes a change that others may make as well. Each
 // service has its own order of VMs.
 func StaggerDelay(service, self string, vms []string) time.Duration {
+	return time.Duration(min(rank(service, self, vms), maxStaggerSteps)) * StaggerInterval
+}
+
+// ListedStaggerDelay is StaggerDelay for a reason that every VM finds in the lists. After the first
+// few VMs, each further group of VMs is twice as large as all before it, and waits until it would
+// have learned that one of those makes the change.
+//
+// Failure guarded against: in a large fleet most VMs have the longest StaggerDelay. They learn of a
+// draining primary and of the attempt to replace it from their peers, at about the same time, and
+// those that learn of the primary first all query its targets and try to record an attempt.
+func ListedStaggerDelay(service, self string, vms []string) time.Duration {
+	before := rank(service, self, vms)
+	delay := time.Duration(min(before, maxStaggerSteps)) * StaggerInterval
+	for group := maxStaggerSteps; group <= before; group *= 2 {
+		delay += recordSpreadTime
+	}
+	return delay
+}
+
+// rank is the number of VMs before this one in the service's order.
+func rank(service, self string, vms []string) int {
 	own := xxhash.Sum64String(service + "/" + self)
 	before := 0
 	for _, vm := range vms {
@@ -151,5 +181,5 @@
 			before++
 		}
 	}
-	return time.Duration(min(before, maxStaggerSteps)) * StaggerInterval
+	return before
 }
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -107,6 +108,28 @@
 	require.LessOrEqual(t, StaggerDelay("ledger", "other", append(vms, make([]string, 1000)...)), maxStaggerSteps*StaggerInterval)
 }
 
+// Guards against: a change that most VMs of a large fleet try to make at once, and against VMs that
+// wait long for others that cannot make it. The last VM's delay grows with the logarithm of the fleet.
+func TestListedReasonsAreActedOnByFewVMsAtATime(t *testing.T) {
+	for _, fleet := range []int{3, 30, 300, 1000, 3000} {
+		vms := make([]string, fleet)
+		for i := range vms {
+			vms[i] = fmt.Sprint("vm", i)
+		}
+		atOnce, last := 0, time.Duration(0)
+		for _, vm := range vms {
+			delay := ListedStaggerDelay("ledger", vm, vms)
+			last = max(last, delay)
+			if delay < recordSpreadTime {
+				atOnce++
+			}
+		}
+		require.LessOrEqual(t, atOnce, maxStaggerSteps)
+		doublings := time.Duration(math.Ceil(math.Log2(float64(fleet)/maxStaggerSteps + 1)))
+		require.LessOrEqual(t, last, maxStaggerSteps*StaggerInterval+doublings*recordSpreadTime)
+	}
+}
+
 // Safety depends on these relations: a call to promote a target must have arrived before other VMs
 // may act, and a permission must have expired within an attempt's time.
 func TestTimeLimitsAreConsistent(t *testing.T) {
