--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -57,7 +57,8 @@
 }
 
 // SetTargets replaces all targets by those in the store at a revision, unless a later list is
-// installed. It reports whether it did.
+// installed. It reports whether it did. A list of equal targets only advances the revision, which
+// does not count as a change.
 func (h *Holder) SetTargets(targets map[target.ID]*Target, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -65,36 +66,64 @@
 	if revision < next.TargetsRevision {
 		return false
 	}
-	next.targetsHistory = next.targetsHistory.next(listOfTargets(next.Targets), listOfTargets(targets), next.TargetsRevision, revision)
-	next.Targets, next.TargetsRevision = targets, revision
-	next.ByService = byService(targets)
-	h.publish(&next)
+	h.install(&next, next.setTargets(targets, revision))
+	return true
+}
+
+// setTargets installs a list, retains the change from the previous one, and reports whether it
+// differs from that one.
+func (c *Catalog) setTargets(targets map[target.ID]*Target, revision int64) (changed bool) {
+	if sameEra(c.TargetsRevision, revision) && maps.EqualFunc(c.Targets, targets, equalTargets) {
+		c.TargetsRevision = revision
+		return false
+	}
+	to := listOfTargets(targets)
+	c.targetsDigest = to.digest()
+	c.targetsHistory = c.targetsHistory.next(listOfTargets(c.Targets), to, c.targetsDigest, c.TargetsRevision, revision)
+	c.Targets, c.TargetsRevision = targets, revision
+	c.ByService = byService(targets)
 	return true
 }
 
+func equalTargets(a, b *Target) bool { return *a == *b }
+
 // SetFleet replaces the list of VMs by the one in the store at a revision, unless a later one is
 // installed, and merges the leadership records that are later than the installed ones. It reports
-// whether the list was replaced.
+// whether the list was replaced. As in SetTargets, equal entries do not count as a change.
 func (h *Holder) SetFleet(vms []VM, records map[string]*LeadershipRecord, revision int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := *h.Load()
-	next.LeadershipRecords = laterRecords(next.LeadershipRecords, records)
-	later := revision >= next.FleetRevision
-	if later && EraOf(revision) > EraOf(next.FleetRevision) {
+	old := h.Load()
+	next := *old
+	next.LeadershipRecords = laterRecords(old.LeadershipRecords, records)
+	later := revision >= old.FleetRevision
+	if later && EraOf(revision) > EraOf(old.FleetRevision) {
 		next.LeadershipRecords = markLost(next.LeadershipRecords, EraOf(revision))
 	}
-	if later {
-		next.setVMs(slices.SortedFunc(slices.Values(vms), byName), revision)
+	changed := !maps.Equal(old.LeadershipRecords, next.LeadershipRecords)
+	if later && next.setVMs(slices.SortedFunc(slices.Values(vms), byName), revision) {
+		changed = true
 	}
-	h.publish(&next)
+	h.install(&next, changed)
 	return later
 }
 
-// setVMs installs a list, and retains the change from the previous one.
-func (c *Catalog) setVMs(vms []VM, revision int64) {
-	c.fleetHistory = c.fleetHistory.next(listOf(c.VMs), listOf(vms), c.FleetRevision, revision)
+// setVMs is setTargets for the list of VMs.
+func (c *Catalog) setVMs(vms []VM, revision int64) (changed bool) {
+	if sameEra(c.FleetRevision, revision) && slices.Equal(c.VMs, vms) {
+		c.FleetRevision = revision
+		return false
+	}
+	to := listOf(vms)
+	c.fleetDigest = to.digest()
+	c.fleetHistory = c.fleetHistory.next(listOf(c.VMs), to, c.fleetDigest, c.FleetRevision, revision)
 	c.VMs, c.FleetRevision = vms, revision
+	return true
+}
+
+// sameEra reports whether a list was installed in the era of a revision.
+func sameEra(installed, revision Revision) bool {
+	return installed != 0 && EraOf(installed) == EraOf(revision)
 }
 
 func laterRecords(current, offered map[string]*LeadershipRecord) map[string]*LeadershipRecord {
@@ -134,6 +163,15 @@
 	h.publish(&next)
 }
 
+// install replaces the catalog, and wakes those that wait for a change if it is one.
+func (h *Holder) install(c *Catalog, changed bool) {
+	if !changed {
+		h.current.Store(c)
+		return
+	}
+	h.publish(c)
+}
+
 func (h *Holder) publish(c *Catalog) {
 	h.current.Store(c)
 	next := make(chan struct{})
--- a/edge/followers.go
+++ b/edge/followers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 
 func (f *configFollower) publish(int64) {}
 
+func (f *configFollower) adopt(*catalog.Catalog) {}
+
 func (f *configFollower) confirm(revision int64, at clock.Time) {
 	if !f.refused {
 		f.edge.recordConfirmation(recency.Config, revision, at)
@@ -72,6 +75,12 @@
 	refused map[target.ID]string
 	// revision is the store's revision up to which targets is complete.
 	revision int64
+	// complete is the latest confirmed revision at which removals was empty; 0 if there is none.
+	complete int64
+	// unpublished is set while targets differs from the list that was last published.
+	unpublished bool
+	// published is the digest of that list.
+	published uint64
 }
 
 func newTargetFollower(e *Edge) *targetFollower {
@@ -94,6 +103,19 @@
 	for _, o := range items {
 		f.put(o)
 	}
+	f.unpublished = true
+}
+
+func (f *targetFollower) adopt(c *catalog.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, timer := range f.removals {
+		timer.Stop()
+		delete(f.removals, id)
+	}
+	clear(f.refused)
+	f.targets = maps.Clone(c.Targets)
+	f.unpublished, f.published = false, c.TargetsDigest()
 }
 
 func (f *targetFollower) apply(o *objects.Object, deleted bool) {
@@ -119,8 +141,9 @@
 		delete(f.removals, t.ID)
 	}
 	old := f.targets[t.ID]
-	f.targets[t.ID] = t
 	if old == nil || *old != *t {
+		f.targets[t.ID] = t
+		f.unpublished = true
 		f.edge.log.Info("target", zap.String("target", string(t.ID)), zap.String("service", t.Service), zap.String("addr", t.Addr),
 			zap.String("at", t.Zone), zap.Bool("draining", t.Draining), zap.Stringer("role", t.Role), zap.Int64("incarnation", t.Incarnation))
 	}
@@ -175,20 +198,36 @@
 func (f *targetFollower) remove(id target.ID, reason string) {
 	delete(f.targets, id)
 	delete(f.removals, id)
+	f.unpublished = true
 	f.edge.log.Info("target-gone", zap.String("target", string(id)), zap.String("reason", reason))
 }
 
+// confirm counts the list as complete only up to the last revision at which no target was retained
+// without its entry. A VM that resumes its watch from there receives the removals again.
 func (f *targetFollower) confirm(revision int64, at clock.Time) {
-	f.edge.recordConfirmation(recency.Targets, revision, at)
+	f.mu.Lock()
+	if len(f.removals) == 0 {
+		f.complete = revision
+	}
+	complete := f.complete
+	f.mu.Unlock()
+	f.edge.recordConfirmation(recency.Targets, complete, at)
 }
 
+// publish installs the targets in the catalog if they have changed, or if another list was installed
+// there since.
+//
+// Failure guarded against: every heartbeat of a target is an event of the watch. Installed as a new
+// list, each batch of them makes every VM of the fleet receive, compare and distribute the list of
+// all targets several times a second, although nothing has changed.
 func (f *targetFollower) publish(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = revision
-	out := make(map[target.ID]*catalog.Target, len(f.targets))
-	for id, t := range f.targets {
-		out[id] = t
+	if !f.unpublished && f.edge.catalog.Load().TargetsDigest() == f.published {
+		return
+	}
+	if f.edge.catalog.SetTargets(maps.Clone(f.targets), revision) {
+		f.unpublished, f.published = false, catalog.DigestOfTargets(f.targets)
 	}
-	f.edge.catalog.SetTargets(out, revision)
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
@@ -59,6 +60,8 @@
 	// confirm is called after each reply of the store: the applied objects are complete as of the
 	// revision, and were current at the given time.
 	confirm(revision int64, at clock.Time)
+	// adopt replaces all objects by those of a catalog, which peers have kept up to date.
+	adopt(c *catalog.Catalog)
 }
 
 // watch keeps the objects of one kind in sync with the store.
@@ -72,16 +75,16 @@
 	// maySuspend reports whether peers provide enough updates for the watch to be suspended once
 	// the kind was listed; nil never suspends.
 	maySuspend func() bool
-	// resumeFrom returns the revision from which the watch resumes after it was suspended. If it is
-	// nil or returns 0, the kind is listed again.
-	resumeFrom func() int64
-	outage     *outage
-	clk        clock.Clock
-	store      *objects.Client
-	log        *zap.Logger
-	follower   follower
-	revision   int64
-	failures   int
+	// copyOf returns a catalog and the store's revision as of which its copy of the kind is complete; 0
+	// if that is not known.
+	copyOf   func() (*catalog.Catalog, int64)
+	outage   *outage
+	clk      clock.Clock
+	store    *objects.Client
+	log      *zap.Logger
+	follower follower
+	revision int64
+	failures int
 	// listed is set after the first list.
 	listed bool
 	// retries is how often an empty first list is read again.
@@ -94,7 +97,7 @@
 func (w *watch) run(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil {
-		if w.revision != 0 && w.maySuspend != nil && w.maySuspend() {
+		if w.maySuspend != nil && w.maySuspend() {
 			w.suspend(ctx)
 			continue
 		}
@@ -132,9 +135,11 @@
 // coverCheckInterval is how often a VM checks whether designated watchers still cover a kind.
 const coverCheckInterval = 500 * time.Millisecond
 
-// suspend waits until peers provide too few updates. Unless the watch can resume from the revision
-// that peers have reached, the kind is then listed again, because the follower has not received the
-// updates from peers.
+// suspend waits until peers provide too few updates. The watch then resumes from the copy that peers
+// have provided, or lists the kind again if it is not known as of when that copy is complete.
+//
+// Failure guarded against: updates from peers stop for many VMs at once, as when the store is slow,
+// and each of them lists VMs and targets anew. The store becomes slower, and more VMs follow.
 func (w *watch) suspend(ctx context.Context) {
 	w.log.Info("watch-rests", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 	for w.maySuspend() {
@@ -142,9 +147,9 @@
 			return
 		}
 	}
-	w.revision = 0
-	if w.resumeFrom != nil {
-		w.revision = w.resumeFrom()
+	c, revision := w.copyOf()
+	if w.revision = revision; revision != 0 {
+		w.follower.adopt(c)
 	}
 	w.log.Info("watch-resumed", zap.String("kind", w.kind), zap.Int64("revision", w.revision))
 }
@@ -253,24 +258,33 @@
 
 // listStale reads a slightly outdated list. Such a read costs the store little, and nothing extra
 // if many VMs make it at once. Later changes are received from a watch that starts at the latest
-// revision in the list, or from peers, whose lists are more recent. It reports whether the list had
-// any objects. The reply is not current, so the follower is not confirmed.
+// revision on the list's first page, or from peers, whose lists are more recent and whose digests
+// show whether a change leads to the same list. It reports whether the list had any objects. The
+// reply is not current, so the follower is not confirmed.
+//
+// Failure guarded against: an object changes on a page that was already read, and a later page has
+// an object that changed after it. A watch from the latest revision of all pages would never report
+// the first change.
 //
 // Failure guarded against: when a whole fleet starts, each VM reads every list once, which exceeds
 // the store's rates.
 func (w *watch) listStale(ctx context.Context) (bool, error) {
-	items, _, err := w.readAll(ctx, true)
+	items, first, err := w.readAll(ctx, true)
 	for n := 0; n < w.retries && err == nil && len(items) == 0 && wait.For(ctx, emptyListDelay); n++ {
-		items, _, err = w.readAll(ctx, true)
+		items, first, err = w.readAll(ctx, true)
 	}
 	if err != nil || len(items) == 0 {
 		return false, err
 	}
-	latest := int64(0)
+	latest, latestOfFirst := int64(0), int64(0)
 	for _, o := range items {
 		latest = max(latest, o.Meta.Revision)
 	}
+	for i := range first.Items {
+		latestOfFirst = max(latestOfFirst, first.Items[i].Meta.Revision)
+	}
 	w.replace(items, latest)
+	w.revision = latestOfFirst
 	return true, nil
 }
 
