gateways: keep the selections that a change of the fleet leaves valid

Cause: each change of the fleet's list dropped the selected gateways of all targets, and every VM selected those of its targets in use again, with a score for each VM of the fleet: VMs x targets in use for each VM that restarts.

Change: the next assignment derives each selection from the change: a VM that joined is compared with the selected ones, one that restarted replaces itself, and only a selected VM that left makes the selection void.

Weighed: selections at a fixed interval only (a dead gateway would stay).

Tests: TestKeptSelectionsAreThoseOfTheLastList (drawn changes, equal to a new selection); TestAVMThatJoinsMovesFewSelections failed before (0 of 300 kept).

--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -104,19 +104,24 @@
 }
 
 // Next returns the assignment for a later state of the catalog and the number of VMs that
-// respond. Gateways are selected again only if the fleet has changed, which it does far less
-// often than the configuration.
+// respond. Of the selected gateways it keeps what the change of the fleet leaves valid.
+//
+// Failure guarded against: many VMs of a large fleet restart, and with each of them every VM selects
+// the gateways of all targets that it uses from the whole fleet again.
 func (a *Assignment) Next(c *catalog.Catalog, responding int) *Assignment {
 	next := NewAssignment(a.self, c)
 	next.responding = responding
-	if !slices.Equal(a.catalog.VMs, c.VMs) {
-		return next
-	}
+	change := changeOf(a.catalog.VMs, c.VMs)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, d := range a.selections {
-		if c.Targets[id] != nil {
-			next.selections[id] = d
+		t := c.Targets[id]
+		if t == nil || t.Zone != d.zone {
+			continue
+		}
+		if vms, ok := change.applyTo(d, t); ok {
+			sortByPreference(a.self, vms)
+			next.selections[id] = selection{zone: d.zone, count: d.count, vms: vms}
 		}
 	}
 	return next
@@ -222,6 +227,66 @@
 	return vms
 }
 
+// fleetChange is the difference between two states of the fleet's list.
+type fleetChange struct {
+	// joined are the VMs that are new, or that hash to other scores than before.
+	joined []catalog.VM
+	// left are the VMs that were removed, or that hash to other scores, by name.
+	left map[string]bool
+	// changed are the VMs that changed otherwise, as when one restarts, by name.
+	changed map[string]catalog.VM
+}
+
+// changeOf returns the change between two lists, both in the order of the names.
+func changeOf(from, to []catalog.VM) fleetChange {
+	out := fleetChange{left: make(map[string]bool), changed: make(map[string]catalog.VM)}
+	for len(from) > 0 || len(to) > 0 {
+		switch {
+		case len(to) == 0 || (len(from) > 0 && from[0].ID < to[0].ID):
+			out.left[from[0].ID] = true
+			from = from[1:]
+		case len(from) == 0 || to[0].ID < from[0].ID:
+			out.joined = append(out.joined, to[0])
+			to = to[1:]
+		default:
+			out.add(from[0], to[0])
+			from, to = from[1:], to[1:]
+		}
+	}
+	return out
+}
+
+// add adds a VM that is on both lists.
+func (f *fleetChange) add(from, to catalog.VM) {
+	switch {
+	case from == to:
+	case from.Zone == to.Zone && from.Capacity == to.Capacity:
+		f.changed[to.ID] = to
+	default:
+		f.left[from.ID] = true
+		f.joined = append(f.joined, to)
+	}
+}
+
+// applyTo returns the VMs that are selected for a target after the change; false if a selected VM
+// has left, so that any VM may take its place.
+func (f *fleetChange) applyTo(d selection, t *catalog.Target) (vms []catalog.VM, ok bool) {
+	vms = make([]catalog.VM, 0, len(d.vms)+len(f.joined))
+	for _, vm := range d.vms {
+		if f.left[vm.ID] {
+			return nil, false
+		}
+		if changed, ok := f.changed[vm.ID]; ok {
+			vm = changed
+		}
+		vms = append(vms, vm)
+	}
+	if len(f.joined) == 0 {
+		return vms, true
+	}
+	return Choose(t, append(vms, f.joined...), d.count), true
+}
+
 // preference is a hash that spreads names evenly over a target's gateways.
 func preference(name, gateway string) uint64 { return xxhash.Sum64String(name + "/" + gateway) }
 
--- a/gateways/gateways_test.go
+++ b/gateways/gateways_test.go
@@ -201,3 +201,54 @@
 	moved.Zone = "c"
 	require.Equal(t, "c", p.Next(&same, len(same.VMs)).gateways(&moved)[0].Zone, "the target has moved to another zone")
 }
+
+// VMs join, leave, restart, and change their zone or capacity. The gateways that are kept over these
+// changes must be those that a VM selects which has only the last list.
+func TestKeptSelectionsAreThoseOfTheLastList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() []catalog.VM {
+			var out []catalog.VM
+			for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+				if rapid.IntRange(0, 3).Draw(t, name) > 0 {
+					zone := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone")
+					out = append(out, catalog.VM{ID: name, Zone: zone, Incarnation: rapid.StringN(0, 1, 1).Draw(t, "run"), Capacity: float64(rapid.IntRange(1, 2).Draw(t, "cores"))})
+				}
+			}
+			return out
+		}
+		// The limit is below the number of VMs, so that there are gateways.
+		c, to := catalogWithLimit(10, append(draw(), fleet(9, "b")...))
+		kept := NewAssignment("a", c)
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			kept.Route(to, "")
+			c, to = catalogWithLimit(10, append(draw(), fleet(9, "b")...))
+			kept = kept.Next(c, len(c.VMs))
+			require.Equal(t, NewAssignment("a", c).Route(to, ""), kept.Route(to, ""))
+		}
+	})
+}
+
+// Guards against: gateways of all targets in use that every VM selects again for each VM that joins
+// or restarts.
+func TestAVMThatJoinsMovesFewSelections(t *testing.T) {
+	const targets = 300
+	for _, vms := range []int{30, 300, 1000, 3000} {
+		before := fleet(vms, "a", "b", "c")
+		c, _ := catalogWithLimit(30, before)
+		p := NewAssignment("vm00", c)
+		for i := range targets {
+			to := targetWithID(fmt.Sprint("t", i))
+			to.Service = "s"
+			c.Targets[to.ID] = to
+			p.Route(to, "")
+		}
+		after := slices.Clone(before)
+		after[vms/2].Incarnation = "restarted"
+		next, _ := catalogWithLimit(30, append(after, catalog.VM{ID: "vn", Zone: "a", Capacity: 0.2}))
+		next.Targets = c.Targets
+		require.Len(t, p.Next(next, vms).selections, targets)
+		gone, _ := catalogWithLimit(30, before[1:])
+		gone.Targets = c.Targets
+		require.Greater(t, len(p.Next(gone, vms).selections), targets/2)
+	}
+}
