groups: the first primary of an unused service is logged at level debug

Cause: a VM that starts logged a line for each service of the deployment, 24,170 lines for 89 VMs and 1,000 services within 1.5 s: a million for the fleet, at which the bounded writer drops lines that an operator needs.

Test: TestFirstPrimaryOfAnUnusedServiceIsNotLogged.

--- a/groups/group.go
+++ b/groups/group.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
@@ -206,7 +207,7 @@
 		return
 	}
 	if now.Primary != g.state.Primary {
-		g.cfg.Log.Info("primary-believed", zap.String("service", g.Service), zap.String("primary", string(now.Primary)),
+		g.cfg.Log.Log(g.primaryLogLevel(), "primary-believed", zap.String("service", g.Service), zap.String("primary", string(now.Primary)),
 			zap.Uint64("term", uint64(now.Term)), zap.String("before", string(g.state.Primary)), zap.Bool("contested", now.Contested))
 	}
 	if now.Primary != "" && now.Primary != g.state.Primary {
@@ -224,6 +225,16 @@
 	g.changed = make(chan struct{})
 }
 
+// primaryLogLevel is the level at which a change of the primary is logged. The first one of a service
+// that this VM does not use is no change that an operator looks for: a VM that starts would log a line
+// for each service of the deployment.
+func (g *Group) primaryLogLevel() zapcore.Level {
+	if g.led || g.used.Load() != 0 {
+		return zapcore.InfoLevel
+	}
+	return zapcore.DebugLevel
+}
+
 // primaryLostSince returns since when no target leads, at the time when the primary becomes
 // unknown. A primary that was removed from the list was lost when it stopped answering: to count
 // the wait for other targets' claims from now would delay consumers.
--- a/groups/update_test.go
+++ b/groups/update_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock/monotonic"
@@ -104,3 +105,18 @@
 	join("s0-3")
 	require.GreaterOrEqual(t, r.Group("s0").Absent(), takeover.AbsentAfter, "a primary that was known is missed while others join")
 }
+
+// Guards against: a line in the log of each VM for each service of the deployment, as the VM starts.
+func TestFirstPrimaryOfAnUnusedServiceIsNotLogged(t *testing.T) {
+	core, logged := observer.New(zap.InfoLevel)
+	h := deployment(300)
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.New(core)})
+	r.Use("s7")
+	r.Update(h.Load())
+	require.Equal(t, 1, logged.FilterMessage("primary-believed").Len())
+	changed := deployment(300).Load().Targets
+	changed["s1-0"].Role, changed["s1-2"].Role = target.RoleReplica, target.RolePrimary
+	h.SetTargets(changed, 2)
+	r.Update(h.Load())
+	require.Equal(t, 2, logged.FilterMessage("primary-believed").Len(), "a change is logged, used or not")
+}
