edge: fleets of 200 VMs get their first lists from neighbors too

Cause: the number of pages depends on the store; with a page of 500 entries a fleet of 499 VMs before 1,500 targets would still read 300 MB from the store as it starts, 2.4 s of a link of 1 Gbit/s, where a call waits 1.2 s for its first byte.

--- a/edge/firstcopies.go
+++ b/edge/firstcopies.go
@@ -15,6 +15,10 @@
 )
 
 const (
+	// neighborsMinVMs is the fleet size from which a VM gets its first copies from its neighbors even
+	// if the fleet's list takes one page. The lists that the VMs of a smaller fleet read at once, with
+	// some targets for each VM, take less than a second of a link of 1 Gbit/s.
+	neighborsMinVMs = 200
 	// peerCopyTimeout is how long a VM of a large fleet waits for its first copies from peers before
 	// it reads them from the store: several times as long as a list takes to spread through a fleet
 	// that starts as a whole.
@@ -25,8 +29,8 @@
 )
 
 // firstCopies decides where a VM that has just started gets its first copies of the store's lists
-// from. In a fleet whose list takes more than one page, it reads only the page that follows its own
-// name, and gets the lists from the VMs on that page: its neighbors. The first few VMs among their
+// from. In a large fleet, it reads only the page of the fleet's list that follows its own name, and
+// gets the lists from the VMs on that page: its neighbors. The first few VMs among their
 // neighbors, in the order of the designated watchers, read the lists from the store.
 //
 // Failure guarded against: a whole fleet starts, and each of its VMs reads the list of VMs and the
@@ -72,7 +76,7 @@
 			continue
 		case len(p.Items) > 0 || !e.settings.FirstStart || empty > emptyListRetries:
 			neighbors = f.decode(p)
-			return neighbors, p.More && len(neighbors) >= suspendMinVMs
+			return neighbors, len(neighbors) >= neighborsMinVMs || (p.More && len(neighbors) >= suspendMinVMs)
 		}
 		empty++
 		wait.For(ctx, emptyListDelay)
