edge: an entry of the fleet's list is removed only after notice

Cause: a VM removed the entry of another one a minute after a pull from it had failed. With 986 VMs it pulls from a far one about every two hours, so that one failed pull, as while that VM restarts, removed the entry of a VM that serves; between VMs that do not reach each other this holds at any size. The removed VM keeps its read permission while its copy of the list is at most 12 s old, and the holder of an attempt, who reads the list from the store, does not ask it to give it up: an exact read at a deposed primary.

Change: before it removes an entry, a VM pulls from the other one again. If that fails it marks the entry as expiring, and removes it 15 s later unless it was written again. A VM has no permission while its entry is marked, and writes it again.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -162,6 +162,9 @@
 	Incarnation string
 	// Capacity is the processor time available to the VM, in cores; 0 if not known.
 	Capacity float64
+	// Expiring is set if other VMs have announced to remove the entry because they do not reach the
+	// VM, which writes it again unless it is dead.
+	Expiring bool
 }
 
 // Route returns the route of a database, or nil.
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -39,7 +39,12 @@
 func (vm VM) Name() string { return vm.ID }
 
 func (vm VM) fields() []string {
-	return []string{vm.ID, vm.Zone, vm.Peer, vm.Incarnation, strconv.FormatFloat(vm.Capacity, 'g', -1, 64)}
+	out := []string{vm.ID, vm.Zone, vm.Peer, vm.Incarnation, strconv.FormatFloat(vm.Capacity, 'g', -1, 64)}
+	if vm.Expiring {
+		// Digests of other entries stay those of versions that do not know the field.
+		out = append(out, "expiring")
+	}
+	return out
 }
 
 // Name implements ListEntry.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -168,7 +168,7 @@
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits,
 	})
-	e.fleetEntry = &fleetEntry{edge: e}
+	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,14 +13,30 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/objects"
 )
 
 func newIncarnation(node string) string { return node + "-" + rand.Text()[:8] }
 
-// fleetEntry maintains this VM's own entry in the fleet's list.
-type fleetEntry struct{ edge *Edge }
+// fleetEntry maintains this VM's own entry in the fleet's list, and removes those of dead VMs.
+type fleetEntry struct {
+	edge *Edge
+	// expiring are the entries that this VM knows to expire, by VM.
+	expiring map[string]expiringEntry
+}
+
+func newFleetEntry(e *Edge) *fleetEntry {
+	return &fleetEntry{edge: e, expiring: make(map[string]expiringEntry)}
+}
+
+// expiringEntry is a revision of an entry that is announced to be removed, and since when this VM
+// knows it.
+type expiringEntry struct {
+	revision catalog.Revision
+	since    clock.Time
+}
 
 // anyRevision makes a replace unconditional.
 const anyRevision = 0
@@ -67,9 +86,9 @@
 // The list of the new era has arrived by then.
 const restoreCheckDelay = 700 * time.Millisecond
 
-// maintain rewrites this VM's entry if it was removed, as after a long partition, or lost by the
-// store. It also removes the entries of VMs that have been dead for long, because entries in the
-// store do not expire.
+// maintain rewrites this VM's entry if it was removed or is about to be, as after a long partition,
+// or lost by the store. It also removes the entries of VMs that have been dead for long, because
+// entries in the store do not expire.
 func (f *fleetEntry) maintain(ctx context.Context) {
 	tick := time.NewTicker(entryCheckInterval)
 	defer tick.Stop()
@@ -82,27 +101,72 @@
 		case <-ctx.Done():
 			return
 		}
-		c := e.catalog.Load()
-		if vm, ok := c.VM(e.settings.Node); c.FleetRevision > 0 && (!ok || vm.Incarnation != e.incarnation) && !e.shutdown.leaving.Load() {
+		if c := e.catalog.Load(); c.FleetRevision > 0 && !e.hasOwnEntry(c) && !e.shutdown.leaving.Load() {
 			e.log.Info("entry-missing")
 			f.join(ctx)
 		}
-		for _, vm := range e.gossip.removableVMs() {
-			f.sweep(ctx, vm)
+		f.sweepAll(ctx, e.gossip.removableVMs())
+	}
+}
+
+// hasOwnEntry reports whether the fleet's list has an entry of this process that stays.
+func (e *Edge) hasOwnEntry(c *catalog.Catalog) bool {
+	vm, ok := c.VM(e.settings.Node)
+	return ok && vm.Incarnation == e.incarnation && !vm.Expiring
+}
+
+// sweepAll takes the next step to remove the entries of VMs that have been unreachable for long.
+func (f *fleetEntry) sweepAll(ctx context.Context, unreachable []string) {
+	maps.DeleteFunc(f.expiring, func(vm string, _ expiringEntry) bool { return !slices.Contains(unreachable, vm) })
+	for _, vm := range unreachable {
+		// A single pull may have failed a minute ago, and none was tried since.
+		if f.edge.gossip.reachesAgain(ctx, vm) {
+			continue
+		}
+		if err := f.sweep(ctx, vm); err != nil {
+			f.edge.log.Info("entry-unswept", zap.String("of", vm), zap.Error(err))
 		}
 	}
 }
 
-// sweep removes the entry of a VM that has been dead for long, unless the entry has changed.
-func (f *fleetEntry) sweep(ctx context.Context, vm string) {
+// expiryNotice is how long an entry is announced to be removed before it is. A VM that still has a
+// permission after that knows of the announcement: its copy of the list is at most maxFleetListAge
+// old.
+const expiryNotice = maxFleetListAge + 3*time.Second
+
+// sweep announces that the entry of a VM expires, or removes it if it was announced for long enough
+// and the VM has not written it again.
+//
+// Failure guarded against: a VM that serves is removed from the list because some other VM does not
+// reach it. The holder of an attempt does not ask it to give up its permission, and it serves exact
+// reads at the old primary.
+func (f *fleetEntry) sweep(ctx context.Context, vm string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o, err := f.edge.store.Get(ctx, kindFleet, prefixVM+vm)
+	e, name := f.edge, prefixVM+vm
+	o, err := e.store.Get(ctx, kindFleet, name)
 	if err != nil {
-		return
+		return err
+	}
+	var record vmRecord
+	if err := json.Unmarshal(o.Spec, &record); err != nil {
+		return errors.Wrapf(err, "decode fleet entry of VM %s", vm)
+	}
+	known := f.expiring[vm]
+	switch {
+	case !record.Expiring:
+		record.Expiring = true
+		if o, err = e.store.Replace(ctx, kindFleet, name, o.Meta.Revision, record); err != nil {
+			return err
+		}
+		f.expiring[vm] = expiringEntry{o.Meta.Revision, e.clk.Now()}
+	case known.revision != o.Meta.Revision:
+		f.expiring[vm] = expiringEntry{o.Meta.Revision, e.clk.Now()}
+	case e.clk.Now().Sub(known.since) > expiryNotice:
+		err := e.store.Delete(ctx, kindFleet, name, o.Meta.Revision)
+		e.log.Info("entry-swept", zap.String("of", vm), zap.Error(err))
 	}
-	err = f.edge.store.Delete(ctx, kindFleet, prefixVM+vm, o.Meta.Revision)
-	f.edge.log.Info("entry-swept", zap.String("of", vm), zap.Error(err))
+	return nil
 }
 
 // listVMs reads the fleet's list from the store, without the leadership records, whose names come
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -97,14 +97,13 @@
 
 // eligible reports whether this VM is certain to be on the list from which other VMs request
 // permissions: the list is recent and of the store's current era, and it has an entry with this
-// VM's incarnation.
+// VM's incarnation that is not about to be removed.
 func (g *gossiper) eligible() bool {
 	if g.edge.shutdown.leaving.Load() || g.edge.evidenceAge(recency.Fleet) > maxFleetListAge {
 		return false
 	}
 	c := g.edge.catalog.Load()
-	vm, ok := c.VM(g.edge.settings.Node)
-	return catalog.EraOf(c.FleetRevision) == g.edge.eras.current() && ok && vm.Incarnation == g.edge.incarnation
+	return catalog.EraOf(c.FleetRevision) == g.edge.eras.current() && g.edge.hasOwnEntry(c)
 }
 
 // run pulls until ctx ends.
@@ -344,6 +343,18 @@
 // than maxFleetListAge, after which the VM holds no permission.
 const sweepAfter = time.Minute
 
+// reachesAgain pulls from a VM that was unreachable, and reports whether it answers.
+func (g *gossiper) reachesAgain(ctx context.Context, name string) bool {
+	vm, known := g.edge.catalog.Load().VM(name)
+	if !known {
+		return false
+	}
+	g.pull(ctx, vm)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unreachableSince[name] == 0
+}
+
 // removableVMs returns the VMs that have been unreachable for longer than sweepAfter.
 func (g *gossiper) removableVMs() []string {
 	now := g.edge.clk.Now()
