gossip: a pull names the services used latest, 32 at most

Cause: each of ten pulls a second named all services that the VM had used in the last minute, to be told their proofs: at 986 VMs before 1,000 services a VM uses some 150 of them, each once in minutes, and no proof of a peer is recent enough (2 s) for its next request. By calculation 15 KB a second sent and as much received, three times what a VM has for control; it grows with the services in use.

Change: the services of the latest requests, 32 at most. Deployments of up to 32 services ask as before.

Test: TestAPullNamesFewServicesHoweverManyAreUsed, at 9 to 3,000 services.

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -162,14 +162,19 @@
 	return out
 }
 
-// pullOptions requests the proofs of the services that this VM uses.
+// maxProofServices bounds the services whose proofs one pull requests. A VM of a large deployment
+// uses hundreds, each so seldom that no proof of a peer is recent enough for its next request.
+const maxProofServices = 32
+
+// pullOptions requests the proofs of the services that this VM has used latest.
 //
-// Failure guarded against: every proof is sent to every VM, needed there or not. At 2,900 services
-// that is 1.4 MB a second for each VM.
+// Failure guarded against: every proof is sent to every VM, needed there or not, or every pull names
+// all services that a VM uses. At 2,900 services the proofs are 1.4 MB a second for each VM, and at
+// 150 services in use their names are 15 KB a second.
 func (g *gossiper) pullOptions() gossip.PullOptions {
 	q := gossip.PullOptions{Self: g.edge.settings.Node, Known: g.edge.catalog.Load(), Selects: !g.edge.groups.AllUsed(), FullLists: g.wholeLists.Load()}
 	if q.Selects {
-		for _, group := range g.edge.groups.Used() {
+		for _, group := range g.edge.groups.MostRecent(maxProofServices) {
 			q.Services = append(q.Services, group.Service)
 		}
 	}
--- a/edge/gossip_internal_test.go
+++ b/edge/gossip_internal_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -31,6 +32,19 @@
 	require.False(t, g.pullOptions().FullLists)
 }
 
+// Guards against: a pull that names all services which a VM of a large deployment uses, ten times a
+// second, and so passes the bytes that a VM has for control.
+func TestAPullNamesFewServicesHoweverManyAreUsed(t *testing.T) {
+	for _, services := range []int{9, 30, 300, 3000} {
+		e := &Edge{settings: &boot.Settings{}, catalog: catalog.NewHolder(), clk: monotonic.New(), log: zap.NewNop()}
+		e.groups = groups.NewRegistry(groups.Config{Catalog: e.catalog, Clock: e.clk, Log: e.log})
+		for i := range services {
+			e.groups.Use(fmt.Sprint("s", i))
+		}
+		require.Len(t, (&gossiper{edge: e}).pullOptions().Services, min(services, maxProofServices))
+	}
+}
+
 // Some VMs have been unreachable for a while, one only for a short time, and one is no longer on
 // the list.
 func TestLiveVMsAreThoseThatAnswer(t *testing.T) {
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -1,7 +1,9 @@
 package groups
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +135,16 @@
 	return r.filter(func(g *Group, now clock.Time) bool { return g.inUse(now) })
 }
 
+// MostRecent returns the groups of up to n services that this VM uses, those of the latest requests
+// first.
+func (r *Registry) MostRecent(n int) []*Group {
+	used := r.Used()
+	slices.SortFunc(used, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(b.used.Load(), a.used.Load()), cmp.Compare(a.Service, b.Service))
+	})
+	return used[:min(n, len(used))]
+}
+
 // Due returns the groups to check in a tick: those of the services that this VM uses, and a
 // fraction of the others in rotation.
 //
--- a/groups/registry_test.go
+++ b/groups/registry_test.go
@@ -73,3 +73,15 @@
 	require.False(t, r.AllUsed())
 	require.Empty(t, r.Used())
 }
+
+func TestMostRecentServicesAreThoseOfTheLatestRequests(t *testing.T) {
+	r, clk := registryOf(100)
+	for i := range 100 {
+		r.Use(fmt.Sprint("s", i))
+		clk.now = clk.now.Add(useResolution / 2)
+	}
+	require.Equal(t, []string{"s99", "s98", "s97"}, names(r.MostRecent(3)))
+	r.Use("s3")
+	require.Equal(t, "s3", r.MostRecent(3)[0].Service)
+	require.Len(t, r.MostRecent(1000), 100)
+}
