--- a/internal/experiment/capacity/edge.go
+++ b/internal/experiment/capacity/edge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +30,8 @@
 		{"edge, groups", "a change of either", "ns", "service", fleets, edgeGroupsTime, nodes},
 		{"edge, groups", "a second of looking at primaries", "ns", "service", fleets, edgePromoterTime, nodes},
 		{"edge, groups", "state, memory", "B", "service", fleets, edgeGroupsBytes, nodes},
+		{"edge, catalog", "one target that changes", "ns", "service", fleets, edgeTargetChangeTime, nodes},
+		{"edge, catalog", "one VM that restarts", "ns", "VM", fleets, edgeRestartTime, nodes},
 		{"edge, catalog", "what is known, memory", "B", "service and VM", fleets, edgeCatalogBytes, nodes},
 	}
 }
@@ -92,10 +96,73 @@
 	})
 }
 
+// edgeFleetTime is the time for a VM that restarts again and again.
 func edgeFleetTime(n int) float64 {
-	c := edgeCatalog(n)
-	p := edgePool(c, gateways.NewAssignment("vm-0001", c))
-	return nanoseconds(func() { p.Update(c, gateways.NewAssignment("vm-0001", c).Share) })
+	states := []*catalog.Catalog{edgeCatalog(n), restarted(edgeCatalog(n))}
+	assignment := gateways.NewAssignment("vm-0001", states[0])
+	p := edgePool(states[0], assignment)
+	calls := 0
+	return nanoseconds(func() {
+		calls++
+		assignment = assignment.Next(states[calls%2], n)
+		p.Update(states[calls%2], assignment.Share)
+	})
+}
+
+// restarted returns the catalog after one of its VMs has restarted.
+func restarted(c *catalog.Catalog) *catalog.Catalog {
+	h := catalog.NewHolder()
+	h.SetConfig(c.Config)
+	h.SetTargets(c.Targets, c.TargetsRevision)
+	vms := slices.Clone(c.VMs)
+	vms[len(vms)/2].Incarnation = "restarted"
+	h.SetFleet(vms, nil, c.FleetRevision)
+	return h.Load()
+}
+
+// edgeTargetChangeTime is the time to apply a change of one target that a peer has sent.
+func edgeTargetChangeTime(n int) float64 {
+	before := edgeCatalog(n).Targets
+	after := maps.Clone(before)
+	one := edgeTarget(0, 0, exampleZones[0])
+	one.Draining = true
+	after[one.ID] = one
+	between := func(from, to map[target.ID]*catalog.Target) *catalog.ListChange[catalog.Target] {
+		h := catalog.NewHolder()
+		h.SetTargets(from, 1)
+		h.SetTargets(to, 2)
+		return h.Load().TargetsSince(1, 0)
+	}
+	changes := []*catalog.ListChange[catalog.Target]{between(before, after), between(after, before)}
+	h := catalog.NewHolder()
+	h.SetTargets(before, 1)
+	calls := int64(0)
+	return nanoseconds(func() {
+		targets, _ := catalog.ApplyTargets(changes[calls%2], h.Load())
+		calls++
+		h.SetTargets(targets, 1+calls)
+	})
+}
+
+// edgeRestartTime is the time to apply the restart of one VM that a peer has sent.
+func edgeRestartTime(n int) float64 {
+	before := edgeCatalog(n)
+	after := restarted(before)
+	between := func(from, to *catalog.Catalog) *catalog.ListChange[catalog.VM] {
+		h := catalog.NewHolder()
+		h.SetFleet(from.VMs, nil, 1)
+		h.SetFleet(to.VMs, nil, 2)
+		return h.Load().FleetSince(1, 0)
+	}
+	changes := []*catalog.ListChange[catalog.VM]{between(before, after), between(after, before)}
+	h := catalog.NewHolder()
+	h.SetFleet(before.VMs, nil, 1)
+	calls := int64(0)
+	return nanoseconds(func() {
+		vms, _ := catalog.ApplyVMs(changes[calls%2], h.Load())
+		calls++
+		h.SetFleet(vms, nil, 1+calls)
+	})
 }
 
 func edgeGroups(c *catalog.Catalog) *groups.Registry {
