groups: a replica that joins is no witness before the records are known

Cause: a target that joins after an attempt has paused the others, and after the holder has listed those that joined since, is not paused. A VM that neither answered the revocation nor has the attempt's record took its report for a witness: an exact read, or a confirmed commit, at a deposed primary. Many attempts at once, and targets that join by the hundred, make it likelier.

Change: a target that joins a known service counts as a witness like one that restarted: once this VM has all records up to the revision at which it was listed. That is known from evidence of the list as well, which rises while nothing changes; the list's own revision does not.

Test: TestReplicaThatJoinsIsWitnessOnlyOnceRecordsAreKnown failed before. Left open: a VM whose process starts after the attempt (docs/PROOFS.md).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -156,7 +156,7 @@
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
-		Era: e.eras.current,
+		Era: e.eras.current, RecordsRevision: e.recordsRevision,
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
--- a/edge/evidence.go
+++ b/edge/evidence.go
@@ -38,3 +38,10 @@
 func (e *Edge) evidenceAge(l recency.List) time.Duration {
 	return e.recency.Age(l, versionOf(e.catalog.Load(), l), e.clk.Now())
 }
+
+// recordsRevision returns the store's revision as of which this VM's leadership records are known to
+// be complete.
+func (e *Edge) recordsRevision() catalog.Revision {
+	_, revision := e.copyOf(recency.Fleet)
+	return revision
+}
--- a/groups/incarnations.go
+++ b/groups/incarnations.go
@@ -8,9 +8,9 @@
 // incarnation is one run of a target's process.
 type incarnation struct {
 	number int64
-	// restartedAt is the store's revision at which this incarnation was first listed, if the target
-	// was known in another one before and its reports are not trusted yet.
-	restartedAt int64
+	// listedAt is the store's revision at which this incarnation was first listed, if the service was
+	// known before and the target's reports are not trusted yet.
+	listedAt int64
 }
 
 // recordIncarnations records the targets' incarnations as of a revision of the store, and returns
@@ -22,10 +22,12 @@
 	for _, t := range targets {
 		known, ok := g.incarnations[t.ID]
 		switch {
-		case !ok:
+		case !ok && g.incarnations == nil:
 			known = incarnation{number: t.Incarnation}
+		case !ok:
+			known = incarnation{number: t.Incarnation, listedAt: revision}
 		case known.number != t.Incarnation:
-			known = incarnation{number: t.Incarnation, restartedAt: revision}
+			known = incarnation{number: t.Incarnation, listedAt: revision}
 			restarted = append(restarted, t)
 		}
 		incarnations[t.ID] = known
@@ -37,26 +39,27 @@
 // CanWitness reports whether a target's report that it is not paused shows that its primary is not
 // being replaced.
 //
-// Failure guarded against: an attempt pauses a replica, which restarts and has lost the pause. It
-// follows the old primary and reports so. A VM that accepts it as a witness continues to serve
-// exact reads at the old primary, and to confirm commits, although another target leads. So the
-// report of a restarted target counts only once this VM has all records of attempts up to the
-// revision at which the new incarnation was listed, and none of them is open or has made another
-// target the primary. An attempt that is recorded later pauses the new incarnation.
+// Failure guarded against: an attempt pauses a replica, which restarts and has lost the pause, or a
+// replica joins after the attempt has paused the others. It follows the old primary and reports so.
+// A VM that accepts it as a witness continues to serve exact reads at the old primary, and to
+// confirm commits, although another target leads. So the report of such a target counts only once
+// this VM has all records of attempts up to the revision at which the new incarnation was listed,
+// and none of them is open or has made another target the primary. An attempt that is recorded later
+// pauses the new incarnation.
 func (g *Group) CanWitness(id target.ID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.incarnations[id]
-	if known.restartedAt == 0 {
+	if known.listedAt == 0 {
 		return true
 	}
 	c := g.cfg.Catalog.Load()
 	r := c.LeadershipRecords[g.Service]
 	replaced := r != nil && (r.Attempt != nil || (r.Primary != "" && r.Primary != g.state.Primary))
-	if c.FleetRevision < known.restartedAt || replaced {
+	if max(c.FleetRevision, g.cfg.RecordsRevision()) < known.listedAt || replaced {
 		return false
 	}
-	known.restartedAt = 0
+	known.listedAt = 0
 	g.incarnations[id] = known
 	return true
 }
--- a/groups/incarnations_test.go
+++ b/groups/incarnations_test.go
@@ -1,6 +1,7 @@
 package groups
 
 import (
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -45,6 +46,31 @@
 	require.True(t, g.CanWitness("r"))
 }
 
+// An attempt has paused all targets, and another one joins and follows the old primary. A VM that has
+// not received the attempt's record must not accept it as a witness before it has every record up to
+// the entry of that target. Evidence that no record was written since shows that as well.
+func TestReplicaThatJoinsIsWitnessOnlyOnceRecordsAreKnown(t *testing.T) {
+	h := catalog.NewHolder()
+	complete := catalog.Revision(0)
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.NewNop(), RecordsRevision: func() catalog.Revision { return complete }})
+	r.Update(listing(h, 7, 10))
+	g := r.Group("s")
+	h.SetFleet(nil, nil, 12)
+	joined := maps.Clone(h.Load().Targets)
+	joined["j"] = &catalog.Target{ID: "j", Service: "s", Role: target.RoleReplica, Incarnation: 9}
+	h.SetTargets(joined, 20)
+	r.Update(h.Load())
+	require.True(t, g.CanWitness("r"), "it was listed before")
+	require.False(t, g.CanWitness("j"))
+	complete = 19
+	require.False(t, g.CanWitness("j"), "a record may be missing")
+	h.SetFleet(nil, map[string]*catalog.LeadershipRecord{"s": {Service: "s", Revision: 13, Attempt: &catalog.Attempt{Deposed: "p"}}}, 13)
+	complete = 20
+	require.False(t, g.CanWitness("j"), "the open attempt may not have paused it")
+	h.SetFleet(nil, map[string]*catalog.LeadershipRecord{"s": {Service: "s", Revision: 14, Primary: "p"}}, 14)
+	require.True(t, g.CanWitness("j"))
+}
+
 // A primary restarts with an empty log under its id, and its entry changes only in its incarnation.
 // The status that it reported as the primary before must not count any more.
 func TestRestartedPrimaryHasNoTerm(t *testing.T) {
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -62,6 +62,9 @@
 	OnCommand func(reason spending.Reason)
 	// DrainTimeout is how long a draining target may still be given work; zero means without limit.
 	DrainTimeout time.Duration
+	// RecordsRevision returns the store's revision as of which the catalog's leadership records are
+	// known to be complete, which may be later than the catalog's own; nil means that it never is.
+	RecordsRevision func() catalog.Revision
 	// Era returns the latest known era of the store; nil means that it has only one.
 	Era func() int64
 	Log *zap.Logger
@@ -78,6 +81,9 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
+	if cfg.RecordsRevision == nil {
+		cfg.RecordsRevision = func() catalog.Revision { return 0 }
+	}
 	if cfg.Era == nil {
 		cfg.Era = func() int64 { return 0 }
 	}
