--- a/internal/experiment/capacity/capacity_test.go
+++ b/internal/experiment/capacity/capacity_test.go
@@ -25,3 +25,12 @@
 	require.Len(t, groups, 4)
 	require.FileExists(t, filepath.Join(to, "proxy9.ini"))
 }
+
+// Guards against: a process that seems to use no memory because its state could not be read.
+func TestShortStateOfAProcessIsAnError(t *testing.T) {
+	_, err := residentOf([]string{"812"})
+	require.ErrorContains(t, err, "need 2")
+	resident, err := residentOf([]string{"812", "3"})
+	require.NoError(t, err)
+	require.EqualValues(t, 3*os.Getpagesize(), resident)
+}
--- a/internal/experiment/capacity/process.go
+++ b/internal/experiment/capacity/process.go
@@ -149,9 +149,17 @@
 // residentBytes returns the process's resident memory in bytes.
 func (d Daemon) residentBytes() (float64, error) {
 	fields, err := d.proc("statm")
-	if err != nil || len(fields) < 2 {
+	if err != nil {
 		return 0, err
 	}
+	return residentOf(fields)
+}
+
+// residentOf returns the resident memory in bytes from the fields of /proc/<pid>/statm.
+func residentOf(fields []string) (float64, error) {
+	if len(fields) < 2 {
+		return 0, errors.Errorf("read resident pages in /proc/<pid>/statm: %d fields, need 2", len(fields))
+	}
 	pages, err := strconv.Atoi(fields[1])
 	return float64(pages * os.Getpagesize()), errors.Wrap(err, "parse resident pages in /proc/<pid>/statm")
 }
