engine: the proof of a transaction outlasts the statement that starts it

Cause: a transaction on an exact route begins at its first statement, and its proof that the primary still leads ran under that statement's context.

Change: a proof has a context of its own, with the same time limit.

Test: TestReadAfterAWriteAwaitsTheProofOfItsTransaction failed before.

--- a/edge/path_test.go
+++ b/edge/path_test.go
@@ -119,3 +119,23 @@
 		require.True(t, c.Query("READ x").OK())
 	})
 }
+
+// Guards against: a read that is refused as if the primary had been replaced, because the proof of its
+// transaction was canceled as the write before it ended. Both replicas are unreachable, so that the
+// proof takes longer than the write.
+func TestReadAfterAWriteAwaitsTheProofOfItsTransaction(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		c := f.session("vm0", exact)
+		for vm := range f.vms {
+			f.world.Net.Cut(vm, "ledger-1")
+			f.world.Net.Cut(vm, "ledger-2")
+		}
+		time.Sleep(time.Second)
+		require.True(t, c.Query("BEGIN").OK())
+		require.True(t, c.Query("WRITE a 1").OK())
+		a := c.Query("READ a")
+		require.True(t, a.OK(), "%+v", a)
+		require.True(t, c.Query("COMMIT").OK())
+		f.checkInvariants()
+	})
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -182,7 +182,10 @@
 		out <- true
 		return out
 	}
+	// A proof of a transaction outlasts the statement that starts it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeLeft(ctx))
 	go func() {
+		defer cancel()
 		err := g.Prove(ctx, leader, int(arrived)&1, arrived)
 		if err != nil {
 			s.engine.cfg.Log.Debug("not-proven", zap.String("service", g.Service), zap.Error(err))
