--- a/edge/edge.go
+++ b/edge/edge.go
@@ -156,7 +156,7 @@
 	e.groups = groups.NewRegistry(groups.Config{
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
-		Era: e.eras.current,
+		Era: e.eras.current, RecordsRevision: e.recordsRevision,
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
@@ -168,7 +168,7 @@
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits,
 	})
-	e.fleetEntry = &fleetEntry{edge: e}
+	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -97,14 +97,13 @@
 
 // eligible reports whether this VM is certain to be on the list from which other VMs request
 // permissions: the list is recent and of the store's current era, and it has an entry with this
-// VM's incarnation.
+// VM's incarnation that is not about to be removed.
 func (g *gossiper) eligible() bool {
 	if g.edge.shutdown.leaving.Load() || g.edge.evidenceAge(recency.Fleet) > maxFleetListAge {
 		return false
 	}
 	c := g.edge.catalog.Load()
-	vm, ok := c.VM(g.edge.settings.Node)
-	return catalog.EraOf(c.FleetRevision) == g.edge.eras.current() && ok && vm.Incarnation == g.edge.incarnation
+	return catalog.EraOf(c.FleetRevision) == g.edge.eras.current() && g.edge.hasOwnEntry(c)
 }
 
 // run pulls until ctx ends.
@@ -163,14 +162,19 @@
 	return out
 }
 
-// pullOptions requests the proofs of the services that this VM uses.
+// maxProofServices bounds the services whose proofs one pull requests. A VM of a large deployment
+// uses hundreds, each so seldom that no proof of a peer is recent enough for its next request.
+const maxProofServices = 32
+
+// pullOptions requests the proofs of the services that this VM has used latest.
 //
-// Failure guarded against: every proof is sent to every VM, needed there or not. At 2,900 services
-// that is 1.4 MB a second for each VM.
+// Failure guarded against: every proof is sent to every VM, needed there or not, or every pull names
+// all services that a VM uses. At 2,900 services the proofs are 1.4 MB a second for each VM, and at
+// 150 services in use their names are 15 KB a second.
 func (g *gossiper) pullOptions() gossip.PullOptions {
 	q := gossip.PullOptions{Self: g.edge.settings.Node, Known: g.edge.catalog.Load(), Selects: !g.edge.groups.AllUsed(), FullLists: g.wholeLists.Load()}
 	if q.Selects {
-		for _, group := range g.edge.groups.Used() {
+		for _, group := range g.edge.groups.MostRecent(maxProofServices) {
 			q.Services = append(q.Services, group.Service)
 		}
 	}
@@ -344,6 +348,18 @@
 // than maxFleetListAge, after which the VM holds no permission.
 const sweepAfter = time.Minute
 
+// reachesAgain pulls from a VM that was unreachable, and reports whether it answers.
+func (g *gossiper) reachesAgain(ctx context.Context, name string) bool {
+	vm, known := g.edge.catalog.Load().VM(name)
+	if !known {
+		return false
+	}
+	g.pull(ctx, vm)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unreachableSince[name] == 0
+}
+
 // removableVMs returns the VMs that have been unreachable for longer than sweepAfter.
 func (g *gossiper) removableVMs() []string {
 	now := g.edge.clk.Now()
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -1,7 +1,9 @@
 package groups
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +62,9 @@
 	OnCommand func(reason spending.Reason)
 	// DrainTimeout is how long a draining target may still be given work; zero means without limit.
 	DrainTimeout time.Duration
+	// RecordsRevision returns the store's revision as of which the catalog's leadership records are
+	// known to be complete, which may be later than the catalog's own; nil means that it never is.
+	RecordsRevision func() catalog.Revision
 	// Era returns the latest known era of the store; nil means that it has only one.
 	Era func() int64
 	Log *zap.Logger
@@ -76,6 +81,9 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
+	if cfg.RecordsRevision == nil {
+		cfg.RecordsRevision = func() catalog.Revision { return 0 }
+	}
 	if cfg.Era == nil {
 		cfg.Era = func() int64 { return 0 }
 	}
@@ -133,6 +141,16 @@
 	return r.filter(func(g *Group, now clock.Time) bool { return g.inUse(now) })
 }
 
+// MostRecent returns the groups of up to n services that this VM uses, those of the latest requests
+// first.
+func (r *Registry) MostRecent(n int) []*Group {
+	used := r.Used()
+	slices.SortFunc(used, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(b.used.Load(), a.used.Load()), cmp.Compare(a.Service, b.Service))
+	})
+	return used[:min(n, len(used))]
+}
+
 // Due returns the groups to check in a tick: those of the services that this VM uses, and a
 // fraction of the others in rotation.
 //
