edge: a first start waits for the fleet's list before it is read

Cause: at the first start of a fleet its VMs read the fleet's list within a tenth of a second.

Change: at a first start the list is read a second after the start, as it was read again before if it was empty.

--- a/edge/firstcopies.go
+++ b/edge/firstcopies.go
@@ -63,18 +63,26 @@
 }
 
 // findNeighbors reads the neighbors from the store. It returns none if the store does not answer
-// before peers have sent the fleet's list. During the first start of a fleet the entries that the
-// others have just written appear in a stale list some seconds later.
+// before peers have sent the fleet's list.
+//
+// Failure guarded against: during the first start of a fleet, a VM reads the list while only a few
+// of the others are on it, and takes the fleet for a small one. Entries appear in a stale list some
+// time after they are written, so that the list is first read after emptyListDelay, and again as
+// long as it is empty.
 func (f *firstCopies) findNeighbors(ctx context.Context) (neighbors []catalog.VM, large bool) {
 	e := f.edge
+	if e.settings.FirstStart {
+		wait.For(ctx, emptyListDelay)
+	}
 	empty := 0
 	for e.outage.admit(ctx) && e.catalog.Load().FleetRevision == 0 {
-		p, err := f.readNeighbors(ctx, empty <= emptyListRetries)
+		stale := empty < emptyListRetries
+		p, err := f.readNeighbors(ctx, stale)
 		e.outage.record(err)
 		switch {
 		case err != nil:
 			continue
-		case len(p.Items) > 0 || !e.settings.FirstStart || empty > emptyListRetries:
+		case len(p.Items) > 0 || !e.settings.FirstStart || !stale:
 			neighbors = f.decode(p)
 			return neighbors, len(neighbors) >= neighborsMinVMs || (p.More && len(neighbors) >= suspendMinVMs)
 		}
--- a/edge/starts_test.go
+++ b/edge/starts_test.go
@@ -145,3 +145,25 @@
 		}
 	})
 }
+
+// Guards against: VMs of a large fleet that read all lists from the store at its first start, because
+// the fleet's list had few entries when they read it.
+func TestAFleetThatStartsForTheFirstTimeReadsFewPages(t *testing.T) {
+	const vms = 60
+	runFleet(t, 0, func(f *fleet) {
+		f.firstStart = true
+		f.world.Store.SetPageSize(storePageSize)
+		for i := range vms {
+			f.start(fmt.Sprintf("vm%d", i), zones[i%len(zones)], i+1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(9 * time.Second)
+		for name := range f.vms {
+			require.True(t, f.session(name, exact).Query("READ a").OK())
+		}
+		pages := f.world.Store.ListCalls()
+		t.Logf("%d pages", pages)
+		// Two pages for each VM, and all lists for the few that read them for the others.
+		require.Less(t, pages, 3*vms)
+	})
+}
