--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -108,7 +108,7 @@
 
 // setVMs is setTargets for the list of VMs.
 func (c *Catalog) setVMs(vms []VM, revision int64) (changed bool) {
-	change := differenceOfVMs(c.VMs, vms)
+	change := DifferenceOfVMs(c.VMs, vms)
 	if change.entries() == 0 && sameEra(c.FleetRevision, revision) {
 		c.FleetRevision = revision
 		return false
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -90,8 +90,9 @@
 	return out
 }
 
-// differenceOfVMs is differenceOfTargets for lists of VMs in the order of their names.
-func differenceOfVMs(from, to []VM) *ListChange[VM] {
+// DifferenceOfVMs returns the change that leads from one list to another, both in the order of the
+// names, without its revisions and digest.
+func DifferenceOfVMs(from, to []VM) *ListChange[VM] {
 	out := &ListChange[VM]{}
 	for len(from) > 0 || len(to) > 0 {
 		switch {
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -111,7 +111,7 @@
 func (a *Assignment) Next(c *catalog.Catalog, responding int) *Assignment {
 	next := NewAssignment(a.self, c)
 	next.responding = responding
-	change := changeOf(a.catalog.VMs, c.VMs)
+	change := changeOf(a.catalog, c)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, d := range a.selections {
@@ -237,35 +237,26 @@
 	changed map[string]catalog.VM
 }
 
-// changeOf returns the change between two lists, both in the order of the names.
-func changeOf(from, to []catalog.VM) fleetChange {
+// changeOf returns the change of the fleet between two catalogs.
+func changeOf(from, to *catalog.Catalog) fleetChange {
 	out := fleetChange{left: make(map[string]bool), changed: make(map[string]catalog.VM)}
-	for len(from) > 0 || len(to) > 0 {
+	difference := catalog.DifferenceOfVMs(from.VMs, to.VMs)
+	for _, vm := range difference.Updated {
+		old, known := from.VM(vm.ID)
 		switch {
-		case len(to) == 0 || (len(from) > 0 && from[0].ID < to[0].ID):
-			out.left[from[0].ID] = true
-			from = from[1:]
-		case len(from) == 0 || to[0].ID < from[0].ID:
-			out.joined = append(out.joined, to[0])
-			to = to[1:]
+		case !known:
+			out.joined = append(out.joined, vm)
+		case old.Zone == vm.Zone && old.Capacity == vm.Capacity:
+			out.changed[vm.ID] = vm
 		default:
-			out.add(from[0], to[0])
-			from, to = from[1:], to[1:]
+			out.left[vm.ID] = true
+			out.joined = append(out.joined, vm)
 		}
 	}
-	return out
-}
-
-// add adds a VM that is on both lists.
-func (f *fleetChange) add(from, to catalog.VM) {
-	switch {
-	case from == to:
-	case from.Zone == to.Zone && from.Capacity == to.Capacity:
-		f.changed[to.ID] = to
-	default:
-		f.left[from.ID] = true
-		f.joined = append(f.joined, to)
+	for _, name := range difference.Removed {
+		out.left[name] = true
 	}
+	return out
 }
 
 // applyTo returns the VMs that are selected for a target after the change; false if a selected VM
