--- a/edge/followers.go
+++ b/edge/followers.go
@@ -217,9 +217,9 @@
 // publish installs the targets in the catalog if they have changed, or if another list was installed
 // there since.
 //
-// Failure guarded against: every heartbeat of a target is an event of the watch. Installed as a new
-// list, each batch of them makes every VM of the fleet receive, compare and distribute the list of
-// all targets several times a second, although nothing has changed.
+// Failure guarded against: a store may report every heartbeat of a target as an event. Installed as a
+// new list, each batch of them would make every VM of the fleet receive, compare and distribute the
+// list of all targets several times a second, although nothing has changed.
 func (f *targetFollower) publish(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
