edge: a VM takes up few dead VMs' entries at a time, and asks for each twice

Cause: found on reading the change again. Since an entry is removed after notice, each VM pulled from every VM that it had not reached for a minute, one after the other at up to 250 ms each, and read its entry, every 10 s for as long as the notice takes. With half of a fleet of 986 dead that is two minutes in which the VM's own entry is not checked, and VMs x dead VMs calls.

Change: at most eight entries are taken a step further in one check. What makes a removal safe is unchanged: a pull, 15 s of notice, and the revision of the marked entry.

Left: each VM of a zone that has noticed a dead one still reads its entry twice, some 400 reads for a zone of 200.

--- a/edge/firstcopies.go
+++ b/edge/firstcopies.go
@@ -142,7 +142,7 @@
 				return
 			}
 			decided = nil
-			timer := time.NewTimer(e.peerCopyTimeout())
+			timer := time.NewTimer(f.timeout())
 			defer timer.Stop()
 			timeout = timer.C
 		case <-timeout:
@@ -154,7 +154,7 @@
 	}
 }
 
-// peerCopyTimeout is how long this VM waits for its first copies from peers.
-func (e *Edge) peerCopyTimeout() time.Duration {
-	return time.Duration(float64(peerCopyTimeout) * (1 + peerCopyJitter*e.watchJitter))
+// timeout is how long this VM waits for its first copies from peers.
+func (f *firstCopies) timeout() time.Duration {
+	return time.Duration(float64(peerCopyTimeout) * (1 + peerCopyJitter*f.edge.watchJitter))
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -115,10 +113,16 @@
 	return ok && vm.Incarnation == e.incarnation && !vm.Expiring
 }
 
+// maxSweeps bounds the entries whose removal this VM takes a step further in one check. Each may
+// take the timeout of a pull.
+const maxSweeps = 8
+
 // sweepAll takes the next step to remove the entries of VMs that have been unreachable for long.
+//
+// Failure guarded against: half of a large fleet is dead, and every other VM pulls from all of the
+// dead ones and reads their entries, while its own entry is not checked.
 func (f *fleetEntry) sweepAll(ctx context.Context, unreachable []string) {
-	maps.DeleteFunc(f.expiring, func(vm string, _ expiringEntry) bool { return !slices.Contains(unreachable, vm) })
-	for _, vm := range unreachable {
+	for _, vm := range f.nextSweeps(unreachable) {
 		// A single pull may have failed a minute ago, and none was tried since.
 		if f.edge.gossip.reachesAgain(ctx, vm) {
 			continue
@@ -129,6 +133,28 @@
 	}
 }
 
+// nextSweeps returns the VMs whose entries are due, those that this VM knows to expire first. It
+// forgets the entries of VMs that are reached again.
+func (f *fleetEntry) nextSweeps(unreachable []string) []string {
+	now := f.edge.clk.Now()
+	var due, unknown []string
+	known := make(map[string]expiringEntry, len(f.expiring))
+	for _, vm := range unreachable {
+		entry, ok := f.expiring[vm]
+		switch {
+		case !ok:
+			unknown = append(unknown, vm)
+			continue
+		case now.Sub(entry.since) > expiryNotice:
+			due = append(due, vm)
+		}
+		known[vm] = entry
+	}
+	f.expiring = known
+	due = append(due, unknown[:min(len(unknown), max(maxSweeps-len(known), 0))]...)
+	return due[:min(len(due), maxSweeps)]
+}
+
 // expiryNotice is how long an entry is announced to be removed before it is. A VM that still has a
 // permission after that knows of the announcement: its copy of the list is at most maxFleetListAge
 // old.
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -169,8 +169,7 @@
 // pullOptions requests the proofs of the services that this VM has used latest.
 //
 // Failure guarded against: every proof is sent to every VM, needed there or not, or every pull names
-// all services that a VM uses. At 2,900 services the proofs are 1.4 MB a second for each VM, and at
-// 150 services in use their names are 15 KB a second.
+// all services that a VM uses: bytes that grow with the services, in each of ten pulls a second.
 func (g *gossiper) pullOptions() gossip.PullOptions {
 	q := gossip.PullOptions{Self: g.edge.settings.Node, Known: g.edge.catalog.Load(), Selects: !g.edge.groups.AllUsed(), FullLists: g.wholeLists.Load()}
 	if q.Selects {
--- a/edge/sweep_internal_test.go
+++ b/edge/sweep_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -119,3 +120,22 @@
 	require.False(t, e.gossip.eligible())
 	require.False(t, e.hasOwnEntry(e.catalog.Load()), "it writes its entry again")
 }
+
+// Guards against: a VM that spends its time on the entries of a dead half of the fleet. It takes up a
+// few, and leaves them alone until their notice is over.
+func TestFewEntriesAreSweptAtATime(t *testing.T) {
+	f, _, clk := sweeper(t, nobody)
+	var dead []string
+	for i := range 500 {
+		dead = append(dead, fmt.Sprint("dead", i))
+	}
+	first := f.nextSweeps(dead)
+	require.Len(t, first, maxSweeps)
+	for _, vm := range first {
+		f.expiring[vm] = expiringEntry{1, clk.now}
+	}
+	require.Empty(t, f.nextSweeps(dead))
+	clk.now = clk.now.Add(expiryNotice + 1)
+	require.Equal(t, first, f.nextSweeps(dead))
+	require.Len(t, f.nextSweeps(dead[1:]), maxSweeps, "another takes the place of one that is reached again")
+}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -53,7 +53,7 @@
 	// if the new primary's replicas fall behind as well, further changes do not help.
 	BehindEvery = 10 * time.Second
 	// StaggerInterval separates the VMs that would make the same change, so that one makes it while
-	// the others watch: all VMs learn of a record in the store within some 10 ms. Two VMs that act
+	// the others watch: VMs that watch the store learn of a record within some 10 ms. Two VMs that act
 	// at once cause a conflict in the store and nothing else, whereas a long wait for VMs that
 	// cannot act delays every consumer.
 	StaggerInterval = 40 * time.Millisecond
