--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -47,7 +47,7 @@
 // acquireOptions returns the queue priority of a statement of the transaction. The objective
 // applies to all its statements together.
 func (tx *transaction) acquireOptions(w *work) lane.AcquireOptions {
-	return acquireOptions(tx.route, tx.caller.Name(), w.arrived.Add(-tx.spent))
+	return w.acquireOptions(w.arrived.Add(-tx.spent))
 }
 
 // begin opens a transaction in the session; it is opened at a target with the first statement. The
--- a/engine/try.go
+++ b/engine/try.go
@@ -48,7 +48,7 @@
 // try sends a statement to one target and returns its answer.
 func (s *Session) try(ctx context.Context, id target.ID, w *work, after timeline.Position, bounds limits) (*statement.Answer, tryResult) {
 	w.tries++
-	claim := dispatch.Claim{Options: acquireOptions(w.route, w.caller.Name(), w.arrived), QueueTimeout: bounds.queue}
+	claim := dispatch.Claim{Options: w.acquireOptions(w.arrived), QueueTimeout: bounds.queue}
 	begun := s.engine.cfg.Clock.Now()
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, bounds.answer))
 	s.recordPhases(w, begun, r, err)
--- a/engine/work.go
+++ b/engine/work.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
@@ -41,9 +43,20 @@
 	return arrived.Add(route.StatementTimeout)
 }
 
-// acquireOptions returns a statement's queue priority and workspace.
-func acquireOptions(route *catalog.Route, workspace string, arrived clock.Time) lane.AcquireOptions {
-	return lane.AcquireOptions{Due: arrived.Add(route.Objective), Priority: route.Priority, Workspace: workspace}
+// acquireOptions returns a statement's queue priority, workspace and class.
+func (w *work) acquireOptions(arrived clock.Time) lane.AcquireOptions {
+	return lane.AcquireOptions{
+		Due: arrived.Add(w.route.Objective), Priority: w.route.Priority, Workspace: w.caller.Name(), Class: classOf(w.route, w.writes),
+	}
+}
+
+// classOf returns the class of a route's statements that read or write.
+func classOf(route *catalog.Route, writes bool) uint32 {
+	name := route.Name + "/read"
+	if writes {
+		name = route.Name + "/write"
+	}
+	return uint32(xxhash.Sum64String(name)) | 1
 }
 
 // refuse returns the answer to a statement that has not run, with a retry-after if one is given.
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -25,7 +25,7 @@
 var corePackages = []string{
 	"ack", "admission", "audit", "catalog", "clock", "drain", "failover", "finding", "freshness", "gateways",
 	"internal/guard", "leadership", "membership", "outcome", "ownership", "partners", "placing", "profile",
-	"profile/diff", "publication", "recency", "request", "retry", "routing", "session", "statement", "store",
+	"profile/diff", "publication", "ratelimit", "recency", "request", "retry", "retryafter", "routing", "session", "statement", "store",
 	"takeover", "target", "timeline", "view",
 }
 
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -140,6 +140,12 @@
 	Open int
 	// ServeInterval is the average interval at which waiting requests are served; 0 if not known.
 	ServeInterval time.Duration
+	// ExpectedWait is the estimated wait for a connection of a request that arrives now.
+	ExpectedWait time.Duration
+	// ServiceTime is the average time that the target takes for a statement; 0 if not known.
+	ServiceTime time.Duration
+	// Overloaded is set while requests that would be late are refused.
+	Overloaded bool
 	// Allowance is the number of connections that the lane may retain.
 	Allowance int
 	// Down is set while the lane has no connection because the target is unreachable or the dial
@@ -153,7 +159,8 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.drain.after(l.waiting.Len()),
+		ServiceTime: l.waiting.statementTime, Overloaded: l.waiting.overloaded, Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
 
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -17,6 +17,9 @@
 	// Workspace is the workspace that the request belongs to; empty if none. Only a connection that
 	// was opened for the workspace serves it.
 	Workspace string
+	// Class identifies requests of similar work at the target, so that their service time can be
+	// estimated; 0 if unknown.
+	Class uint32
 }
 
 // before reports whether a request takes precedence over another one.
