decisions: count decisions under load, and sum them over all VMs

Cause: an operator under pressure has no view of which part refuses whom; each part would log in its own words. Parts count by it as they are built.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -26,6 +26,7 @@
 	Group    groupCommands   `cmd:"" help:"Show database groups."`
 	Target   targetCommands  `cmd:"" help:"Drain targets."`
 	Losses   lossesCommand   `cmd:"" help:"Count by cause, from daemons' logs, what consumers were not served, or too late."`
+	Load     loadCommand     `cmd:"" help:"Sum up, from daemons' logs, the decisions that VMs made under load, by part, subject and outcome."`
 	Spending spendingCommand `cmd:"" help:"Sum up, from daemons' logs, what VMs have spent on bytes, questions and calls, by purpose."`
 	Explain  explainCommand  `cmd:"" help:"Show the recorded decision about a request or a promotion, with its evidence."`
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/boottime"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/engine"
 	"endivemoor.example/endivemoor/gateways"
@@ -83,6 +84,7 @@
 	groups        *groups.Registry
 	placing       *placing.Tracker
 	engineMetrics *engine.Metrics
+	decisions     *decisions.Recorder
 	engine        *engine.Engine
 	fleetEntry    *fleetEntry
 	gossip        *gossiper
@@ -146,11 +148,13 @@
 		watchJitter: mathrand.Float64(),
 	}
 	e.meter = spending.NewMeter(e.metrics)
+	e.decisions = decisions.NewRecorder(e.metrics)
 	e.eras = newEras(log, clk, e.metrics)
 	e.store = objects.New(settings.Platform.Addr, newTransport(e.dialFor(spending.Store)))
 	e.store.Observe = func(kind string, v objects.Verb) { e.meter.RecordCall(kind, string(v)) }
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
+	e.pool.Decisions = e.decisions
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
@@ -166,7 +170,7 @@
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
-		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits,
+		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
@@ -345,6 +349,7 @@
 			e.summarize()
 		case <-queueReport.C:
 			e.reportQueues()
+			e.decisions.Report(e.log)
 		case <-ctx.Done():
 			return
 		}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/placing"
@@ -29,6 +30,8 @@
 	Zone string
 	// Limiter bounds the operations of workspaces.
 	Limiter Limiter
+	// Decisions counts the engine's decisions; it may be nil.
+	Decisions *decisions.Recorder
 }
 
 // Limiter bounds the operations of workspaces over the whole fleet. It is safe for
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -10,6 +10,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -90,6 +91,8 @@
 	dial   Dialer
 	clk    clock.Clock
 	target *catalog.Target // as of the lane's creation
+	// decisions counts what the lane decides; nil in tests.
+	decisions *decisions.Recorder
 
 	mu           sync.Mutex
 	allowance    int
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -11,6 +11,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -26,6 +27,9 @@
 // Lanes are created on first use, because a VM of a large fleet uses few of the targets. Otherwise
 // the cost of a catalog change would grow with the square of the deployment's size.
 type Pool struct {
+	// Decisions counts the lanes' decisions; it must be set before the first use, and may be nil.
+	Decisions *decisions.Recorder
+
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
 
@@ -85,7 +89,7 @@
 	t := p.targets[id]
 	if l = p.lanes[id]; l == nil && t != nil {
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
-		l.target = t
+		l.target, l.decisions = t, p.Decisions
 		p.lanes[id] = l
 	}
 	return l
