--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -38,6 +38,10 @@
 // keys, so that what they test does not change.
 const firstSeedWithAPIKeys = 9000
 
+// firstSeedWithSlowVMs is the first seed with VMs that get the processor only now and then. Lower
+// seeds draw the same faults as before.
+const firstSeedWithSlowVMs = 13000
+
 // Port offsets from a soak's first port; the stand-in uses the others.
 const (
 	soakServers     = 3
@@ -71,6 +75,8 @@
 	crashed map[string]bool
 	// withAPIKeys is set for seeds whose callers have API keys and whose store may be restored.
 	withAPIKeys bool
+	// withSlowVMs is set for seeds with VMs that are slow for a while.
+	withSlowVMs bool
 	// active contains a function for each lasting fault that ends it.
 	active []func()
 }
@@ -94,6 +100,7 @@
 	if s.withAPIKeys = seed >= firstSeedWithAPIKeys; s.withAPIKeys {
 		s.command("raise", lines.Workspaces[0])
 	}
+	s.withSlowVMs = seed >= firstSeedWithSlowVMs
 	for i := 1; i <= soakServers; i++ {
 		s.servers = append(s.servers, newFaultProxy(t, s.local(i+soakProxyOffset), s.local(i)))
 	}
@@ -292,6 +299,9 @@
 			}},
 		}...)
 	}
+	if s.withSlowVMs {
+		faults = append(faults, soakFault{"slow " + vm.name, func(name string) { s.slow(name, vm) }})
+	}
 	drawn := faults[s.random.IntN(len(faults))]
 	s.t.Logf("%s", drawn.name)
 	drawn.inject(drawn.name)
@@ -362,3 +372,34 @@
 	s.signal(vm, syscall.SIGSTOP)
 	s.addActive(name, func() { s.signal(vm, syscall.SIGCONT) })
 }
+
+// Durations of a slow VM's turns without and with the processor.
+const (
+	slowPaused  = 90 * time.Millisecond
+	slowRunning = 20 * time.Millisecond
+)
+
+// slow pauses a daemon most of the time until the fault ends.
+func (s *soak) slow(name string, vm *soakVM) {
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	slowed := vm.process
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-slowed.exited:
+				return
+			case <-time.After(slowRunning):
+			}
+			_ = slowed.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(slowPaused)
+			_ = slowed.cmd.Process.Signal(syscall.SIGCONT)
+		}
+	}()
+	s.addActive(name, func() {
+		close(stop)
+		<-stopped
+	})
+}
