lane: retain the connections of workspaces by their use

Cause: a connection serves one workspace. A gateway that has 25 connections of a target for some 42 workspaces retained 12 and closed all others after 500 ms, the longest idle first. Ruled out: closings to make room for another workspace (none).

Change: a lane counts how often each workspace took its first, second, ... connection, and closes the idle one whose loss costs fewest openings. Where workspaces are configured, a gateway retains all but as many as it runs at once.

Without workspaces nothing changes.

--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -77,6 +77,9 @@
 	MaxIdle int
 	// Temporary is set if the VM may open one connection only, and for a short time.
 	Temporary bool
+	// PerWorkspace is set if requests belong to workspaces, each of which needs connections of its
+	// own. More connections are then retained, but fewer while the target has none left.
+	PerWorkspace bool
 }
 
 // Assignment is the mapping of targets to the VMs that hold the connections to them, for one
@@ -159,7 +162,11 @@
 		return Share{Temporary: true}
 	}
 	kept, running := max(int(limit)/len(all), 1), t.Slots+extraRunning
-	return Share{MaxOpen: kept, MaxIdle: min(kept, max(kept/fleetGenerations, running)), MaxRunning: running}
+	idle := min(kept, max(kept/fleetGenerations, running))
+	if len(a.catalog.Config.Workspaces) > 0 {
+		return Share{MaxOpen: kept, MaxIdle: max(idle, kept-running), MaxRunning: running, PerWorkspace: true}
+	}
+	return Share{MaxOpen: kept, MaxIdle: idle, MaxRunning: running}
 }
 
 // maxRunning returns this VM's share of the statements that a fleet without gateways sends to a
--- a/gateways/gateways_test.go
+++ b/gateways/gateways_test.go
@@ -102,6 +102,23 @@
 	require.Equal(t, 9, p.Next(c, 0).Share(to).MaxRunning, "it is the only one left")
 }
 
+// Failure guarded against: connections serve one workspace each, and half of them are closed after
+// each burst although the workspaces need them again; or all are retained, and gateways that restart
+// cannot use the target's slots.
+func TestWorkspacesRetainMoreConnections(t *testing.T) {
+	c, to := catalogWithLimit(56, fleet(85, "a", "b", "c"))
+	to.Slots = 4
+	plain := *c.Config
+	gateway := NewAssignment("vm03", c).gateways(to)[0].ID
+	before := NewAssignment(gateway, c).Share(to)
+	c.Config.Workspaces = map[string]*catalog.Workspace{"north": {Name: "north"}}
+	after := NewAssignment(gateway, c).Share(to)
+	require.Greater(t, after.MaxIdle, before.MaxIdle)
+	require.GreaterOrEqual(t, 56-gatewaysPerTarget*after.MaxIdle, gatewaysPerTarget*after.MaxRunning)
+	c.Config = &plain
+	require.Equal(t, before, NewAssignment(gateway, c).Share(to), "without workspaces nothing changes")
+}
+
 // Failure guarded against: all gateways lose power at once. Their targets hold the dead
 // connections open for 3 s, and refuse those of the next gateways if both together exceed the
 // targets' limit.
--- a/lane/control.go
+++ b/lane/control.go
@@ -56,6 +56,7 @@
 		return nil, l.unavailable(err)
 	}
 	l.inUse++
+	l.count(openedForCommand)
 	c = l.opened(link, "")
 	c.forControl = true
 	return c, nil
--- a/lane/dial.go
+++ b/lane/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,25 +65,23 @@
 }
 
 // makeRoom reports whether a connection may be opened for a workspace. If the lane is at its
-// limit, it closes the connection of another workspace that has been idle for longest.
+// limit, it closes an idle connection of another workspace.
 func (l *Lane) makeRoom(now clock.Time, workspace string) bool {
 	if l.open+l.dialing < l.maxOpen(now) {
 		return true
 	}
-	for i, c := range l.idle {
-		if c.workspace != workspace {
-			l.idle = slices.Delete(l.idle, i, i+1)
-			l.shut(c)
-			return true
-		}
+	i := l.leastUsed(now, func(c *Conn) bool { return c.workspace != workspace })
+	if i < 0 {
+		return false
 	}
-	return false
+	l.closeIdle(i, closedForOther)
+	return true
 }
 
 // maxOpen returns the number of connections that the lane may have at this time.
 func (l *Lane) maxOpen(now clock.Time) int {
 	if now.Before(l.refusedUntil) {
-		return l.open
+		return l.openWhileRefused()
 	}
 	if l.maxRunning > 0 {
 		return l.allowance + min(l.parked+l.overdue, burst)
@@ -107,6 +104,7 @@
 	}
 	l.downUntil, l.downCause = 0, nil
 	l.inUse++
+	l.count(l.openingFor(workspace))
 	l.putIdle(l.opened(link, workspace))
 }
 
@@ -116,6 +114,7 @@
 	unavailable := l.unavailable(err)
 	if unavailable.Code != statement.OK {
 		l.refusedUntil = now.Add(l.refusalPause())
+		l.refusedOpen = l.open
 	} else {
 		l.downUntil, l.downCause = now.Add(unreachablePause), err
 	}
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -118,6 +118,9 @@
 	unparking    queue              // transactions that wait to run their next statement
 	controlQueue queue              // control commands
 	drain        drain
+	perWorkspace bool // idle connections are retained by their use
+	refusedOpen  int  // how many were open at the last refusal, less those returned since
+	usage        usage
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
@@ -242,6 +245,7 @@
 			c.acquiredAt = 0
 			return c
 		}
+		l.count(closedBroken)
 		l.shut(c)
 	}
 	return nil
@@ -270,35 +274,30 @@
 	}
 }
 
-// maintain closes idle connections beyond the retained ones, oldest first, and opens those whose
-// dial was delayed by a pause.
+// maintain closes idle connections beyond the retained ones, and opens those whose dial was delayed
+// by a pause.
 func (l *Lane) maintain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clk.Now()
-	for len(l.idle) > 0 && l.mayClose(now.Sub(l.idle[0].idle)) {
-		c := l.idle[0]
-		l.idle = l.idle[1:]
-		l.shut(c)
+	for i := l.surplus(now); i >= 0; i = l.surplus(now) {
+		l.closeIdle(i, closedUnused)
+		l.refusedOpen = min(l.refusedOpen, l.open)
+	}
+	if l.perWorkspace {
+		l.usage.forget(now, l.openFor)
 	}
 	l.markOverdue(now)
 	l.grow(now)
 }
 
-// mayClose reports whether a connection that has been idle for the given time should be closed.
-func (l *Lane) mayClose(idle time.Duration) bool {
-	if l.temporary {
-		return idle > temporaryIdleTimeout
-	}
-	return l.open > l.minOpen && idle > burstIdleTimeout
-}
-
 // setShare sets this VM's share of the target's connections. A lane with an empty share opens
 // connections beyond it while requests wait.
 func (l *Lane) setShare(s gateways.Share) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allowance, l.minOpen, l.temporary, l.maxRunning = s.MaxOpen, s.MaxIdle, s.Temporary, s.MaxRunning
+	l.setPerWorkspace(s.PerWorkspace)
 	l.waiting.detectsLate = s.MaxRunning > 0
 }
 
--- a/lane/restart_test.go
+++ b/lane/restart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -43,19 +45,35 @@
 	return gateways.NewAssignment("a", h.Load()).Share(to)
 }
 
+// load is the statements that a VM sends for one target.
+type load struct {
+	interval time.Duration // the mean pause between two
+	// workspaces is the number of workspaces that they belong to, the first of which send more than
+	// the others; 0 if none.
+	workspaces int
+}
+
+func (o load) options(rnd *rand.Rand) AcquireOptions {
+	if o.workspaces == 0 {
+		return AcquireOptions{}
+	}
+	return AcquireOptions{Workspace: fmt.Sprint("w", int(float64(o.workspaces)*math.Pow(rnd.Float64(), 2)))}
+}
+
 // drive sends statements over a lane for the given time. It returns how many were sent and how many
 // got a connection in time.
-func drive(l *Lane, rnd *rand.Rand, length time.Duration) (sent, served int) {
+func drive(l *Lane, o load, rnd *rand.Rand, length time.Duration) (sent, served int) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	for end := time.Now().Add(length); time.Now().Before(end); {
-		time.Sleep(time.Duration(rnd.ExpFloat64() * float64(statementInterval)))
+		time.Sleep(time.Duration(rnd.ExpFloat64() * float64(o.interval)))
 		l.maintain()
 		sent++
 		wait.Add(1)
+		options := o.options(rnd)
 		go func() {
 			defer wait.Done()
-			c, err := l.Acquire(context.Background(), AcquireOptions{}, maxWait)
+			c, err := l.Acquire(context.Background(), options, maxWait)
 			if err != nil {
 				return
 			}
@@ -79,7 +97,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			a, s := drive(l, rand.New(rand.NewPCG(seed, uint64(i))), length)
+			a, s := drive(l, load{interval: statementInterval}, rand.New(rand.NewPCG(seed, uint64(i))), length)
 			mu.Lock()
 			defer mu.Unlock()
 			sent, served = sent+a, served+s
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -23,6 +23,7 @@
 	}
 	now := l.clk.Now()
 	if l.mustYield(now) {
+		l.count(closedForOther)
 		l.drop(c)
 	} else {
 		l.inUse--
@@ -126,6 +127,9 @@
 func (l *Lane) begin(c *Conn, now clock.Time) {
 	c.acquiredAt, c.runningSince, c.wasParked = now, now, false
 	l.busy[c] = struct{}{}
+	if l.perWorkspace {
+		l.usage.used(now, c.workspace, l.inUseFor(c.workspace)-1)
+	}
 }
 
 // end records that a connection is released or discarded.
@@ -197,6 +201,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.end(c)
+	l.count(closedBroken)
 	l.drop(c)
 	l.serve(l.clk.Now())
 	l.grow(l.clk.Now())
