placing: a workspace's reads prefer one replica

Cause: a workspace's reads went to either replica, and needed a connection at both.

Change: replicas are ranked by rendezvous hashing of the names of workspace and replica. Being away from home costs as much as a typical read; a home that is down, failed, behind, slow or full is passed over by the same costs that rank all candidates. Replicas in the VM's own zone and others are ranked separately.

--- a/engine/place.go
+++ b/engine/place.go
@@ -26,6 +26,7 @@
 		clear(tried)
 		return s.place(g, tried)
 	}
+	placing.PreferHome(s.workspace, candidates)
 	i, only := s.engine.cfg.Placing.Choose(s.engine.cfg.Clock.Now(), candidates)
 	if i < 0 {
 		return "", true
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -159,6 +159,9 @@
 	// Pending is the number of this VM's requests that are running at the target or wait for a
 	// connection to it.
 	Pending int
+	// Away is the candidate's rank in the order of the workspace's replicas, 0 for its home.
+	Away      int
+	homeScore uint64
 }
 
 // Choose returns the index of the best candidate, or -1 if there is none. Only is set if every
@@ -185,7 +188,7 @@
 
 func (t *Tracker) cost(now clock.Time, c *Candidate) float64 {
 	r := t.record(c.ID)
-	cost := r.decayedLatency(now) * float64(1+c.Pending)
+	cost := r.decayedLatency(now)*float64(1+c.Pending) + awayFromHome(c)
 	if !c.SameZone {
 		cost += float64(crossZoneCost)
 	}
