ratelimit: owners reserve tokens for urgent operations beyond the limit

Cause: a workspace beyond its limit spends it on whoever asks first.

Change: a request for tokens states its operation's priority. An owner whose bucket has been empty reserves tokens for more urgent operations until those that ask no longer exceed the rate. Backoff holds for a priority and less urgent ones, and depends on the number of VMs for the rate. Callers whom a VM refuses by itself return one after the other. Requests without a priority, of older VMs, count as of the lowest one.

Tests: signatures of the limiter changed, so ratelimit_test.go was changed mechanically; the flood of TestLimitHoldsInAnySchedule now mixes priorities.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/ratelimit"
 )
 
@@ -31,6 +32,7 @@
 // limits enforces the rate limits of workspaces and holds this VM's share of them.
 type limits struct {
 	edge       *Edge
+	metrics    limitMetrics
 	assignment atomic.Pointer[ratelimit.Assignment]
 
 	mu      sync.Mutex
@@ -39,7 +41,7 @@
 }
 
 func newLimits(e *Edge) *limits {
-	l := &limits{edge: e, buckets: ratelimit.NewBuckets(e.settings.Bounds.LimitMargin), tokens: ratelimit.NewTokenCache()}
+	l := &limits{edge: e, metrics: newLimitMetrics(e.metrics), buckets: ratelimit.NewBuckets(e.settings.Bounds.LimitMargin), tokens: ratelimit.NewTokenCache()}
 	l.assignment.Store(ratelimit.NewAssignment(e.settings.Node, nil, e.clk.Now()))
 	return l
 }
@@ -73,37 +75,42 @@
 }
 
 // Draw takes tokens from this VM's share of a workspace's limit.
-func (l *limits) Draw(workspace string, want int) (tokens int, retryAfter time.Duration) {
+func (l *limits) Draw(workspace string, r ratelimit.Request) ratelimit.Reply {
 	now := l.edge.clk.Now()
 	share := l.assignment.Load().Share(workspace, now)
 	c := l.edge.catalog.Load().Config
 	if share.Owners == 0 || c == nil || c.Workspaces[workspace] == nil || l.edge.shutdown.leaving.Load() {
-		return 0, noOwnerRetryAfter
+		return ratelimit.Reply{RetryAfter: noOwnerRetryAfter}
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buckets.Grant(now, c.Workspaces[workspace], share, want)
+	reply := l.buckets.Grant(now, c.Workspaces[workspace], share, r)
+	l.mu.Unlock()
+	l.countReply(workspace, reply)
+	return reply
 }
 
 // Take implements engine.Limiter.
-func (l *limits) Take(ctx context.Context, w *catalog.Workspace) (retryAfter time.Duration, ok bool) {
+func (l *limits) Take(ctx context.Context, w *catalog.Workspace, priority int) (retryAfter time.Duration, ok bool) {
 	if !w.Limited {
 		return 0, true
 	}
-	want, wait := l.spendOrWant(w.Name)
+	request, retryAfter, ok := l.spendOrRequest(w.Name, priority)
 	switch {
-	case wait > 0:
-		return wait, false
-	case want == 0:
+	case ok:
 		return 0, true
+	case retryAfter > 0:
+		l.edge.decisions.Count(decisions.Limit, w.Name, refusedInBackoff, 1)
+		return retryAfter, false
 	}
-	retryAfter, ok = l.drawFromOwners(ctx, w.Name, want)
-	if !ok {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.tokens.BackOff(l.edge.clk.Now(), w.Name, retryAfter)
+	refusal, ok := l.drawFromOwners(ctx, w.Name, request)
+	if ok {
+		return 0, true
 	}
-	return retryAfter, ok
+	l.edge.decisions.Count(decisions.Limit, w.Name, refused, 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tokens.BackOff(l.edge.clk.Now(), w, len(l.edge.catalog.Load().VMs), request, refusal)
+	return refusal.RetryAfter, false
 }
 
 // Return implements engine.Limiter.
@@ -116,44 +123,46 @@
 	l.tokens.Return(w.Name)
 }
 
-// spendOrWant spends a cached token. Without one, it returns how many tokens to request, or how
-// long to wait before the next request.
-func (l *limits) spendOrWant(workspace string) (want int, wait time.Duration) {
+// spendOrRequest spends a cached token. Without one, it returns the request for tokens, or how long
+// the caller is to wait if none is to be sent yet.
+func (l *limits) spendOrRequest(workspace string, priority int) (r ratelimit.Request, retryAfter time.Duration, ok bool) {
 	now := l.edge.clk.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tokens.RecordOperation(now, workspace)
-	if l.tokens.Spend(now, workspace) {
-		return 0, 0
+	l.tokens.RecordOperation(now, workspace, priority)
+	spent := l.tokens.Spend(now, workspace, priority)
+	l.metrics.expired.Add(float64(l.tokens.TakeExpired()))
+	if spent {
+		return r, 0, true
 	}
-	return l.tokens.Want(now, workspace), l.tokens.BackoffRemaining(now, workspace)
+	return l.tokens.Request(now, workspace, priority), l.tokens.RetryAfter(now, workspace, priority), false
 }
 
-// drawReply is an owner's reply.
-type drawReply struct {
-	tokens     int
-	retryAfter time.Duration
-	err        error
+// ownerReply is an owner's reply, or the error of a request without one.
+type ownerReply struct {
+	ratelimit.Reply
+	err error
 }
 
-// drawFromOwners requests a token from the owners. If none has one, it returns the retry-after.
-func (l *limits) drawFromOwners(ctx context.Context, workspace string, want int) (retryAfter time.Duration, ok bool) {
+// drawFromOwners requests tokens from the owners. If none has one, it returns the refusal.
+func (l *limits) drawFromOwners(ctx context.Context, workspace string, r ratelimit.Request) (refusal ratelimit.Reply, ok bool) {
 	owners, timeout := l.responsiveOwners(l.assignment.Load().Nearest(workspace, l.edge.settings.Zone))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	retryAfter, ok = l.drawInSequence(ctx, owners, workspace, want)
-	return cmp.Or(retryAfter, noOwnerRetryAfter), ok
+	refusal, ok = l.drawInSequence(ctx, owners, workspace, r)
+	refusal.RetryAfter = cmp.Or(refusal.RetryAfter, noOwnerRetryAfter)
+	return refusal, ok
 }
 
 // drawInSequence asks one owner after the other, and also the next one if a reply takes longer than
-// ownerTimeout. If no owner has a token, it returns the shortest retry-after that an owner
-// reported, or 0.
-func (l *limits) drawInSequence(ctx context.Context, owners []catalog.VM, workspace string, want int) (retryAfter time.Duration, ok bool) {
-	answers := make(chan drawReply, len(owners))
+// ownerTimeout. If no owner has a token, it returns the refusal with the shortest retry-after; it is
+// zero if no owner replied.
+func (l *limits) drawInSequence(ctx context.Context, owners []catalog.VM, workspace string, r ratelimit.Request) (refusal ratelimit.Reply, ok bool) {
+	answers := make(chan ownerReply, len(owners))
 	sent, answered := 0, 0
 	next := func() {
 		if sent < len(owners) {
-			go l.drawFrom(owners[sent], workspace, want, answers)
+			go l.drawFrom(owners[sent], workspace, r, answers)
 			sent++
 		}
 	}
@@ -163,20 +172,20 @@
 		select {
 		case a := <-answers:
 			answered++
-			if a.tokens > 0 && l.spend(workspace) {
-				return 0, true
+			if a.Tokens > 0 && l.spend(workspace, r.Priority) {
+				return ratelimit.Reply{}, true
 			}
-			if a.err == nil && (retryAfter == 0 || a.retryAfter < retryAfter) {
-				retryAfter = a.retryAfter
+			if a.err == nil && (refusal.RetryAfter == 0 || a.RetryAfter < refusal.RetryAfter) {
+				refusal = a.Reply
 			}
 			next()
 		case <-ownerTimer.C:
 			next()
 		case <-ctx.Done():
-			return retryAfter, false
+			return refusal, false
 		}
 	}
-	return retryAfter, false
+	return refusal, false
 }
 
 // responsiveOwners omits the owners that are in backoff after not answering. If all are, it returns
@@ -200,25 +209,25 @@
 }
 
 // drawFrom requests tokens from one owner and caches those granted.
-func (l *limits) drawFrom(vm catalog.VM, workspace string, want int, answers chan<- drawReply) {
+func (l *limits) drawFrom(vm catalog.VM, workspace string, r ratelimit.Request, answers chan<- ownerReply) {
 	requested := l.edge.clk.Now()
-	var a drawReply
+	var a ownerReply
 	if vm.ID == l.edge.settings.Node {
-		a.tokens, a.retryAfter = l.Draw(workspace, want)
+		a.Reply = l.Draw(workspace, r)
 	} else {
-		a.tokens, a.retryAfter, a.err = l.edge.router.Draw(vm, workspace, want)
+		a.Reply, a.err = l.edge.router.Draw(vm, workspace, r)
 	}
 	if a.err != nil {
 		l.edge.log.Debug("owner-silent", zap.String("workspace", workspace), zap.String("owner", vm.ID), zap.Error(a.err))
 	}
 	l.mu.Lock()
-	l.tokens.Put(workspace, requested, a.tokens)
+	l.tokens.Put(workspace, requested, r, a.Reply)
 	l.mu.Unlock()
 	answers <- a
 }
 
-func (l *limits) spend(workspace string) bool {
+func (l *limits) spend(workspace string, priority int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.tokens.Spend(l.edge.clk.Now(), workspace)
+	return l.tokens.Spend(l.edge.clk.Now(), workspace, priority)
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -19,6 +19,7 @@
 
 // callers counts the results of a workspace's operations.
 type callers struct {
+	db                      string
 	served, refused, failed atomic.Int64
 	wait                    sync.WaitGroup
 	stop                    chan struct{}
@@ -27,7 +28,12 @@
 // sendOperations sends operations with a key at a rate a second, at each of the VMs in turn, until
 // end is called.
 func (f *fleet) sendOperations(key string, rate float64, vms ...string) *callers {
-	c := &callers{stop: make(chan struct{})}
+	return f.sendOperationsTo(bounded, key, rate, vms...)
+}
+
+// sendOperationsTo sends operations to a route's database.
+func (f *fleet) sendOperationsTo(db, key string, rate float64, vms ...string) *callers {
+	c := &callers{db: db, stop: make(chan struct{})}
 	for i, vm := range vms {
 		c.wait.Go(func() {
 			every := time.Duration(float64(time.Second) * float64(len(vms)) / rate)
@@ -48,7 +54,7 @@
 }
 
 func (c *callers) runOne(f *fleet, key, vm string) {
-	s, a := f.openAs(key, vm, bounded)
+	s, a := f.openAs(key, vm, c.db)
 	if s == nil || a.State != "I" {
 		c.failed.Add(1)
 		return
--- a/engine/caller.go
+++ b/engine/caller.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	begun := s.engine.cfg.Clock.Now()
-	retryAfter, ok := s.engine.cfg.Limiter.Take(ctx, workspace)
+	retryAfter, ok := s.engine.cfg.Limiter.Take(ctx, workspace, w.route.Priority)
 	if took := s.engine.cfg.Clock.Now().Sub(begun); !ok || took > limiterWaitThreshold {
 		w.phaseTimes[phaseLimit] += max(took, time.Nanosecond)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -37,9 +37,9 @@
 // Limiter bounds the operations of workspaces over the whole fleet. It is safe for
 // concurrent use.
 type Limiter interface {
-	// Take takes one operation from the workspace's limit. If the limit is exhausted, it returns
-	// false and a retry-after.
-	Take(ctx context.Context, w *catalog.Workspace) (retryAfter time.Duration, ok bool)
+	// Take takes one operation of a priority from the workspace's limit. If the limit is exhausted,
+	// or the rest is reserved for more urgent operations, it returns false and a retry-after.
+	Take(ctx context.Context, w *catalog.Workspace, priority int) (retryAfter time.Duration, ok bool)
 	// Return returns what was taken for an operation that has not run.
 	Return(w *catalog.Workspace)
 }
--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -6,6 +6,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/retryafter"
 )
 
 const (
@@ -31,8 +32,31 @@
 type bucket struct {
 	level     float64
 	updatedAt clock.Time
-	// lastRetryAt is the latest time at which a refused VM was asked to retry.
-	lastRetryAt clock.Time
+	pressure  pressure
+	// returns assigns a different future token to each refused VM, so that they don't all retry
+	// for the same one.
+	returns retryafter.Schedule
+}
+
+// Request is a VM's request for tokens.
+type Request struct {
+	// Want is how many tokens to grant while the workspace is within its limit.
+	Want int
+	// Priority is that of the operations that need tokens now, and Operations is their number.
+	// Beyond the limit, no more than Operations are granted.
+	Priority, Operations int
+}
+
+// Reply is an owner's reply to a Request.
+type Reply struct {
+	Tokens int
+	// RetryAfter is when a token is likely; 0 if some were granted.
+	RetryAfter time.Duration
+	// Interval is the time between two tokens for this priority while the workspace is beyond its
+	// limit; 0 if it is not.
+	Interval time.Duration
+	// Reserved is set if there were tokens, but only for more urgent operations.
+	Reserved bool
 }
 
 // NewBuckets returns the Buckets of a VM that has just started.
@@ -40,9 +64,9 @@
 	return &Buckets{Margin: margin, buckets: make(map[string]*bucket)}
 }
 
-// Grant takes up to want tokens from the bucket of a share of a workspace's limit. If the
-// bucket is empty, it returns 0 and a retry-after.
-func (bs *Buckets) Grant(now clock.Time, w *catalog.Workspace, share Share, want int) (tokens int, retryAfter time.Duration) {
+// Grant takes tokens from the bucket of a share of a workspace's limit. If there are none for the
+// request, it returns a retry-after.
+func (bs *Buckets) Grant(now clock.Time, w *catalog.Workspace, share Share, r Request) Reply {
 	owners := float64(share.Owners)
 	rate := w.Rate / owners
 	size := max((w.Burst+bs.Margin*startFraction)/owners, 1)
@@ -53,26 +77,38 @@
 	}
 	b.level = min(b.level+rate*now.Sub(b.updatedAt).Seconds(), size)
 	b.updatedAt = now
-	if b.level < 1 {
-		return 0, b.retryAfter(now, rate)
+	priority := clampPriority(r.Priority)
+	b.pressure.asked.record(now, 1, demandWindow)
+	want := max(r.Want, 1)
+	if b.pressure.active(now) && r.Operations > 0 {
+		want = r.Operations
+	}
+	reserve := b.pressure.reserve(now, priority, size)
+	tokens := min(want, int(b.level-reserve))
+	if tokens < 1 {
+		b.pressure.refused(now, b.level < 1, rate)
+		return b.refuse(now, priority, rate, reserve)
 	}
-	tokens = min(max(want, 1), int(b.level))
 	b.level -= float64(tokens)
-	return tokens, 0
+	b.pressure.spent[priority].record(now, tokens, urgentWindow)
+	out := Reply{Tokens: tokens}
+	if b.pressure.active(now) {
+		out.Interval = interval(rate - b.pressure.urgentRate(now, priority))
+	}
+	return out
 }
 
-// retryAfter assigns a different future token to each refused VM, so that they don't all
-// retry for the same one.
-func (b *bucket) retryAfter(now clock.Time, rate float64) time.Duration {
-	if rate <= 0 {
-		return maxRetryAfter
-	}
-	first := now.Add(cappedSeconds((1 - b.level) / rate))
-	b.lastRetryAt = max(first, b.lastRetryAt.Add(cappedSeconds(1/rate)))
-	b.lastRetryAt = min(b.lastRetryAt, now.Add(maxRetryAfter))
-	return max(b.lastRetryAt.Sub(now), minRetryAfter)
+// refuse returns a refusal with the time of a future token that was assigned to nobody else.
+func (b *bucket) refuse(now clock.Time, priority int, rate, reserve float64) Reply {
+	left := rate - b.pressure.urgentRate(now, priority)
+	every := interval(left)
+	terms := retryafter.Terms{First: cappedSeconds((reserve + 1 - b.level) / max(left, 0)), Interval: every, Max: maxRetryAfter}
+	return Reply{RetryAfter: max(b.returns.Next(now, priority, terms), minRetryAfter), Interval: every, Reserved: b.level >= 1}
 }
 
+// interval returns the time between two tokens at a rate.
+func interval(rate float64) time.Duration { return cappedSeconds(1 / max(rate, 0)) }
+
 func cappedSeconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, maxRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -24,6 +24,9 @@
 //     the new list, or else both would fill their buckets. An owner that leaves stops
 //     granting before its entry is removed from the list.
 //
+// While a workspace exceeds its limit, an owner reserves tokens for its more urgent operations; see
+// pressure.
+//
 // What a deployment tolerates above the limit covers the remaining excess: the lifetime of
 // tokens, and the initial tokens of an owner that restarts.
 //
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -34,6 +34,8 @@
 	w      catalog.Workspace
 	// allowedAt holds the times at which operations were let through.
 	allowedAt []clock.Time
+	// requests counts the requests to owners.
+	requests int
 	// limits holds the limits with the times from which they were in force.
 	limits []limitChange
 }
@@ -86,42 +88,48 @@
 	}
 }
 
-func (f *fleet) requestTokens(owner *vm, want int) (int, time.Duration) {
+func (f *fleet) requestTokens(owner *vm, r Request) Reply {
 	share := owner.assignment.Share(workspace, f.now)
 	if share.Owners == 0 {
-		return 0, 0
+		return Reply{}
 	}
-	return owner.buckets.Grant(f.now, &f.w, share, want)
+	f.requests++
+	return owner.buckets.Grant(f.now, &f.w, share, r)
 }
 
 // operate sends one operation to a VM, and reports whether the VM lets it through.
-func (f *fleet) operate(v *vm) bool {
+func (f *fleet) operate(v *vm) bool { return f.operateAt(v, 0) }
+
+// operateAt sends one operation of a priority.
+func (f *fleet) operateAt(v *vm, priority int) bool {
 	if v.down || f.now.Before(v.frozen) {
 		return false
 	}
-	v.cache.RecordOperation(f.now, workspace)
-	if v.cache.Spend(f.now, workspace) {
+	v.cache.RecordOperation(f.now, workspace, priority)
+	if v.cache.Spend(f.now, workspace, priority) {
 		f.allowedAt = append(f.allowedAt, f.now)
 		return true
 	}
-	if v.cache.BackoffRemaining(f.now, workspace) > 0 {
+	if v.cache.RetryAfter(f.now, workspace, priority) > 0 {
 		return false
 	}
-	retryAfter := time.Second
+	request, refusal := v.cache.Request(f.now, workspace, priority), Reply{RetryAfter: time.Second}
 	for _, e := range v.assignment.Nearest(workspace, v.Zone) {
 		owner := f.vms[e.ID]
 		if owner == nil || owner.down || owner.group != v.group || f.now.Before(owner.frozen) {
 			continue
 		}
-		tokens, after := f.requestTokens(owner, v.cache.Want(f.now, workspace))
-		v.cache.Put(workspace, f.now, tokens)
-		if v.cache.Spend(f.now, workspace) {
+		reply := f.requestTokens(owner, request)
+		v.cache.Put(workspace, f.now, request, reply)
+		if v.cache.Spend(f.now, workspace, priority) {
 			f.allowedAt = append(f.allowedAt, f.now)
 			return true
 		}
-		retryAfter = min(retryAfter, after)
+		if reply.RetryAfter < refusal.RetryAfter {
+			refusal = reply
+		}
 	}
-	v.cache.BackOff(f.now, workspace, retryAfter)
+	v.cache.BackOff(f.now, &f.w, len(f.list), request, refusal)
 	return false
 }
 
@@ -361,7 +369,7 @@
 		if !one {
 			at += 30
 		}
-		f.operate(f.vms[f.list[at%len(f.list)].ID])
+		f.operateAt(f.vms[f.list[at%len(f.list)].ID], at%3)
 	}
 }
 
@@ -370,19 +378,18 @@
 func TestAnOwnerThatReturnsHasNoOldBucket(t *testing.T) {
 	buckets, now, w := NewBuckets(0), clock.Time(time.Hour), limit(3)
 	w.Burst = 300
-	tokens, _ := buckets.Grant(now, &w, Share{Owners: ownersPerWorkspace, Since: now}, 10)
-	require.Zero(t, tokens)
+	r := Request{Want: 10}
+	require.Zero(t, buckets.Grant(now, &w, Share{Owners: ownersPerWorkspace, Since: now}, r).Tokens)
 	now = now.Add(20 * time.Second)
-	tokens, _ = buckets.Grant(now, &w, Share{Owners: ownersPerWorkspace, Since: now.Add(-2 * time.Second)}, 10)
-	require.Equal(t, 2, tokens)
+	require.Equal(t, 2, buckets.Grant(now, &w, Share{Owners: ownersPerWorkspace, Since: now.Add(-2 * time.Second)}, r).Tokens)
 }
 
 // Failure guarded against: a VM saves up tokens, or has some from before it was suspended,
 // and spends them in addition to those of a later window.
 func TestTokensExpire(t *testing.T) {
 	cache, now := NewTokenCache(), clock.Time(time.Hour)
-	cache.Put(workspace, now, 2)
-	require.True(t, cache.Spend(now.Add(tokenLifetime-1), workspace))
-	require.False(t, cache.Spend(now.Add(tokenLifetime), workspace))
+	cache.Put(workspace, now, Request{}, Reply{Tokens: 2})
+	require.True(t, cache.Spend(now.Add(tokenLifetime-1), workspace, 0))
+	require.False(t, cache.Spend(now.Add(tokenLifetime), workspace, 0))
 	require.Less(t, tokenLifetime.Seconds(), window.Seconds()*excess, "what is granted within a token's lifetime is within the tolerance")
 }
--- a/relay/draw.go
+++ b/relay/draw.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/ratelimit"
 	"endivemoor.example/endivemoor/relay/relaypb"
 )
 
@@ -13,16 +14,33 @@
 const drawTimeout = 400 * time.Millisecond
 
 // Draw requests tokens from a VM that owns a share of a workspace's limit.
-func (r *Router) Draw(vm catalog.VM, workspace string, want int) (tokens int, retryAfter time.Duration, err error) {
+func (r *Router) Draw(vm catalog.VM, workspace string, request ratelimit.Request) (ratelimit.Reply, error) {
+	in := &relaypb.DrawRequest{
+		Workspace: workspace, Want: uint32(request.Want),
+		Demands: []*relaypb.Demand{{Priority: int32(request.Priority), Operations: uint32(request.Operations)}},
+	}
 	var out *relaypb.DrawReply
-	err = r.peers.call(context.Background(), vm, drawTimeout, false, func(ctx context.Context, to relaypb.Relay) (err error) {
-		out, err = to.Draw(ctx, &relaypb.DrawRequest{Workspace: workspace, Want: uint32(want)})
+	err := r.peers.call(context.Background(), vm, drawTimeout, false, func(ctx context.Context, to relaypb.Relay) (err error) {
+		out, err = to.Draw(ctx, in)
 		return err
 	})
 	if err != nil {
-		return 0, 0, err
+		return ratelimit.Reply{}, err
+	}
+	return ratelimit.Reply{Tokens: int(out.GetTokens()), RetryAfter: duration(out.GetComeBackUs()), Interval: duration(out.GetIntervalUs())}, nil
+}
+
+// Draw implements relaypb.Relay. A request that states no demands is from an older VM, and counts as
+// of the lowest priority.
+func (s *Server) Draw(_ context.Context, in *relaypb.DrawRequest) (*relaypb.DrawReply, error) {
+	request := ratelimit.Request{Want: int(in.GetWant()), Priority: ratelimit.LowestPriority}
+	for _, d := range in.GetDemands() {
+		if int(d.GetPriority()) < request.Priority || request.Operations == 0 {
+			request.Priority, request.Operations = int(d.GetPriority()), int(d.GetOperations())
+		}
 	}
-	return int(out.GetTokens()), duration(out.GetComeBackUs()), nil
+	reply := s.cfg.Draw(in.GetWorkspace(), request)
+	return &relaypb.DrawReply{Tokens: uint32(reply.Tokens), ComeBackUs: micros(reply.RetryAfter), IntervalUs: micros(reply.Interval)}, nil
 }
 
 // InBackoff reports whether a VM that did not reply is in backoff.
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/ratelimit"
 	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -35,7 +36,7 @@
 	// Idle returns how long a transaction may stay open without a statement.
 	Idle func() time.Duration
 	// Draw takes tokens from this VM's share of a workspace's limit.
-	Draw func(workspace string, want int) (tokens int, retryAfter time.Duration)
+	Draw func(workspace string, r ratelimit.Request) ratelimit.Reply
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
@@ -219,12 +220,6 @@
 	return rows, 0, err
 }
 
-// Draw implements relaypb.Relay.
-func (s *Server) Draw(_ context.Context, in *relaypb.DrawRequest) (*relaypb.DrawReply, error) {
-	tokens, retryAfter := s.cfg.Draw(in.GetWorkspace(), int(in.GetWant()))
-	return &relaypb.DrawReply{Tokens: uint32(tokens), ComeBackUs: micros(retryAfter)}, nil
-}
-
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
 	h := s.detach(in.GetTransaction())
