lane: one driver for the tests of restarted fleets

The tests of restarted VMs and of restarted gateways share driveFleet, which takes the number of VMs, their share and their load.

--- a/lane/restart_test.go
+++ b/lane/restart_test.go
@@ -89,15 +89,15 @@
 }
 
 // driveFleet drives one lane for each VM.
-func driveFleet(d *dialer, seed uint64, length time.Duration) (sent, served int) {
+func driveFleet(d *dialer, vms int, share gateways.Share, o load, seed uint64, length time.Duration) (sent, served int) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	for i := range fleetSize {
-		l := newLane("x", d.dial, monotonic.New(), shareOf())
+	for i := range vms {
+		l := newLane("x", d.dial, monotonic.New(), share)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			a, s := drive(l, load{interval: statementInterval}, rand.New(rand.NewPCG(seed, uint64(i))), length)
+			a, s := drive(l, o, rand.New(rand.NewPCG(seed, uint64(i))), length)
 			mu.Lock()
 			defer mu.Unlock()
 			sent, served = sent+a, served+s
@@ -115,8 +115,9 @@
 func TestRestartedFleetFindsConnections(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		d := &dialer{limit: connLimit}
-		driveFleet(d, 1, 6*time.Second)
-		sent, served := driveFleet(d, 2, 2*time.Second)
+		usual := load{interval: statementInterval}
+		driveFleet(d, fleetSize, shareOf(), usual, 1, 6*time.Second)
+		sent, served := driveFleet(d, fleetSize, shareOf(), usual, 2, 2*time.Second)
 		t.Logf("%d of %d", served, sent)
 		require.Greater(t, float64(served)/float64(sent), 0.75, "three of four")
 	})
--- a/lane/retention_test.go
+++ b/lane/retention_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,29 +22,12 @@
 // gatewayLoad is the load of a gateway: half of what two of the target's slots serve, of 40 workspaces.
 var gatewayLoad = load{interval: 25 * time.Millisecond, workspaces: 40}
 
-// driveGateways drives the lanes of both gateways.
-func driveGateways(d *dialer, share gateways.Share, seed uint64, length time.Duration) (sent, served int) {
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	for i := range uint64(2) {
-		l := newLane("x", d.dial, monotonic.New(), share)
-		wait.Go(func() {
-			a, s := drive(l, gatewayLoad, rand.New(rand.NewPCG(seed, i)), length)
-			mu.Lock()
-			defer mu.Unlock()
-			sent, served = sent+a, served+s
-		})
-	}
-	wait.Wait()
-	return sent, served
-}
-
 // Failure guarded against: there are more workspaces than connections, the connection idle for
 // longest is closed, and a workspace that sends a request every second opens one each time.
 func TestConnectionsOfBusyWorkspacesAreRetained(t *testing.T) {
 	opened := func(share gateways.Share) float64 {
 		d := &dialer{limit: gatewayConnLimit}
-		sent, served := driveGateways(d, share, 1, 30*time.Second)
+		sent, served := driveFleet(d, 2, share, gatewayLoad, 1, 30*time.Second)
 		require.Greater(t, float64(served)/float64(sent), 0.99)
 		_, dials := d.links()
 		return float64(dials) / float64(sent)
@@ -65,8 +47,8 @@
 	for _, seed := range []uint64{1, 51} {
 		bubble.Test(t, func(t *testing.T) {
 			d := &dialer{limit: gatewayConnLimit}
-			driveGateways(d, gatewayShare, seed, 6*time.Second)
-			sent, served := driveGateways(d, gatewayShare, seed+1, 2*time.Second)
+			driveFleet(d, 2, gatewayShare, gatewayLoad, seed, 6*time.Second)
+			sent, served := driveFleet(d, 2, gatewayShare, gatewayLoad, seed+1, 2*time.Second)
 			t.Logf("%d of %d", served, sent)
 			require.Greater(t, float64(served)/float64(sent), 0.75, "three of four, as in a fleet without workspaces")
 		})
