placing: a try's limit comes from measured answer times

Cause: a try was given up after 8 times the target's recent latency, 250 ms at least.

Change: the tracker keeps a histogram of answer times by class of statement (at most 256 classes). A read's answer is waited for until another try can just meet the objective, and in any case for what nearly all statements of its class take; half of the caller's time is left for that try. A statement that was cut counts as twice its limit, so that the limit learns from what it cuts. A statement of a transaction, which cannot be tried elsewhere, has its caller's time until its class is known, then twice the 99th percentile and at least its objective. The wait in a queue, which shared the answer's limit, is now half of the objective.

TestTryTimeoutGrowsWithTheLatency asserted the two constants; it is replaced by one in limit_test.go that requires the limit to grow with the target's latency and with the class's answer times, beside tests of what is not cut and of when a lost answer is found out.

--- a/engine/single.go
+++ b/engine/single.go
@@ -134,7 +134,7 @@
 			proof = s.prove(ctx, g, leader, w.arrived)
 		}
 		position := g.Freshness.LastPosition(leader.Term, leader.Primary)
-		a, result := s.try(ctx, leader.Primary, w, position, limits{queue: timeLeft(ctx), answer: s.tryTimeout(leader.Primary)})
+		a, result := s.try(ctx, leader.Primary, w, position, limits{queue: timeLeft(ctx), answer: s.tryTimeout(ctx, w, leader.Primary)})
 		if result == saturated {
 			return s.giveUp(w, statement.Busy, "the primary has no time")
 		}
@@ -207,9 +207,9 @@
 		if id == "" {
 			return s.giveUp(w, statement.Busy, "no target")
 		}
-		bounds := limits{queue: timeLeft(ctx), answer: s.tryTimeout(id)}
+		bounds := limits{queue: timeLeft(ctx), answer: s.tryTimeout(ctx, w, id)}
 		if !only {
-			bounds.queue = min(bounds.queue, bounds.answer)
+			bounds.queue = w.bounds(ctx, 0).QueueTimeout()
 		}
 		a, result := s.try(ctx, id, w, after, bounds)
 		if only {
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -135,9 +135,14 @@
 	for {
 		w.tries++
 		begun := s.engine.cfg.Clock.Now()
-		r, err := tx.open.Run(ctx, tx.acquireOptions(w), s.job(w, timeline.Position{}, false, s.tryTimeout(tx.open.Target())))
+		limit := s.engine.cfg.Placing.TransactionTimeout(w.bounds(ctx, tx.spent+begun.Sub(w.arrived)))
+		r, err := tx.open.Run(ctx, tx.acquireOptions(w), s.job(w, timeline.Position{}, false, limit))
 		s.recordPhases(w, begun, r, err)
 		if err != nil {
+			var lost *dispatch.LostError
+			if errors.As(err, &lost) {
+				s.recordLost(w, tx.open.Target(), begun, limit, lost)
+			}
 			return s.failTransaction(tx, w, err)
 		}
 		if r.Answer.Code == statement.Busy && r.Answer.State == statement.InTransaction && s.pause(ctx, w) {
@@ -158,7 +163,7 @@
 	if a.Code != statement.OK {
 		return a
 	}
-	s.engine.cfg.Placing.Served(tx.open.Target(), s.engine.cfg.Clock.Now(), r.Took)
+	s.engine.cfg.Placing.Served(tx.open.Target(), w.class(), s.engine.cfg.Clock.Now(), r.Took)
 	if !w.writes && tx.proof != nil {
 		if !s.proven(w, tx.proof) {
 			s.recordUnserved(tx.group)
--- a/engine/try.go
+++ b/engine/try.go
@@ -8,9 +8,11 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/placing"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -32,9 +34,27 @@
 	saturated
 )
 
-// tryTimeout returns the timeout of one try at a target.
-func (s *Session) tryTimeout(id target.ID) time.Duration {
-	return s.engine.cfg.Placing.TryTimeout(id, s.engine.cfg.Clock.Now())
+// tryTimeout returns how long a statement that may be repeated waits for a target's answer.
+func (s *Session) tryTimeout(ctx context.Context, w *work, id target.ID) time.Duration {
+	now := s.engine.cfg.Clock.Now()
+	return s.engine.cfg.Placing.TryTimeout(id, now, w.bounds(ctx, now.Sub(w.arrived)))
+}
+
+// bounds returns what the caller of a statement allows for it.
+func (w *work) bounds(ctx context.Context, elapsed time.Duration) placing.Bounds {
+	return placing.Bounds{Class: w.class(), Objective: w.route.Objective, Elapsed: elapsed, Left: timeLeft(ctx)}
+}
+
+// recordLost records a statement that was given up after its limit, at a target that this VM or a
+// gateway reached.
+func (s *Session) recordLost(w *work, id target.ID, begun clock.Time, limit time.Duration, lost *dispatch.LostError) {
+	e := s.engine
+	now := e.cfg.Clock.Now()
+	if lost.Gateway != "" || now.Sub(begun) < limit {
+		return
+	}
+	e.cfg.Placing.TimedOut(w.class(), now, limit)
+	e.cfg.Decisions.Count(decisions.Placing, string(id), "timed-out", 1)
 }
 
 // limits holds the time limits of one try.
@@ -53,6 +73,10 @@
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, bounds.answer))
 	s.recordPhases(w, begun, r, err)
 	if err != nil {
+		var lost *dispatch.LostError
+		if errors.As(err, &lost) {
+			s.recordLost(w, id, begun, bounds.answer, lost)
+		}
 		return nil, s.classifyError(id, w, err)
 	}
 	return r.Answer, s.classify(id, w, r)
@@ -110,7 +134,7 @@
 	w.ran = w.ran || !a.Code.NotRun()
 	switch {
 	case a.Code == statement.OK:
-		e.cfg.Placing.Served(id, now, r.Took)
+		e.cfg.Placing.Served(id, w.class(), now, r.Took)
 		return done
 	case a.Code == statement.Lagging:
 		e.cfg.Placing.Lagged(id, now)
--- a/engine/work.go
+++ b/engine/work.go
@@ -46,10 +46,13 @@
 // acquireOptions returns a statement's queue priority, workspace and class.
 func (w *work) acquireOptions(arrived clock.Time) lane.AcquireOptions {
 	return lane.AcquireOptions{
-		Due: arrived.Add(w.route.Objective), Priority: w.route.Priority, Workspace: w.caller.Name(), Class: classOf(w.route, w.writes),
+		Due: arrived.Add(w.route.Objective), Priority: w.route.Priority, Workspace: w.caller.Name(), Class: w.class(),
 	}
 }
 
+// class returns the class of the statement.
+func (w *work) class() uint32 { return classOf(w.route, w.writes) }
+
 // classOf returns the class of a route's statements that read or write.
 func classOf(route *catalog.Route, writes bool) uint32 {
 	name := route.Name + "/read"
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -57,15 +57,19 @@
 type Tracker struct {
 	mu      sync.Mutex
 	records map[target.ID]*record
+	classes map[uint32]*answerTimes
 }
 
 // NewTracker returns a Tracker without measurements.
-func NewTracker() *Tracker { return &Tracker{records: make(map[target.ID]*record)} }
+func NewTracker() *Tracker {
+	return &Tracker{records: make(map[target.ID]*record), classes: make(map[uint32]*answerTimes)}
+}
 
-// Served records that a target served a statement, and the latency.
-func (t *Tracker) Served(id target.ID, now clock.Time, took time.Duration) {
+// Served records that a target served a statement of a class, and the latency.
+func (t *Tracker) Served(id target.ID, class uint32, now clock.Time, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.class(class).add(now, took)
 	r := t.record(id)
 	r.latency = r.decayedLatency(now)*(1-latencyWeight) + float64(took)*latencyWeight
 	r.recordedAt = now
@@ -94,31 +98,12 @@
 // maxLags bounds the count of lags. It is high enough for the pause to reach maxLagPause.
 const maxLags = 8
 
-const (
-	// The answer to a try counts as lost after tryTimeoutFactor times the recent latency, within
-	// these bounds. The lower bound is above 220 ms, the longest response time of a read in the
-	// deployments' data sheets. Under overload the latency, and with it the timeout, grows before
-	// answers count as lost.
-	tryTimeoutFactor = 8
-	minTryTimeout    = 250 * time.Millisecond
-	maxTryTimeout    = 600 * time.Millisecond
-)
-
-// TryTimeout returns the timeout of one try at a target while the statement can still be retried.
-// Without it, a lost answer would block its consumer and a connection until the statement's own
-// timeout.
-func (t *Tracker) TryTimeout(id target.ID, now clock.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	latency := time.Duration(t.record(id).decayedLatency(now))
-	return min(max(tryTimeoutFactor*latency, minTryTimeout), maxTryTimeout)
-}
-
 // Retain drops the records of targets that were removed or have restarted. Known returns a target's
 // incarnation, and false if it was removed.
 func (t *Tracker) Retain(known func(target.ID) (incarnation int64, ok bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dropClasses()
 	for id, r := range t.records {
 		incarnation, ok := known(id)
 		if !ok || (r.incarnation != 0 && r.incarnation != incarnation) {
