Load reports, and placing reads by expected time to the answer

Cause: a VM sends a target some 0.7 statements a second and knew its queue for 200 ms after each answer, so that reads were placed nearly blind.

Change: a gateway reports wait, service time, failures and overload with each answer (a calm target takes two bytes) and, four reports at most, with pulls. Package loadreport keeps the newest of each target and reporter; a wait is worth less as it ages, and reports of another incarnation count for nothing. Reads are placed by the reported wait, the time of a statement, zones and failures; where the preferred target has a queue, the read draws by the inverse of the expected time, the primary included, so that VMs with the same reports don't all run to one target. A target that would refuse the read is left out; once one has refused it and all others are known to do the same, it is refused at once. A read leaves a queue that it chose only if that proves much longer than reported.

Without gateways, and with gateways that don't report, reads are placed as before. lane.Load says whether it was reported; gateways.UsesGateways is exported for that.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -83,6 +83,7 @@
 	limits        *limits
 	groups        *groups.Registry
 	placing       *placing.Tracker
+	loadReports   *loadReports
 	engineMetrics *engine.Metrics
 	decisions     *decisions.Recorder
 	engine        *engine.Engine
@@ -155,6 +156,7 @@
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.pool.Decisions = e.decisions
+	e.loadReports = newLoadReports(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
@@ -165,7 +167,7 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Dial: e.dialFor(spending.Relay)})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
 	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
@@ -301,10 +303,12 @@
 		assignment = assignment.Next(c, live)
 		e.pool.Update(c, assignment.Share)
 		e.router.Update(assignment, c)
+		e.gossip.takesReports.Store(e.router.UsesGateways())
 		e.limits.update(c)
 		e.groups.Update(c)
 		e.gossip.updatePeers(c)
 		e.placing.Retain(c.Incarnation)
+		e.loadReports.book.Retain(c.Incarnation)
 		if !e.awaitChange(ctx, changed, tick.C, live) {
 			return
 		}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/partners"
 	"endivemoor.example/endivemoor/platform/objects"
 	"endivemoor.example/endivemoor/platform/published"
@@ -47,6 +48,8 @@
 	wholeLists atomic.Bool // set if whole lists are to be requested, until one arrives
 	outcomes   pullOutcomes
 	fetching   atomic.Bool // set while a bulk is read
+	// takesReports is set while the fleet uses gateways, which report their targets' load.
+	takesReports atomic.Bool
 
 	mu               sync.Mutex
 	backoffUntil     map[string]clock.Time // end of the backoff, by address
@@ -78,6 +81,7 @@
 	k := gossip.LocalState{
 		Catalog: c, Proofs: make(map[string]freshness.Proof), Acknowledged: make(map[string]timeline.Position),
 		Confirmations: g.edge.confirmations(c), Unreachable: g.edge.router.UnreachablePeers(),
+		LoadReports: func(services []string) []loadreport.Report { return g.edge.loadReports.share(now, services) },
 	}
 	for _, group := range g.edge.groups.Used() {
 		if p, ok := group.Freshness.Newest(); ok && now.Sub(p.At) < maxProofAge {
@@ -171,7 +175,7 @@
 // Failure guarded against: every proof is sent to every VM, needed there or not, or every pull names
 // all services that a VM uses: bytes that grow with the services, in each of ten pulls a second.
 func (g *gossiper) pullOptions() gossip.PullOptions {
-	q := gossip.PullOptions{Self: g.edge.settings.Node, Known: g.edge.catalog.Load(), Selects: !g.edge.groups.AllUsed(), FullLists: g.wholeLists.Load()}
+	q := gossip.PullOptions{Self: g.edge.settings.Node, Known: g.edge.catalog.Load(), Selects: !g.edge.groups.AllUsed(), FullLists: g.wholeLists.Load(), LoadReports: g.takesReports.Load()}
 	if q.Selects {
 		for _, group := range g.edge.groups.MostRecent(maxProofServices) {
 			q.Services = append(q.Services, group.Service)
@@ -182,6 +186,7 @@
 
 func (g *gossiper) pull(ctx context.Context, vm catalog.VM) {
 	q := g.pullOptions()
+	q.Peer = vm.ID
 	update, err := g.clients.Pull(ctx, vm.Peer, q)
 	now := g.edge.clk.Now()
 	g.outcomes.record(now, vm.ID, err)
@@ -266,6 +271,7 @@
 	if u.Fleet != nil {
 		e.catalog.SetFleet(u.Fleet.VMs, u.Fleet.LeadershipRecords, u.Fleet.Revision)
 	}
+	e.loadReports.apply(u.LoadReports)
 	for addr, at := range u.Unreachable {
 		e.router.RecordUnreachable(addr, at)
 	}
--- /dev/null
+++ b/edge/loadreports.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"slices"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/loadreport"
+	"endivemoor.example/endivemoor/relay"
+	"endivemoor.example/endivemoor/target"
+)
+
+// loadReports passes the reports of targets on between the VMs of a fleet that uses gateways.
+type loadReports struct {
+	edge     *Edge
+	book     *loadreport.Book
+	received prometheus.Counter
+}
+
+func newLoadReports(e *Edge) *loadReports {
+	l := &loadReports{edge: e, book: loadreport.NewBook(), received: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivemoor_load_reports_pulled_total", Help: "Reports of targets under load, received with pulls."})}
+	e.metrics.MustRegister(l.received)
+	return l
+}
+
+// share returns what this VM knows of the targets of the services, or of all if services is nil:
+// what it observes at its own lanes, and what others have reported.
+func (l *loadReports) share(now clock.Time, services []string) []loadreport.Report {
+	c := l.edge.catalog.Load()
+	selected := func(id target.ID) bool {
+		t := c.Targets[id]
+		return t != nil && (services == nil || slices.Contains(services, t.Service))
+	}
+	for id, load := range l.edge.pool.QueuedLoads() {
+		if !selected(id) {
+			continue
+		}
+		r := relay.Observed(id, load, l.edge.relay.Failed(id))
+		r.Reporter, r.Incarnation, r.At = l.edge.settings.Node, c.Targets[id].Incarnation, now
+		l.book.Record(r)
+	}
+	return l.book.Share(now, selected)
+}
+
+func (l *loadReports) apply(all []loadreport.Report) {
+	for _, r := range all {
+		if r.Reporter != l.edge.settings.Node {
+			l.book.Record(r)
+			l.received.Inc()
+		}
+	}
+}
--- a/engine/single.go
+++ b/engine/single.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/statement"
@@ -203,16 +204,20 @@
 	}
 	tried := make(map[target.ID]bool, 3)
 	for {
-		id, only := s.place(g, tried)
+		id, choice := s.place(g, w, tried)
 		if id == "" {
 			return s.giveUp(w, statement.Busy, "no target")
 		}
+		if choice.Full && w.saturated > 0 {
+			s.engine.cfg.Decisions.Count(decisions.Placing, g.Service, refusedByReport, 1)
+			return s.giveUp(w, statement.Busy, "no target has time")
+		}
 		bounds := limits{queue: timeLeft(ctx), answer: s.tryTimeout(ctx, w, id)}
-		if !only {
-			bounds.queue = w.bounds(ctx, 0).QueueTimeout()
+		if !choice.OthersFull {
+			bounds.queue = w.bounds(ctx, 0).QueueTimeout(choice.Wait)
 		}
 		a, result := s.try(ctx, id, w, after, bounds)
-		if only {
+		if choice.Only {
 			s.recordLateRead(g, w, id, result)
 		}
 		if result == done {
@@ -220,7 +225,7 @@
 			return a
 		}
 		tried[id] = true
-		if w.saturated >= triesAtOnce || (only && result == saturated) {
+		if w.saturated >= triesAtOnce || (choice.OthersFull && result == saturated) {
 			return s.giveUp(w, statement.Busy, "no target has time")
 		}
 		if !s.pause(ctx, w) {
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -334,7 +334,7 @@
 	tx.unproven = false
 	if tx.readOnly && tx.route.Freshness != catalog.Exact && proven {
 		tx.leader = tx.group.Leadership.Current()
-		if id, _ := s.place(tx.group, tried); id != "" {
+		if id, _ := s.place(tx.group, w, tried); id != "" {
 			return id, nil
 		}
 	}
--- a/gossip/client.go
+++ b/gossip/client.go
@@ -14,6 +14,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -85,19 +86,23 @@
 	Unreachable map[string]clock.Time
 	// Confirmations are the peer's evidence that its copies of the lists are up to date.
 	Confirmations map[recency.List]recency.Confirmation
+	// LoadReports are the peer's reports of targets.
+	LoadReports []loadreport.Report
 	// Bulks are lists that are too large for the reply; Fetch reads them.
 	Bulks []Bulk
 }
 
 // PullOptions are the parameters of a pull.
 type PullOptions struct {
-	// Self is the name of the VM that pulls.
-	Self string
+	// Self is the name of the VM that pulls, and Peer of the one that it pulls from.
+	Self, Peer string
 	// Known is the catalog of that VM: the peer sends only what is newer.
 	Known *catalog.Catalog
 	// Selects limits the proofs to those of Services.
 	Selects  bool
 	Services []string
+	// LoadReports requests reports of the targets of Services, or of all unless Selects is set.
+	LoadReports bool
 	// FullLists requests full lists instead of changes.
 	FullLists bool
 }
@@ -108,12 +113,16 @@
 	in := &gossippb.PullRequest{
 		Vm: q.Self, ConfigVersion: known.ConfigVersion(), TargetsRevision: known.TargetsRevision, FleetRevision: known.FleetRevision,
 		TargetsDigest: known.TargetsDigest(), FleetDigest: known.FleetDigest(),
-		TakesChanges: !q.FullLists, TakesBulks: true, Selects: q.Selects, Services: q.Services,
+		TakesChanges: !q.FullLists, TakesBulks: true, Selects: q.Selects, Services: q.Services, TakesLoadReports: q.LoadReports,
 	}
 	sent := c.clk.Now()
 	out, err := c.client(addr).Pull(ctx, in)
 	if err != nil {
 		return nil, errors.Wrapf(err, "pull from %s", addr)
 	}
-	return updateOf(out, known, sent), nil
+	update := updateOf(out, known, sent)
+	for _, r := range out.GetLoadReports() {
+		update.LoadReports = append(update.LoadReports, LoadReport(r, q.Peer, sent))
+	}
+	return update, nil
 }
--- a/gossip/server.go
+++ b/gossip/server.go
@@ -13,6 +13,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/internal/terse"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -30,6 +31,8 @@
 	Unreachable map[string]clock.Time
 	// Confirmations are the evidence that the VM's copies of the store's lists are up to date.
 	Confirmations map[recency.List]recency.Confirmation
+	// LoadReports returns the reports to send of the targets of some services, or of all if nil.
+	LoadReports func(services []string) []loadreport.Report
 }
 
 // Source provides this VM's state, and takes revocations.
@@ -74,6 +77,15 @@
 		out.Silences = append(out.Silences, &gossippb.Silence{Peer: addr, AgeUs: uint64(max(now.Sub(at).Microseconds(), 0))})
 	}
 	addConfirmations(out, k.Confirmations, now)
+	if in.GetTakesLoadReports() && k.LoadReports != nil {
+		services := in.GetServices()
+		if !in.GetSelects() {
+			services = nil
+		}
+		for _, r := range k.LoadReports(services) {
+			out.LoadReports = append(out.LoadReports, LoadReportOf(r, now))
+		}
+	}
 	return out, s.addLists(out, in, k.Catalog)
 }
 
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -149,6 +149,10 @@
 	ServiceTime time.Duration
 	// Overloaded is set while requests that would be late are refused.
 	Overloaded bool
+	// Reported is set if the load is known from the VM that holds the connections, and Failed is the
+	// fraction of recent statements there that got no complete answer.
+	Reported bool
+	Failed   float64
 	// Allowance is the number of connections that the lane may retain.
 	Allowance int
 	// Down is set while the lane has no connection because the target is unreachable or the dial
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -106,12 +106,13 @@
 }
 
 // QueueTimeout returns how long a read waits for a connection to one target while it has another
-// choice: half of its objective, so that it can still be answered there in time.
-func (b Bounds) QueueTimeout() time.Duration {
+// choice: half of its objective, so that it can still be answered there in time. Where a wait was
+// reported, which the choice has weighed, the read leaves the queue only if it proves much longer.
+func (b Bounds) QueueTimeout(reported time.Duration) time.Duration {
 	if b.Objective <= 0 {
 		return b.Left / 2
 	}
-	return min(max(b.Objective/2, 2*defaultLatency), b.Left)
+	return min(max(b.Objective/2, 2*defaultLatency, 2*reported), b.Left)
 }
 
 // TransactionTimeout returns how long a statement of an open transaction waits for its answer. It
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -1,7 +1,9 @@
 // Package placing chooses the target of a read. It ranks the candidates by the expected time to the
-// answer: the target's recent latency, multiplied by the number of this VM's requests there, plus
-// the cost of crossing zones. Targets that recently failed, were slow or lagged are detected from
-// the results of requests alone.
+// answer: the wait that a gateway reported, the target's recent latency, multiplied by the number of
+// this VM's requests there, and the cost of crossing zones. Targets that recently failed, were slow
+// or lagged are detected from the results of requests alone.
+//
+// It also bounds how long one try may take; see Bounds.
 //
 // Start with Tracker: record results with Served, Failed and Lagged, and rank with Choose. The
 // package sends no requests, starts no goroutines and reads no clock.
@@ -125,60 +127,14 @@
 
 // decayedLatency returns the latency, decayed towards defaultLatency by its age.
 func (r *record) decayedLatency(now clock.Time) float64 {
-	if r.recordedAt == 0 {
-		return float64(defaultLatency)
-	}
-	keep := math.Exp(-float64(now.Sub(r.recordedAt)) / float64(latencyDecay))
-	return float64(defaultLatency) + (r.latency-float64(defaultLatency))*keep
+	return r.latencyTowards(now, defaultLatency)
 }
 
-// Candidate is a target that may serve a read.
-type Candidate struct {
-	ID target.ID
-	// SameZone is set if the target is in this VM's availability zone.
-	SameZone bool
-	// Primary is set for the target that also serves writes.
-	Primary bool
-	// Down is set if the target is currently unreachable.
-	Down bool
-	// Pending is the number of this VM's requests that are running at the target or wait for a
-	// connection to it.
-	Pending int
-}
-
-// Choose returns the index of the best candidate, or -1 if there is none. Only is set if every
-// other candidate is a last resort.
-//
-// A read that has another choice leaves the queue for a target after the try timeout and tries the
-// other one. Where there is none, such as when both replicas lag, leaving the queue would only lose
-// the read its place.
-func (t *Tracker) Choose(now clock.Time, candidates []Candidate) (best int, only bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	best = -1
-	least, second := math.Inf(1), math.Inf(1)
-	for i := range candidates {
-		cost := t.cost(now, &candidates[i])
-		if cost < least {
-			best, least, second = i, cost, least
-		} else {
-			second = min(second, cost)
-		}
-	}
-	return best, len(candidates) == 1 || (least < float64(lastResortCost) && second >= float64(lastResortCost))
-}
-
-func (t *Tracker) cost(now clock.Time, c *Candidate) float64 {
-	r := t.record(c.ID)
-	cost := r.decayedLatency(now) * float64(1+c.Pending)
-	if !c.SameZone {
-		cost += float64(crossZoneCost)
-	}
-	if c.Primary {
-		cost += float64(primaryCost)
-	}
-	if c.Down || now.Before(r.failedUntil) || now.Before(r.laggingUntil) {
-		cost += float64(lastResortCost)
+// latencyTowards returns the latency, decayed by its age towards the one that others observe.
+func (r *record) latencyTowards(now clock.Time, usual time.Duration) float64 {
+	if r.recordedAt == 0 {
+		return float64(usual)
 	}
-	return cost
+	keep := math.Exp(-float64(now.Sub(r.recordedAt)) / float64(latencyDecay))
+	return float64(usual) + (r.latency-float64(usual))*keep
 }
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -12,8 +12,12 @@
 
 func at(ms int) clock.Time { return clock.Time(time.Duration(ms+1) * time.Millisecond) }
 
+func choose(b *Tracker, now clock.Time, candidates []Candidate) Choice {
+	return b.Choose(now, candidates, 500*time.Millisecond, .5)
+}
+
 func pick(b *Tracker, now clock.Time, candidates ...Candidate) target.ID {
-	i, _ := b.Choose(now, candidates)
+	i := choose(b, now, candidates).Index
 	if i < 0 {
 		return ""
 	}
@@ -88,16 +92,14 @@
 func TestPrimaryIsTheOnlyChoiceWhileReplicasLag(t *testing.T) {
 	b := NewTracker()
 	all := []Candidate{{ID: "p", Primary: true, Pending: 30}, {ID: "r1"}, {ID: "r2"}}
-	_, only := b.Choose(1, all)
-	require.False(t, only)
+	require.False(t, choose(b, 1, all).Only)
 	b.Lagged("r1", 1)
 	b.Lagged("r2", 1)
-	i, only := b.Choose(2, all)
-	require.Equal(t, "p", string(all[i].ID))
-	require.True(t, only)
+	c := choose(b, 2, all)
+	require.Equal(t, "p", string(all[c.Index].ID))
+	require.True(t, c.Only)
 	b.Failed("p", 2)
-	_, only = b.Choose(3, all)
-	require.False(t, only, "reads must not wait for an unresponsive primary")
+	require.False(t, choose(b, 3, all).Only, "reads must not wait for an unresponsive primary")
 }
 
 // A replica that stays behind must be tried less and less often, and after the usual pause again
@@ -108,7 +110,7 @@
 	all := []Candidate{{ID: "p", Primary: true}, {ID: "r"}}
 	for range 1000 {
 		now = now.Add(5 * time.Millisecond)
-		if i, _ := b.Choose(now, all); all[i].ID == "r" {
+		if i := choose(b, now, all).Index; all[i].ID == "r" {
 			tries++
 			b.Lagged("r", now)
 		}
@@ -118,6 +120,5 @@
 	now = now.Add(maxLagPause)
 	b.Served("r", 1, now, defaultLatency)
 	b.Lagged("r", now)
-	i, _ := b.Choose(now.Add(lagPause+1), all)
-	require.Equal(t, "r", string(all[i].ID))
+	require.Equal(t, target.ID("r"), pick(b, now.Add(lagPause+1), all...))
 }
--- /dev/null
+++ b/relay/report_test.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/dispatch"
+	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/loadreport"
+	"endivemoor.example/endivemoor/relay/relaypb"
+	"endivemoor.example/endivemoor/target"
+)
+
+// loaded is a Runner whose target has a load.
+type loaded struct {
+	dispatch.Runner
+	load lane.Load
+}
+
+func (l *loaded) Load(target.ID) lane.Load { return l.load }
+
+// What a gateway sees reaches the VM that sends statements through it with each answer. Failure
+// guarded against: an answer of a gateway that reports nothing, because its program is older, is
+// taken for a report that the target is calm.
+func TestLoadOfATargetReachesTheSender(t *testing.T) {
+	gateway := NewServer(ServerConfig{Clock: fixedClock{}, Groups: noGroups(), Local: &loaded{load: lane.Load{
+		InUse: 7, Queued: 12, ExpectedWait: 300 * time.Millisecond, ServiceTime: 40 * time.Millisecond, Overloaded: true,
+	}}})
+	c := &catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x", Incarnation: 7}}}
+	r := NewRouter(RouterConfig{Clock: fixedClock{}, Reports: loadreport.NewBook(), Statuses: NewStatuses(nil, fixedClock{})})
+	r.Update(gateways.NewAssignment("me", c), c)
+	r.recordReport("x", "g", nil, 1)
+	_, known := r.reported("x", "g", 1, 1)
+	require.False(t, known)
+	sent, err := proto.Marshal(gateway.reply("x", &relaypb.RunRequest{}, nil, &dispatch.SetupError{Cause: errDeclined}))
+	require.NoError(t, err)
+	out := &relaypb.RunReply{}
+	require.NoError(t, proto.Unmarshal(sent, out))
+	require.Equal(t, int32(19), out.GetLoad(), "for VMs that do not use reports")
+	r.recordReport("x", "g", out.GetLoadReport(), 1)
+	load, known := r.reported("x", "g", 2, 1)
+	require.True(t, known)
+	require.Equal(t, lane.Load{Reported: true, InUse: 2, ExpectedWait: 300 * time.Millisecond, ServiceTime: 40 * time.Millisecond, Overloaded: true}, load)
+	gateway.cfg.Local = &loaded{load: lane.Load{InUse: 7, ServiceTime: 40 * time.Millisecond}}
+	_, calm := gateway.report("x")
+	require.Zero(t, proto.Size(calm))
+	r.recordReport("x", "g", calm, 2)
+	load, _ = r.reported("x", "g", 2, 2)
+	require.Equal(t, lane.Load{Reported: true, InUse: 2}, load)
+	require.Equal(t, &gossippb.LoadReport{WaitUs: 80_000, ServiceUs: 40_000}, reportOf(lane.Load{InUse: 3, Parked: 1, Queued: 4, ServiceTime: 40 * time.Millisecond}))
+}
+
+func reportOf(l lane.Load) *gossippb.LoadReport {
+	s := NewServer(ServerConfig{Local: &loaded{load: l}})
+	_, out := s.report("x")
+	return out
+}
+
+// A target that loses a seventh of its answers is reported as such, and forgotten once it answers.
+func TestFailuresOfATarget(t *testing.T) {
+	var f failures
+	for i := range 300 {
+		f.record("x", i%7 == 0)
+		f.record("y", false)
+	}
+	require.InDelta(t, 1.0/7, f.rate("x"), .08)
+	require.Zero(t, f.rate("y"))
+	for range 200 {
+		f.record("x", false)
+	}
+	require.Empty(t, f.byTarget)
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -40,6 +41,8 @@
 	Groups   *groups.Registry
 	Clock    clock.Clock
 	Log      *zap.Logger
+	// Reports holds the gateways' reports; without it, none are used.
+	Reports *loadreport.Book
 	// Dial connects to peers.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -58,6 +61,8 @@
 type catalogAssignment struct {
 	*gateways.Assignment
 	catalog *catalog.Catalog
+	// anyGateway is set if the fleet uses gateways to some target.
+	anyGateway bool
 }
 
 // load is the number of statements that this VM has in flight to a target through gateways, and
@@ -77,7 +82,11 @@
 
 // Update installs a new assignment, computed from the catalog c.
 func (r *Router) Update(p *gateways.Assignment, c *catalog.Catalog) {
-	r.assignment.Store(&catalogAssignment{p, c})
+	installed := &catalogAssignment{Assignment: p, catalog: c}
+	for _, t := range c.Targets {
+		installed.anyGateway = installed.anyGateway || p.UsesGateways(t)
+	}
+	r.assignment.Store(installed)
 	addrs := make(map[string]bool, len(c.VMs))
 	for _, vm := range c.VMs {
 		addrs[vm.Peer] = true
@@ -118,13 +127,21 @@
 
 // Load implements dispatch.Runner.
 func (r *Router) Load(id target.ID) lane.Load {
-	if len(r.route(id, "")) == 0 {
-		return r.cfg.Local.Load(id)
+	route := r.route(id, "")
+	if len(route) == 0 {
+		return r.own(id)
 	}
 	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.load[id]
+	inFlight := 0
+	if l != nil {
+		inFlight = l.inFlight
+	}
+	if reported, ok := r.reported(id, route[0].ID, inFlight, now); ok {
+		return reported
+	}
 	switch {
 	case l == nil:
 		return lane.Load{}
@@ -240,6 +257,7 @@
 		return nil, err
 	}
 	recordEvidence(g, out.GetEvidence(), sent)
+	r.recordReport(id, vm.ID, out.GetLoadReport(), sent.Add(duration(out.GetTookUs())))
 	if out.GetFailure() != nil {
 		return nil, r.recordFailure(g, id, out.GetFailure())
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -41,7 +41,8 @@
 // Server runs other VMs' statements over this VM's own connections. It is safe
 // for concurrent use.
 type Server struct {
-	cfg ServerConfig
+	cfg      ServerConfig
+	failures failures
 
 	mu   sync.Mutex
 	open map[uint64]*openTransaction
@@ -96,7 +97,12 @@
 }
 
 func (s *Server) reply(id target.ID, in *relaypb.RunRequest, r *dispatch.Result, err error) *relaypb.RunReply {
-	out := &relaypb.RunReply{Load: s.load(id), Evidence: s.evidence(in.GetClaim().GetService(), in.GetProofAgeUs())}
+	var lost *dispatch.LostError
+	if answered := err == nil; answered || errors.As(err, &lost) {
+		s.failures.record(id, !answered)
+	}
+	out := &relaypb.RunReply{Evidence: s.evidence(in.GetClaim().GetService(), in.GetProofAgeUs())}
+	out.Load, out.LoadReport = s.report(id)
 	if err != nil {
 		out.Failure = failureOf(err)
 		return out
@@ -105,11 +111,6 @@
 	return out
 }
 
-func (s *Server) load(id target.ID) int32 {
-	l := s.cfg.Local.Load(id)
-	return int32(l.InUse + l.Queued)
-}
-
 // runInTransaction runs a statement of an open transaction, and removes the transaction once it
 // has ended.
 func (s *Server) runInTransaction(ctx context.Context, in *relaypb.RunRequest) (*relaypb.RunReply, error) {
@@ -173,10 +174,11 @@
 	o := &dispatch.Opening{Service: service, Values: values(in.GetValues())}
 	o.Begin.ReadOnly, o.Begin.After = in.GetReadOnly(), position(in.GetAfter())
 	tx, a, err := s.cfg.Local.Open(ctx, id, claim(in.GetClaim(), s.cfg.Clock.Now()), o)
+	load, report := s.report(id)
 	if err != nil {
-		return &relaypb.OpenReply{Failure: failureOf(err), Load: s.load(id)}, nil
+		return &relaypb.OpenReply{Failure: failureOf(err), Load: load, LoadReport: report}, nil
 	}
-	out := &relaypb.OpenReply{Answer: answerOf(a), Load: s.load(id), Evidence: s.evidence(service, in.GetProofAgeUs())}
+	out := &relaypb.OpenReply{Answer: answerOf(a), Load: load, LoadReport: report, Evidence: s.evidence(service, in.GetProofAgeUs())}
 	if tx != nil {
 		out.Transaction = s.add(tx)
 	}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -68,6 +68,7 @@
 	}
 	reported = out.GetLoad()
 	recordEvidence(g, out.GetEvidence(), sent)
+	r.recordReport(id, vm.ID, out.GetLoadReport(), sent)
 	if out.GetFailure() != nil {
 		return nil, nil, r.recordFailure(g, id, out.GetFailure())
 	}
