lane: admission by expected work, order by priority before an overload is declared

Cause: a lane counted the statements that wait, though their work differs fivefold, ordered them by due time alone until late ones had waited for 250 ms, took the average of all statements for the time that each needs, and told all callers that it refused at one moment the same retry-after.

Change: service times are learned by class with their mean deviation, robust against single slow answers; the length of the queue is the expected work of those ahead. Once a request cannot be in time because of the work ahead of it, the operator's priority goes first; in an overload, the shorter kinds of equal priority, with one in sixteen for the longest wait. What cannot be served before its caller times out is refused at arrival, or as soon as that is known; late ones of patient callers are kept for the end of the overload. Return times are assigned by retryafter.Schedule.

overdue_test.go names the average by its new place; its bound is the same.

--- a/lane/conn.go
+++ b/lane/conn.go
@@ -33,6 +33,7 @@
 	idle         clock.Time
 	parked       bool // guarded by the lane's lock, like all fields below
 	acquiredAt   clock.Time
+	class        uint32     // of the statement that it was acquired for
 	runningSince clock.Time // start of the current run, without a park in between
 	wasParked    bool       // since it was acquired
 	overdue      bool       // its statement takes far longer than usual
--- a/lane/drain.go
+++ b/lane/drain.go
@@ -38,14 +38,6 @@
 	}
 }
 
-// statementTimeWeight is the weight of a new duration in the moving average of statement times.
-const statementTimeWeight = 1.0 / 16
-
-// recordStatementTime records how long a statement held its connection.
-func (q *queue) recordStatementTime(d time.Duration) {
-	q.statementTime += time.Duration(statementTimeWeight * float64(d-q.statementTime))
-}
-
 // after returns the estimated time until the given number of requests is served; 0 if not known.
 func (d *drain) after(requests int) time.Duration {
 	if d.samples < drainSamples {
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -12,6 +12,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/retryafter"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -118,6 +119,7 @@
 	unparking    queue              // transactions that wait to run their next statement
 	controlQueue queue              // control commands
 	drain        drain
+	returns      retryafter.Schedule // of refused callers
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
@@ -162,8 +164,8 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.drain.after(l.waiting.Len()),
-		ServiceTime: l.waiting.statementTime, Overloaded: l.waiting.overloaded, Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.backlog(),
+		ServiceTime: l.waiting.times.average.mean, Overloaded: l.waiting.overloaded(), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
 
@@ -187,17 +189,16 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
-			l.begin(c, now)
+			l.begin(c, o.Class, now)
 			l.mu.Unlock()
 			return c, nil
 		}
 	}
-	if l.wouldBeLate(now, o) {
-		err := l.overloadedError()
+	w := &waiter{opts: o, ready: make(chan delivery, 1)}
+	if err := l.admit(now, w, timeout); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{opts: o, ready: make(chan delivery, 1)}
 	l.waiting.push(w)
 	l.serve(now)
 	l.grow(now)
--- a/lane/overdue.go
+++ b/lane/overdue.go
@@ -20,7 +20,7 @@
 // it. Where a VM may run one statement at a time, all later statements for the target would wait
 // until this one times out, although the target finished it long before or holds no slot for it.
 func (l *Lane) markOverdue(now clock.Time) {
-	after := max(minOverdue, overdueFactor*l.waiting.statementTime)
+	after := max(minOverdue, overdueFactor*l.waiting.times.average.mean)
 	for c := range l.busy {
 		if !c.parked && now.Sub(c.runningSince) > after {
 			l.setOverdue(c, true)
--- a/lane/overdue_test.go
+++ b/lane/overdue_test.go
@@ -71,6 +71,6 @@
 		c, err := l.control(context.Background(), time.Second)
 		require.NoError(t, err)
 		c.Release()
-		require.Less(t, l.waiting.statementTime, 10*time.Millisecond)
+		require.Less(t, l.waiting.times.average.mean, 10*time.Millisecond)
 	})
 }
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/bits"
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
@@ -23,16 +24,34 @@
 }
 
 // before reports whether a request takes precedence over another one.
-func (o AcquireOptions) before(b AcquireOptions, byPriority bool) bool {
-	if byPriority && o.Priority != b.Priority {
-		return o.Priority < b.Priority
+func (w *waiter) before(b *waiter, by order) bool {
+	if by >= byPriority && w.opts.Priority != b.opts.Priority {
+		return w.opts.Priority < b.opts.Priority
 	}
-	if o.Due != b.Due {
-		return o.Due.Before(b.Due)
+	if by >= byWork && w.size() != b.size() {
+		return w.size() < b.size()
 	}
-	return o.Priority < b.Priority
+	if w.opts.Due != b.opts.Due {
+		return w.opts.Due.Before(b.opts.Due)
+	}
+	return w.opts.Priority < b.opts.Priority
 }
 
+// size returns the magnitude of the request's expected work. Work that differs less than twofold is
+// not told apart, because the estimates move by as much.
+func (w *waiter) size() int { return bits.Len64(uint64(w.work / time.Millisecond)) }
+
+// order is what the order of the requests in time is decided by.
+type order uint8
+
+const (
+	byDue order = iota
+	// byPriority is by priority, then by due time.
+	byPriority
+	// byWork is by priority, then by the magnitude of the expected work, then by due time.
+	byWork
+)
+
 type delivery struct {
 	conn *Conn
 	err  error
@@ -44,6 +63,13 @@
 	held  *Conn // of a transaction that waits to run its next statement
 	in    *waiters
 	index int
+
+	// Set when the request is queued: its expected service time, and until when it must get its
+	// connection to be answered in time.
+	arrived clock.Time
+	expires clock.Time
+	work    time.Duration
+	startBy clock.Time
 }
 
 // queue holds the waiting requests. Requests that can still meet their objective are served first,
@@ -55,11 +81,18 @@
 // it was due. A late answer is of less use to its caller at any time; among the late requests the
 // one due last has the most time left until its caller times out.
 //
-// If late requests wait and none has been served for starvedAfter, the target is overloaded. Until
-// the backlog of requests in time has shrunk below overloadEndBacklog, late requests are refused,
-// and so are new requests that would be late. Requests in time are then ordered by the operator's
-// priority first: ordered by due time alone, short requests that are due soon would meet a long
-// queue of others and be refused, and those with the longest objectives would be served.
+// The queue is pressed once a request arrives that would be in time but for the work ahead of it.
+// Requests in time are then ordered by the operator's priority first: ordered by due time alone,
+// short requests that are due soon would meet a long queue of others and be late, and those with
+// the longest objectives would be served.
+//
+// If late requests wait and none has been served for starvedAfter, the target is overloaded. Of
+// equal priority, those of less work go first then, because more of them can be in time; so that the
+// others are not starved, one in fairTurn goes to the request that has waited for longest. Late
+// requests are refused, as are new ones that would be late, unless their callers can wait for as
+// long again as the queue has been pressed.
+//
+// Both states end when the work of the requests in time has shrunk below overloadEndBacklog.
 //
 // All this applies only if requests wait in this queue for a slot of the target (detectsLate). A
 // lane that may fill the target's own queue, which is first come, first served, cannot predict
@@ -67,38 +100,67 @@
 type queue struct {
 	inTime, late waiters
 	detectsLate  bool
-	// statementTime is the average time that the target takes for a statement, its own queue
-	// included. A request that gets its connection with less time than this left before it is due
-	// is answered late.
-	statementTime time.Duration
+	// times are how long the target takes for a statement, its own queue included. A request that
+	// gets its connection with less time than this left before it is due is answered late.
+	times serviceTimes
 	// lateServed is when a late request was last served, or when the first of the waiting ones
 	// became late.
 	lateServed clock.Time
-	overloaded bool
+	// pressedSince is when the queue was last pressed.
+	pressedSince clock.Time
+	// turn counts the requests in time that were served.
+	turn int
 }
 
-// starvedAfter is how long no late request must have been served for the target to count as
-// overloaded. A burst that is short compared with the objectives of 150 to 500 ms passes by itself.
-const starvedAfter = 250 * time.Millisecond
+const (
+	// starvedAfter is how long no late request must have been served for the target to count as
+	// overloaded. A burst that is short compared with the objectives of 150 to 500 ms passes by
+	// itself.
+	starvedAfter = 250 * time.Millisecond
+	// fairTurn bounds the wait of costly requests while short ones go first.
+	fairTurn = 16
+)
 
-// ahead returns the number of waiting requests that take precedence over a request.
-func (q *queue) ahead(o AcquireOptions) int {
-	n := 0
-	for _, w := range q.inTime.all {
-		if !o.before(w.opts, q.inTime.byPriority) {
+// ahead returns the number and the expected work of the waiting requests that take precedence over
+// a request.
+func (q *queue) ahead(w *waiter) (n int, work time.Duration) {
+	for _, other := range q.inTime.all {
+		if !w.before(other, q.inTime.by) {
 			n++
+			work += other.work
 		}
 	}
-	return n
+	return n, work
 }
 
-// setOverloaded records whether the target is overloaded.
-func (q *queue) setOverloaded(overloaded bool) {
-	q.overloaded = overloaded
-	if q.inTime.byPriority != overloaded {
-		q.inTime.byPriority = overloaded
-		heap.Init(&q.inTime)
+// setOrder sets the order of the requests in time. The queue is overloaded while it is byWork.
+func (q *queue) setOrder(now clock.Time, by order) {
+	if q.inTime.by == by {
+		return
+	}
+	if q.inTime.by == byDue {
+		q.pressedSince = now
 	}
+	q.inTime.by = by
+	heap.Init(&q.inTime)
+}
+
+// pressed reports whether some request cannot be in time because of the work ahead of it.
+func (q *queue) pressed() bool { return q.inTime.by >= byPriority }
+
+// overloaded reports whether late requests are not served.
+func (q *queue) overloaded() bool { return q.inTime.by == byWork }
+
+// expect sets what is expected of a request that arrives now and may wait until the timeout.
+func (q *queue) expect(w *waiter, now clock.Time, timeout time.Duration) {
+	mean, deviation := q.times.of(now, w.opts.Class)
+	w.arrived, w.expires, w.work, w.startBy = now, now.Add(timeout), mean, w.opts.Due.Add(-mean-deviation)
+}
+
+// outlasts reports whether a late request's caller may still wait when the overload ends: one that
+// has lasted for some time is expected to last as long again.
+func (q *queue) outlasts(w *waiter, now clock.Time) bool {
+	return w.expires.Sub(now) > now.Sub(q.pressedSince)+w.work
 }
 
 // Len returns the number of waiting requests.
@@ -114,8 +176,9 @@
 
 // next removes and returns the first request for which fits returns true; nil if there is none.
 func (q *queue) next(now clock.Time, fits func(*waiter) bool) *waiter {
-	for w := q.inTime.take(fits); w != nil; w = q.inTime.take(fits) {
-		if !q.detectsLate || w.opts.Due.After(now.Add(q.statementTime)) {
+	for w := q.takeInTime(fits); w != nil; w = q.takeInTime(fits) {
+		if !q.detectsLate || now.Before(w.startBy) {
+			q.turn++
 			return w
 		}
 		if q.late.Len() == 0 {
@@ -130,6 +193,23 @@
 	return w
 }
 
+// takeInTime removes and returns the request in time whose turn it is.
+func (q *queue) takeInTime(fits func(*waiter) bool) *waiter {
+	if !q.overloaded() || q.turn%fairTurn != 0 {
+		return q.inTime.take(fits)
+	}
+	var longest *waiter
+	for _, w := range q.inTime.all {
+		if (longest == nil || w.arrived.Before(longest.arrived)) && fits(w) {
+			longest = w
+		}
+	}
+	if longest != nil {
+		longest.remove()
+	}
+	return longest
+}
+
 // first returns the first request for which fits returns true without removing it.
 func (q *queue) first(fits func(*waiter) bool) *waiter {
 	if w := q.inTime.best(fits); w != nil {
@@ -150,19 +230,24 @@
 	return out
 }
 
-// shedLate removes and returns the late requests if the target is overloaded. It also detects the
-// start of an overload.
+// shedLate removes and returns the late requests that are refused: those that can no longer be served
+// before their callers time out, and those that are not expected to be because the target is
+// overloaded. It also detects the start of an overload.
 func (q *queue) shedLate(now clock.Time) []*waiter {
 	if q.late.Len() > 0 && now.Sub(q.lateServed) > starvedAfter {
-		q.setOverloaded(true)
+		q.setOrder(now, byWork)
 	}
-	if !q.overloaded {
-		return nil
+	if q.overloaded() {
+		q.moveLate(now)
 	}
-	q.moveLate(now)
 	var out []*waiter
-	for q.late.Len() > 0 {
-		out = append(out, heap.Pop(&q.late).(*waiter))
+	for _, w := range q.late.all {
+		if !now.Add(w.work).Before(w.expires) || q.overloaded() && !q.outlasts(w, now) {
+			out = append(out, w)
+		}
+	}
+	for _, w := range out {
+		w.remove()
 	}
 	return out
 }
@@ -172,7 +257,7 @@
 func (q *queue) moveLate(now clock.Time) {
 	var late []*waiter
 	for _, w := range q.inTime.all {
-		if !w.opts.Due.After(now.Add(q.statementTime)) {
+		if !now.Before(w.startBy) {
 			late = append(late, w)
 		}
 	}
@@ -192,10 +277,12 @@
 }
 
 // waiters is a heap of requests: by due time, latest first (latestDueFirst), or by priority first
-// (byPriority).
+// (by).
 type waiters struct {
-	all                        []*waiter
-	latestDueFirst, byPriority bool
+	all            []*waiter
+	latestDueFirst bool
+	by             order
+	work           time.Duration // of all
 }
 
 var _ heap.Interface = (*waiters)(nil)
@@ -236,11 +323,11 @@
 
 // Less implements heap.Interface.
 func (h *waiters) Less(i, j int) bool {
-	a, b := h.all[i].opts, h.all[j].opts
-	if h.latestDueFirst && a.Due != b.Due {
-		return b.Due.Before(a.Due)
+	a, b := h.all[i], h.all[j]
+	if h.latestDueFirst && a.opts.Due != b.opts.Due {
+		return b.opts.Due.Before(a.opts.Due)
 	}
-	return a.before(b, h.byPriority)
+	return a.before(b, h.by)
 }
 
 // Swap implements heap.Interface.
@@ -254,6 +341,7 @@
 	w := x.(*waiter)
 	w.in, w.index = h, len(h.all)
 	h.all = append(h.all, w)
+	h.work += w.work
 }
 
 // Pop implements heap.Interface.
@@ -262,6 +350,7 @@
 	w := h.all[n]
 	h.all[n] = nil
 	h.all = h.all[:n]
+	h.work -= w.work
 	w.in = nil
 	return w
 }
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"endivemoor.example/endivemoor/clock"
 )
 
@@ -69,17 +67,10 @@
 	}
 	for l.waiting.Len() > 0 && l.mayRun() && l.serveOne(now) {
 	}
-	if l.drain.after(l.waiting.inTime.Len()) < overloadEndBacklog {
-		l.waiting.setOverloaded(false)
-	}
-	late := l.waiting.shedLate(now)
-	if len(late) == 0 {
-		return
-	}
-	err := l.overloadedError()
-	for _, w := range late {
-		w.ready <- delivery{err: err}
+	if l.expectedWait(l.waiting.inTime.work, l.waiting.inTime.Len()) < overloadEndBacklog {
+		l.waiting.setOrder(now, byDue)
 	}
+	l.shed(now)
 }
 
 // serveOne assigns an idle connection to the first waiting request of a workspace that has one;
@@ -96,35 +87,20 @@
 		l.waiting.push(w)
 		return true
 	}
-	l.begin(c, now)
+	l.begin(c, w.opts.Class, now)
 	l.drain.recordServed(now, l.waiting.Len() > 0)
 	w.ready <- delivery{conn: c}
 	return true
 }
 
-// wouldBeLate reports whether the target is overloaded and a request that is queued now would miss
-// its objective.
-func (l *Lane) wouldBeLate(now clock.Time, o AcquireOptions) bool {
-	if !l.waiting.overloaded {
-		return false
-	}
-	wait := l.drain.after(l.waiting.ahead(o) + 1)
-	return wait > 0 && now.Add(wait+l.waiting.statementTime).After(o.Due)
-}
-
-// overloadedError returns the refusal of a request that cannot be served in time.
-func (l *Lane) overloadedError() error {
-	return &UnavailableError{Target: l.id, RetryAfter: l.drain.after(l.waiting.Len() + 1), Cause: errors.New("more is asked than the target can do")}
-}
-
 // mayRun reports whether one more statement may be sent to the target. The target's own queue is
 // first come, first served; so only as many statements are sent as keep its slots busy, and further
 // requests wait in this VM's queue, ordered by urgency.
 func (l *Lane) mayRun() bool { return l.maxRunning == 0 || l.inUse-l.parked-l.overdue < l.maxRunning }
 
 // begin records that a statement has acquired the connection.
-func (l *Lane) begin(c *Conn, now clock.Time) {
-	c.acquiredAt, c.runningSince, c.wasParked = now, now, false
+func (l *Lane) begin(c *Conn, class uint32, now clock.Time) {
+	c.class, c.acquiredAt, c.runningSince, c.wasParked = class, now, now, false
 	l.busy[c] = struct{}{}
 }
 
@@ -183,7 +159,8 @@
 	defer l.mu.Unlock()
 	l.end(c)
 	if c.acquiredAt != 0 && !c.wasParked {
-		l.waiting.recordStatementTime(l.clk.Now().Sub(c.acquiredAt))
+		now := l.clk.Now()
+		l.waiting.times.record(now, c.class, now.Sub(c.acquiredAt))
 	}
 	l.putIdle(c)
 }
