lane: workspaces get a target's slots by weight while not all can be in time

Cause: a lane ordered the requests of all workspaces by due time alone. One that asks for many times its limit fills the queue, and requests of others that ask for little are late or refused.

Change: while a queue is pressed, slots and new connections go by start-time fair queueing, with the limits as weights. Connections that rest in transactions count as statements in progress. A request is admitted by the work ahead of it in its own workspace. Lanes without workspaces are unaffected.

--- a/lane/admit.go
+++ b/lane/admit.go
@@ -15,6 +15,7 @@
 	outcomePressed      = "pressed"
 	outcomeRefused      = "refused-at-arrival"
 	outcomeRefusedLater = "refused-waiting"
+	outcomeByShare      = "served-by-share"
 )
 
 // maxReturnTime is the longest retry-after: an estimate further ahead says little.
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -303,6 +303,13 @@
 	l.waiting.detectsLate = s.MaxRunning > 0
 }
 
+// setWeights sets the weights of the workspaces' shares.
+func (l *Lane) setWeights(w *weights) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting.shares.weights = w
+}
+
 // unused reports whether the lane has no connection and none was requested for unusedAfter. No
 // request waits then: requests time out much sooner.
 func (l *Lane) unused() bool {
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -37,6 +37,7 @@
 	lanes   map[target.ID]*Lane
 	targets map[target.ID]*catalog.Target
 	share   func(t *catalog.Target) gateways.Share
+	weights *weights // of the workspaces
 }
 
 // NewPool returns a Pool that opens links with the Dialer that dial returns for a target.
@@ -47,17 +48,19 @@
 // Update applies a catalog: the lanes of removed targets are closed, and every other lane gets this
 // VM's share of its target's connections. It must be called by one goroutine only.
 func (p *Pool) Update(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) {
-	for id, l := range p.adopt(c, share) {
+	weights := newWeights(c.Config)
+	for id, l := range p.adopt(c, share, weights) {
 		l.setShare(share(c.Targets[id]))
+		l.setWeights(weights)
 	}
 }
 
 // adopt stores the catalog's targets and returns the remaining lanes. The caller computes their
 // shares after the lock is released, because this takes longer than requests should wait.
-func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) map[target.ID]*Lane {
+func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights) map[target.ID]*Lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targets, p.share = c.Targets, share
+	p.targets, p.share, p.weights = c.Targets, share, weights
 	for id, l := range p.lanes {
 		if t := c.Targets[id]; t == nil || !l.leadsTo(t) {
 			l.close()
@@ -90,6 +93,7 @@
 	if l = p.lanes[id]; l == nil && t != nil {
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
 		l.target, l.decisions = t, p.Decisions
+		l.setWeights(p.weights)
 		p.lanes[id] = l
 	}
 	return l
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -108,6 +108,8 @@
 	lateServed clock.Time
 	// pressedSince is when the queue was last pressed.
 	pressedSince clock.Time
+	// shares are the workspaces' shares of the target.
+	shares shares
 	// turn counts the requests in time that were served.
 	turn int
 }
@@ -124,6 +126,9 @@
 // ahead returns the number and the expected work of the waiting requests that take precedence over
 // a request.
 func (q *queue) ahead(w *waiter) (n int, work time.Duration) {
+	if q.sharesOut() {
+		return q.aheadByShare(w)
+	}
 	for _, other := range q.inTime.all {
 		if !w.before(other, q.inTime.by) {
 			n++
@@ -140,6 +145,7 @@
 	}
 	if q.inTime.by == byDue {
 		q.pressedSince = now
+		q.shares.clear()
 	}
 	q.inTime.by = by
 	heap.Init(&q.inTime)
@@ -193,10 +199,16 @@
 	return w
 }
 
-// takeInTime removes and returns the request in time whose turn it is.
-func (q *queue) takeInTime(fits func(*waiter) bool) *waiter {
-	if !q.overloaded() || q.turn%fairTurn != 0 {
-		return q.inTime.take(fits)
+// longestFirst reports whether it is the turn of the request that has waited for longest.
+func (q *queue) longestFirst() bool { return q.overloaded() && q.turn%fairTurn == 0 }
+
+// bestInTime returns the request in time whose turn it is.
+func (q *queue) bestInTime(fits func(*waiter) bool) *waiter {
+	if q.sharesOut() {
+		return q.bestByShare(fits)
+	}
+	if !q.longestFirst() {
+		return q.inTime.best(fits)
 	}
 	var longest *waiter
 	for _, w := range q.inTime.all {
@@ -204,15 +216,21 @@
 			longest = w
 		}
 	}
-	if longest != nil {
-		longest.remove()
-	}
 	return longest
 }
 
+// takeInTime removes and returns the result of bestInTime.
+func (q *queue) takeInTime(fits func(*waiter) bool) *waiter {
+	w := q.bestInTime(fits)
+	if w != nil {
+		w.remove()
+	}
+	return w
+}
+
 // first returns the first request for which fits returns true without removing it.
 func (q *queue) first(fits func(*waiter) bool) *waiter {
-	if w := q.inTime.best(fits); w != nil {
+	if w := q.bestInTime(fits); w != nil {
 		return w
 	}
 	return q.late.best(fits)
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 )
 
 // putIdle makes a connection in use idle, or closes it if it is not to be retained, and serves the
@@ -63,6 +64,7 @@
 	for l.unparking.Len() > 0 && l.mayRun() {
 		w := l.unparking.next(now, anyone)
 		l.setParked(w.held, false)
+		l.charge(w.held.workspace, l.waiting.times.average.mean)
 		w.ready <- delivery{conn: w.held}
 	}
 	for l.waiting.Len() > 0 && l.mayRun() && l.serveOne(now) {
@@ -88,6 +90,7 @@
 		return true
 	}
 	l.begin(c, w.opts.Class, now)
+	l.charge(w.opts.Workspace, w.work)
 	l.drain.recordServed(now, l.waiting.Len() > 0)
 	w.ready <- delivery{conn: c}
 	return true
@@ -129,6 +132,7 @@
 	}
 	if l.mayRun() {
 		l.setParked(c, false)
+		l.charge(c.workspace, l.waiting.times.average.mean)
 		l.mu.Unlock()
 		return nil
 	}
@@ -149,8 +153,18 @@
 	if parked {
 		c.wasParked = true
 		l.parked++
+		l.waiting.shares.rest(c.workspace, 1)
 	} else {
 		l.parked--
+		l.waiting.shares.rest(c.workspace, -1)
+	}
+}
+
+// charge records that a workspace's statement has got a slot, if slots are given by shares.
+func (l *Lane) charge(workspace string, work time.Duration) {
+	if workspace != "" && l.waiting.pressed() {
+		l.waiting.shares.charge(workspace, work)
+		l.decisions.Count(decisions.Queue, string(l.id), outcomeByShare, 1)
 	}
 }
 
