lane: no return time beyond the longest one

retryafter.Schedule returns no time at all to a caller whose first possible return lies beyond its own, and an UnavailableError without one counts against the target's health. The first return time is therefore bounded by the longest.

--- a/lane/admit.go
+++ b/lane/admit.go
@@ -82,7 +82,8 @@
 // serves requests.
 func (l *Lane) overloadedError(now clock.Time, o AcquireOptions) error {
 	t := retryafter.Terms{
-		First: max(l.backlog(), time.Millisecond), Interval: l.expectedWait(l.waiting.times.average.mean, 1), Max: maxReturnTime,
+		First:    min(max(l.backlog(), time.Millisecond), maxReturnTime),
+		Interval: l.expectedWait(l.waiting.times.average.mean, 1), Max: maxReturnTime,
 	}
 	return &UnavailableError{Target: l.id, RetryAfter: l.returns.Next(now, o.Priority, t), Cause: errors.New("more is asked than the target can do")}
 }
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -105,10 +105,11 @@
 	dialing      int
 	dialsFor     map[string]int // by workspace
 	waiting      queue
-	refusedUntil clock.Time // until when no further connection is opened
-	downUntil    clock.Time // until when the target is not dialed again
-	downCause    error      // nil unless the target is known to be unreachable
-	dialSince    clock.Time // start of the oldest dial in progress
+	returns      retryafter.Schedule // of refused callers
+	refusedUntil clock.Time          // until when no further connection is opened
+	downUntil    clock.Time          // until when the target is not dialed again
+	downCause    error               // nil unless the target is known to be unreachable
+	dialSince    clock.Time          // start of the oldest dial in progress
 	closed       bool
 	lastUsed     clock.Time // when a connection was last requested
 	inUse        int
@@ -119,7 +120,6 @@
 	unparking    queue              // transactions that wait to run their next statement
 	controlQueue queue              // control commands
 	drain        drain
-	returns      retryafter.Schedule // of refused callers
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
