--- a/lane/queue.go
+++ b/lane/queue.go
@@ -13,7 +13,7 @@
 	// Due is the time by which the answer must be sent to meet the objective.
 	Due clock.Time
 	// Priority is set by the operator; 0 is the highest. It breaks ties, and takes precedence over
-	// Due at an overloaded target.
+	// Due while not all requests can be in time.
 	Priority int
 	// Workspace is the workspace that the request belongs to; empty if none. Only a connection that
 	// was opened for the workspace serves it.
@@ -64,12 +64,10 @@
 	in    *waiters
 	index int
 
-	// Set when the request is queued: its expected service time, and until when it must get its
-	// connection to be answered in time.
 	arrived clock.Time
-	expires clock.Time
-	work    time.Duration
-	startBy clock.Time
+	expires clock.Time    // when its caller waits no longer
+	work    time.Duration // expected service time
+	startBy clock.Time    // until when it must get its connection to be answered in time
 }
 
 // queue holds the waiting requests. Requests that can still meet their objective are served first,
@@ -294,8 +292,7 @@
 	return true
 }
 
-// waiters is a heap of requests: by due time, latest first (latestDueFirst), or by priority first
-// (by).
+// waiters is a heap of requests, in an order or by due time, latest first.
 type waiters struct {
 	all            []*waiter
 	latestDueFirst bool
