--- a/lane/lane.go
+++ b/lane/lane.go
@@ -12,6 +12,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/retryafter"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -104,10 +105,11 @@
 	dialing      int
 	dialsFor     map[string]int // by workspace
 	waiting      queue
-	refusedUntil clock.Time // until when no further connection is opened
-	downUntil    clock.Time // until when the target is not dialed again
-	downCause    error      // nil unless the target is known to be unreachable
-	dialSince    clock.Time // start of the oldest dial in progress
+	returns      retryafter.Schedule // of refused callers
+	refusedUntil clock.Time          // until when no further connection is opened
+	downUntil    clock.Time          // until when the target is not dialed again
+	downCause    error               // nil unless the target is known to be unreachable
+	dialSince    clock.Time          // start of the oldest dial in progress
 	closed       bool
 	lastUsed     clock.Time // when a connection was last requested
 	inUse        int
@@ -169,8 +171,8 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.drain.after(l.waiting.Len()),
-		ServiceTime: l.waiting.statementTime, Overloaded: l.waiting.overloaded, Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.backlog(),
+		ServiceTime: l.waiting.times.average.mean, Overloaded: l.waiting.overloaded(), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
 
@@ -194,17 +196,16 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
-			l.begin(c, now)
+			l.begin(c, o.Class, now)
 			l.mu.Unlock()
 			return c, nil
 		}
 	}
-	if l.wouldBeLate(now, o) {
-		err := l.overloadedError()
+	w := &waiter{opts: o, ready: make(chan delivery, 1)}
+	if err := l.admit(now, w, timeout); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{opts: o, ready: make(chan delivery, 1)}
 	l.waiting.push(w)
 	l.serve(now)
 	l.grow(now)
@@ -305,6 +306,13 @@
 	l.waiting.detectsLate = s.MaxRunning > 0
 }
 
+// setWeights sets the weights of the workspaces' shares.
+func (l *Lane) setWeights(w *weights) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting.shares.weights = w
+}
+
 // unused reports whether the lane has no connection and none was requested for unusedAfter. No
 // request waits then: requests time out much sooner.
 func (l *Lane) unused() bool {
