engine: refuse early by cause, spread returns, budget repeats, drop reads of consumers who left

A trace of the phases shows that these did not wait for a primary: a bounded-staleness read without evidence waits up to 0.6 s for a refresh, which no phase counted, and is then refused by the breaker. The breaker counted an outage from the end of the first wait (after the whole statement timeout), for all causes together. Refusals had constant return times; a refused read was sent to three targets and again without a bound; reads of consumers who had left stayed in queues here and at gateways (20 of 20 run for nobody in the test). An exact read stayed in the queue of a dead primary until its deadline.

Change, in fleets that use gateways for the service (elsewhere as before): - groups.Breaker by cause, from the beginning of the first wait, with a learned usual duration; stalls concern writes only; evidence has a cause of its own; - the first request of an outage waits as before, later ones a third of their statement timeout, so that callers have time for other VMs; while a change of primary is under way nobody is refused at once; - an exact read leaves the queue of a primary that was replaced; - a budget for repeats by service, half of it for targets that were not tried. Everywhere: return times through retryafter (no primary, breaker, no target, no configuration), the phase "evidence", and reads of consumers who left are dropped.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -43,7 +43,8 @@
 	case g.Leadership.Current().Primary != id || g.BeingReplaced(id):
 		return &lane.UnavailableError{Target: id, Expired: true, Cause: errReplaced}
 	default:
-		g.Breaker.Failed(l.Clock.Now())
+		now := l.Clock.Now()
+		g.Breaker.Failed(now, now, groups.Stalled)
 		return &lane.UnavailableError{Target: id, RetryAfter: stalledRetryAfter, Cause: errStalled}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -171,6 +171,7 @@
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
+		UsesGateways: e.router.UsesGatewaysFor,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -136,7 +135,7 @@
 		case err == nil && expired:
 			answer, expired = session.Expired(), false
 		case err == nil:
-			answer = session.Handle(context.Background(), &st)
+			answer = handle(c, session, &st)
 		case wait.IsTimeout(err) && s.closing.Load():
 			if s.aborting.Load() && session.State() == statement.InTransaction {
 				session.Expire()
@@ -161,6 +160,12 @@
 	}
 }
 
+func handle(c *line.Consumer, session *engine.Session, st *statement.Statement) *statement.Answer {
+	ctx, end := whileConnected(c)
+	defer end()
+	return session.Handle(ctx, st)
+}
+
 // mayClose reports whether a session can be closed between two operations because this VM is
 // leaving.
 func (s *sessions) mayClose(c *line.Consumer, session *engine.Session) bool {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,9 @@
 	Zone string
 	// Limiter bounds the operations of workspaces.
 	Limiter Limiter
+	// UsesGateways reports whether the fleet reaches a service's targets through gateways; nil means
+	// that it does not.
+	UsesGateways func(service string) bool
 	// Decisions counts the engine's decisions; it may be nil.
 	Decisions *decisions.Recorder
 }
@@ -47,14 +51,22 @@
 // Engine opens sessions. It is safe for concurrent use.
 type Engine struct {
 	cfg Config
+	// unconfigured assigns the return times of callers that are refused before there is a
+	// configuration.
+	unconfigured groups.Returns
 }
 
 // New returns an Engine.
 func New(cfg Config) *Engine { return &Engine{cfg: cfg} }
 
-// unconfiguredRetryAfter is the retry-after of a VM that has no configuration yet: about the
-// interval at which it retries the store.
-const unconfiguredRetryAfter = 500 * time.Millisecond
+const (
+	// unconfiguredRetryAfter is the shortest retry-after of a VM that has no configuration yet: about
+	// the interval at which it retries the store.
+	unconfiguredRetryAfter = 500 * time.Millisecond
+	// maxUnconfiguredRetryAfter is the longest one. It is not known how much time such a caller has:
+	// its route is part of the configuration.
+	maxUnconfiguredRetryAfter = 2 * time.Second
+)
 
 // Open returns a session, or an answer that refuses it.
 //
@@ -64,7 +76,9 @@
 func (e *Engine) Open(database string, key catalog.KeyDigest) (*Session, *statement.Answer) {
 	c := e.cfg.Catalog.Load()
 	if c.Config == nil {
-		return nil, refuse(statement.Busy, unconfiguredRetryAfter, "come back: this VM has no configuration yet", statement.Idle)
+		after := e.unconfigured.Next(e.cfg.Clock.Now(), 0, unconfiguredRetryAfter, maxUnconfiguredRetryAfter, rand.Float64())
+		e.cfg.Decisions.Count(decisions.Refusal, "sessions", "unconfigured", 1)
+		return nil, refuse(statement.Busy, after, "come back: this VM has no configuration yet", statement.Idle)
 	}
 	s := &Session{engine: e, database: database, key: key}
 	if _, _, refused := s.lookUp(); refused != nil {
--- a/engine/phases.go
+++ b/engine/phases.go
@@ -27,10 +27,12 @@
 	phasePause
 	// phaseLimit is the wait for the limiter's decision.
 	phaseLimit
+	// phaseEvidence is the wait for evidence of how fresh the replicas are.
+	phaseEvidence
 	phases
 )
 
-var phaseNames = [phases]string{"primary", "queue", "target", "lost-answer", "proof", "retry", "limit"}
+var phaseNames = [phases]string{"primary", "queue", "target", "lost-answer", "proof", "retry", "limit", "evidence"}
 
 // phaseTimes is the time that a statement has spent in each phase.
 type phaseTimes [phases]time.Duration
--- a/engine/session.go
+++ b/engine/session.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/statement"
@@ -44,7 +45,8 @@
 }
 
 // Handle serves one statement and returns its answer, which is never nil. It logs each failure with
-// the request's id.
+// the request's id. The context ends once the consumer has left; a read is then dropped from queues.
+// A write or a transaction is not: it may have been sent.
 func (s *Session) Handle(ctx context.Context, st *statement.Statement) *statement.Answer {
 	arrived := s.engine.cfg.Clock.Now()
 	a := s.handle(ctx, st)
@@ -64,7 +66,7 @@
 	case statement.Begin:
 		return s.begin(st)
 	case statement.Commit:
-		return s.commit(ctx, st)
+		return s.commit(context.WithoutCancel(ctx), st)
 	case statement.Rollback:
 		return s.rollback()
 	case statement.Set:
@@ -130,7 +132,10 @@
 		w.writes = w.prepared.Writes
 	}
 	if s.state == statement.InTransaction {
-		return s.runInTransaction(ctx, w)
+		return s.runInTransaction(context.WithoutCancel(ctx), w)
+	}
+	if w.writes {
+		ctx = context.WithoutCancel(ctx)
 	}
 	route, caller, refused := s.lookUp()
 	if refused != nil {
@@ -138,6 +143,9 @@
 	}
 	w.route, w.caller = route, caller
 	a := s.runSingle(ctx, w)
+	if hasLeft(ctx) {
+		s.engine.cfg.Decisions.Count(decisions.Refusal, route.Service, "consumer-left", 1)
+	}
 	s.logLateOrFailed(w, a)
 	s.countWorkspace(w, a)
 	s.engine.cfg.Metrics.done(route, w, a, s.engine.cfg.Clock.Now())
@@ -154,13 +162,16 @@
 	return a
 }
 
-// floor returns the position that the log must have reached for a read on the route; false if there
-// is no evidence for it, even after a refresh.
-func (s *Session) floor(ctx context.Context, g *groups.Group, route *catalog.Route) (timeline.Position, bool) {
+// floor returns the position that the log must have reached for a read; false if there is no evidence
+// for it, even after a refresh.
+func (s *Session) floor(ctx context.Context, g *groups.Group, w *work) (timeline.Position, bool) {
+	route := w.route
 	p, ok := g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
-	if !ok {
-		g.Refresh(ctx, route.MaxAge)
+	if !ok && s.refresh(ctx, g, w) {
 		p, ok = g.Freshness.Floor(s.engine.cfg.Clock.Now(), route.MaxAge)
+		if !hasLeft(ctx) {
+			s.recordRefresh(g, w, ok)
+		}
 	}
 	if ok && route.Freshness == catalog.Own && s.ownCommitService == route.Service && p.Less(s.ownCommit) {
 		p = s.ownCommit
@@ -168,6 +179,33 @@
 	return p, ok
 }
 
+// refresh renews the evidence for bounded-staleness reads. It returns false at once if that has
+// failed for a while.
+func (s *Session) refresh(ctx context.Context, g *groups.Group, w *work) bool {
+	begun := s.engine.cfg.Clock.Now()
+	if s.refusesEarly(g) {
+		if _, ok := g.Breaker.Admits(begun, groups.Evidence); !ok {
+			return false
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.patience(g, w, groups.NoEvidence))
+	defer cancel()
+	g.Refresh(ctx, w.route.MaxAge)
+	now := w.recordPhase(phaseEvidence, begun, s.engine.cfg.Clock.Now())
+	w.outage += now.Sub(begun)
+	return true
+}
+
+// recordRefresh records whether a refresh has brought the evidence that a read needs.
+func (s *Session) recordRefresh(g *groups.Group, w *work, ok bool) {
+	now := s.engine.cfg.Clock.Now()
+	if ok {
+		g.Breaker.Served(now, groups.Evidence)
+		return
+	}
+	g.Breaker.Failed(now, max(w.arrived, now.Add(-w.outage)), groups.NoEvidence)
+}
+
 // recordOwnCommit records the end of the log after the session's own commit.
 func (s *Session) recordOwnCommit(service string, p timeline.Position) {
 	if p.IsZero() {
--- a/engine/single.go
+++ b/engine/single.go
@@ -33,9 +33,6 @@
 	// full queue, and the acknowledgement of a replica. A longer wait gives the consumer no more
 	// information and holds one of the primary's connections.
 	writeTimeout = 650 * time.Millisecond
-	// defaultRetryAfter is the retry-after of a refusal without a better estimate: about the time
-	// that a change of primary takes.
-	defaultRetryAfter = 250 * time.Millisecond
 	// minRetryAfter is the shortest retry-after: the time of one or two statements.
 	minRetryAfter = 30 * time.Millisecond
 )
@@ -48,6 +45,7 @@
 	if refused := s.charge(ctx, w); refused != nil {
 		return refused
 	}
+	g.Repeats.Request(w.arrived)
 	a := s.serveSingle(ctx, g, w)
 	if a.Code == statement.Busy && !w.ran {
 		s.uncharge(w)
@@ -69,17 +67,16 @@
 // writeSingle sends a write to the primary. It sends it again only while it is certain that the
 // write has not run.
 func (s *Session) writeSingle(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
-	if refused := s.admit(g, w); refused != nil {
-		return refused
+	if !s.admits(g, w, groups.Write) {
+		return s.giveUp(w, statement.Busy, breakerOpen+": "+w.cause.String())
 	}
 	for {
 		leader, err := s.primary(ctx, g, w)
 		if err != nil {
-			s.recordUnserved(g)
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
 		a, result := s.try(ctx, leader.Primary, w, timeline.Position{}, limits{queue: timeLeft(ctx), answer: writeTimeout})
-		s.recordOutage(g, result)
+		s.recordOutage(g, w, result)
 		switch result {
 		case done:
 			if a.Code != statement.OK {
@@ -88,7 +85,7 @@
 			if !s.stillLeads(ctx, g, leader) {
 				return s.inDoubt(ctx, w, leader.Primary)
 			}
-			g.Breaker.Served()
+			s.recordServed(g, groups.Write)
 			s.recordOwnCommit(w.route.Service, a.Position)
 			return a
 		case lostAnswer:
@@ -96,7 +93,7 @@
 		case saturated:
 			return s.giveUp(w, statement.Busy, "the primary has no time")
 		case unsent, retryable:
-			if !s.pause(ctx, w) {
+			if s.isOutOfPatience(g, w) || !s.pause(ctx, w) {
 				return s.giveUp(w, statement.Busy, "the primary has no room")
 			}
 		}
@@ -120,21 +117,29 @@
 // and the store for a proof each time that it tries a dead primary. If the primary has failed to
 // answer, the proof is therefore started only after it has answered the read.
 func (s *Session) readExact(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
-	if refused := s.admit(g, w); refused != nil {
-		return refused
+	if !s.admits(g, w, groups.ExactRead) {
+		return s.giveUp(w, statement.Busy, breakerOpen+": "+w.cause.String())
 	}
 	for {
 		leader, err := s.primary(ctx, g, w)
 		if err != nil {
-			s.recordUnserved(g)
 			return s.giveUp(w, statement.Busy, "no primary")
 		}
-		var proof <-chan bool
+		var proof <-chan error
 		if g.Health.Failing(leader.Primary) == 0 && !s.engine.cfg.Runner.ProvesFreshness(leader.Primary) {
 			proof = s.prove(ctx, g, leader, w.arrived)
 		}
 		position := g.Freshness.LastPosition(leader.Term, leader.Primary)
-		a, result := s.try(ctx, leader.Primary, w, position, limits{queue: timeLeft(ctx), answer: s.tryTimeout(leader.Primary)})
+		tryCtx, end := s.whileLeading(ctx, g, leader)
+		a, result := s.try(tryCtx, leader.Primary, w, position, limits{queue: timeLeft(ctx), answer: s.tryTimeout(leader.Primary)})
+		replaced := tryCtx.Err() != nil && ctx.Err() == nil
+		end()
+		if replaced && result != done {
+			continue
+		}
+		if hasLeft(ctx) && result != done {
+			return s.giveUp(w, statement.Busy, "the consumer has left")
+		}
 		if result == saturated {
 			return s.giveUp(w, statement.Busy, "the primary has no time")
 		}
@@ -144,42 +149,88 @@
 		if result == done && proof == nil {
 			proof = s.prove(ctx, g, leader, w.arrived)
 		}
-		if result == done && s.proven(w, proof) {
-			g.Breaker.Served()
+		if result == done && s.proven(g, w, proof) {
+			s.recordServed(g, groups.ExactRead)
 			return a
 		}
-		if result == done {
-			s.recordUnserved(g)
-		}
-		s.recordOutage(g, result)
-		if !s.pause(ctx, w) {
+		s.recordOutage(g, w, result)
+		if s.isOutOfPatience(g, w) || !s.pause(ctx, w) {
 			return s.giveUp(w, statement.Busy, "no proven answer in time")
 		}
 	}
 }
 
-// primary waits until the service has a known primary.
+// primary waits until the service has a known primary. It records an outage if that takes long.
 func (s *Session) primary(ctx context.Context, g *groups.Group, w *work) (leadership.State, error) {
+	for {
+		if leader, known := g.KnownPrimary(); known {
+			return leader, nil
+		}
+		leader, err := s.awaitPrimary(ctx, g, w)
+		if err == nil {
+			return leader, nil
+		}
+		if hasLeft(ctx) {
+			return leader, err
+		}
+		s.recordUnserved(g, w, groups.NoPrimary)
+		if ctx.Err() != nil || s.isOutOfPatience(g, w) {
+			return leader, err
+		}
+	}
+}
+
+func (s *Session) awaitPrimary(ctx context.Context, g *groups.Group, w *work) (leadership.State, error) {
 	begun := s.engine.cfg.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.stage(g, w, groups.NoPrimary))
+	defer cancel()
 	leader, err := g.Primary(ctx)
-	w.recordPhase(phasePrimary, begun, s.engine.cfg.Clock.Now())
+	now := w.recordPhase(phasePrimary, begun, s.engine.cfg.Clock.Now())
+	w.outage += now.Sub(begun)
 	return leader, err
 }
 
-// proven waits for a proof and reports whether it succeeded.
-func (s *Session) proven(w *work, proof <-chan bool) bool {
-	begun := s.engine.cfg.Clock.Now()
-	ok := <-proof
-	w.recordPhase(phaseProof, begun, s.engine.cfg.Clock.Now())
-	return ok
+// proven waits for a proof and reports whether it succeeded. It records an outage if it did not, or if
+// that takes long.
+func (s *Session) proven(g *groups.Group, w *work, proof <-chan error) bool {
+	for {
+		begun := s.engine.cfg.Clock.Now()
+		err, ended := awaitProof(proof, func() time.Duration { return s.stage(g, w, groups.Unproven) })
+		now := w.recordPhase(phaseProof, begun, s.engine.cfg.Clock.Now())
+		if ended && err == nil {
+			return true
+		}
+		w.outage += now.Sub(begun)
+		s.recordUnserved(g, w, causeOf(err))
+		if ended || s.isOutOfPatience(g, w) {
+			return false
+		}
+	}
+}
+
+// awaitProof returns the result of a proof; false if it takes longer than a timeout.
+func awaitProof(proof <-chan error, timeout func() time.Duration) (err error, ended bool) {
+	select {
+	case err := <-proof:
+		return err, true
+	default:
+	}
+	timer := time.NewTimer(timeout())
+	defer timer.Stop()
+	select {
+	case err := <-proof:
+		return err, true
+	case <-timer.C:
+		return nil, false
+	}
 }
 
 // prove queries a replica, in the background, whether the primary's term is still the latest. The
 // result is sent on the channel.
-func (s *Session) prove(ctx context.Context, g *groups.Group, leader leadership.State, arrived clock.Time) <-chan bool {
-	out := make(chan bool, 1)
+func (s *Session) prove(ctx context.Context, g *groups.Group, leader leadership.State, arrived clock.Time) <-chan error {
+	out := make(chan error, 1)
 	if g.Permitted(leader, arrived) {
-		out <- true
+		out <- nil
 		return out
 	}
 	// A proof of a transaction outlasts the statement that starts it.
@@ -190,14 +241,14 @@
 		if err != nil {
 			s.engine.cfg.Log.Debug("not-proven", zap.String("service", g.Service), zap.Error(err))
 		}
-		out <- err == nil
+		out <- err
 	}()
 	return out
 }
 
 // readBounded reads at a target whose log has reached the position that the accepted age requires.
 func (s *Session) readBounded(ctx context.Context, g *groups.Group, w *work) *statement.Answer {
-	after, ok := s.floor(ctx, g, w.route)
+	after, ok := s.floor(ctx, g, w)
 	if !ok {
 		return s.readExact(ctx, g, w)
 	}
@@ -241,12 +292,9 @@
 
 // giveUp returns the final answer to a statement that has not run.
 func (s *Session) giveUp(w *work, code statement.Code, why string) *statement.Answer {
-	after := defaultRetryAfter
-	if w.saturated > 0 {
-		after = max(w.retryAfter, minRetryAfter)
-	}
+	s.countRefusal(w)
 	if w.saturated > 0 && w.refusal != nil {
 		why += ": " + w.refusal.Error()
 	}
-	return refuse(code, after, why+", tries "+strconv.Itoa(w.tries), statement.Idle)
+	return refuse(code, s.retryAfter(w), why+", tries "+strconv.Itoa(w.tries), statement.Idle)
 }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -41,7 +41,7 @@
 	unproven bool
 	// proof delivers whether the primary led after the transaction began. It is nil for routes that
 	// need no proof, and once the result has been received.
-	proof <-chan bool
+	proof <-chan error
 }
 
 // acquireOptions returns the queue priority of a statement of the transaction. The objective
@@ -50,6 +50,14 @@
 	return w.acquireOptions(w.arrived.Add(-tx.spent))
 }
 
+// need returns what the transaction needs of its service's primary.
+func (tx *transaction) need() groups.Need {
+	if tx.readOnly {
+		return groups.ExactRead
+	}
+	return groups.Write
+}
+
 // begin opens a transaction in the session; it is opened at a target with the first statement. The
 // route is looked up now and applies until the transaction ends.
 func (s *Session) begin(st *statement.Statement) *statement.Answer {
@@ -140,7 +148,7 @@
 		if err != nil {
 			return s.failTransaction(tx, w, err)
 		}
-		if r.Answer.Code == statement.Busy && r.Answer.State == statement.InTransaction && s.pause(ctx, w) {
+		if r.Answer.Code == statement.Busy && r.Answer.State == statement.InTransaction && s.wait(ctx, w) {
 			continue
 		}
 		return s.finishStatement(tx, w, r)
@@ -160,9 +168,8 @@
 	}
 	s.engine.cfg.Placing.Served(tx.open.Target(), s.engine.cfg.Clock.Now(), r.Took)
 	if !w.writes && tx.proof != nil {
-		if !s.proven(w, tx.proof) {
-			s.recordUnserved(tx.group)
-			return s.failStatement(refuse(statement.Aborted, defaultRetryAfter, "the primary may have been replaced", s.state))
+		if !s.proven(tx.group, w, tx.proof) {
+			return s.failStatement(refuse(statement.Aborted, s.retryAfter(w), "the primary may have been replaced", s.state))
 		}
 		tx.proof = nil
 	}
@@ -229,7 +236,7 @@
 			return s.commitLost(ctx, tx, w, err)
 		}
 		a := r.Answer
-		if a.Code == statement.Busy && a.State == statement.InTransaction && s.pause(ctx, w) {
+		if a.Code == statement.Busy && a.State == statement.InTransaction && s.wait(ctx, w) {
 			continue
 		}
 		if a.Code == statement.OK && tx.wrote && !s.stillLeads(ctx, tx.group, tx.leader) {
@@ -250,7 +257,7 @@
 		return a
 	}
 	if a.Code == statement.OK && tx.wrote {
-		tx.group.Breaker.Served()
+		s.recordServed(tx.group, groups.Write)
 		s.recordOwnCommit(tx.route.Service, a.Position)
 	}
 	tx.open.Release()
@@ -272,7 +279,7 @@
 	case sent:
 		return refuse(statement.Aborted, 0, "the answer was lost; the transaction wrote nothing", statement.Idle)
 	default:
-		return refuse(statement.Aborted, defaultRetryAfter, "the commit could not be sent; the transaction is rolled back", statement.Idle)
+		return refuse(statement.Aborted, s.retryAfter(w), "the commit could not be sent; the transaction is rolled back", statement.Idle)
 	}
 }
 
@@ -282,6 +289,7 @@
 	if refused := s.charge(ctx, w); refused != nil {
 		return refused
 	}
+	tx.group.Repeats.Request(w.arrived)
 	failure := s.open(ctx, tx, w)
 	if failure != nil {
 		s.uncharge(w)
@@ -295,7 +303,7 @@
 	for {
 		after, ok := timeline.Position{}, true
 		if tx.route.Freshness != catalog.Exact {
-			after, ok = s.floor(ctx, tx.group, tx.route)
+			after, ok = s.floor(ctx, tx.group, w)
 		}
 		id, err := s.placeTransaction(ctx, tx, w, tried, ok)
 		if err != nil {
@@ -311,7 +319,7 @@
 			return s.giveUpOpening(w, "no target has time")
 		}
 		tried[id] = true
-		if !s.pause(ctx, w) {
+		if s.isOutOfPatience(tx.group, w) || !s.pause(ctx, w) {
 			return s.giveUpOpening(w, "no target took the transaction in time")
 		}
 	}
@@ -333,12 +341,11 @@
 			return id, nil
 		}
 	}
-	if !tx.group.Breaker.Admits(s.engine.cfg.Clock.Now()) {
-		return "", errBreakerOpen
+	if !s.admits(tx.group, w, tx.need()) {
+		return "", errors.New(breakerOpen + ": " + w.cause.String())
 	}
 	leader, err := s.primary(ctx, tx.group, w)
 	if err != nil {
-		s.recordUnserved(tx.group)
 		return "", err
 	}
 	tx.leader = leader
@@ -356,7 +363,11 @@
 	w.recordPhase(phaseQueue, begun, s.engine.cfg.Clock.Now())
 	switch {
 	case err != nil:
-		s.classifyError(id, w, err)
+		result := s.classifyError(id, w, err)
+		w.recordUnanswered(result, err, s.engine.cfg.Clock.Now().Sub(begun))
+		if id == tx.leader.Primary && s.refusesEarly(tx.group) {
+			s.recordOutage(tx.group, w, result)
+		}
 		return false
 	case open != nil:
 		tx.open = open
--- a/engine/try.go
+++ b/engine/try.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/dispatch"
+	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/statement"
@@ -52,12 +53,37 @@
 	begun := s.engine.cfg.Clock.Now()
 	r, err := s.engine.cfg.Runner.Run(ctx, id, claim, s.job(w, after, w.writes, bounds.answer))
 	s.recordPhases(w, begun, r, err)
+	if err != nil && hasLeft(ctx) {
+		return nil, w.canceled(err)
+	}
 	if err != nil {
-		return nil, s.classifyError(id, w, err)
+		result := s.classifyError(id, w, err)
+		w.recordUnanswered(result, err, s.engine.cfg.Clock.Now().Sub(begun))
+		return nil, result
 	}
 	return r.Answer, s.classify(id, w, r)
 }
 
+// canceled returns the result of a try that was canceled, which shows nothing of its target.
+func (w *work) canceled(err error) tryResult {
+	var lost *dispatch.LostError
+	if errors.As(err, &lost) {
+		w.ran = true
+	}
+	w.saturated, w.cost = 0, false
+	return unsent
+}
+
+// recordUnanswered adds the time of a try without an answer to the outage. The wait in a queue is
+// none of it.
+func (w *work) recordUnanswered(result tryResult, err error, took time.Duration) {
+	var u *lane.UnavailableError
+	if result == saturated || (errors.As(err, &u) && u.Expired) {
+		return
+	}
+	w.outage += took
+}
+
 // recordPhases adds the time of one try to the phases of the statement.
 func (s *Session) recordPhases(w *work, begun clock.Time, r *dispatch.Result, err error) {
 	now := s.engine.cfg.Clock.Now()
@@ -89,15 +115,16 @@
 		var u *lane.UnavailableError
 		if errors.As(err, &u) && u.RetryAfter > 0 {
 			w.saturated, w.retryAfter, w.refusal = w.saturated+1, u.RetryAfter, u.Cause
+			w.cause, w.cost = groups.NoCause, true
 			return saturated
 		}
-		w.saturated = 0
+		w.saturated, w.cost = 0, false
 		if dispatch.Unresponsive(err) {
 			e.cfg.Placing.Failed(id, e.cfg.Clock.Now())
 		}
 		return unsent
 	}
-	w.saturated, w.ran = 0, true
+	w.saturated, w.ran, w.cost = 0, true, true
 	e.recordFailure(id, lost)
 	e.cfg.Log.Debug("answer-lost", zap.String("request", w.st.ID), zap.String("target", string(id)), zap.Error(err))
 	return lostAnswer
@@ -108,6 +135,7 @@
 	e := s.engine
 	a, now := r.Answer, e.cfg.Clock.Now()
 	w.ran = w.ran || !a.Code.NotRun()
+	w.cost = a.Code != statement.Lagging
 	switch {
 	case a.Code == statement.OK:
 		e.cfg.Placing.Served(id, now, r.Took)
@@ -124,9 +152,14 @@
 	}
 }
 
-// pause waits before a statement is tried again; false if its time is over. The first tries of a
-// read do not wait.
+// pause waits before a statement is tried again; false if its time is over or the service's budget
+// does not allow another try. The first tries of a read do not wait.
 func (s *Session) pause(ctx context.Context, w *work) bool {
+	return ctx.Err() == nil && s.mayRepeat(w) && s.wait(ctx, w)
+}
+
+// wait is pause without the budget, for statements of an open transaction.
+func (s *Session) wait(ctx context.Context, w *work) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -135,7 +168,10 @@
 	}
 	begun := s.engine.cfg.Clock.Now()
 	more := wait.For(ctx, pauseBusy*time.Duration(min(w.tries, maxPauses)))
-	w.recordPhase(phasePause, begun, s.engine.cfg.Clock.Now())
+	now := w.recordPhase(phasePause, begun, s.engine.cfg.Clock.Now())
+	if w.cause != groups.NoCause {
+		w.outage += now.Sub(begun)
+	}
 	return more
 }
 
--- a/engine/work.go
+++ b/engine/work.go
@@ -9,6 +9,7 @@
 	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/statement"
 )
@@ -33,6 +34,12 @@
 	saturated  int
 	retryAfter time.Duration
 	refusal    error
+	// outage is how long the statement has waited for the end of an outage, and cause the outage's
+	// latest cause.
+	outage time.Duration
+	cause  groups.Cause
+	// cost is set if the latest try took some of a target's or gateway's time.
+	cost bool
 }
 
 // deadline returns the time at which the statement times out.
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -137,20 +137,26 @@
 	return float64(s.MaxConnections) * (1 - reservedFraction)
 }
 
-// usesGateways reports whether the VMs use gateways to a target: if there is less than one
+// UsesGateways reports whether the VMs use gateways to a target: if there is less than one
 // connection for each VM, or if there are too many VMs for the target's queue.
-func (a *Assignment) usesGateways(t *catalog.Target) bool {
+func (a *Assignment) UsesGateways(t *catalog.Target) bool {
 	limit, vms := a.limit(t), len(a.catalog.VMs)
 	return limit > 0 && (limit < float64(vms) || vms >= minFleetForGateways)
 }
 
+// UsedFor reports whether the VMs use gateways to a service's targets.
+func (a *Assignment) UsedFor(service string) bool {
+	targets := a.catalog.ByService[service]
+	return len(targets) > 0 && a.UsesGateways(targets[0])
+}
+
 // Share returns this VM's share of a target's connections.
 func (a *Assignment) Share(t *catalog.Target) Share {
 	limit := a.limit(t)
 	if limit == 0 {
 		return Share{MaxOpen: 1, MaxIdle: 1}
 	}
-	if !a.usesGateways(t) {
+	if !a.UsesGateways(t) {
 		kept := int(limit) / max(len(a.catalog.VMs), 1)
 		return Share{MaxOpen: kept, MaxIdle: max(kept/fleetGenerations, 1), MaxRunning: a.maxRunning(t)}
 	}
@@ -180,7 +186,7 @@
 // All VMs send the requests of one workspace to the same gateway, because a connection serves
 // one workspace only: spread over the gateways, the requests would need a connection at each.
 func (a *Assignment) Route(t *catalog.Target, workspace string) []catalog.VM {
-	if !a.usesGateways(t) {
+	if !a.UsesGateways(t) {
 		return nil
 	}
 	all := a.gateways(t)
--- a/groups/eventrun.go
+++ b/groups/eventrun.go
@@ -12,9 +12,13 @@
 }
 
 // record records an event.
-func (s *eventRun) record(now clock.Time, gap time.Duration) {
+func (s *eventRun) record(now clock.Time, gap time.Duration) { s.recordSince(now, now, gap) }
+
+// recordSince records an event that began some time ago. If it is the first one of a run, the run
+// began then.
+func (s *eventRun) recordSince(since, now clock.Time, gap time.Duration) {
 	if s.last == 0 || now.Sub(s.last) > gap {
-		s.since = now
+		s.since = since
 	}
 	s.last = now
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/retry"
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -39,6 +40,10 @@
 	discoverResetAfter = 2 * time.Second
 )
 
+// repeats bounds how often statements of a service are sent again: so many that reads find another
+// target when one of three fails, and so few that an overload is not multiplied.
+var repeats = retry.Config{Ratio: 0.35, Burst: 20, IdleInterval: time.Second}
+
 // Group is the state of one service.
 type Group struct {
 	// Service is the service's name.
@@ -55,6 +60,10 @@
 	LateReads LateReads
 	// Breaker decides whether requests should wait for the primary.
 	Breaker Breaker
+	// Busy assigns the return times of callers refused because targets have no room.
+	Busy Returns
+	// Repeats is the budget for sending statements of the service again.
+	Repeats *retry.Budget
 
 	cfg *Config
 	// slot is the tick in which the group is due even if the service is not in use.
@@ -95,6 +104,7 @@
 		latestJoin:  latestJoin,
 		slot:        int(xxhash.Sum64String(service) % Ticks),
 		absentSince: cfg.Clock.Now(),
+		Repeats:     retry.NewBudget(repeats),
 		changed:     make(chan struct{}),
 	}
 }
@@ -211,7 +221,7 @@
 			zap.Uint64("term", uint64(now.Term)), zap.String("before", string(g.state.Primary)), zap.Bool("contested", now.Contested))
 	}
 	if now.Primary != "" && now.Primary != g.state.Primary {
-		g.Breaker.Served()
+		g.Breaker.Served(g.cfg.Clock.Now(), Write)
 	}
 	g.state = now
 	if now.Primary != "" {
@@ -342,6 +352,15 @@
 	}
 }
 
+// KnownPrimary returns the target that leads; false if requests have to wait for one.
+func (g *Group) KnownPrimary() (leadership.State, bool) {
+	b := g.Leadership.Current()
+	return b, b.Primary != "" && b.Term != 0 && !g.BeingReplaced(b.Primary) && g.AcceptsWork(b.Primary)
+}
+
+// Changing reports whether an attempt to replace the primary is known to be under way.
+func (g *Group) Changing() bool { return g.hasRevoked() }
+
 // Primary returns the target that leads, and waits until one is known. The term is never 0: a claim
 // is verified before it is used.
 func (g *Group) Primary(ctx context.Context) (leadership.State, error) {
@@ -349,8 +368,8 @@
 		g.mu.Lock()
 		changed := g.changed
 		g.mu.Unlock()
-		b := g.Leadership.Current()
-		if b.Primary != "" && b.Term != 0 && !g.BeingReplaced(b.Primary) && g.AcceptsWork(b.Primary) {
+		b, known := g.KnownPrimary()
+		if known {
 			return b, nil
 		}
 		g.discoverIfDue()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -398,6 +398,13 @@
 // SetWriteDeadline implements net.Conn. Writes never block.
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 
+// Ended reports whether the connection was closed at the other end, or has broken.
+func (c *conn) Ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended || c.broken
+}
+
 // Idle reports whether no unread data is queued and the connection is open at the other end.
 func (c *conn) Idle() bool {
 	c.mu.Lock()
--- a/relay/router.go
+++ b/relay/router.go
@@ -113,6 +113,12 @@
 	return r.peers.suspectedLast(out)
 }
 
+// UsesGatewaysFor reports whether the fleet reaches a service's targets through gateways.
+func (r *Router) UsesGatewaysFor(service string) bool {
+	p := r.assignment.Load()
+	return p != nil && p.UsedFor(service)
+}
+
 // ProvesFreshness implements dispatch.Runner: the replies of a gateway carry proofs.
 func (r *Router) ProvesFreshness(id target.ID) bool { return len(r.route(id, "")) > 0 }
 
@@ -196,6 +202,9 @@
 	if settled {
 		return out, err
 	}
+	if ctx.Err() != nil {
+		return nil, &lane.UnavailableError{Target: id, Expired: true, Cause: ctx.Err()}
+	}
 	return r.cfg.Local.Run(ctx, id, claim, job)
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -78,11 +78,15 @@
 }
 
 // TryRetry reports whether a request may be retried. If so, it spends the tokens.
-func (b *Budget) TryRetry(now clock.Time) bool {
+func (b *Budget) TryRetry(now clock.Time) bool { return b.TryRetryAbove(now, 0) }
+
+// TryRetryAbove is TryRetry for a retry that is less likely to succeed than others: it leaves them a
+// reserve of that many retries.
+func (b *Budget) TryRetryAbove(now clock.Time, reserve int) bool {
 	b.addIdle(now)
 	for {
 		have := b.tokens.Load()
-		if have < tokensPerRetry {
+		if have < int64(reserve+1)*tokensPerRetry {
 			return false
 		}
 		if b.tokens.CompareAndSwap(have, have-tokensPerRetry) {
