--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -147,6 +147,12 @@
 	return limit > 0 && (limit < float64(vms) || vms >= minFleetForGateways)
 }
 
+// UsedFor reports whether the VMs use gateways to a service's targets.
+func (a *Assignment) UsedFor(service string) bool {
+	targets := a.catalog.ByService[service]
+	return len(targets) > 0 && a.UsesGateways(targets[0])
+}
+
 // Share returns this VM's share of a target's connections.
 func (a *Assignment) Share(t *catalog.Target) Share {
 	limit := a.limit(t)
