ratelimit: fewer tokens in advance beyond the limit, a reserve by chance backlog

Cause: with operations that arrive at random (the test's fleets sent them in a fixed pattern), 0.94 of a limit of 378 a second was used at 85 VMs that asked for 1.3 times of it: VMs request tokens for the operations that they expect within a token's lifetime, and those that expire are lost. And of a limit of 10 a second with an owner gone, 0.93 of the most urgent operations were allowed: the reserve was for their mean rate only.

Change: beyond the limit a VM requests no more than it needs in half of the lifetime. The reserve adds twice the mean backlog that random arrivals cause. It stays below half of the bucket, so that one of two tokens does not lose those that come in.

Tests: TestUrgentOperationsGetTheTokensFirst sends operations at random, takes in the owner that is gone and the third of the VMs that is cut off (before a test of their own, at one limit only), and loads of 1.6 times the limit; it asks for 0.98 of the limit and 0.95 of the urgent operations in all of them, and for fewer than three requests an operation. The old code fails it.

--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -83,7 +83,7 @@
 	if b.pressure.active(now) && r.Operations > 0 {
 		want = r.Operations
 	}
-	reserve := b.pressure.reserve(now, priority, size)
+	reserve := b.pressure.reserve(now, priority, rate, size)
 	tokens := min(want, int(b.level-reserve))
 	if tokens < 1 {
 		b.pressure.refused(now, b.level < 1, rate)
--- a/ratelimit/priority.go
+++ b/ratelimit/priority.go
@@ -17,8 +17,12 @@
 	urgentWindow = 5 * time.Second
 	// reserveTime is how long the reserve for more urgent operations lasts at their average rate.
 	reserveTime = 200 * time.Millisecond
-	// maxReserve bounds the reserve, as a fraction of the bucket's size.
-	maxReserve = 0.5
+	// reserveBacklogs is how many times the mean backlog that urgent operations would have by
+	// chance is reserved in addition.
+	reserveBacklogs = 2
+	// maxReserve bounds the reserve, as a fraction of the bucket's size. It is less than half so that
+	// a bucket of two tokens is not full before it has one beyond the reserve.
+	maxReserve = 0.45
 	// pressureHold is how long an owner reserves tokens after it last had none for an operation.
 	pressureHold = time.Second
 )
@@ -72,7 +76,7 @@
 // reserve returns how many tokens an operation of a priority has to leave in the bucket. It grows
 // with the rate of the more urgent ones, but remains below a fraction of the bucket's size, so that
 // it differs between priorities in small buckets too.
-func (p *pressure) reserve(now clock.Time, priority int, size float64) float64 {
+func (p *pressure) reserve(now clock.Time, priority int, rate, size float64) float64 {
 	if !p.active(now) {
 		return 0
 	}
@@ -83,7 +87,9 @@
 	case most <= 1:
 		return most
 	}
-	wanted := urgent * reserveTime.Seconds()
+	// The mean backlog of a queue with random arrivals is urgent/(rate-urgent), which is no useful
+	// reserve if urgent operations need nearly all tokens.
+	wanted := urgent * (reserveTime.Seconds() + reserveBacklogs/max(rate-urgent, rate/2))
 	return 1 + wanted*(most-1)/(wanted+most-1)
 }
 
--- a/ratelimit/priority_test.go
+++ b/ratelimit/priority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -18,16 +19,20 @@
 	return float64(s.allowed[priority]) / float64(s.asked[priority])
 }
 
-// mix sends operations of three priorities at a multiple of the limit for some seconds: one in ten
-// is of the highest priority, six of the next one.
+// mix sends operations of three priorities to any VMs that run, at a multiple of the limit for some
+// seconds: one in ten is of the highest priority, six of the next one.
 func (f *fleet) mix(times float64, seconds int) *served {
-	out := &served{}
+	out, rnd := &served{}, rand.New(rand.NewPCG(1, uint64(f.now)))
 	end := f.now.Add(time.Duration(seconds) * time.Second)
-	for at := 0; f.now < end; at++ {
+	for f.now < end {
 		f.now = f.now.Add(time.Duration(float64(time.Second) / (f.w.Rate * times)))
-		priority := [...]int{1, 2, 1, 0, 1, 2, 1, 1, 2, 1}[at%10]
+		priority := [...]int{0, 1, 1, 1, 1, 1, 1, 2, 2, 2}[rnd.IntN(10)]
+		v := f.vms[f.list[rnd.IntN(len(f.list))].ID]
+		if v.down {
+			continue
+		}
 		out.asked[priority]++
-		if f.operateAt(f.vms[f.list[(at*31)%len(f.list)].ID], priority) {
+		if f.operateAt(v, priority) {
 			out.allowed[priority]++
 		}
 	}
@@ -35,71 +40,42 @@
 }
 
 // Failure guarded against: a workspace asks for several times its limit, and its tokens go to
-// whoever asks first; or tokens lie idle or expire in the reserve for urgent operations.
+// whoever asks first; or tokens that the owners create are not used, also while one of them is gone
+// or a third of the VMs is cut off.
 func TestUrgentOperationsGetTheTokensFirst(t *testing.T) {
-	for _, n := range []int{8, 85, 986} {
-		for rate, burst := range map[float64]float64{10: 10, 125: 12.5, 378: 378} {
-			t.Run(fmt.Sprint(n, " VMs, ", rate, " a second"), func(t *testing.T) {
-				f := newFleet(n, catalog.Workspace{Name: workspace, Limited: true, Rate: rate, Burst: burst})
-				f.mix(4, 5)
-				f.allowedAt, f.requests = nil, 0
-				got := f.mix(4, 20)
-				t.Logf("allowed %.3f %.3f %.3f, of the limit %.3f, %.2f requests an operation", got.part(0), got.part(1), got.part(2),
-					float64(len(f.allowedAt))/(20*rate), float64(f.requests)/(20*4*rate))
-				require.Greater(t, got.part(0), 0.95)
-				require.Less(t, got.part(2), got.part(1))
-				require.Greater(t, float64(len(f.allowedAt)), 0.98*20*rate)
-				f.check(t)
-			})
-		}
+	faults := map[string]func(f *fleet){
+		"none":       func(*fleet) {},
+		"owner gone": func(f *fleet) { f.vms[f.owners[0].ID].down = true },
+		"third cut": func(f *fleet) {
+			for i, e := range f.list {
+				f.vms[e.ID].group = i % 3 / 2
+			}
+		},
 	}
-}
-
-// Failure guarded against: while owners are gone or VMs are cut off, tokens of the others' shares are
-// not used, or urgent operations don't get them.
-func TestUrgentOperationsGetTheTokensOfTheOwnersThatAreThere(t *testing.T) {
-	for _, n := range []int{8, 85, 986} {
-		for name, fault := range map[string]func(f *fleet){
-			"owner gone": func(f *fleet) { f.vms[f.owners[0].ID].down = true },
-			"third cut": func(f *fleet) {
-				for i, e := range f.list {
-					if i%3 == 0 {
-						f.vms[e.ID].group = 1
-					}
-				}
-			},
-		} {
-			t.Run(fmt.Sprint(name, ", ", n, " VMs"), func(t *testing.T) {
-				f := newFleet(n, limit(125))
-				fault(f)
-				f.mix(4, 5)
-				f.allowedAt = nil
-				got := f.mix(4, 20)
-				there := 0.0
-				for _, e := range f.owners {
-					if v := f.vms[e.ID]; !v.down {
-						there++
-					}
+	for fault, apply := range faults {
+		for _, n := range []int{8, 85, 986} {
+			for _, load := range []struct{ times, rate, burst float64 }{{4, 10, 10}, {4, 125, 12.5}, {4, 378, 378}, {1.6, 125, 12.5}, {1.6, 378, 378}} {
+				rate := load.rate
+				f := newFleet(n, catalog.Workspace{Name: workspace, Limited: true, Rate: rate, Burst: load.burst})
+				apply(f)
+				f.mix(load.times, 5)
+				f.allowedAt, f.requests = nil, 0
+				got := f.mix(load.times, 20)
+				created := 20 * rate
+				if f.vms[f.owners[0].ID].down {
+					created *= float64(ownersPerWorkspace-1) / ownersPerWorkspace
 				}
-				require.Greater(t, float64(len(f.allowedAt)), 0.98*20*125*there/ownersPerWorkspace)
-				require.Greater(t, got.part(0), 0.95*float64(len(f.reachable()))/float64(n))
+				name := fmt.Sprintf("%s, %d VMs, %+v: allowed %.3f %.3f %.3f, of the limit %.3f, %.2f requests an operation", fault, n, load,
+					got.part(0), got.part(1), got.part(2), float64(len(f.allowedAt))/created, float64(f.requests)/(20*load.times*rate))
+				t.Log(name)
+				require.Greater(t, float64(len(f.allowedAt)), 0.98*created, name)
+				require.Greater(t, got.part(0), 0.95, name)
+				require.Less(t, got.part(2), got.part(1), name)
+				require.Less(t, float64(f.requests), ownersPerWorkspace*20*load.times*rate, name)
 				f.check(t)
-			})
-		}
-	}
-}
-
-// reachable returns the VMs that run and reach an owner.
-func (f *fleet) reachable() (out []*vm) {
-	for _, v := range f.vms {
-		for _, e := range f.owners {
-			if o := f.vms[e.ID]; !v.down && !o.down && o.group == v.group {
-				out = append(out, v)
-				break
 			}
 		}
 	}
-	return out
 }
 
 // Failure guarded against: operations of a low priority are refused for the reserve although the
--- a/ratelimit/tokencache.go
+++ b/ratelimit/tokencache.go
@@ -110,14 +110,17 @@
 }
 
 // Request returns the request for tokens for an operation of a priority: as many tokens as are
-// needed before they expire.
+// needed before they expire. Beyond the limit, each that expires is lost to another operation, so
+// that it asks for no more than are needed in half of that time.
 func (c *TokenCache) Request(now clock.Time, workspace string, priority int) Request {
 	e := c.entry(workspace)
 	priority = clampPriority(priority)
-	tokens := func(a *average) int {
-		return min(1+int(a.value(now, demandWindow)*tokenLifetime.Seconds()), maxTokensPerRequest)
-	}
-	return Request{Want: tokens(&e.demand), Priority: priority, Operations: tokens(&e.demandBy[priority])}
+	return Request{Want: needed(now, &e.demand, tokenLifetime), Priority: priority, Operations: needed(now, &e.demandBy[priority], earmarkTime)}
+}
+
+// needed returns how many tokens an operation and those that follow within a time need.
+func needed(now clock.Time, demand *average, within time.Duration) int {
+	return min(1+int(demand.value(now, demandWindow)*within.Seconds()), maxTokensPerRequest)
 }
 
 // Put adds the tokens of a reply to a request that was sent at the given time. Beyond the limit,
