lane: one refusal costs a gateway no retained connection

Cause: found in review: for a second after any refusal of a connection, a gateway closed all that it did not need at once (5 of 25 left). That is meant for gateways that restart together while the target still holds the connections of the dead ones. Change: only a lane that is younger than those may linger returns connections.

--- a/lane/lane.go
+++ b/lane/lane.go
@@ -120,6 +120,7 @@
 	unparking    queue              // transactions that wait to run their next statement
 	controlQueue queue              // control commands
 	drain        drain
+	created      clock.Time
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
@@ -127,7 +128,7 @@
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
 	l := &Lane{
-		id: id, dial: dial, clk: clk, lastUsed: clk.Now(), busy: make(map[*Conn]struct{}),
+		id: id, dial: dial, clk: clk, lastUsed: clk.Now(), created: clk.Now(), busy: make(map[*Conn]struct{}),
 		openFor: make(map[string]int), dialsFor: make(map[string]int),
 	}
 	l.setShare(share)
--- a/lane/retention.go
+++ b/lane/retention.go
@@ -104,10 +104,18 @@
 //
 // Failure guarded against: both gateways of a target restart, the connections of their predecessors
 // are still open there, and the gateway that is first takes all others.
+//
+// A lane that is older retains its connections when one is refused: its predecessor's are closed by
+// now, and those that it returned would have to be opened again.
 func (l *Lane) returnsRoom(now clock.Time) bool {
-	return l.perWorkspace && now.Before(l.refusedUntil) && l.open-l.parked-l.overdue > l.maxRunning
+	starting := now.Sub(l.created) < restartPeriod
+	return l.perWorkspace && starting && now.Before(l.refusedUntil) && l.open-l.parked-l.overdue > l.maxRunning
 }
 
+// restartPeriod is how long after a gateway's start the connections of its predecessor may still be
+// open at the target.
+const restartPeriod = 5 * time.Second
+
 func anyConn(*Conn) bool { return true }
 
 // idleLongerThan returns the index if that connection has been idle for longer than the timeout.
--- a/lane/retention_test.go
+++ b/lane/retention_test.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// Failure guarded against: a target refuses one connection for a moment, and a gateway that has served
+// for long closes all that it retains for its workspaces.
+func TestOneRefusalCostsNoRetainedConnection(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		d := &dialer{limit: gatewayConnLimit}
+		l := newLane("x", d.dial, monotonic.New(), gatewayShare)
+		drive(l, gatewayLoad, rand.New(rand.NewPCG(1, 1)), 10*time.Second)
+		l.mu.Lock()
+		l.refusedUntil, l.refusedOpen = l.clk.Now().Add(refusedPause), l.open
+		l.mu.Unlock()
+		for range 10 {
+			time.Sleep(MaintainInterval)
+			l.maintain()
+		}
+		require.GreaterOrEqual(t, l.Load().Open, gatewayShare.MaxIdle)
+	})
+}
+
 // Failure guarded against: a gateway is killed, the other one has retained its connections for its
 // own workspaces, and the requests of those that it takes over wait until they time out.
 func TestRemainingGatewayServesTheOthersWorkspaces(t *testing.T) {
