--- a/lane/admit.go
+++ b/lane/admit.go
@@ -38,8 +38,8 @@
 // admit decides whether a request that must wait is queued. It returns the refusal if not.
 //
 // A request is refused at once if its caller would have timed out before its turn, or if it would be
-// late and the caller would have timed out before the end of an overload. Otherwise it waits: a late
-// answer has some use for its caller, and it is served only when nothing better waits.
+// late and the caller is expected to time out before the queue is no longer pressed. Otherwise it
+// waits: a late answer has some use for its caller, and it is served only when nothing better waits.
 func (l *Lane) admit(now clock.Time, w *waiter, timeout time.Duration) error {
 	q := &l.waiting
 	q.expect(w, now, timeout)
@@ -56,7 +56,7 @@
 		q.setOrder(now, byPriority)
 		l.decisions.Count(decisions.Queue, string(l.id), outcomePressed, 1)
 	}
-	if wait > timeout || l.backlog() > timeout || q.overloaded() && !q.outlasts(w, now) {
+	if wait > timeout || l.backlog() > timeout || q.pressed() && !inTime && !q.outlasts(w, now) {
 		l.decisions.Count(decisions.Queue, string(l.id), outcomeRefused, 1)
 		return l.overloadedError(now, w.opts)
 	}
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -87,8 +87,7 @@
 // If late requests wait and none has been served for starvedAfter, the target is overloaded. Of
 // equal priority, those of less work go first then, because more of them can be in time; so that the
 // others are not starved, one in fairTurn goes to the request that has waited for longest. Late
-// requests are refused, as are new ones that would be late, unless their callers can wait for as
-// long again as the queue has been pressed.
+// requests are refused, unless their callers can wait for as long again as the queue has been pressed.
 //
 // Both states end when the work of the requests in time has shrunk below overloadEndBacklog.
 //
@@ -161,8 +160,8 @@
 	w.arrived, w.expires, w.work, w.startBy = now, now.Add(timeout), mean, w.opts.Due.Add(-mean-deviation)
 }
 
-// outlasts reports whether a late request's caller may still wait when the overload ends: one that
-// has lasted for some time is expected to last as long again.
+// outlasts reports whether a late request's caller may still wait when the queue is no longer
+// pressed: if it has been for some time, it is expected to be for as long again.
 func (q *queue) outlasts(w *waiter, now clock.Time) bool {
 	return w.expires.Sub(now) > now.Sub(q.pressedSince)+w.work
 }
