edge: a session that waits for a configuration ends once its consumer has left

Cause: a starting VM without a configuration holds each session for 0.75 s, also of consumers who have gone to another VM. Change: the wait ends with the consumer, as that of a statement does.

--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -73,7 +73,9 @@
 		s.refuseStartup(c, err)
 		return
 	}
-	s.awaitConfig()
+	if !s.awaitConfig(c) {
+		return
+	}
 	session, refusal := s.edge.engine.Open(startup.Database, startup.Key)
 	if refusal != nil {
 		s.edge.log.Info("session-refused", zap.String("database", startup.Database), zap.Stringer("code", refusal.Code), zap.String("text", refusal.Text),
@@ -89,25 +91,29 @@
 }
 
 // awaitConfig waits until this VM has its first configuration, for at most configTimeout, or until
-// it leaves.
+// it leaves. It returns false if the consumer has left.
 //
 // Failure guarded against: after a power loss of all VMs, consumers reconnect to a starting VM
 // before the store has answered, and are refused for good.
-func (s *sessions) awaitConfig() {
+func (s *sessions) awaitConfig(c *line.Consumer) bool {
 	if s.edge.catalog.Load().Config != nil {
-		return
+		return true
 	}
+	ctx, end := whileConnected(c)
+	defer end()
 	timer := time.NewTimer(configTimeout)
 	defer timer.Stop()
 	for {
 		changed := s.edge.catalog.Changed()
 		if s.edge.catalog.Load().Config != nil || s.closing.Load() {
-			return
+			return true
 		}
 		select {
 		case <-changed:
+		case <-ctx.Done():
+			return false
 		case <-timer.C:
-			return
+			return true
 		}
 	}
 }
