--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/boottime"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/engine"
 	"endivemoor.example/endivemoor/gateways"
@@ -82,7 +83,9 @@
 	limits        *limits
 	groups        *groups.Registry
 	placing       *placing.Tracker
+	loadReports   *loadReports
 	engineMetrics *engine.Metrics
+	decisions     *decisions.Recorder
 	engine        *engine.Engine
 	fleetEntry    *fleetEntry
 	gossip        *gossiper
@@ -146,11 +149,14 @@
 		watchJitter: mathrand.Float64(),
 	}
 	e.meter = spending.NewMeter(e.metrics)
+	e.decisions = decisions.NewRecorder(e.metrics)
 	e.eras = newEras(log, clk, e.metrics)
 	e.store = objects.New(settings.Platform.Addr, newTransport(e.dialFor(spending.Store)))
 	e.store.Observe = func(kind string, v objects.Verb) { e.meter.RecordCall(kind, string(v)) }
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
+	e.pool.Decisions = e.decisions
+	e.loadReports = newLoadReports(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
@@ -161,12 +167,13 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Dial: e.dialFor(spending.Relay)})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
 	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
-		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits,
+		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
+		UsesGateways: e.router.UsesGatewaysFor,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
@@ -297,10 +304,12 @@
 		assignment = assignment.Next(c, live)
 		e.pool.Update(c, assignment.Share)
 		e.router.Update(assignment, c)
+		e.gossip.takesReports.Store(e.router.UsesGateways())
 		e.limits.update(c)
 		e.groups.Update(c)
 		e.gossip.updatePeers(c)
 		e.placing.Retain(c.Incarnation)
+		e.loadReports.book.Retain(c.Incarnation)
 		if !e.awaitChange(ctx, changed, tick.C, live) {
 			return
 		}
@@ -345,6 +354,7 @@
 			e.summarize()
 		case <-queueReport.C:
 			e.reportQueues()
+			e.decisions.Report(e.log)
 		case <-ctx.Done():
 			return
 		}
--- a/edge/sessions.go
+++ b/edge/sessions.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -74,7 +73,9 @@
 		s.refuseStartup(c, err)
 		return
 	}
-	s.awaitConfig()
+	if !s.awaitConfig(c) {
+		return
+	}
 	session, refusal := s.edge.engine.Open(startup.Database, startup.Key)
 	if refusal != nil {
 		s.edge.log.Info("session-refused", zap.String("database", startup.Database), zap.Stringer("code", refusal.Code), zap.String("text", refusal.Text),
@@ -90,25 +91,29 @@
 }
 
 // awaitConfig waits until this VM has its first configuration, for at most configTimeout, or until
-// it leaves.
+// it leaves. It returns false if the consumer has left.
 //
 // Failure guarded against: after a power loss of all VMs, consumers reconnect to a starting VM
 // before the store has answered, and are refused for good.
-func (s *sessions) awaitConfig() {
+func (s *sessions) awaitConfig(c *line.Consumer) bool {
 	if s.edge.catalog.Load().Config != nil {
-		return
+		return true
 	}
+	ctx, end := whileConnected(c)
+	defer end()
 	timer := time.NewTimer(configTimeout)
 	defer timer.Stop()
 	for {
 		changed := s.edge.catalog.Changed()
 		if s.edge.catalog.Load().Config != nil || s.closing.Load() {
-			return
+			return true
 		}
 		select {
 		case <-changed:
+		case <-ctx.Done():
+			return false
 		case <-timer.C:
-			return
+			return true
 		}
 	}
 }
@@ -136,7 +141,7 @@
 		case err == nil && expired:
 			answer, expired = session.Expired(), false
 		case err == nil:
-			answer = session.Handle(context.Background(), &st)
+			answer = handle(c, session, &st)
 		case wait.IsTimeout(err) && s.closing.Load():
 			if s.aborting.Load() && session.State() == statement.InTransaction {
 				session.Expire()
@@ -161,6 +166,12 @@
 	}
 }
 
+func handle(c *line.Consumer, session *engine.Session, st *statement.Statement) *statement.Answer {
+	ctx, end := whileConnected(c)
+	defer end()
+	return session.Handle(ctx, st)
+}
+
 // mayClose reports whether a session can be closed between two operations because this VM is
 // leaving.
 func (s *sessions) mayClose(c *line.Consumer, session *engine.Session) bool {
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -10,7 +10,9 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/retryafter"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -90,6 +92,8 @@
 	dial   Dialer
 	clk    clock.Clock
 	target *catalog.Target // as of the lane's creation
+	// decisions counts what the lane decides; nil in tests.
+	decisions *decisions.Recorder
 
 	mu           sync.Mutex
 	allowance    int
@@ -101,10 +105,11 @@
 	dialing      int
 	dialsFor     map[string]int // by workspace
 	waiting      queue
-	refusedUntil clock.Time // until when no further connection is opened
-	downUntil    clock.Time // until when the target is not dialed again
-	downCause    error      // nil unless the target is known to be unreachable
-	dialSince    clock.Time // start of the oldest dial in progress
+	returns      retryafter.Schedule // of refused callers
+	refusedUntil clock.Time          // until when no further connection is opened
+	downUntil    clock.Time          // until when the target is not dialed again
+	downCause    error               // nil unless the target is known to be unreachable
+	dialSince    clock.Time          // start of the oldest dial in progress
 	closed       bool
 	lastUsed     clock.Time // when a connection was last requested
 	inUse        int
@@ -115,11 +120,15 @@
 	unparking    queue              // transactions that wait to run their next statement
 	controlQueue queue              // control commands
 	drain        drain
+	created      clock.Time
+	perWorkspace bool // idle connections are retained by their use
+	refusedOpen  int  // how many were open at the last refusal, less those returned since
+	usage        usage
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
 	l := &Lane{
-		id: id, dial: dial, clk: clk, lastUsed: clk.Now(), busy: make(map[*Conn]struct{}),
+		id: id, dial: dial, clk: clk, lastUsed: clk.Now(), created: clk.Now(), busy: make(map[*Conn]struct{}),
 		openFor: make(map[string]int), dialsFor: make(map[string]int),
 	}
 	l.setShare(share)
@@ -140,6 +149,16 @@
 	Open int
 	// ServeInterval is the average interval at which waiting requests are served; 0 if not known.
 	ServeInterval time.Duration
+	// ExpectedWait is the estimated wait for a connection of a request that arrives now.
+	ExpectedWait time.Duration
+	// ServiceTime is the average time that the target takes for a statement; 0 if not known.
+	ServiceTime time.Duration
+	// Overloaded is set while requests that would be late are refused.
+	Overloaded bool
+	// Reported is set if the load is known from the VM that holds the connections, and Failed is the
+	// fraction of recent statements there that got no complete answer.
+	Reported bool
+	Failed   float64
 	// Allowance is the number of connections that the lane may retain.
 	Allowance int
 	// Down is set while the lane has no connection because the target is unreachable or the dial
@@ -153,7 +172,8 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.backlog(),
+		ServiceTime: l.waiting.times.average.mean, Overloaded: l.waiting.overloaded(), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
 
@@ -177,17 +197,16 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
-			l.begin(c, now)
+			l.begin(c, o.Class, now)
 			l.mu.Unlock()
 			return c, nil
 		}
 	}
-	if l.wouldBeLate(now, o) {
-		err := l.overloadedError()
+	w := &waiter{opts: o, ready: make(chan delivery, 1)}
+	if err := l.admit(now, w, timeout); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{opts: o, ready: make(chan delivery, 1)}
 	l.waiting.push(w)
 	l.serve(now)
 	l.grow(now)
@@ -232,6 +251,7 @@
 			c.acquiredAt = 0
 			return c
 		}
+		l.count(closedBroken)
 		l.shut(c)
 	}
 	return nil
@@ -260,38 +280,40 @@
 	}
 }
 
-// maintain closes idle connections beyond the retained ones, oldest first, and opens those whose
-// dial was delayed by a pause.
+// maintain closes idle connections beyond the retained ones, and opens those whose dial was delayed
+// by a pause.
 func (l *Lane) maintain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clk.Now()
-	for len(l.idle) > 0 && l.mayClose(now.Sub(l.idle[0].idle)) {
-		c := l.idle[0]
-		l.idle = l.idle[1:]
-		l.shut(c)
+	for i := l.surplus(now); i >= 0; i = l.surplus(now) {
+		l.closeIdle(i, closedUnused)
+		l.refusedOpen = min(l.refusedOpen, l.open)
+	}
+	if l.perWorkspace {
+		l.usage.forget(now, l.openFor)
 	}
 	l.markOverdue(now)
 	l.grow(now)
 }
 
-// mayClose reports whether a connection that has been idle for the given time should be closed.
-func (l *Lane) mayClose(idle time.Duration) bool {
-	if l.temporary {
-		return idle > temporaryIdleTimeout
-	}
-	return l.open > l.minOpen && idle > burstIdleTimeout
-}
-
 // setShare sets this VM's share of the target's connections. A lane with an empty share opens
 // connections beyond it while requests wait.
 func (l *Lane) setShare(s gateways.Share) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allowance, l.minOpen, l.temporary, l.maxRunning = s.MaxOpen, s.MaxIdle, s.Temporary, s.MaxRunning
+	l.setPerWorkspace(s.PerWorkspace)
 	l.waiting.detectsLate = s.MaxRunning > 0
 }
 
+// setWeights sets the weights of the workspaces' shares.
+func (l *Lane) setWeights(w *weights) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting.shares.weights = w
+}
+
 // unused reports whether the lane has no connection and none was requested for unusedAfter. No
 // request waits then: requests time out much sooner.
 func (l *Lane) unused() bool {
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -11,6 +11,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -26,6 +27,9 @@
 // Lanes are created on first use, because a VM of a large fleet uses few of the targets. Otherwise
 // the cost of a catalog change would grow with the square of the deployment's size.
 type Pool struct {
+	// Decisions counts the lanes' decisions; it must be set before the first use, and may be nil.
+	Decisions *decisions.Recorder
+
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
 
@@ -33,6 +37,7 @@
 	lanes   map[target.ID]*Lane
 	targets map[target.ID]*catalog.Target
 	share   func(t *catalog.Target) gateways.Share
+	weights *weights // of the workspaces
 }
 
 // NewPool returns a Pool that opens links with the Dialer that dial returns for a target.
@@ -43,17 +48,19 @@
 // Update applies a catalog: the lanes of removed targets are closed, and every other lane gets this
 // VM's share of its target's connections. It must be called by one goroutine only.
 func (p *Pool) Update(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) {
-	for id, l := range p.adopt(c, share) {
+	weights := newWeights(c.Config)
+	for id, l := range p.adopt(c, share, weights) {
 		l.setShare(share(c.Targets[id]))
+		l.setWeights(weights)
 	}
 }
 
 // adopt stores the catalog's targets and returns the remaining lanes. The caller computes their
 // shares after the lock is released, because this takes longer than requests should wait.
-func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) map[target.ID]*Lane {
+func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights) map[target.ID]*Lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targets, p.share = c.Targets, share
+	p.targets, p.share, p.weights = c.Targets, share, weights
 	for id, l := range p.lanes {
 		if t := c.Targets[id]; t == nil || !l.leadsTo(t) {
 			l.close()
@@ -85,7 +92,8 @@
 	t := p.targets[id]
 	if l = p.lanes[id]; l == nil && t != nil {
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
-		l.target = t
+		l.target, l.decisions = t, p.Decisions
+		l.setWeights(p.weights)
 		p.lanes[id] = l
 	}
 	return l
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 )
 
 // putIdle makes a connection in use idle, or closes it if it is not to be retained, and serves the
@@ -23,6 +22,7 @@
 	}
 	now := l.clk.Now()
 	if l.mustYield(now) {
+		l.count(closedForOther)
 		l.drop(c)
 	} else {
 		l.inUse--
@@ -65,21 +65,15 @@
 	for l.unparking.Len() > 0 && l.mayRun() {
 		w := l.unparking.next(now, anyone)
 		l.setParked(w.held, false)
+		l.charge(w.held.workspace, l.waiting.times.average.mean)
 		w.ready <- delivery{conn: w.held}
 	}
 	for l.waiting.Len() > 0 && l.mayRun() && l.serveOne(now) {
 	}
-	if l.drain.after(l.waiting.inTime.Len()) < overloadEndBacklog {
-		l.waiting.setOverloaded(false)
-	}
-	late := l.waiting.shedLate(now)
-	if len(late) == 0 {
-		return
-	}
-	err := l.overloadedError()
-	for _, w := range late {
-		w.ready <- delivery{err: err}
+	if l.expectedWait(l.waiting.inTime.work, l.waiting.inTime.Len()) < overloadEndBacklog {
+		l.waiting.setOrder(now, byDue)
 	}
+	l.shed(now)
 }
 
 // serveOne assigns an idle connection to the first waiting request of a workspace that has one;
@@ -96,36 +90,25 @@
 		l.waiting.push(w)
 		return true
 	}
-	l.begin(c, now)
+	l.begin(c, w.opts.Class, now)
+	l.charge(w.opts.Workspace, w.work)
 	l.drain.recordServed(now, l.waiting.Len() > 0)
 	w.ready <- delivery{conn: c}
 	return true
 }
 
-// wouldBeLate reports whether the target is overloaded and a request that is queued now would miss
-// its objective.
-func (l *Lane) wouldBeLate(now clock.Time, o AcquireOptions) bool {
-	if !l.waiting.overloaded {
-		return false
-	}
-	wait := l.drain.after(l.waiting.ahead(o) + 1)
-	return wait > 0 && now.Add(wait+l.waiting.statementTime).After(o.Due)
-}
-
-// overloadedError returns the refusal of a request that cannot be served in time.
-func (l *Lane) overloadedError() error {
-	return &UnavailableError{Target: l.id, RetryAfter: l.drain.after(l.waiting.Len() + 1), Cause: errors.New("more is asked than the target can do")}
-}
-
 // mayRun reports whether one more statement may be sent to the target. The target's own queue is
 // first come, first served; so only as many statements are sent as keep its slots busy, and further
 // requests wait in this VM's queue, ordered by urgency.
 func (l *Lane) mayRun() bool { return l.maxRunning == 0 || l.inUse-l.parked-l.overdue < l.maxRunning }
 
 // begin records that a statement has acquired the connection.
-func (l *Lane) begin(c *Conn, now clock.Time) {
-	c.acquiredAt, c.runningSince, c.wasParked = now, now, false
+func (l *Lane) begin(c *Conn, class uint32, now clock.Time) {
+	c.class, c.acquiredAt, c.runningSince, c.wasParked = class, now, now, false
 	l.busy[c] = struct{}{}
+	if l.perWorkspace {
+		l.usage.used(now, c.workspace, l.inUseFor(c.workspace)-1)
+	}
 }
 
 // end records that a connection is released or discarded.
@@ -153,6 +136,7 @@
 	}
 	if l.mayRun() {
 		l.setParked(c, false)
+		l.charge(c.workspace, l.waiting.times.average.mean)
 		l.mu.Unlock()
 		return nil
 	}
@@ -173,8 +157,18 @@
 	if parked {
 		c.wasParked = true
 		l.parked++
+		l.waiting.shares.rest(c.workspace, 1)
 	} else {
 		l.parked--
+		l.waiting.shares.rest(c.workspace, -1)
+	}
+}
+
+// charge records that a workspace's statement has got a slot, if slots are given by shares.
+func (l *Lane) charge(workspace string, work time.Duration) {
+	if workspace != "" && l.waiting.pressed() {
+		l.waiting.shares.charge(workspace, work)
+		l.decisions.Count(decisions.Queue, string(l.id), outcomeByShare, 1)
 	}
 }
 
@@ -183,7 +177,8 @@
 	defer l.mu.Unlock()
 	l.end(c)
 	if c.acquiredAt != 0 && !c.wasParked {
-		l.waiting.recordStatementTime(l.clk.Now().Sub(c.acquiredAt))
+		now := l.clk.Now()
+		l.waiting.times.record(now, c.class, now.Sub(c.acquiredAt))
 	}
 	l.putIdle(c)
 }
@@ -197,6 +192,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.end(c)
+	l.count(closedBroken)
 	l.drop(c)
 	l.serve(l.clk.Now())
 	l.grow(l.clk.Now())
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/ratelimit"
 	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -35,13 +36,14 @@
 	// Idle returns how long a transaction may stay open without a statement.
 	Idle func() time.Duration
 	// Draw takes tokens from this VM's share of a workspace's limit.
-	Draw func(workspace string, want int) (tokens int, retryAfter time.Duration)
+	Draw func(workspace string, r ratelimit.Request) ratelimit.Reply
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
 // for concurrent use.
 type Server struct {
-	cfg ServerConfig
+	cfg      ServerConfig
+	failures failures
 
 	mu   sync.Mutex
 	open map[uint64]*openTransaction
@@ -96,7 +98,12 @@
 }
 
 func (s *Server) reply(id target.ID, in *relaypb.RunRequest, r *dispatch.Result, err error) *relaypb.RunReply {
-	out := &relaypb.RunReply{Load: s.load(id), Evidence: s.evidence(in.GetClaim().GetService(), in.GetProofAgeUs())}
+	var lost *dispatch.LostError
+	if answered := err == nil; answered || errors.As(err, &lost) {
+		s.failures.record(id, !answered)
+	}
+	out := &relaypb.RunReply{Evidence: s.evidence(in.GetClaim().GetService(), in.GetProofAgeUs())}
+	out.Load, out.LoadReport = s.report(id)
 	if err != nil {
 		out.Failure = failureOf(err)
 		return out
@@ -105,11 +112,6 @@
 	return out
 }
 
-func (s *Server) load(id target.ID) int32 {
-	l := s.cfg.Local.Load(id)
-	return int32(l.InUse + l.Queued)
-}
-
 // runInTransaction runs a statement of an open transaction, and removes the transaction once it
 // has ended.
 func (s *Server) runInTransaction(ctx context.Context, in *relaypb.RunRequest) (*relaypb.RunReply, error) {
@@ -173,10 +175,11 @@
 	o := &dispatch.Opening{Service: service, Values: values(in.GetValues())}
 	o.Begin.ReadOnly, o.Begin.After = in.GetReadOnly(), position(in.GetAfter())
 	tx, a, err := s.cfg.Local.Open(ctx, id, claim(in.GetClaim(), s.cfg.Clock.Now()), o)
+	load, report := s.report(id)
 	if err != nil {
-		return &relaypb.OpenReply{Failure: failureOf(err), Load: s.load(id)}, nil
+		return &relaypb.OpenReply{Failure: failureOf(err), Load: load, LoadReport: report}, nil
 	}
-	out := &relaypb.OpenReply{Answer: answerOf(a), Load: s.load(id), Evidence: s.evidence(service, in.GetProofAgeUs())}
+	out := &relaypb.OpenReply{Answer: answerOf(a), Load: load, LoadReport: report, Evidence: s.evidence(service, in.GetProofAgeUs())}
 	if tx != nil {
 		out.Transaction = s.add(tx)
 	}
@@ -219,12 +222,6 @@
 	return rows, 0, err
 }
 
-// Draw implements relaypb.Relay.
-func (s *Server) Draw(_ context.Context, in *relaypb.DrawRequest) (*relaypb.DrawReply, error) {
-	tokens, retryAfter := s.cfg.Draw(in.GetWorkspace(), int(in.GetWant()))
-	return &relaypb.DrawReply{Tokens: uint32(tokens), ComeBackUs: micros(retryAfter)}, nil
-}
-
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
 	h := s.detach(in.GetTransaction())
