--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -37,10 +37,10 @@
 	return false
 }
 
-// patience returns how much longer a request may wait for the end of an outage. One that arrives in an
+// outageTimeout returns how much longer a request may wait for the end of an outage. One that arrives in an
 // outage waits as long as one usually lasts, and not so long that its caller has no time left for
 // another VM. The first one waits for its whole time: it finds out whether there is an outage.
-func (s *Session) patience(g *groups.Group, w *work, c groups.Cause) time.Duration {
+func (s *Session) outageTimeout(g *groups.Group, w *work, c groups.Cause) time.Duration {
 	timeout := deadline(w.route, w.arrived).Sub(w.arrived)
 	if !s.refusesEarly(g) {
 		return timeout
@@ -58,7 +58,7 @@
 	if !s.refusesEarly(g) {
 		return timeout
 	}
-	return min(s.patience(g, w, c), timeout/callerTries)
+	return min(s.outageTimeout(g, w, c), timeout/callerTries)
 }
 
 // recordOutage records a try at the primary that failed without an answer. A busy or saturated
@@ -93,9 +93,9 @@
 	return groups.Unproven
 }
 
-// isOutOfPatience reports whether a request that has failed for a cause should get its final answer.
-func (s *Session) isOutOfPatience(g *groups.Group, w *work) bool {
-	return w.cause != groups.NoCause && s.patience(g, w, w.cause) <= 0
+// outageTimedOut reports whether a request that has failed for a cause should get its final answer.
+func (s *Session) outageTimedOut(g *groups.Group, w *work) bool {
+	return w.cause != groups.NoCause && s.outageTimeout(g, w, w.cause) <= 0
 }
 
 // defaultRetryAfter is the retry-after of a refusal without a better estimate: about the time that a
--- a/engine/session.go
+++ b/engine/session.go
@@ -188,7 +188,7 @@
 			return false
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.patience(g, w, groups.NoEvidence))
+	ctx, cancel := context.WithTimeout(ctx, s.outageTimeout(g, w, groups.NoEvidence))
 	defer cancel()
 	g.Refresh(ctx, w.route.MaxAge)
 	now := w.recordPhase(phaseEvidence, begun, s.engine.cfg.Clock.Now())
--- a/engine/single.go
+++ b/engine/single.go
@@ -94,7 +94,7 @@
 		case saturated:
 			return s.giveUp(w, statement.Busy, "the primary has no time")
 		case unsent, retryable:
-			if s.isOutOfPatience(g, w) || !s.pause(ctx, w) {
+			if s.outageTimedOut(g, w) || !s.pause(ctx, w) {
 				return s.giveUp(w, statement.Busy, "the primary has no room")
 			}
 		}
@@ -155,7 +155,7 @@
 			return a
 		}
 		s.recordOutage(g, w, result)
-		if s.isOutOfPatience(g, w) || !s.pause(ctx, w) {
+		if s.outageTimedOut(g, w) || !s.pause(ctx, w) {
 			return s.giveUp(w, statement.Busy, "no proven answer in time")
 		}
 	}
@@ -175,7 +175,7 @@
 			return leader, err
 		}
 		s.recordUnserved(g, w, groups.NoPrimary)
-		if ctx.Err() != nil || s.isOutOfPatience(g, w) {
+		if ctx.Err() != nil || s.outageTimedOut(g, w) {
 			return leader, err
 		}
 	}
@@ -203,7 +203,7 @@
 		}
 		w.outage += now.Sub(begun)
 		s.recordUnserved(g, w, causeOf(err))
-		if ended || s.isOutOfPatience(g, w) {
+		if ended || s.outageTimedOut(g, w) {
 			return false
 		}
 	}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -324,7 +324,7 @@
 			return s.giveUpOpening(w, "no target has time")
 		}
 		tried[id] = true
-		if s.isOutOfPatience(tx.group, w) || !s.pause(ctx, w) {
+		if s.outageTimedOut(tx.group, w) || !s.pause(ctx, w) {
 			return s.giveUpOpening(w, "no target took the transaction in time")
 		}
 	}
