lane: the wait of a request counts what open transactions take

A lane divided the work ahead by all slots, though statements of open transactions go first and their work stands in no queue. Change: a lane measures which fraction of the slots' work goes to requests that wait for a connection.

--- a/lane/admit.go
+++ b/lane/admit.go
@@ -27,7 +27,7 @@
 	if l.maxRunning == 0 || !l.waiting.times.known() {
 		return l.drain.after(requests)
 	}
-	wait := work / time.Duration(l.maxRunning)
+	wait := time.Duration(float64(work) / (float64(l.maxRunning) * l.slotUse.freshFraction()))
 	if l.open-l.parked < l.maxRunning {
 		// Connections are lacking, not slots.
 		wait = max(wait, l.drain.after(requests))
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -121,6 +121,7 @@
 	controlQueue queue              // control commands
 	drain        drain
 	created      clock.Time
+	slotUse      slotUse
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
@@ -197,6 +198,8 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
+			work, _ := l.waiting.times.of(now, o.Class)
+			l.slotUse.recordFresh(now, work)
 			l.begin(c, o.Class, now)
 			l.mu.Unlock()
 			return c, nil
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -64,8 +64,7 @@
 	}
 	for l.unparking.Len() > 0 && l.mayRun() {
 		w := l.unparking.next(now, anyone)
-		l.setParked(w.held, false)
-		l.charge(w.held.workspace, l.waiting.times.average.mean)
+		l.resume(w.held, now)
 		w.ready <- delivery{conn: w.held}
 	}
 	for l.waiting.Len() > 0 && l.mayRun() && l.serveOne(now) {
@@ -91,6 +90,7 @@
 		return true
 	}
 	l.begin(c, w.opts.Class, now)
+	l.slotUse.recordFresh(now, w.work)
 	l.charge(w.opts.Workspace, w.work)
 	l.drain.recordServed(now, l.waiting.Len() > 0)
 	w.ready <- delivery{conn: c}
@@ -135,8 +135,7 @@
 		return nil
 	}
 	if l.mayRun() {
-		l.setParked(c, false)
-		l.charge(c.workspace, l.waiting.times.average.mean)
+		l.resume(c, l.clk.Now())
 		l.mu.Unlock()
 		return nil
 	}
@@ -147,6 +146,14 @@
 	return err
 }
 
+// resume lets a parked connection run a statement again.
+func (l *Lane) resume(c *Conn, now clock.Time) {
+	work := l.waiting.times.average.mean
+	l.setParked(c, false)
+	l.slotUse.recordResumed(now, work)
+	l.charge(c.workspace, work)
+}
+
 func (l *Lane) setParked(c *Conn, parked bool) {
 	if c.parked == parked {
 		return
