--- a/placing/choose.go
+++ b/placing/choose.go
@@ -53,15 +53,12 @@
 // [0, 1).
 //
 // Load: all VMs know from the same reports that one target has a queue. Where the preferred
-// candidate has one, the read therefore draws among those that are not full, by the inverse
-// of the expected time: if all chose the best one, it would have the queue by the next report.
+// candidate has one, the read therefore draws among those that are not full, by the inverse of the
+// expected time: if all chose the best one, it would have the queue by the next report.
 func (t *Tracker) Choose(now clock.Time, candidates []Candidate, objective time.Duration, draw float64) Choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var costs [maxWeighed]float64
-	if len(candidates) > maxWeighed {
-		candidates = candidates[:maxWeighed]
-	}
+	costs := make([]float64, len(candidates))
 	c := Choice{Index: -1, Full: len(candidates) > 0}
 	preferred, least := -1, math.Inf(1)
 	usable, open := 0, 0
@@ -83,7 +80,7 @@
 	if preferred < 0 {
 		return c
 	}
-	c.Index = t.draw(now, candidates, costs[:len(candidates)], preferred, open > 0, draw)
+	c.Index = t.draw(now, candidates, costs, preferred, open > 0, draw)
 	chosen := &candidates[c.Index]
 	c.Wait = chosen.Wait
 	lastResort := costs[c.Index] >= float64(lastResortCost)
@@ -94,9 +91,6 @@
 	return c
 }
 
-// maxWeighed bounds the candidates that are compared; services have three targets.
-const maxWeighed = 8
-
 // draw returns the cheapest candidate, or one drawn by cost if the preferred one has a queue. Full
 // candidates are left out if others are open.
 func (t *Tracker) draw(now clock.Time, candidates []Candidate, costs []float64, preferred int, open bool, draw float64) int {
