--- a/lane/lane.go
+++ b/lane/lane.go
@@ -173,7 +173,7 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.backlog(),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.expectedWait(l.waiting.inTime.work, l.waiting.inTime.Len()),
 		ServiceTime: l.waiting.times.average.mean, Overloaded: l.waiting.overloaded(), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
--- a/placing/limit.go
+++ b/placing/limit.go
@@ -17,6 +17,9 @@
 	// maxClasses bounds the classes that are told apart; the answers of all others are counted
 	// together, as class 0.
 	maxClasses = 256
+	// halfLife is how long it takes at most until old answer times have half of their weight, so that an
+	// outage in which all answers were lost does not determine the limit for long.
+	halfLife = 30 * time.Second
 	// classTTL is how long a class without answers is kept.
 	classTTL = time.Minute
 	// tailMargin is applied to the 99th percentile: a few hundred answers show little beyond it.
@@ -32,6 +35,7 @@
 	counts [buckets]uint16
 	total  int
 	last   clock.Time
+	halved clock.Time
 }
 
 const (
@@ -47,10 +51,13 @@
 	a.counts[i]++
 	a.total++
 	a.last = now
-	if a.total < maxSamples {
+	if a.halved == 0 {
+		a.halved = now
+	}
+	if a.total < maxSamples && now.Sub(a.halved) < halfLife {
 		return
 	}
-	a.total = 0
+	a.total, a.halved = 0, now
 	for i := range a.counts {
 		a.counts[i] /= 2
 		a.total += int(a.counts[i])
--- a/placing/limit_test.go
+++ b/placing/limit_test.go
@@ -91,6 +91,26 @@
 	require.Greater(t, served, 50)
 }
 
+// Load: a VM that sends a statement of the class each second loses all answers for half a minute.
+// Failure guarded against: the lost ones count for as long as it takes to send a thousand others, and
+// until then a lost answer is found out only when half of the caller's time is over.
+func TestLimitForgetsAnOutage(t *testing.T) {
+	tr, b := NewTracker(), Bounds{Class: 1, Objective: 250 * ms, Left: 2 * time.Second}
+	answered := func(from, to int) {
+		for s := from; s < to; s++ {
+			tr.Served("x", 1, at(s*1000), 20*ms)
+		}
+	}
+	answered(0, 60)
+	usual := tr.TryTimeout("x", at(60_000), b)
+	for s := 60; s < 90; s++ {
+		tr.TimedOut(1, at(s*1000), tr.TryTimeout("x", at(s*1000), b))
+	}
+	answered(90, 90+150)
+	now := at((90 + 150) * 1000)
+	require.LessOrEqual(t, tr.TryTimeout("x", now, b), usual+usual/4)
+}
+
 // A transaction's statement is given the caller's time until its class is known, and is given up
 // early enough to repeat the transaction once an answer is much later than any other.
 func TestStatementOfATransactionIsGivenTheCallersTime(t *testing.T) {
