engine: a caller refused by a full target is told a time also if the queue takes longer

Cause: found in review: a target that needs longer for its queue than the caller has left gave a refusal without a return time, as an outage that outlasts the caller does. A queue is worked off all the while. Change: the time is bounded by what the caller has left. Measured: tests of engine and groups pass.

--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -117,7 +117,7 @@
 	case w.cause != groups.NoCause:
 		return g.Breaker.RetryAfter(now, w.cause, w.route.Priority, left, rand.Float64())
 	case w.saturated > 0:
-		return g.Busy.Next(now, w.route.Priority, w.retryAfter, left, rand.Float64())
+		return g.Busy.Next(now, w.route.Priority, min(w.retryAfter, left), left, rand.Float64())
 	default:
 		return g.Busy.Next(now, w.route.Priority, defaultRetryAfter, left, rand.Float64())
 	}
