gossip: a duration in a message has a bound

Cause: found in review: an age of 2^63 microseconds overflows, and a report lies in the future, where no later one replaces it. Measured: TestReportOfAnAbsurdAgeIsOld, red before; tests of gossip pass.

--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -157,7 +157,12 @@
 	}
 }
 
-func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
+// maxMicroseconds bounds a duration in a message. An age of more would overflow and lie in the future.
+const maxMicroseconds = uint64(24 * time.Hour / time.Microsecond)
+
+func microseconds(n uint64) time.Duration {
+	return time.Duration(min(n, maxMicroseconds)) * time.Microsecond
+}
 
 func configOf(c *catalog.Config) *gossippb.Config {
 	return &gossippb.Config{
--- a/gossip/loadreport_test.go
+++ b/gossip/loadreport_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -40,3 +41,12 @@
 	require.Equal(t, busy, out)
 	require.Equal(t, "sender", LoadReport(&gossippb.LoadReport{}, "sender", 0).Reporter)
 }
+
+// Failure guarded against: an age that no peer can mean overflows, and the report lies in the future,
+// where no later one replaces it.
+func TestReportOfAnAbsurdAgeIsOld(t *testing.T) {
+	now := clock.Time(48 * time.Hour)
+	r := LoadReport(&gossippb.LoadReport{Target: "x", AgeUs: math.MaxUint64, WaitUs: math.MaxUint64}, "vm", now)
+	require.Less(t, r.At, now.Add(-loadreport.MaxAge))
+	require.Positive(t, r.Wait)
+}
