gossip: the test of an absurd age imports what it uses

Measured: tests of gossip pass; with the old decoding the new test is red by its first check (an age of -1 µs).

--- a/gossip/loadreport_test.go
+++ b/gossip/loadreport_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/partners"
