wait: one context that ends when a condition holds, for readers who left and primaries that were replaced

Cause: two packages polled a condition with the same timers. Change: wait.CancelWhen. Measured: tests of engine, and those of package edge on refusals, callers and drains, pass.

--- a/edge/departed.go
+++ b/edge/departed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/platform/line"
 )
 
@@ -17,20 +18,5 @@
 // Failure guarded against: in an overload, consumers leave before they are served, and their requests
 // take the place of those whose consumers wait, in this VM's queues and at gateways.
 func whileConnected(c *line.Consumer) (_ context.Context, end func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var check func()
-	check = func() {
-		switch {
-		case ctx.Err() != nil:
-		case c.Left():
-			cancel()
-		default:
-			time.AfterFunc(departureCheckInterval, check)
-		}
-	}
-	first := time.AfterFunc(departureCheckInterval, check)
-	return ctx, func() {
-		first.Stop()
-		cancel()
-	}
+	return wait.CancelWhen(context.Background(), departureCheckInterval, c.Left)
 }
--- a/engine/replaced.go
+++ b/engine/replaced.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/leadership"
 )
 
@@ -21,21 +22,8 @@
 	if !s.refusesEarly(g) {
 		return ctx, func() {}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	var check func()
-	check = func() {
-		if ctx.Err() != nil {
-			return
-		}
-		if current, known := g.KnownPrimary(); known && current.Primary != leader.Primary {
-			cancel()
-			return
-		}
-		time.AfterFunc(replacedCheckInterval, check)
-	}
-	first := time.AfterFunc(replacedCheckInterval, check)
-	return ctx, func() {
-		first.Stop()
-		cancel()
-	}
+	return wait.CancelWhen(ctx, replacedCheckInterval, func() bool {
+		current, known := g.KnownPrimary()
+		return known && current.Primary != leader.Primary
+	})
 }
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -26,3 +26,24 @@
 		return false
 	}
 }
+
+// CancelWhen returns a context that is canceled once stop returns true, which is checked at each
+// interval and not before the first one has passed. The caller must call end when its work has ended.
+func CancelWhen(ctx context.Context, interval time.Duration, stop func() bool) (_ context.Context, end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var check func()
+	check = func() {
+		switch {
+		case ctx.Err() != nil:
+		case stop():
+			cancel()
+		default:
+			time.AfterFunc(interval, check)
+		}
+	}
+	first := time.AfterFunc(interval, check)
+	return ctx, func() {
+		first.Stop()
+		cancel()
+	}
+}
