lane: a read that would not wait for its turn is no sign of overload

Cause: found in the read-through: a request that would be in time, but whose caller waits for a shorter time than its turn takes, made the queue pressed, and was refused as at an overloaded target. Change: the queue is pressed only by a request that the work ahead of it makes late. Measured: TestReadWithAnotherTargetIsNoSignOfOverload, red before; tests of lane pass, with the race detector too.

--- a/lane/admission_test.go
+++ b/lane/admission_test.go
@@ -157,3 +157,35 @@
 		require.Less(t, all.refusals, 3*all.unserved)
 	})
 }
+
+// Load: reads that have another target wait for half of their objective only. Failure guarded against:
+// one that would have to wait longer, yet be in time, counts as a sign of overload, and after three
+// such refusals the read is given up although its caller has time.
+func TestReadWithAnotherTargetIsNoSignOfOverload(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		l := newLane("x", (&dialer{limit: 4}).dial, monotonic.New(), gateways.Share{MaxOpen: 4, MaxIdle: 4, MaxRunning: 1})
+		for range 4 * minSamples {
+			c := acquire(t, l)
+			time.Sleep(50 * time.Millisecond)
+			c.Release()
+		}
+		held := acquire(t, l)
+		due := func() AcquireOptions { return AcquireOptions{Due: l.clk.Now().Add(time.Second)} }
+		for range 4 {
+			go func() {
+				if c, err := l.Acquire(context.Background(), due(), time.Second); err == nil {
+					c.Release()
+				}
+			}()
+		}
+		time.Sleep(time.Millisecond)
+		_, err := l.Acquire(context.Background(), due(), 20*time.Millisecond)
+		var u *UnavailableError
+		require.ErrorAs(t, err, &u)
+		require.True(t, u.Expired)
+		require.Zero(t, u.RetryAfter)
+		require.False(t, l.waiting.pressed())
+		held.Release()
+		time.Sleep(time.Second)
+	})
+}
--- a/lane/admit.go
+++ b/lane/admit.go
@@ -52,7 +52,7 @@
 	if inTime && wait < timeout {
 		return nil
 	}
-	if now.Before(w.startBy) && !q.pressed() {
+	if !inTime && now.Before(w.startBy) && !q.pressed() {
 		q.setOrder(now, byPriority)
 		l.decisions.Count(decisions.Queue, string(l.id), outcomePressed, 1)
 	}
