--- a/lane/lane.go
+++ b/lane/lane.go
@@ -121,6 +121,7 @@
 	controlQueue queue              // control commands
 	drain        drain
 	created      clock.Time
+	slotUse      slotUse
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
@@ -172,7 +173,7 @@
 	defer l.mu.Unlock()
 	return Load{
 		InUse: l.inUse, Queued: l.waiting.Len(), Late: l.waiting.late.Len(), Parked: l.parked,
-		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.backlog(),
+		Open: l.open, ServeInterval: l.drain.after(1), ExpectedWait: l.expectedWait(l.waiting.inTime.work, l.waiting.inTime.Len()),
 		ServiceTime: l.waiting.times.average.mean, Overloaded: l.waiting.overloaded(), Allowance: l.allowance, Down: l.downCause != nil && l.open == 0 || l.dialHangs(l.clk.Now()),
 	}
 }
@@ -197,6 +198,8 @@
 	}
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
+			work, _ := l.waiting.times.of(now, o.Class)
+			l.slotUse.recordFresh(now, work)
 			l.begin(c, o.Class, now)
 			l.mu.Unlock()
 			return c, nil
