Read-through: report fields that nobody read, names, and pages that said what was so before

Three names puzzled (sharesOut, stage, a flag called cost). The tests follow the renamed field and the dropped one; no assertion changed. No decision changes.

--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -51,9 +51,9 @@
 	return max(timeout-w.outage, 0)
 }
 
-// stage returns how long a request waits before it records that it waits in vain: others that arrive
-// meanwhile should know.
-func (s *Session) stage(g *groups.Group, w *work, c groups.Cause) time.Duration {
+// outageReportInterval returns how long a request waits before it records that it waits in vain: others
+// that arrive meanwhile should know.
+func (s *Session) outageReportInterval(g *groups.Group, w *work, c groups.Cause) time.Duration {
 	timeout := deadline(w.route, w.arrived).Sub(w.arrived)
 	if !s.refusesEarly(g) {
 		return timeout
--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -36,7 +36,7 @@
 	tries, elsewhere := 0, 0
 	for range requests {
 		clk.now = clk.now.Add(5 * time.Millisecond)
-		w := &work{route: route, cost: true}
+		w := &work{route: route, costly: true}
 		e.cfg.Groups.Group("s").Repeats.Request(clk.now)
 		for w.tries < 9 {
 			w.tries++
--- a/engine/repeat.go
+++ b/engine/repeat.go
@@ -15,7 +15,7 @@
 // them refuses is sent to the two others as well, and again.
 func (s *Session) mayRepeat(w *work) bool {
 	g := s.engine.cfg.Groups.Group(w.route.Service)
-	if !w.cost || !s.refusesEarly(g) {
+	if !w.costly || !s.refusesEarly(g) {
 		return true
 	}
 	reserve, outcome := 0, "elsewhere"
--- a/engine/single.go
+++ b/engine/single.go
@@ -183,7 +183,7 @@
 
 func (s *Session) awaitPrimary(ctx context.Context, g *groups.Group, w *work) (leadership.State, error) {
 	begun := s.engine.cfg.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, s.stage(g, w, groups.NoPrimary))
+	ctx, cancel := context.WithTimeout(ctx, s.outageReportInterval(g, w, groups.NoPrimary))
 	defer cancel()
 	leader, err := g.Primary(ctx)
 	now := w.recordPhase(phasePrimary, begun, s.engine.cfg.Clock.Now())
@@ -196,7 +196,7 @@
 func (s *Session) proven(g *groups.Group, w *work, proof <-chan error) bool {
 	for {
 		begun := s.engine.cfg.Clock.Now()
-		err, ended := awaitProof(proof, func() time.Duration { return s.stage(g, w, groups.Unproven) })
+		err, ended := awaitProof(proof, func() time.Duration { return s.outageReportInterval(g, w, groups.Unproven) })
 		now := w.recordPhase(phaseProof, begun, s.engine.cfg.Clock.Now())
 		if ended && err == nil {
 			return true
--- a/engine/try.go
+++ b/engine/try.go
@@ -94,7 +94,7 @@
 	if errors.As(err, &lost) {
 		w.ran = true
 	}
-	w.saturated, w.cost = 0, false
+	w.saturated, w.costly = 0, false
 	return unsent
 }
 
@@ -139,16 +139,16 @@
 		var u *lane.UnavailableError
 		if errors.As(err, &u) && u.RetryAfter > 0 {
 			w.saturated, w.retryAfter, w.refusal = w.saturated+1, u.RetryAfter, u.Cause
-			w.cause, w.cost = groups.NoCause, true
+			w.cause, w.costly = groups.NoCause, true
 			return saturated
 		}
-		w.saturated, w.cost = 0, false
+		w.saturated, w.costly = 0, false
 		if dispatch.Unresponsive(err) {
 			e.cfg.Placing.Failed(id, e.cfg.Clock.Now())
 		}
 		return unsent
 	}
-	w.saturated, w.ran, w.cost = 0, true, true
+	w.saturated, w.ran, w.costly = 0, true, true
 	e.recordFailure(id, lost)
 	e.cfg.Log.Debug("answer-lost", zap.String("request", w.st.ID), zap.String("target", string(id)), zap.Error(err))
 	return lostAnswer
@@ -159,7 +159,7 @@
 	e := s.engine
 	a, now := r.Answer, e.cfg.Clock.Now()
 	w.ran = w.ran || !a.Code.NotRun()
-	w.cost = a.Code != statement.Lagging
+	w.costly = a.Code != statement.Lagging
 	switch {
 	case a.Code == statement.OK:
 		e.cfg.Placing.Served(id, w.class(), now, r.Took)
--- a/engine/work.go
+++ b/engine/work.go
@@ -38,8 +38,8 @@
 	// latest cause.
 	outage time.Duration
 	cause  groups.Cause
-	// cost is set if the latest try took some of a target's or gateway's time.
-	cost bool
+	// costly is set if the latest try took some of a target's or gateway's time.
+	costly bool
 }
 
 // deadline returns the time at which the statement times out.
--- a/gossip/loadreport.go
+++ b/gossip/loadreport.go
@@ -15,8 +15,7 @@
 	return &gossippb.LoadReport{
 		Target: string(r.Target), Reporter: r.Reporter, Incarnation: r.Incarnation,
 		AgeUs: uint64(max(now.Sub(r.At).Microseconds(), 0)), WaitUs: uint64(r.Wait.Microseconds()),
-		ServiceUs: uint64(r.ServiceTime.Microseconds()), IntervalUs: uint64(r.Interval.Microseconds()),
-		FailedPermille: uint32(r.Failed * permille), Overloaded: r.Overloaded,
+		ServiceUs: uint64(r.ServiceTime.Microseconds()), FailedPermille: uint32(r.Failed * permille), Overloaded: r.Overloaded,
 	}
 }
 
@@ -26,8 +25,7 @@
 	r := loadreport.Report{
 		Target: target.ID(in.GetTarget()), Reporter: in.GetReporter(), Incarnation: in.GetIncarnation(),
 		At: after.Add(-microseconds(in.GetAgeUs())), Wait: microseconds(in.GetWaitUs()),
-		ServiceTime: microseconds(in.GetServiceUs()), Interval: microseconds(in.GetIntervalUs()),
-		Failed: min(float64(in.GetFailedPermille())/permille, 1), Overloaded: in.GetOverloaded(),
+		ServiceTime: microseconds(in.GetServiceUs()), Failed: min(float64(in.GetFailedPermille())/permille, 1), Overloaded: in.GetOverloaded(),
 	}
 	if r.Reporter == "" {
 		r.Reporter = sender
--- a/gossip/loadreport_test.go
+++ b/gossip/loadreport_test.go
@@ -16,7 +16,7 @@
 
 var busy = loadreport.Report{
 	Target: "i-6a25603de1", Reporter: "edge-kasoa-west-986", Incarnation: 1_797_000_000_000, At: 1,
-	Wait: 1234567 * time.Microsecond, ServiceTime: 123456 * time.Microsecond, Interval: 12345 * time.Microsecond, Failed: .5, Overloaded: true,
+	Wait: 1234567 * time.Microsecond, ServiceTime: 123456 * time.Microsecond, Failed: .5, Overloaded: true,
 }
 
 // Failure guarded against: the reports of a fleet of 986 VMs and 1,000 services under load need more
--- a/lane/fairness.go
+++ b/lane/fairness.go
@@ -96,9 +96,9 @@
 	}
 }
 
-// sharesOut reports whether workspaces are served by their shares: while not all requests can be in
+// servesByShare reports whether workspaces are served by their shares: while not all requests can be in
 // time, at a target whose connections serve one workspace each.
-func (q *queue) sharesOut() bool {
+func (q *queue) servesByShare() bool {
 	return q.pressed() && q.inTime.Len() > 0 && q.inTime.all[0].opts.Workspace != ""
 }
 
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -123,7 +123,7 @@
 // ahead returns the number and the expected work of the waiting requests that take precedence over
 // a request.
 func (q *queue) ahead(w *waiter) (n int, work time.Duration) {
-	if q.sharesOut() {
+	if q.servesByShare() {
 		return q.aheadByShare(w)
 	}
 	for _, other := range q.inTime.all {
@@ -201,7 +201,7 @@
 
 // bestInTime returns the request in time whose turn it is.
 func (q *queue) bestInTime(fits func(*waiter) bool) *waiter {
-	if q.sharesOut() {
+	if q.servesByShare() {
 		return q.bestByShare(fits)
 	}
 	if !q.longestFirst() {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -45,8 +45,6 @@
 	Wait time.Duration
 	// ServiceTime is the average time that the target takes for a statement; 0 if it is usual.
 	ServiceTime time.Duration
-	// Interval is the average time between two requests that get a connection while others wait.
-	Interval time.Duration
 	// Failed is the fraction of recent statements without a complete answer.
 	Failed float64
 	// Overloaded is set while the reporter refuses requests that would be late.
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -31,7 +31,8 @@
 	// trip and the price of the transferred bytes.
 	crossZoneCost = 4 * time.Millisecond
 	// primaryCost is added for the primary, because only the primary serves writes and a read there
-	// delays them. The primary is chosen once both replicas have about five of this VM's reads.
+	// delays them. Without reports the primary is chosen once both replicas have about five of this
+	// VM's reads; with them, it takes a part of the reads once the preferred replica has a queue.
 	primaryCost = 80 * time.Millisecond
 	// failurePause is how long a target that failed remains a last resort.
 	failurePause = 500 * time.Millisecond
--- a/ratelimit/priority.go
+++ b/ratelimit/priority.go
@@ -52,11 +52,11 @@
 // urgent operations as many are refused as of the others.
 //
 // The reserve is in force only while the workspace exceeds its limit: it begins once the bucket has
-// been empty, and ends when the operations that asked no longer exceed the rate. Nothing below the
-// limit is refused for it.
+// been empty, and ends pressureHold after the requests for tokens last exceeded the rate. For that
+// long, less urgent operations of a workspace that is below its limit again may be refused for it.
 type pressure struct {
 	until clock.Time
-	// asked counts the operations that asked, and spent the tokens that were granted by priority.
+	// asked counts the requests for tokens, and spent the tokens that were granted by priority.
 	asked average
 	spent [priorities]average
 }
--- a/relay/report.go
+++ b/relay/report.go
@@ -28,7 +28,7 @@
 func Observed(id target.ID, l lane.Load, failed float64) loadreport.Report {
 	r := loadreport.Report{Target: id, Overloaded: l.Overloaded}
 	if l.Queued > 0 {
-		r.Wait, r.Interval = l.ExpectedWait, l.ServeInterval
+		r.Wait = l.ExpectedWait
 		if r.Wait == 0 {
 			r.Wait = time.Duration(l.Queued) * l.ServiceTime / time.Duration(max(l.InUse-l.Parked, 1))
 		}
--- a/relay/router.go
+++ b/relay/router.go
@@ -82,11 +82,7 @@
 
 // Update installs a new assignment, computed from the catalog c.
 func (r *Router) Update(p *gateways.Assignment, c *catalog.Catalog) {
-	installed := &catalogAssignment{Assignment: p, catalog: c}
-	for _, t := range c.Targets {
-		installed.anyGateway = installed.anyGateway || p.UsesGateways(t)
-	}
-	r.assignment.Store(installed)
+	r.assignment.Store(&catalogAssignment{Assignment: p, catalog: c, anyGateway: usesAnyGateway(p, c)})
 	addrs := make(map[string]bool, len(c.VMs))
 	for _, vm := range c.VMs {
 		addrs[vm.Peer] = true
@@ -102,6 +98,16 @@
 	}
 }
 
+// usesAnyGateway reports whether the fleet uses gateways to some target.
+func usesAnyGateway(p *gateways.Assignment, c *catalog.Catalog) bool {
+	for _, t := range c.Targets {
+		if p.UsesGateways(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // route returns the gateways to try for a target; none if this VM connects to the target itself,
 // which it also does if none of the gateways replies.
 func (r *Router) route(id target.ID, workspace string) []catalog.VM {
