promoter: a VM whose own path recovers while it queries replaces no primary

The log of a run that failed (1 of 24 under the race detector, debug log kept): vm0's link is full for 4.6 s, and its attempt of the last 100 ms queries the targets while the link opens. All replies arrive together, within the limit for prompt replies; vm0 reaches others by then, so that only the second half of the check ("reached before and after") told it apart from a VM alone, and the query to the primary failed at once over a broken connection. It replaced a healthy primary for 4.75 s of silence that were its own.

Change: an attempt that was decided or queried while this VM reached nobody, and finds that it reaches others, ends; what was observed before is discarded at the next tick as always.

TestVMWhosePathRecoversReplacesNoPrimary fails without the change.

--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -54,6 +54,8 @@
 	ordered bool
 	// cleansUp is set if an attempt was abandoned under a primary that leads.
 	cleansUp bool
+	// isolated is set if this VM reached no other VM when it decided to act.
+	isolated bool
 }
 
 var (
@@ -67,6 +69,7 @@
 	errIdle                = errors.New("the primary is not saturated")
 	errRecovered           = errors.New("the primary has recovered")
 	errOwnNetwork          = errors.New("this VM reaches no other VM, and targets answer it only slowly: its own network path may be at fault")
+	errWasIsolated         = errors.New("this VM reaches others only since it queried the targets: what it observed before may be its own network path's")
 	errRestored            = errors.New("the store was restored from an older copy: the attempt's record may be lost")
 	errRestarted           = errors.New("the target has restarted and lost its pause or its log")
 )
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -53,14 +53,20 @@
 
 // queryOthers queries the status of all other targets. A VM that reaches no other VM relies on its
 // observations of the primary only while its own network path is good.
+//
+// Failure guarded against: the VM's own path recovers while the queries are in flight, so that all
+// targets reply at once, and the primary is replaced for the silence from before.
 func (a *attempt) queryOthers(ctx context.Context) ([]reply, error) {
-	queried, reached := a.p.cfg.Clock.Now(), a.p.reachesOthers()
+	queried, reached := a.p.cfg.Clock.Now(), !a.isolated && a.p.reachesOthers()
 	statuses := a.sendAll(ctx, a.others, lane.StatusCommand)
 	took := a.p.cfg.Clock.Now().Sub(queried)
-	if reached && a.p.reachesOthers() {
+	reaches := a.p.reachesOthers()
+	switch {
+	case reached && reaches:
 		return statuses, nil
-	}
-	if took > promptReplyLimit {
+	case reaches:
+		return nil, errWasIsolated
+	case took > promptReplyLimit:
 		return nil, errOwnNetwork
 	}
 	if a.reason.Unanswered() && a.primaryAnswers(ctx) {
--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -80,6 +80,33 @@
 	return &attempt{p: p, g: r.Group("s"), term: term}
 }
 
+// recoveringFleet is reached by this VM from the first status query on.
+type recoveringFleet struct {
+	Fleet
+	target *server
+}
+
+func (f recoveringFleet) Reaches(clock.Time) bool { return len(f.target.commands) > 0 }
+
+// Failure guarded against: this VM's own link recovers while it queries the targets, and it replaces
+// a primary that was silent only to itself.
+func TestVMWhosePathRecoversReplacesNoPrimary(t *testing.T) {
+	for _, isolated := range []bool{true, false} {
+		s := &server{status: statement.Status{Role: target.RoleReplica}}
+		a := attemptOn(map[target.ID]*server{"t": s, "old": {dead: true}})
+		a.p.cfg.Fleet = recoveringFleet{target: s}
+		a.old, a.reason, a.others, a.isolated = "old", takeover.ReasonUnresponsive, []*catalog.Target{{ID: "t"}}, isolated
+		_, err := a.queryOthers(context.Background())
+		require.ErrorIs(t, err, errWasIsolated)
+	}
+	s := &server{status: statement.Status{Role: target.RoleReplica}, commands: []lane.Command{lane.StatusCommand}}
+	a := attemptOn(map[target.ID]*server{"t": s, "old": {dead: true}})
+	a.p.cfg.Fleet = recoveringFleet{target: s}
+	a.old, a.reason, a.others, a.isolated = "old", takeover.ReasonUnresponsive, []*catalog.Target{{ID: "t"}}, true
+	_, err := a.queryOthers(context.Background())
+	require.ErrorIs(t, err, errWasIsolated, "it was isolated when it decided, though no longer when it queried")
+}
+
 // A server that led before the last change, and has not connected to its successor, replies to a
 // command to pause without pausing. Accepted as paused, it would follow the primary that is being
 // replaced, and confirm commits that the chosen target lacks.
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -218,7 +218,8 @@
 	}
 	w.busy = true
 	p.running.Add(1)
-	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: now, others: g.Replicas(b.Primary), cleansUp: leftOpen && reason.Answers()}
+	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: now, others: g.Replicas(b.Primary), cleansUp: leftOpen && reason.Answers(),
+		isolated: p.isolatedSince != 0}
 	go p.runAttempt(context.WithoutCancel(ctx), a, b, symptoms)
 }
 
