gossip: the test of large lists runs in virtual time

Change: the same client, handler and assertions over the in-memory network in virtual time, where a call's timeout runs only while nobody works.

--- a/gossip/bulk_test.go
+++ b/gossip/bulk_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +17,8 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/gossip/gossippb"
+	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/internal/memnet"
 	"endivemoor.example/endivemoor/recency"
 )
 
@@ -32,29 +32,37 @@
 // Failure guarded against: a reply grows with the lists that it carries, until it no longer arrives
 // over a slow link within the call's timeout.
 func TestLargeListIsReadRangeByRange(t *testing.T) {
-	known := largeState()
-	var reads, lost atomic.Int32
-	h := NewHandler(&source{known: known}, nil, &manualClock{})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, "/Read") && reads.Add(1)%5 == 0 {
-			lost.Add(1)
-			panic(http.ErrAbortHandler)
-		}
-		h.ServeHTTP(w, r)
-	}))
-	defer server.Close()
-	c, addr := NewClients((&net.Dialer{}).DialContext, &manualClock{}), strings.TrimPrefix(server.URL, "http://")
-	q := PullOptions{Self: "me", Known: &catalog.Catalog{}}
-	n, err := c.Pull(context.Background(), addr, q)
-	require.NoError(t, err)
-	require.Nil(t, n.Config)
-	require.Len(t, n.Bulks, 1)
-	require.Greater(t, n.Bulks[0].Size(), 2*rangeBytes)
-	got, err := c.Fetch(context.Background(), addr, q, n.Bulks[0])
-	require.NoError(t, err)
-	require.Equal(t, known.Catalog.Config, got.Config)
-	require.Positive(t, lost.Load(), "some ranges were lost")
-	require.LessOrEqual(t, int(reads.Load()-lost.Load()), n.Bulks[0].Size()/rangeBytes+1, "no range that arrived was read again")
+	bubble.Test(t, func(t *testing.T) {
+		const addr = "10.0.0.1:1"
+		known := largeState()
+		var reads, lost atomic.Int32
+		h := NewHandler(&source{known: known}, nil, &manualClock{})
+		network := memnet.New()
+		listener, err := network.Host("peer").Listen(addr)
+		require.NoError(t, err)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/Read") && reads.Add(1)%5 == 0 {
+				lost.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+			h.ServeHTTP(w, r)
+		})}
+		go server.Serve(listener)
+		defer time.Sleep(2 * idleTimeout)
+		defer server.Close()
+		c := NewClients(network.Host("me").DialContext, &manualClock{})
+		q := PullOptions{Self: "me", Known: &catalog.Catalog{}}
+		n, err := c.Pull(context.Background(), addr, q)
+		require.NoError(t, err)
+		require.Nil(t, n.Config)
+		require.Len(t, n.Bulks, 1)
+		require.Greater(t, n.Bulks[0].Size(), 2*rangeBytes)
+		got, err := c.Fetch(context.Background(), addr, q, n.Bulks[0])
+		require.NoError(t, err)
+		require.Equal(t, known.Catalog.Config, got.Config)
+		require.Positive(t, lost.Load(), "some ranges were lost")
+		require.LessOrEqual(t, int(reads.Load()-lost.Load()), n.Bulks[0].Size()/rangeBytes+1, "no range that arrived was read again")
+	})
 }
 
 // Failure guarded against: a list is encoded anew for each of hundreds of VMs, or retained without
