--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -165,8 +165,24 @@
 	// Expiring is set if other VMs have announced to remove the entry because they do not reach the
 	// VM, which writes it again unless it is dead.
 	Expiring bool
+	// Condition is what the VM says of its own state.
+	Condition Condition
 }
 
+// Condition is what a VM can carry at present, as its own entry says. VMs of older programs, and
+// values that are not known, count as Normal.
+type Condition string
+
+// Conditions.
+const (
+	// Normal: as much as its capacity says.
+	Normal Condition = ""
+	// Loaded: its processor or link is nearly used up; it should be a gateway less often.
+	Loaded Condition = "loaded"
+	// Yielding: it is slow; it should be a gateway only where nobody else is.
+	Yielding Condition = "yielding"
+)
+
 // Route returns the route of a database, or nil.
 func (c *Catalog) Route(database string) *Route {
 	if c.Config == nil {
--- a/catalog/listchange.go
+++ b/catalog/listchange.go
@@ -44,6 +44,9 @@
 		// Digests of other entries stay those of versions that do not know the field.
 		out = append(out, "expiring")
 	}
+	if vm.Condition != Normal {
+		out = append(out, "condition="+string(vm.Condition))
+	}
 	return out
 }
 
--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -33,6 +33,12 @@
 	Refusal By = "refusal"
 	// Repeat decides whether the fleet itself repeats a statement.
 	Repeat By = "repeat"
+	// Outlier decides which targets that fail a part of their statements are set aside.
+	Outlier By = "outlier"
+	// Condition decides which VMs are gateways less often.
+	Condition By = "condition"
+	// Returning decides which requests are those of callers who return.
+	Returning By = "returning"
 )
 
 const (
--- a/edge/fleetfollower.go
+++ b/edge/fleetfollower.go
@@ -34,6 +34,8 @@
 	Capacity float64 `json:"capacity,omitempty"`
 	// Expiring is catalog.VM.Expiring.
 	Expiring bool `json:"expiring,omitempty"`
+	// Condition is catalog.VM.Condition.
+	Condition catalog.Condition `json:"condition,omitempty"`
 }
 
 // leadershipRecord is the stored leadership record of a service.
@@ -55,7 +57,7 @@
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
 		return catalog.VM{}, errors.Wrapf(err, "decode fleet entry of VM %s", node)
 	}
-	return catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation, Capacity: r.Capacity, Expiring: r.Expiring}, nil
+	return catalog.VM{ID: node, Zone: r.Zone, Peer: r.Peer, Incarnation: r.Incarnation, Capacity: r.Capacity, Expiring: r.Expiring, Condition: r.Condition}, nil
 }
 
 // fleetFollower applies changes of the fleet's own objects to the catalog.
--- a/gossip/convert.go
+++ b/gossip/convert.go
@@ -291,7 +291,7 @@
 		out.From, out.Gone, out.Digest = change.From, change.Removed, change.Digest
 	}
 	for _, vm := range vms {
-		out.Vms = append(out.Vms, &gossippb.VM{Id: vm.ID, Zone: vm.Zone, Peer: vm.Peer, Incarnation: vm.Incarnation, Capacity: vm.Capacity, Expiring: vm.Expiring})
+		out.Vms = append(out.Vms, &gossippb.VM{Id: vm.ID, Zone: vm.Zone, Peer: vm.Peer, Incarnation: vm.Incarnation, Capacity: vm.Capacity, Expiring: vm.Expiring, Condition: string(vm.Condition)})
 	}
 	for _, r := range c.LeadershipRecords {
 		if r.Revision > out.GetFrom() {
@@ -312,7 +312,7 @@
 func fleet(in *gossippb.Fleet) *Fleet {
 	out := &Fleet{Revision: in.GetRevision(), LeadershipRecords: make(map[string]*catalog.LeadershipRecord, len(in.GetReigns()))}
 	for _, vm := range in.GetVms() {
-		out.VMs = append(out.VMs, catalog.VM{ID: vm.GetId(), Zone: vm.GetZone(), Peer: vm.GetPeer(), Incarnation: vm.GetIncarnation(), Capacity: vm.GetCapacity(), Expiring: vm.GetExpiring()})
+		out.VMs = append(out.VMs, catalog.VM{ID: vm.GetId(), Zone: vm.GetZone(), Peer: vm.GetPeer(), Incarnation: vm.GetIncarnation(), Capacity: vm.GetCapacity(), Expiring: vm.GetExpiring(), Condition: catalog.Condition(vm.GetCondition())})
 	}
 	for _, r := range in.GetReigns() {
 		record := &catalog.LeadershipRecord{Service: r.GetService(), Revision: r.GetRevision(), Primary: target.ID(r.GetPrimary()), Holder: r.GetHolder(), Era: r.GetEra()}
--- a/gossip/loadreport.go
+++ b/gossip/loadreport.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"math"
+
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/loadreport"
@@ -16,6 +18,7 @@
 		Target: string(r.Target), Reporter: r.Reporter, Incarnation: r.Incarnation,
 		AgeUs: uint64(max(now.Sub(r.At).Microseconds(), 0)), WaitUs: uint64(r.Wait.Microseconds()),
 		ServiceUs: uint64(r.ServiceTime.Microseconds()), FailedPermille: uint32(r.Failed * permille), Overloaded: r.Overloaded,
+		Statements: uint32(max(r.Statements, 0)),
 	}
 }
 
@@ -26,6 +29,7 @@
 		Target: target.ID(in.GetTarget()), Reporter: in.GetReporter(), Incarnation: in.GetIncarnation(),
 		At: after.Add(-microseconds(in.GetAgeUs())), Wait: microseconds(in.GetWaitUs()),
 		ServiceTime: microseconds(in.GetServiceUs()), Failed: min(float64(in.GetFailedPermille())/permille, 1), Overloaded: in.GetOverloaded(),
+		Statements: int(min(in.GetStatements(), math.MaxInt32)),
 	}
 	if r.Reporter == "" {
 		r.Reporter = sender
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -21,6 +21,8 @@
 	// Class identifies requests of similar work at the target, so that their service time can be
 	// estimated; 0 if unknown.
 	Class uint32
+	// Caller is a hash of who asks what, equal for the tries of one caller; 0 if unknown.
+	Caller uint64
 }
 
 // before reports whether a request takes precedence over another one.
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -47,6 +47,9 @@
 	ServiceTime time.Duration
 	// Failed is the fraction of recent statements without a complete answer.
 	Failed float64
+	// Statements is the number of statements that Failed covers; 0 if the reporter does not count
+	// them.
+	Statements int
 	// Overloaded is set while the reporter refuses requests that would be late.
 	Overloaded bool
 }
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -21,14 +21,14 @@
 	return &relaypb.Claim{
 		Service: service, Target: string(id), DueUs: micros(c.Options.Due.Sub(now)),
 		Priority: int32(c.Options.Priority), QueueUs: micros(c.QueueTimeout), Workspace: c.Options.Workspace,
-		Class: c.Options.Class,
+		Class: c.Options.Class, Caller: c.Options.Caller,
 	}
 }
 
 func claim(in *relaypb.Claim, now clock.Time) dispatch.Claim {
 	return dispatch.Claim{
 		Options: lane.AcquireOptions{
-			Due: now.Add(duration(in.GetDueUs())), Priority: int(in.GetPriority()), Workspace: in.GetWorkspace(), Class: in.GetClass(),
+			Due: now.Add(duration(in.GetDueUs())), Priority: int(in.GetPriority()), Workspace: in.GetWorkspace(), Class: in.GetClass(), Caller: in.GetCaller(),
 		},
 		QueueTimeout: duration(in.GetQueueUs()),
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -222,6 +222,11 @@
 	return rows, 0, err
 }
 
+// Refused implements relaypb.Relay.
+func (s *Server) Refused(context.Context, *relaypb.RefusedRequest) (*relaypb.RefusedReply, error) {
+	return &relaypb.RefusedReply{}, nil
+}
+
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
 	h := s.detach(in.GetTransaction())
