groups, promoter: what a VM's own link explains is forgotten whole

The log: after the link recovers, the VM's failures are discarded, but (1) a stall went on counting though no write waited, since the last one was given up unanswered, and (2) the breaker, which knows nothing of the link, refused every request at once for 0.7 s, so that no write could end the count. At 0.65 s the VM replaced the primary as stalled, and confirmStall agreed.

Change: a stall counts only time in which some write waits; the discarding also ends the breaker's outages.

--- a/groups/health.go
+++ b/groups/health.go
@@ -25,6 +25,7 @@
 	unansweredSince clock.Time // since when none of the waiting statements was answered
 	writes          int        // number of writes and commits sent and not answered
 	stalledSince    clock.Time // since when none of the waiting writes was answered
+	stalledUntil    clock.Time // when the last of them was given up, while none waits
 	next            *WriteEnd  // the next write that ends; nil if no request waits for it
 }
 
@@ -74,7 +75,7 @@
 	}
 	h.writeEnded(false)
 	h.primary, h.failingSince, h.refusals = id, 0, 0
-	h.waiting, h.unansweredSince, h.writes, h.stalledSince = 0, 0, 0, 0
+	h.waiting, h.unansweredSince, h.writes, h.stalledSince, h.stalledUntil = 0, 0, 0, 0, 0
 }
 
 // Watched returns the target whose health is tracked.
@@ -97,8 +98,13 @@
 	}
 	h.waiting++
 	if write {
-		if h.writes == 0 && h.stalledSince == 0 {
+		switch {
+		case h.writes > 0:
+		case h.stalledSince == 0:
 			h.stalledSince = now
+		default:
+			// Only time in which some write waited counts.
+			h.stalledSince = now.Add(-h.stalledUntil.Sub(h.stalledSince))
 		}
 		h.writes++
 	}
@@ -125,6 +131,8 @@
 		h.stalledSince = 0
 	case answered:
 		h.stalledSince = now
+	default:
+		h.stalledUntil = now
 	}
 }
 
@@ -172,7 +180,8 @@
 	Refusals int
 	// Unanswered is how long statements have waited with none answered.
 	Unanswered time.Duration
-	// Stalled is how long writes have waited with none answered.
+	// Stalled is how long writes have waited with none answered. It does not grow while none waits,
+	// as when requests are refused at once: nothing then shows whether one would be answered.
 	Stalled time.Duration
 }
 
@@ -190,8 +199,12 @@
 	if h.waiting > 0 {
 		s.Unanswered = now.Sub(h.unansweredSince)
 	}
-	if h.stalledSince != 0 {
+	switch {
+	case h.stalledSince == 0:
+	case h.writes > 0:
 		s.Stalled = now.Sub(h.stalledSince)
+	default:
+		s.Stalled = h.stalledUntil.Sub(h.stalledSince)
 	}
 	return s
 }
@@ -202,7 +215,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.failingSince, h.refusals, h.unansweredSince = 0, 0, now
-	if h.stalledSince != 0 {
+	switch {
+	case h.writes == 0:
+		h.stalledSince, h.stalledUntil = 0, 0
+	case h.stalledSince != 0:
 		h.stalledSince = now
 	}
 }
--- a/groups/health_test.go
+++ b/groups/health_test.go
@@ -38,6 +38,22 @@
 	require.Less(t, h.Symptoms("p", ms(800)).Stalled, 100*time.Millisecond, "an acknowledged write shows that others may be acknowledged")
 }
 
+// Failure guarded against: a VM's own link recovers after its last write was given up. It refuses writes
+// at once, so that none is answered, and replaces the primary for a stall that nothing shows.
+func TestStallDoesNotGrowWhileNoWriteWaits(t *testing.T) {
+	var h Health
+	h.Watch("p")
+	h.Sent("p", ms(1), true)(ms(301), false)
+	require.Equal(t, 300*time.Millisecond, h.Symptoms("p", ms(5000)).Stalled)
+	ended := h.Sent("p", ms(5000), true)
+	require.Equal(t, 400*time.Millisecond, h.Symptoms("p", ms(5100)).Stalled, "no write was answered between the two")
+	ended(ms(5100), false)
+	h.Reset(ms(5200))
+	require.Zero(t, h.Symptoms("p", ms(9000)).Stalled)
+	h.Sent("p", ms(9000), true)
+	require.Equal(t, 100*time.Millisecond, h.Symptoms("p", ms(9100)).Stalled)
+}
+
 // This VM was suspended for seconds. Nothing was answered meanwhile, which does not show a fault of
 // the primary.
 func TestOwnSuspensionResetsFailures(t *testing.T) {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -169,6 +169,7 @@
 	defer p.mu.Unlock()
 	for _, g := range p.cfg.Groups.All() {
 		g.Health.Reset(now)
+		g.Breaker.Reset()
 		w := p.stateOf(g.Service)
 		w.reason = takeover.ReasonNone
 	}
