lane, engine: callers who return are due from their first try

A claim carries a hash of who connects, the database and the operation's first statement, where the fleet uses gateways. The lane knows the objective of the claim's class, so that a request that returns is due, and its caller expires, from the first try; refusals of an overload enter the book. The existing rules decide: in time it goes before newer ones, late it waits behind them or is refused.

--- a/engine/single.go
+++ b/engine/single.go
@@ -47,6 +47,7 @@
 		return refused
 	}
 	g.Repeats.Request(w.arrived)
+	w.hash = s.callerHash(g, w, false)
 	a := s.serveSingle(ctx, g, w)
 	if a.Code == statement.Busy && !w.ran {
 		s.uncharge(w)
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -295,6 +295,7 @@
 		return refused
 	}
 	tx.group.Repeats.Request(w.arrived)
+	w.hash = s.callerHash(tx.group, w, true)
 	failure := s.open(ctx, tx, w)
 	if failure != nil {
 		s.uncharge(w)
--- a/engine/try.go
+++ b/engine/try.go
@@ -199,11 +199,11 @@
 	return more
 }
 
-// timeLeft returns the time until the context's deadline, or minTimeout if there is none.
+// timeLeft returns the time until the context's deadline, or the default timeout if there is none.
 func timeLeft(ctx context.Context) time.Duration {
 	d, ok := ctx.Deadline()
 	if !ok {
-		return minTimeout
+		return lane.DefaultStatementTimeout
 	}
 	return time.Until(d)
 }
--- a/engine/work.go
+++ b/engine/work.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"endivemoor.example/endivemoor/callers"
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
@@ -14,16 +12,15 @@
 	"endivemoor.example/endivemoor/statement"
 )
 
-// minTimeout is the timeout of a statement whose route sets none.
-const minTimeout = 2 * time.Second
-
 // work is a statement that is being served.
 type work struct {
-	st         *statement.Statement
-	prepared   *lane.Prepared
-	writes     bool
-	route      *catalog.Route
-	caller     callers.Caller
+	st       *statement.Statement
+	prepared *lane.Prepared
+	writes   bool
+	route    *catalog.Route
+	caller   callers.Caller
+	// hash identifies the caller and what it asks; 0 if it is not recognized when it returns.
+	hash       uint64
 	arrived    clock.Time
 	phaseTimes phaseTimes
 	// ran is set once the statement has been sent and may have run at a target.
@@ -44,30 +41,18 @@
 
 // deadline returns the time at which the statement times out.
 func deadline(route *catalog.Route, arrived clock.Time) clock.Time {
-	if route.StatementTimeout <= 0 {
-		return arrived.Add(minTimeout)
-	}
-	return arrived.Add(route.StatementTimeout)
+	return arrived.Add(lane.StatementTimeout(route))
 }
 
 // acquireOptions returns a statement's queue priority, workspace and class.
 func (w *work) acquireOptions(arrived clock.Time) lane.AcquireOptions {
 	return lane.AcquireOptions{
-		Due: arrived.Add(w.route.Objective), Priority: w.route.Priority, Workspace: w.caller.Name(), Class: w.class(),
+		Due: arrived.Add(w.route.Objective), Priority: w.route.Priority, Workspace: w.caller.Name(), Class: w.class(), Caller: w.hash,
 	}
 }
 
 // class returns the class of the statement.
-func (w *work) class() uint32 { return classOf(w.route, w.writes) }
-
-// classOf returns the class of a route's statements that read or write.
-func classOf(route *catalog.Route, writes bool) uint32 {
-	name := route.Name + "/read"
-	if writes {
-		name = route.Name + "/write"
-	}
-	return uint32(xxhash.Sum64String(name)) | 1
-}
+func (w *work) class() uint32 { return lane.ClassOf(w.route, w.writes) }
 
 // refuse returns the answer to a statement that has not run, with a retry-after if one is given.
 func refuse(code statement.Code, after time.Duration, text string, state statement.State) *statement.Answer {
--- a/lane/admission_test.go
+++ b/lane/admission_test.go
@@ -51,7 +51,12 @@
 type crowd struct {
 	lane *Lane
 	rnd  *rand.Rand
-	wait sync.WaitGroup
+	// recognizable is the share of callers that the lane recognizes when they return.
+	recognizable float64
+	hashes       *rand.Rand
+	// returns is how often a refused caller returns at most.
+	returns int
+	wait    sync.WaitGroup
 
 	mu  sync.Mutex
 	got map[uint32]*result // by class
@@ -60,7 +65,7 @@
 func newCrowd(seed uint64, running int) *crowd {
 	d := &dialer{limit: 77}
 	l := newLane("x", d.dial, monotonic.New(), gateways.Share{MaxOpen: 38, MaxIdle: 12, MaxRunning: running})
-	return &crowd{lane: l, rnd: rand.New(rand.NewPCG(seed, 1)), got: make(map[uint32]*result)}
+	return &crowd{lane: l, rnd: rand.New(rand.NewPCG(seed, 1)), returns: 2, got: make(map[uint32]*result)}
 }
 
 // work returns a service time. One in a hundred is five times the mean.
@@ -70,13 +75,13 @@
 	return time.Duration(min(f, 10) * float64(k.work))
 }
 
-// call is one caller. If it is refused, it returns at most twice, after the time that it was told.
-// The lane cannot tell that it has been there before, but its objective counts from the first time.
-func (c *crowd) call(k kind, workspace string, work time.Duration) (r result) {
+// call is one caller. If it is refused, it returns after the time that it was told. Its
+// objective counts from the first time. The lane recognizes it by its hash; 0 if it cannot.
+func (c *crowd) call(k kind, workspace string, work time.Duration, hash uint64) (r result) {
 	r.asked = 1
 	start := time.Now()
-	for range 3 {
-		o := AcquireOptions{Due: c.lane.clk.Now().Add(k.objective), Priority: k.priority, Class: k.class + 1, Workspace: workspace}
+	for range 1 + c.returns {
+		o := AcquireOptions{Due: c.lane.clk.Now().Add(k.objective), Priority: k.priority, Class: k.class + 1, Workspace: workspace, Caller: hash}
 		conn, err := c.lane.Acquire(context.Background(), o, k.budget)
 		if time.Since(start) > k.budget {
 			if err == nil {
@@ -117,9 +122,13 @@
 			}
 		}
 		work := c.work(k)
+		hash := uint64(0)
+		if c.recognizable > 0 && c.hashes.Float64() < c.recognizable {
+			hash = c.hashes.Uint64()
+		}
 		c.lane.maintain()
 		c.wait.Go(func() {
-			r := c.call(k, workspace, work)
+			r := c.call(k, workspace, work, hash)
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.got[k.class] == nil {
--- a/lane/admit.go
+++ b/lane/admit.go
@@ -91,6 +91,7 @@
 // returns once what waits now has been served, and the others at the intervals at which the target
 // serves requests.
 func (l *Lane) overloadedError(now clock.Time, o AcquireOptions) error {
+	l.rememberRefused(o)
 	t := retryafter.Terms{
 		First:    min(max(l.backlog(), time.Millisecond), maxReturnTime),
 		Interval: l.expectedWait(l.waiting.times.average.mean, 1), Max: maxReturnTime,
--- a/lane/fairness_test.go
+++ b/lane/fairness_test.go
@@ -25,7 +25,7 @@
 	var wait sync.WaitGroup
 	var crowds []*crowd
 	add := func(load float64, workspace string) {
-		c := &crowd{lane: one.lane, rnd: rand.New(rand.NewPCG(2, uint64(len(crowds)))), got: make(map[uint32]*result)}
+		c := &crowd{lane: one.lane, rnd: rand.New(rand.NewPCG(2, uint64(len(crowds)))), returns: 2, got: make(map[uint32]*result)}
 		crowds = append(crowds, c)
 		wait.Go(func() {
 			c.play(load, 3*time.Second, workspace, commits, syncs, galleries)
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -13,6 +13,7 @@
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/retryafter"
+	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -125,6 +126,9 @@
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
+	// returning holds the refused callers of the target's service; nil if none are recognized.
+	returning *returning.Book
+	terms     map[uint32]terms // by class
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
@@ -196,6 +200,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
+	o, left := l.recognize(now, o, timeout)
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
 			work, _ := l.waiting.times.of(now, o.Class)
@@ -206,7 +211,7 @@
 		}
 	}
 	w := &waiter{opts: o, ready: make(chan delivery, 1)}
-	if err := l.admit(now, w, timeout); err != nil {
+	if err := l.admit(now, w, left); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -13,6 +13,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -29,6 +30,9 @@
 type Pool struct {
 	// Decisions counts the lanes' decisions; it must be set before the first use, and may be nil.
 	Decisions *decisions.Recorder
+	// Returning holds the refused callers of each service; it must be set before the first use.
+	// Without it, callers who return count as new.
+	Returning *returning.Books
 
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
@@ -38,6 +42,7 @@
 	targets map[target.ID]*catalog.Target
 	share   func(t *catalog.Target) gateways.Share
 	weights *weights // of the workspaces
+	terms   map[uint32]terms
 }
 
 // NewPool returns a Pool that opens links with the Dialer that dial returns for a target.
@@ -48,19 +53,20 @@
 // Update applies a catalog: the lanes of removed targets are closed, and every other lane gets this
 // VM's share of its target's connections. It must be called by one goroutine only.
 func (p *Pool) Update(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) {
-	weights := newWeights(c.Config)
-	for id, l := range p.adopt(c, share, weights) {
+	weights, terms := newWeights(c.Config), newTerms(c.Config)
+	for id, l := range p.adopt(c, share, weights, terms) {
 		l.setShare(share(c.Targets[id]))
 		l.setWeights(weights)
+		l.setTerms(terms)
 	}
 }
 
 // adopt stores the catalog's targets and returns the remaining lanes. The caller computes their
 // shares after the lock is released, because this takes longer than requests should wait.
-func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights) map[target.ID]*Lane {
+func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights, terms map[uint32]terms) map[target.ID]*Lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targets, p.share, p.weights = c.Targets, share, weights
+	p.targets, p.share, p.weights, p.terms = c.Targets, share, weights, terms
 	for id, l := range p.lanes {
 		if t := c.Targets[id]; t == nil || !l.leadsTo(t) {
 			l.close()
@@ -94,6 +100,10 @@
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
 		l.target, l.decisions = t, p.Decisions
 		l.setWeights(p.weights)
+		l.setTerms(p.terms)
+		if p.Returning != nil {
+			l.returning = p.Returning.Book(t.Service)
+		}
 		p.lanes[id] = l
 	}
 	return l
--- /dev/null
+++ b/lane/returning_test.go
@@ -0,0 +1,70 @@
+package lane
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/returning"
+)
+
+// withReturning plays bursts, as TestBurstOfUnevenWork does, of callers of whom a share is recognized
+// when they return. It returns what they got by class, and all together.
+func withReturning(t *testing.T, load, recognizable float64, returns int) (got [3]result, all result) {
+	kinds := []kind{commits, syncs, galleries}
+	bubble.Test(t, func(*testing.T) {
+		for seed := range uint64(16) {
+			c := newCrowd(seed, slots)
+			c.recognizable, c.hashes, c.returns = recognizable, rand.New(rand.NewPCG(seed, 2)), returns
+			c.lane.returning, c.lane.terms = &returning.Book{}, make(map[uint32]terms)
+			for _, k := range kinds {
+				c.lane.terms[k.class+1] = terms{k.objective, k.budget}
+			}
+			c.play(0.75, 2*time.Second, "", kinds...)
+			c.wait.Wait()
+			clear(c.got)
+			c.play(load, 3*time.Second, "", kinds...)
+			c.play(0.6, 2*time.Second, "", kinds...)
+			c.wait.Wait()
+			for class, r := range c.got {
+				got[class].add(*r)
+				all.add(*r)
+			}
+		}
+	})
+	t.Logf("load %.2f, recognized %.1f, returns %d: %+v of %+v", load, recognizable, returns, all, got)
+	return got, all
+}
+
+// Demand is two and a half times what a target can do for three seconds, and refused callers return
+// twice. Failure guarded against: they are served as new ones, late by their first try, in slots of
+// callers who could have been in time. With the part these are as many as if nobody returned.
+func TestReturningCallersTakeNobodysSlot(t *testing.T) {
+	const noise = 0.99
+	before, newOnes := withReturning(t, 2.5, 0, 2)
+	_, half := withReturning(t, 2.5, 0.5, 2)
+	after, all := withReturning(t, 2.5, 1, 2)
+	_, without := withReturning(t, 2.5, 0, 0)
+	require.Greater(t, half.inTime, newOnes.inTime)
+	require.Greater(t, all.inTime, half.inTime)
+	require.Greater(t, float64(all.inTime), noise*float64(without.inTime))
+	for class := range after {
+		require.GreaterOrEqual(t, float64(after[class].inTime), noise*float64(before[class].inTime), "class %d", class)
+	}
+}
+
+// Failure guarded against: where nearly all are in time, or where nobody is refused, callers are
+// served worse because some are recognized.
+func TestRecognizedCallersAtLittleLoad(t *testing.T) {
+	for _, load := range []float64{0.9, 1.15, 1.35, 1.8} {
+		_, before := withReturning(t, load, 0, 2)
+		_, after := withReturning(t, load, 1, 2)
+		require.GreaterOrEqual(t, after.inTime, before.inTime, "load %v", load)
+		if before.refusals == 0 {
+			require.Equal(t, before, after)
+		}
+	}
+}
