relay, edge: gateways of a service tell each other whom they refuse

A caller who returns mostly meets another gateway. A lost message or a program that does not know it leaves callers counted as new (TestOtherGatewaysAreTold).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	"endivemoor.example/endivemoor/promoter"
 	"endivemoor.example/endivemoor/recency"
 	"endivemoor.example/endivemoor/relay"
+	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/spending"
 )
 
@@ -77,6 +78,7 @@
 	outage        outage
 	duty          *duty.Client
 	pool          *lane.Pool
+	returning     returning.Books
 	local         *dispatch.Local
 	router        *relay.Router
 	relay         *relay.Server
@@ -156,6 +158,7 @@
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.pool.Decisions = e.decisions
+	e.pool.Returning = &e.returning
 	e.loadReports = newLoadReports(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
@@ -168,7 +171,7 @@
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
 	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: &e.returning})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
@@ -231,6 +234,7 @@
 	go e.maintain(work)
 	go e.promoter.Run(work)
 	go e.gossip.run(work)
+	go e.router.TellRefused(work, &e.returning)
 	e.log.Info("serving", zap.String("consumers", e.settings.Listen.Consumers), zap.String("incarnation", e.incarnation))
 	select {
 	case err := <-failed:
--- a/relay/server.go
+++ b/relay/server.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/ratelimit"
 	"endivemoor.example/endivemoor/relay/relaypb"
+	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
@@ -37,6 +38,8 @@
 	Idle func() time.Duration
 	// Draw takes tokens from this VM's share of a workspace's limit.
 	Draw func(workspace string, r ratelimit.Request) ratelimit.Reply
+	// Returning holds the refused callers of each service; without it, what others tell is ignored.
+	Returning *returning.Books
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
@@ -222,11 +225,6 @@
 	return rows, 0, err
 }
 
-// Refused implements relaypb.Relay.
-func (s *Server) Refused(context.Context, *relaypb.RefusedRequest) (*relaypb.RefusedReply, error) {
-	return &relaypb.RefusedReply{}, nil
-}
-
 // End implements relaypb.Relay.
 func (s *Server) End(_ context.Context, in *relaypb.EndRequest) (*relaypb.EndReply, error) {
 	h := s.detach(in.GetTransaction())
