--- a/lane/pool.go
+++ b/lane/pool.go
@@ -42,7 +42,8 @@
 	targets map[target.ID]*catalog.Target
 	share   func(t *catalog.Target) gateways.Share
 	weights *weights // of the workspaces
-	terms   map[uint32]terms
+	config  *catalog.Config
+	terms   map[uint32]terms // of the configuration's classes
 }
 
 // NewPool returns a Pool that opens links with the Dialer that dial returns for a target.
@@ -53,7 +54,10 @@
 // Update applies a catalog: the lanes of removed targets are closed, and every other lane gets this
 // VM's share of its target's connections. It must be called by one goroutine only.
 func (p *Pool) Update(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) {
-	weights, terms := newWeights(c.Config), newTerms(c.Config)
+	weights, terms := newWeights(c.Config), p.terms
+	if c.Config != p.config {
+		terms = newTerms(c.Config)
+	}
 	for id, l := range p.adopt(c, share, weights, terms) {
 		l.setShare(share(c.Targets[id]))
 		l.setWeights(weights)
@@ -66,7 +70,7 @@
 func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights, terms map[uint32]terms) map[target.ID]*Lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.targets, p.share, p.weights, p.terms = c.Targets, share, weights, terms
+	p.targets, p.share, p.weights, p.config, p.terms = c.Targets, share, weights, c.Config, terms
 	for id, l := range p.lanes {
 		if t := c.Targets[id]; t == nil || !l.leadsTo(t) {
 			l.close()
