engine: a request that times out in a primary's queue is no outage

Any try that ended unsent counted for the breaker as a primary that does not respond, also one that waited in vain in the queue of a busy primary. A VM whose requests timed out there for 0.7 s refused all requests for the primary at once, urgent ones too, though the primary served others (TestBusyPrimaryIsNoOutage, red before). Takeovers were not affected: dispatch.Unresponsive leaves queue timeouts out, and so does groups.Health.

--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,7 +12,12 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 type fixedClock struct{ now clock.Time }
@@ -86,3 +92,26 @@
 	late := &work{route: route, arrived: clk.now.Add(-700 * time.Millisecond), cause: groups.NoPrimary}
 	require.True(t, strings.HasPrefix(s.giveUp(late, 0, "no primary").Text, "no primary"))
 }
+
+// timingOut is a Runner at which each statement times out in the queue of a busy target.
+type timingOut struct{ dispatch.Runner }
+
+func (timingOut) Run(context.Context, target.ID, dispatch.Claim, *dispatch.Job) (*dispatch.Result, error) {
+	return nil, &lane.UnavailableError{Target: "t", Expired: true}
+}
+
+// Failure guarded against: the requests of one VM time out in the queue of a busy primary, which serves
+// others, and the VM takes it for one that does not respond and refuses all its requests at once.
+func TestBusyPrimaryIsNoOutage(t *testing.T) {
+	e, clk := newTestEngine()
+	e.cfg.Runner = timingOut{}
+	s, g := &Session{engine: e}, e.cfg.Groups.Group("s")
+	route := &catalog.Route{Service: "s", StatementTimeout: time.Second}
+	for range 100 {
+		clk.now = clk.now.Add(50 * time.Millisecond)
+		w := &work{st: &statement.Statement{}, route: route, arrived: clk.now}
+		_, result := s.try(context.Background(), "t", w, timeline.Position{}, limits{queue: time.Second})
+		s.recordOutage(g, w, result)
+		require.True(t, s.admits(g, &work{}, groups.Write))
+	}
+}
--- a/engine/try.go
+++ b/engine/try.go
@@ -134,10 +134,12 @@
 // classifyError returns the result of a try that failed without an answer, and records the failure.
 func (s *Session) classifyError(id target.ID, w *work, err error) tryResult {
 	e := s.engine
+	w.queued = false
 	var lost *dispatch.LostError
 	if !errors.As(err, &lost) {
 		var u *lane.UnavailableError
-		if errors.As(err, &u) && u.RetryAfter > 0 {
+		w.queued = errors.As(err, &u) && u.Expired
+		if u != nil && u.RetryAfter > 0 {
 			w.saturated, w.retryAfter, w.refusal = w.saturated+1, u.RetryAfter, u.Cause
 			w.cause, w.costly = groups.NoCause, true
 			return saturated
