lane: the work ahead of an arrival is found without a map of all that wait

While workspaces are served by their shares, each arrival walked the queue with two map accesses a request. The heap now keeps the number of requests of each workspace, and the walk compares names only. BenchmarkAheadByShare, 500 requests of 85 workspaces: 42 to 52 us and 9 allocations before, 3.5 to 4.8 us and none after. BenchmarkBestByShare, not changed: 13 to 20 us.

--- a/lane/fairness.go
+++ b/lane/fairness.go
@@ -124,24 +124,20 @@
 // aheadByShare is ahead while workspaces are served by their shares: those ahead are of the request's
 // own workspace, which gets its share of the slots.
 func (q *queue) aheadByShare(w *waiter) (n int, work time.Duration) {
-	weight, active := q.shares.weights.of(w.opts.Workspace), make(map[string]bool)
+	weight := q.shares.weights.of(w.opts.Workspace)
 	weights := weight
-	all := time.Duration(0)
-	for _, other := range q.inTime.all {
-		all += other.work
-		if other.opts.Workspace == w.opts.Workspace {
-			if !w.before(other, q.inTime.by) {
-				n++
-				work += other.work
-			}
-			continue
+	for name := range q.inTime.workspaces {
+		if name != w.opts.Workspace {
+			weights += q.shares.weights.of(name)
 		}
-		if !active[other.opts.Workspace] {
-			active[other.opts.Workspace] = true
-			weights += q.shares.weights.of(other.opts.Workspace)
+	}
+	for _, other := range q.inTime.all {
+		if other.opts.Workspace == w.opts.Workspace && !w.before(other, q.inTime.by) {
+			n++
+			work += other.work
 		}
 	}
 	owed := (q.shares.usage(w.opts.Workspace, q.times.average.mean) - q.shares.floor) * weight
 	work += time.Duration(owed * float64(time.Second))
-	return min(int(float64(n)*weights/weight), q.inTime.Len()), min(time.Duration(float64(work)*weights/weight), all)
+	return min(int(float64(n)*weights/weight), q.inTime.Len()), min(time.Duration(float64(work)*weights/weight), q.inTime.work)
 }
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -299,6 +299,7 @@
 	latestDueFirst bool
 	by             order
 	work           time.Duration // of all
+	workspaces     map[string]int
 }
 
 var _ heap.Interface = (*waiters)(nil)
@@ -358,6 +359,10 @@
 	w.in, w.index = h, len(h.all)
 	h.all = append(h.all, w)
 	h.work += w.work
+	if h.workspaces == nil {
+		h.workspaces = make(map[string]int)
+	}
+	h.workspaces[w.opts.Workspace]++
 }
 
 // Pop implements heap.Interface.
@@ -367,6 +372,9 @@
 	h.all[n] = nil
 	h.all = h.all[:n]
 	h.work -= w.work
+	if h.workspaces[w.opts.Workspace]--; h.workspaces[w.opts.Workspace] == 0 {
+		delete(h.workspaces, w.opts.Workspace)
+	}
 	w.in = nil
 	return w
 }
