outlier: which targets fail a part of their statements, and when reads avoid them

Cause: a target that answers its health checks and fails a part of what it is asked keeps its part of the reads. Each VM sends it less than a statement a second, so each consumer's request finds out by itself; a gateway counted lost answers only.

Change: package outlier, pure, time passed in. Counter: outcomes at a gateway, with the number of statements that the fraction covers (0 after a gap, or if the VM loses answers of several services and so suspects its own link). Nothing is wired yet.

--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -24,7 +24,7 @@
 // module.
 var corePackages = []string{
 	"ack", "admission", "audit", "catalog", "clock", "drain", "failover", "finding", "freshness", "gateways",
-	"internal/guard", "leadership", "loadreport", "membership", "outcome", "ownership", "partners", "placing", "profile",
+	"internal/guard", "leadership", "loadreport", "membership", "outcome", "outlier", "ownership", "partners", "placing", "profile",
 	"profile/diff", "publication", "ratelimit", "recency", "request", "retry", "retryafter", "routing", "session", "statement", "store",
 	"takeover", "target", "timeline", "view",
 }
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -73,6 +73,8 @@
 type Book struct {
 	mu      sync.Mutex
 	reports map[target.ID][]Report
+	// newestFailure is the newest time of a report of counted failures.
+	newestFailure clock.Time
 }
 
 // NewBook returns a Book without reports.
@@ -82,6 +84,9 @@
 func (b *Book) Record(r Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r.countsFailures() {
+		b.newestFailure = max(b.newestFailure, r.At)
+	}
 	all := b.reports[r.Target]
 	i := slices.IndexFunc(all, func(o Report) bool { return o.Reporter == r.Reporter })
 	switch {
@@ -129,6 +134,29 @@
 	}
 }
 
+// countsFailures reports whether the report says how many statements its failures are of.
+func (r Report) countsFailures() bool { return r.Failed > 0 && r.Statements > 0 }
+
+// Failures reports whether any current report counts failures.
+func (b *Book) Failures(now clock.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.newestFailure != 0 && now.Sub(b.newestFailure) < MaxAge
+}
+
+// Failing returns the current reports of a target that count failures.
+func (b *Book) Failing(id target.ID, incarnation int64, now clock.Time) []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Report
+	for _, r := range b.reports[id] {
+		if r.countsFailures() && now.Sub(r.At) < MaxAge && sameIncarnation(r.Incarnation, incarnation) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // sameIncarnation reports whether two incarnations may be the same; 0 is unknown.
 func sameIncarnation(x, y int64) bool { return x == 0 || y == 0 || x == y }
 
--- /dev/null
+++ b/outlier/counter.go
@@ -0,0 +1,149 @@
+package outlier
+
+import (
+	"sync"
+	"time"
+
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/target"
+)
+
+const (
+	// window is the number of statements that a fraction covers.
+	window = 32
+	// minReported is the smallest fraction that is reported.
+	minReported = 0.02
+	// maxGap is the time without statements after which the number covered starts again: a target
+	// that reads avoid is judged by what it does once they return.
+	maxGap = time.Second
+)
+
+// Outcome is how a statement ended at a target.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Answered: with a result, or with an error that is not the target's.
+	Answered Outcome = iota
+	// Errored: answered with an error that may be the target's.
+	Errored
+	// Lost: no complete answer.
+	Lost
+)
+
+// Counter counts the outcomes of the statements that a VM has run at targets. Targets without
+// failures are left out, so that its size is that of the trouble. It is safe for concurrent use.
+type Counter struct {
+	mu       sync.Mutex
+	byTarget map[target.ID]*count
+}
+
+type count struct {
+	service string
+	// failed and lost are moving averages over the window; lost is the part of failed without an
+	// answer.
+	failed, lost float64
+	// statements and failures are counted since the latest gap, and halved to bound them.
+	statements, failures int
+	last                 clock.Time
+	// incarnation is the target's at the last Retain; 0 before the first.
+	incarnation int64
+}
+
+// Record counts a statement at a target of a service.
+func (c *Counter) Record(now clock.Time, service string, id target.ID, o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.byTarget[id]
+	if n == nil {
+		if o == Answered {
+			return
+		}
+		n = &count{service: service, last: now}
+		if c.byTarget == nil {
+			c.byTarget = make(map[target.ID]*count)
+		}
+		c.byTarget[id] = n
+	}
+	if now.Sub(n.last) > maxGap {
+		n.statements, n.failures = 0, 0
+	}
+	n.last = now
+	if n.statements++; o != Answered {
+		n.failures++
+	}
+	if n.statements == 2*window {
+		n.statements, n.failures = n.statements/2, n.failures/2
+	}
+	n.failed, n.lost = average(n.failed, o != Answered), average(n.lost, o == Lost)
+	if n.failed < minReported/2 {
+		delete(c.byTarget, id)
+	}
+}
+
+func average(fraction float64, set bool) float64 {
+	fraction *= 1 - 1.0/window
+	if set {
+		fraction += 1.0 / window
+	}
+	return fraction
+}
+
+// Fraction returns the fraction of the recent statements at a target that failed, and how many it
+// covers: 0 if it comes from before a gap, or if this VM suspects its own link, because it loses
+// answers at targets of several services.
+func (c *Counter) Fraction(now clock.Time, id target.ID) (failed float64, statements int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.byTarget[id]
+	if n == nil || n.failed < minReported {
+		return 0, 0
+	}
+	borneOut := float64(n.failures) >= n.failed/2*float64(n.statements)
+	if now.Sub(n.last) > maxGap || !borneOut || c.suspectsLink() {
+		return n.failed, 0
+	}
+	return n.failed, min(n.statements, window)
+}
+
+// suspectsLink reports whether answers are lost at targets of several services.
+func (c *Counter) suspectsLink() bool {
+	service := ""
+	for _, n := range c.byTarget {
+		switch {
+		case n.lost < minFailed || n.service == service:
+		case service == "":
+			service = n.service
+		default:
+			return true
+		}
+	}
+	return false
+}
+
+// Failing returns the targets of which a fraction is worth passing on. Failure guarded against: a
+// target without statements is reported again and again as it was, and never gets another.
+func (c *Counter) Failing(now clock.Time) (out []target.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, n := range c.byTarget {
+		if n.failed >= minReported && now.Sub(n.last) <= maxGap {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Retain drops the counts of targets that were removed or have restarted.
+func (c *Counter) Retain(known func(target.ID) (incarnation int64, ok bool)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, n := range c.byTarget {
+		incarnation, ok := known(id)
+		if !ok || (n.incarnation != 0 && n.incarnation != incarnation) {
+			delete(c.byTarget, id)
+			continue
+		}
+		n.incarnation = incarnation
+	}
+}
