Gateways count errors too, and reads avoid targets that fail a part of them

Cause: an answered error of a target counted nowhere: the engine repeats the read elsewhere and records nothing, gateways reported lost answers only.

Change: gateways count answered errors of reads (Failed, Timeout) beside lost answers, also those of their own statements, and say how many statements the fraction covers (LoadReport.statements). An error of a write is not judged: no sibling runs writes to compare with. Pulls carry the reports of targets that fail now without a queue. engine.Config.Avoid asks the detector before a read is placed; an avoided target costs more than any wait and less than a last resort, so that it serves what the others can't in time. Decisions by=outlier (set-aside, returned, probe-served, probe-failed), log events target-set-aside and target-returned. All of it only for services that the fleet reaches through gateways; without a report of failures or a failure of its own a VM evaluates nothing.

TestFailuresOfATarget moved to package outlier with its bounds: the counter moved. The stand-in database gains SetFailing. reportOf in relay's test gives the server a clock, which it needs now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,7 @@
 	groups        *groups.Registry
 	placing       *placing.Tracker
 	loadReports   *loadReports
+	outliers      *outliers
 	engineMetrics *engine.Metrics
 	decisions     *decisions.Recorder
 	engine        *engine.Engine
@@ -157,6 +158,7 @@
 	e.pool = lane.NewPool(e.clk, e.dialer)
 	e.pool.Decisions = e.decisions
 	e.loadReports = newLoadReports(e)
+	e.outliers = newOutliers(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
@@ -167,13 +169,13 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Outcome: e.outliers.record, Dial: e.dialFor(spending.Relay)})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Failures: &e.outliers.failures})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
-		UsesGateways: e.router.UsesGatewaysFor,
+		UsesGateways: e.router.UsesGatewaysFor, Avoid: e.outliers.avoid,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
@@ -310,6 +312,7 @@
 		e.gossip.updatePeers(c)
 		e.placing.Retain(c.Incarnation)
 		e.loadReports.book.Retain(c.Incarnation)
+		e.outliers.retain(c)
 		if !e.awaitChange(ctx, changed, tick.C, live) {
 			return
 		}
--- a/edge/loadreports.go
+++ b/edge/loadreports.go
@@ -33,11 +33,16 @@
 		t := c.Targets[id]
 		return t != nil && (services == nil || slices.Contains(services, t.Service))
 	}
-	for id, load := range l.edge.pool.QueuedLoads() {
+	loads := l.edge.pool.QueuedLoads()
+	for _, id := range l.edge.outliers.failures.Failing(now) {
+		loads[id] = l.edge.pool.Load(id)
+	}
+	for id, load := range loads {
 		if !selected(id) {
 			continue
 		}
-		r := relay.Observed(id, load, l.edge.relay.Failed(id))
+		failed, statements := l.edge.outliers.failures.Fraction(now, id)
+		r := relay.Observed(id, load, failed, statements)
 		r.Reporter, r.Incarnation, r.At = l.edge.settings.Node, c.Targets[id].Incarnation, now
 		l.book.Record(r)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -34,6 +34,9 @@
 	// UsesGateways reports whether the fleet reaches a service's targets through gateways; nil means
 	// that it does not.
 	UsesGateways func(service string) bool
+	// Avoid marks the candidates for a read that fail too many of their statements; nil marks none.
+	// MayProbe is set if the read can be repeated in time.
+	Avoid func(service string, candidates []placing.Candidate, mayProbe bool)
 	// Decisions counts the engine's decisions; it may be nil.
 	Decisions *decisions.Recorder
 }
--- a/engine/place.go
+++ b/engine/place.go
@@ -40,6 +40,9 @@
 		return s.place(g, w, tried)
 	}
 	placing.PreferHome(s.workspace, candidates)
+	if avoid := s.engine.cfg.Avoid; avoid != nil {
+		avoid(g.Service, candidates, w.tries == 0)
+	}
 	choice := s.engine.cfg.Placing.Choose(now, candidates, w.route.Objective, rand.Float64())
 	if choice.Index < 0 {
 		return "", choice
--- a/placing/choose.go
+++ b/placing/choose.go
@@ -27,6 +27,9 @@
 	Failed            float64
 	// Full is set if the read would be refused there, according to the report.
 	Full bool
+	// Avoided is set if the target fails so many of its statements that reads go elsewhere while
+	// another target can serve them in time.
+	Avoided bool
 	// Away is the candidate's rank in the order of the workspace's replicas, 0 for its home.
 	Away      int
 	homeScore uint64
@@ -143,6 +146,9 @@
 	if c.Primary {
 		cost += float64(primaryCost)
 	}
+	if c.Avoided {
+		cost += float64(avoidedCost)
+	}
 	if c.Down || now.Before(r.failedUntil) || now.Before(r.laggingUntil) {
 		cost += float64(lastResortCost)
 	}
--- a/placing/choose_test.go
+++ b/placing/choose_test.go
@@ -72,6 +72,18 @@
 	require.Equal(t, target.ID("r2"), pick(tr, at(0), all...))
 }
 
+// A target fails a part of its statements. Failure guarded against: its reads wait in a sibling's
+// queue, or for a sibling that is behind, although it could serve most of them.
+func TestAvoidedTargetServesWhatOthersCannot(t *testing.T) {
+	tr, avoided := NewTracker(), Candidate{ID: "r1", SameZone: true, Avoided: true}
+	require.Equal(t, target.ID("r2"), pick(tr, at(0), avoided, Candidate{ID: "r2", Pending: 20}))
+	full := Candidate{ID: "r2", Wait: 700 * ms, Full: true}
+	require.Equal(t, target.ID("r1"), pick(tr, at(0), avoided, full))
+	require.False(t, tr.Choose(at(0), []Candidate{avoided, full}, 500*ms, 0).Full)
+	tr.Lagged("r2", at(0))
+	require.Equal(t, target.ID("r1"), pick(tr, at(0), avoided, Candidate{ID: "r2"}))
+}
+
 // VMs without a report, and fleets without gateways, choose as from their own measurements alone.
 func TestChoiceWithoutReportsIsNotDrawn(t *testing.T) {
 	tr := NewTracker()
--- a/placing/placing.go
+++ b/placing/placing.go
@@ -43,6 +43,9 @@
 	maxLagPause = 800 * time.Millisecond
 	// lastResortCost is added for a target that recently failed or lagged.
 	lastResortCost = 10 * time.Second
+	// avoidedCost is added for a target that fails a part of its statements: more than any wait, so
+	// that it serves reads only if the others are full or last resorts.
+	avoidedCost = 5 * time.Second
 )
 
 type record struct {
--- a/relay/report.go
+++ b/relay/report.go
@@ -1,32 +1,30 @@
 package relay
 
 import (
-	"sync"
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/gossip"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/loadreport"
+	"endivemoor.example/endivemoor/outlier"
+	"endivemoor.example/endivemoor/relay/relaypb"
+	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
 
-const (
-	// usualServiceTime is the time that a statement may take without being reported while nobody
-	// waits.
-	usualServiceTime = 60 * time.Millisecond
-	// failureWeight is the weight of a statement in the fraction of failed ones, which thus covers
-	// about the last 32.
-	failureWeight = 1.0 / 32
-	// minFailed is the smallest fraction of failed statements that is reported.
-	minFailed = 0.02
-)
+// usualServiceTime is the time that a statement may take without being reported while nobody waits.
+const usualServiceTime = 60 * time.Millisecond
 
-// Observed returns the report of a VM on the lane to a target. A target at which nobody waits is
-// calm.
-func Observed(id target.ID, l lane.Load, failed float64) loadreport.Report {
-	r := loadreport.Report{Target: id, Overloaded: l.Overloaded}
+// Observed returns the report of a VM on the lane to a target, and on the fraction of statements that
+// failed there. A target at which nobody waits is calm.
+func Observed(id target.ID, l lane.Load, failed float64, statements int) loadreport.Report {
+	r := loadreport.Report{Target: id, Overloaded: l.Overloaded, Failed: failed, Statements: statements}
 	if l.Queued > 0 {
 		r.Wait = l.ExpectedWait
 		if r.Wait == 0 {
@@ -36,55 +34,58 @@
 	if r.Wait > 0 || l.ServiceTime > usualServiceTime {
 		r.ServiceTime = l.ServiceTime
 	}
-	if failed >= minFailed {
-		r.Failed = failed
-	}
 	return r
 }
 
-// failures holds the fraction of recent statements without a complete answer, by target. Targets
-// that answer are left out, so that its size is that of the trouble.
-type failures struct {
-	mu       sync.Mutex
-	byTarget map[target.ID]float64
+// outcomeOf returns how a statement ended at a target; false if it did not reach one. An error is
+// judged only if it is an answer to a read: what a write is refused for depends on what it writes,
+// and no sibling runs writes to compare with.
+func outcomeOf(a *statement.Answer, err error, judged bool) (o outlier.Outcome, ok bool) {
+	var lost *dispatch.LostError
+	switch {
+	case err == nil && judged && (a.Code == statement.Failed || a.Code == statement.Timeout):
+		return outlier.Errored, true
+	case err == nil:
+		return outlier.Answered, true
+	case errors.As(err, &lost) && lost.Gateway == "":
+		return outlier.Lost, true
+	default:
+		return outlier.Answered, false
+	}
 }
 
-func (f *failures) record(id target.ID, failed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	rate, known := f.byTarget[id]
-	if !failed && !known {
-		return
+// recordOutcome counts a statement that was run for another VM.
+func (s *Server) recordOutcome(id target.ID, in *relaypb.RunRequest, r *dispatch.Result, err error) {
+	var a *statement.Answer
+	if r != nil {
+		a = r.Answer
 	}
-	rate *= 1 - failureWeight
-	if failed {
-		rate += failureWeight
+	if o, ok := outcomeOf(a, err, in.GetTransaction() == 0 && !in.GetCommits()); ok {
+		s.cfg.Failures.Record(s.cfg.Clock.Now(), in.GetClaim().GetService(), id, o)
 	}
-	if rate < minFailed/2 {
-		delete(f.byTarget, id)
+}
+
+// recordOutcome reports a statement of this VM to the configured function, if the fleet uses
+// gateways to the target. Local is set if the statement went over this VM's own connections.
+func (r *Router) recordOutcome(ctx context.Context, id target.ID, job *dispatch.Job, res *dispatch.Result, err error, local bool) {
+	if r.cfg.Outcome == nil || errors.Is(ctx.Err(), context.Canceled) || !r.UsesGatewaysFor(job.Service) {
 		return
 	}
-	if f.byTarget == nil {
-		f.byTarget = make(map[target.ID]float64)
+	var a *statement.Answer
+	if res != nil {
+		a = res.Answer
+	}
+	if o, ok := outcomeOf(a, err, !job.Commits); ok {
+		r.cfg.Outcome(job.Service, id, o, local)
 	}
-	f.byTarget[id] = rate
-}
-
-func (f *failures) rate(id target.ID) float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.byTarget[id]
 }
 
-// Failed returns the fraction of recent statements for a target, run for other VMs, without a
-// complete answer.
-func (s *Server) Failed(id target.ID) float64 { return s.failures.rate(id) }
-
 // report returns the number of statements at a target and the report of it, which is empty but
 // never nil while the target is calm: nil comes from VMs that report nothing.
 func (s *Server) report(id target.ID) (load int32, report *gossippb.LoadReport) {
 	l := s.cfg.Local.Load(id)
-	r := Observed(id, l, s.failures.rate(id))
+	failed, statements := s.cfg.Failures.Fraction(s.cfg.Clock.Now(), id)
+	r := Observed(id, l, failed, statements)
 	r.Target = ""
 	return int32(l.InUse + l.Queued), gossip.LoadReportOf(r, 0)
 }
@@ -127,7 +128,7 @@
 	if p == nil || p.catalog.Targets[id] == nil || !p.UsesGateways(p.catalog.Targets[id]) || r.cfg.Reports == nil {
 		return l
 	}
-	o := Observed(id, l, 0)
+	o := Observed(id, l, 0, 0)
 	l.Reported, l.ExpectedWait, l.ServiceTime = true, o.Wait, o.ServiceTime
 	l.InUse, l.Queued = 0, 0
 	return l
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -13,7 +13,9 @@
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/loadreport"
+	"endivemoor.example/endivemoor/outlier"
 	"endivemoor.example/endivemoor/relay/relaypb"
+	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -57,22 +59,31 @@
 }
 
 func reportOf(l lane.Load) *gossippb.LoadReport {
-	s := NewServer(ServerConfig{Local: &loaded{load: l}})
+	s := NewServer(ServerConfig{Clock: fixedClock{}, Local: &loaded{load: l}})
 	_, out := s.report("x")
 	return out
 }
 
-// A target that loses a seventh of its answers is reported as such, and forgotten once it answers.
-func TestFailuresOfATarget(t *testing.T) {
-	var f failures
-	for i := range 300 {
-		f.record("x", i%7 == 0)
-		f.record("y", false)
+// Failure guarded against: a target counts as failing for a write that could not be done, for a
+// gateway that did not reply, or for a statement that never reached it.
+func TestOnlyFailuresOfTheTargetCount(t *testing.T) {
+	failed := &statement.Answer{Code: statement.Failed}
+	for name, x := range map[string]struct {
+		answer *statement.Answer
+		err    error
+		judged bool
+		want   outlier.Outcome
+		counts bool
+	}{
+		"a read's error":    {failed, nil, true, outlier.Errored, true},
+		"a write's error":   {failed, nil, false, outlier.Answered, true},
+		"a refusal":         {&statement.Answer{Code: statement.Lagging}, nil, true, outlier.Answered, true},
+		"a lost answer":     {nil, &dispatch.LostError{Cause: errDeclined}, false, outlier.Lost, true},
+		"a silent gateway":  {nil, &dispatch.LostError{Gateway: "g", Cause: errDeclined}, true, outlier.Answered, false},
+		"no connection yet": {nil, &dispatch.SetupError{Cause: errDeclined}, true, outlier.Answered, false},
+	} {
+		o, counts := outcomeOf(x.answer, x.err, x.judged)
+		require.Equal(t, x.want, o, name)
+		require.Equal(t, x.counts, counts, name)
 	}
-	require.InDelta(t, 1.0/7, f.rate("x"), .08)
-	require.Zero(t, f.rate("y"))
-	for range 200 {
-		f.record("x", false)
-	}
-	require.Empty(t, f.byTarget)
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -18,6 +18,7 @@
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/loadreport"
+	"endivemoor.example/endivemoor/outlier"
 	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -43,6 +44,9 @@
 	Log      *zap.Logger
 	// Reports holds the gateways' reports; without it, none are used.
 	Reports *loadreport.Book
+	// Outcome is told how each statement outside of a transaction ended at its target, and whether it
+	// went over this VM's own connections; it may be nil.
+	Outcome func(service string, id target.ID, o outlier.Outcome, local bool)
 	// Dial connects to peers.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -223,12 +227,15 @@
 		return err
 	})
 	if settled {
+		r.recordOutcome(ctx, id, job, out, err, false)
 		return out, err
 	}
 	if ctx.Err() != nil {
 		return nil, &lane.UnavailableError{Target: id, Expired: true, Cause: ctx.Err()}
 	}
-	return r.cfg.Local.Run(ctx, id, claim, job)
+	out, err = r.cfg.Local.Run(ctx, id, claim, job)
+	r.recordOutcome(ctx, id, job, out, err, true)
+	return out, err
 }
 
 // isGateway reports whether an error is a gateway's, not the target's.
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/terse"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/outlier"
 	"endivemoor.example/endivemoor/ratelimit"
 	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/statement"
@@ -37,13 +38,14 @@
 	Idle func() time.Duration
 	// Draw takes tokens from this VM's share of a workspace's limit.
 	Draw func(workspace string, r ratelimit.Request) ratelimit.Reply
+	// Failures counts the statements that fail at targets.
+	Failures *outlier.Counter
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
 // for concurrent use.
 type Server struct {
-	cfg      ServerConfig
-	failures failures
+	cfg ServerConfig
 
 	mu   sync.Mutex
 	open map[uint64]*openTransaction
@@ -63,6 +65,9 @@
 
 // NewServer returns a Server.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.Failures == nil {
+		cfg.Failures = &outlier.Counter{}
+	}
 	return &Server{cfg: cfg, open: make(map[uint64]*openTransaction)}
 }
 
@@ -98,10 +103,7 @@
 }
 
 func (s *Server) reply(id target.ID, in *relaypb.RunRequest, r *dispatch.Result, err error) *relaypb.RunReply {
-	var lost *dispatch.LostError
-	if answered := err == nil; answered || errors.As(err, &lost) {
-		s.failures.record(id, !answered)
-	}
+	s.recordOutcome(id, in, r, err)
 	out := &relaypb.RunReply{Evidence: s.evidence(in.GetClaim().GetService(), in.GetProofAgeUs())}
 	out.Load, out.LoadReport = s.report(id)
 	if err != nil {
