takeover: a primary that fails a part of its statements is replaced

Cause: groups.Health takes an answered error for an answer, so that a primary that fails 46% of its statements with good status queries stays the primary.

Writes: their lost answers count. Their errors neither count as failures nor as answers: what a write is refused for may be its own fault, and no replica runs writes to compare with. So a primary that is asked for writes only and answers a part of them with errors is not found; one whose exact reads fail as well is.

--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -61,6 +61,21 @@
 	require.Empty(t, b.reports)
 }
 
+// Failure guarded against: a target is set aside by reports that are old, of another incarnation, or of
+// programs that do not say how many statements have failed.
+func TestReportsThatCountFailures(t *testing.T) {
+	b := NewBook()
+	b.Record(Report{Target: "x", Reporter: "old program", At: at(0), Failed: .4})
+	require.False(t, b.Failures(at(0)))
+	require.Empty(t, b.Failing("x", 0, at(0)))
+	b.Record(Report{Target: "x", Reporter: "g", Incarnation: 7, At: at(0), Failed: .4, Statements: 32})
+	require.True(t, b.Failures(at(999)))
+	require.Len(t, b.Failing("x", 7, at(999)), 1)
+	require.Empty(t, b.Failing("x", 8, at(0)))
+	require.False(t, b.Failures(at(1000)))
+	require.Empty(t, b.Failing("x", 7, at(1000)))
+}
+
 // Failure guarded against: gateways that come and go, or targets by the thousand, grow the memory of
 // a VM or the bytes of a pull.
 func TestReportsAreBounded(t *testing.T) {
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -229,8 +230,12 @@
 }
 
 // Reported reports whether enough VMs say that the target all[i] fails far more than its siblings,
-// whatever this VM has met itself.
+// whatever this VM has met itself. Answers that an overloaded target gives too late are no failures:
+// another primary would have the same load.
 func Reported(all []Target, i int) bool {
+	if slices.ContainsFunc(all[i].Reports, func(r loadreport.Report) bool { return r.Overloaded }) {
+		return false
+	}
 	sources, _ := reporters(all, i)
 	return sources >= minSources
 }
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -174,6 +174,9 @@
 	require.Equal(t, []bool{true, false, false}, avoided)
 	require.False(t, Reported(siblings(report("g1", 1)), 0))
 	require.True(t, Reported(siblings(report("g1", 1), report("g2", .4)), 0))
+	late := report("g2", .4)
+	late.Overloaded = true
+	require.False(t, Reported(siblings(report("g1", 1), late), 0), "an overloaded primary is not replaced")
 }
 
 // Failure guarded against: a gateway whose own link loses packets reports every target behind it.
--- a/relay/report.go
+++ b/relay/report.go
@@ -37,14 +37,14 @@
 	return r
 }
 
-// outcomeOf returns how a statement ended at a target; false if it did not reach one. An error is
-// judged only if it is an answer to a read: what a write is refused for depends on what it writes,
-// and no sibling runs writes to compare with.
+// outcomeOf returns how a statement ended at a target; false if it did not reach one, or if its error
+// is not judged: why a write failed depends on what it writes, and no sibling runs writes to compare
+// with.
 func outcomeOf(a *statement.Answer, err error, judged bool) (o outlier.Outcome, ok bool) {
 	var lost *dispatch.LostError
 	switch {
-	case err == nil && judged && (a.Code == statement.Failed || a.Code == statement.Timeout):
-		return outlier.Errored, true
+	case err == nil && (a.Code == statement.Failed || a.Code == statement.Timeout):
+		return outlier.Errored, judged
 	case err == nil:
 		return outlier.Answered, true
 	case errors.As(err, &lost) && lost.Gateway == "":
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -76,7 +76,7 @@
 		counts bool
 	}{
 		"a read's error":    {failed, nil, true, outlier.Errored, true},
-		"a write's error":   {failed, nil, false, outlier.Answered, true},
+		"a write's error":   {failed, nil, false, outlier.Errored, false},
 		"a refusal":         {&statement.Answer{Code: statement.Lagging}, nil, true, outlier.Answered, true},
 		"a lost answer":     {nil, &dispatch.LostError{Cause: errDeclined}, false, outlier.Lost, true},
 		"a silent gateway":  {nil, &dispatch.LostError{Gateway: "g", Cause: errDeclined}, true, outlier.Answered, false},
