--- a/edge/edge.go
+++ b/edge/edge.go
@@ -86,6 +86,7 @@
 	groups        *groups.Registry
 	placing       *placing.Tracker
 	loadReports   *loadReports
+	outliers      *outliers
 	engineMetrics *engine.Metrics
 	decisions     *decisions.Recorder
 	engine        *engine.Engine
@@ -160,6 +161,7 @@
 	e.pool.Decisions = e.decisions
 	e.pool.Returning = &e.returning
 	e.loadReports = newLoadReports(e)
+	e.outliers = newOutliers(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
 	e.groups = groups.NewRegistry(groups.Config{
@@ -170,13 +172,13 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: &e.returning})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Outcome: e.outliers.record, Dial: e.dialFor(spending.Relay)})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: &e.returning, Failures: &e.outliers.failures})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
-		UsesGateways: e.router.UsesGatewaysFor,
+		UsesGateways: e.router.UsesGatewaysFor, Avoid: e.outliers.avoid,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
@@ -184,7 +186,7 @@
 	e.promoter = promoter.New(promoter.Config{
 		Node: settings.Node, Catalog: e.catalog, Groups: e.groups, Records: leadershipRecords{e},
 		Platform: designator{e.duty}, Fleet: e.gossip, Clock: e.clk, Log: log, Nonce: rand.Text,
-		Era: e.eras.current, RestoredAt: e.eras.restoredAt,
+		Era: e.eras.current, RestoredAt: e.eras.restoredAt, Reported: e.outliers.reported,
 	})
 	return e
 }
@@ -314,6 +316,7 @@
 		e.gossip.updatePeers(c)
 		e.placing.Retain(c.Incarnation)
 		e.loadReports.book.Retain(c.Incarnation)
+		e.outliers.retain(c)
 		if !e.awaitChange(ctx, changed, tick.C, live) {
 			return
 		}
