gateways: VMs that are loaded or yield are selected less

Change: a loaded VM has half of its weight; one that yields comes after all others of the target's zone, unless more than a third of the zone yields. The change between two lists takes in VMs whose zone becomes crowded or no longer is, so that kept selections equal those of a VM that has only the last list. TestChooseIsTheHeadOfTheWholeOrder builds its candidates by the same function as before, which is newCandidate now.

--- /dev/null
+++ b/gateways/condition_test.go
@@ -0,0 +1,114 @@
+package gateways
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/target"
+)
+
+// with returns the fleet with some VMs in a condition.
+func with(vms []catalog.VM, condition catalog.Condition, numbers ...int) []catalog.VM {
+	out := slices.Clone(vms)
+	for _, i := range numbers {
+		out[i].Condition = condition
+	}
+	return out
+}
+
+// selected counts the targets of zone a for which each VM is selected.
+func selected(vms []catalog.VM, targets int) map[string]int {
+	out := make(map[string]int)
+	for i := range targets {
+		for _, vm := range Choose(targetWithID(fmt.Sprint("t", i)), vms, 2) {
+			out[vm.ID]++
+		}
+	}
+	return out
+}
+
+// Failure guarded against: a VM that turns loaded or yields makes other VMs' targets move too.
+func TestAVMGivesAwayOnlyItsOwnTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := fleet(rapid.IntRange(6, 40).Draw(t, "vms"), "a")
+		moved := rapid.IntRange(0, len(vms)-1).Draw(t, "moved")
+		condition := rapid.SampledFrom([]catalog.Condition{catalog.Loaded, catalog.Yielding}).Draw(t, "condition")
+		to := targetWithID(rapid.String().Draw(t, "target"))
+		before, after := Choose(to, vms, 2), Choose(to, with(vms, condition, moved), 2)
+		for _, vm := range before {
+			if vm.ID != vms[moved].ID {
+				require.True(t, containsVM(after, vm.ID), "%s was moved", vm.ID)
+			}
+		}
+		require.False(t, condition == catalog.Yielding && containsVM(after, vms[moved].ID))
+	})
+}
+
+func TestALoadedVMHasHalfOfItsTargets(t *testing.T) {
+	vms := fleet(30, "a")
+	before, after := selected(vms, 6000)["vm00"], selected(with(vms, catalog.Loaded, 0), 6000)["vm00"]
+	require.InDelta(t, 0.5, float64(after)/float64(before), 0.1)
+	require.Equal(t, before, selected(with(vms, "of a later program", 0), 6000)["vm00"])
+}
+
+// Failure guarded against: the only VM of a zone yields, and statements to its targets cross zones.
+func TestAYieldingVMServesWhereItsZoneHasNoOther(t *testing.T) {
+	vms := with(fleet(5, "b"), catalog.Yielding, 0)
+	vms[0].Zone = "a"
+	require.Equal(t, "vm00", Choose(targetWithID("t"), vms, 2)[0].ID)
+}
+
+// Failure guarded against: a slow third of a zone, and a rolling restart of the others, leave the
+// targets of the zone to few VMs or to none.
+func TestASlowThirdAndARollingRestartLeaveEachTargetItsGateways(t *testing.T) {
+	vms := with(fleet(9, "a"), catalog.Yielding, 0, 1, 2)
+	for i := range vms {
+		require.Zero(t, selected(vms, 300)["vm00"], "a third may yield")
+		if vms[i].Condition == catalog.Yielding {
+			continue
+		}
+		during := selected(slices.Delete(slices.Clone(vms), i, i+1), 300)
+		require.Len(t, during, 8, "the yielding ones serve while another one restarts")
+	}
+}
+
+// Guards against: gateways that differ between a VM that has followed all changes of conditions and
+// one that has only the last list.
+func TestKeptSelectionsFollowConditions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		conditions := []catalog.Condition{catalog.Normal, catalog.Normal, catalog.Loaded, catalog.Yielding}
+		draw := func() []catalog.VM {
+			out := fleet(rapid.IntRange(13, 15).Draw(t, "vms"), "a", "b", "b")
+			for i := range out {
+				out[i].Condition = rapid.SampledFrom(conditions).Draw(t, "condition")
+			}
+			return out
+		}
+		targets := make(map[target.ID]*catalog.Target)
+		for i := range 4 {
+			id := target.ID(fmt.Sprint(i))
+			targets[id] = &catalog.Target{ID: id, Service: "s", Zone: "b"}
+		}
+		next := func() *catalog.Catalog {
+			c, _ := catalogWithLimit(12, draw())
+			c.Targets = targets
+			return c
+		}
+		kept := NewAssignment("vm00", next())
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			for _, to := range targets {
+				kept.Route(to, "")
+			}
+			c := next()
+			kept = kept.Next(c, len(c.VMs))
+			for _, to := range targets {
+				require.Equal(t, NewAssignment("vm00", c).Route(to, ""), kept.Route(to, ""))
+			}
+		}
+	})
+}
--- a/gateways/gateways_test.go
+++ b/gateways/gateways_test.go
@@ -190,7 +190,7 @@
 		to, count := targetWithID(rapid.String().Draw(t, "target")), rapid.IntRange(1, 4).Draw(t, "count")
 		all := make([]candidate, len(vms))
 		for i := range vms {
-			all[i] = candidate{vm: &vms[i], sameZone: vms[i].Zone == to.Zone, score: score(to.ID, &vms[i])}
+			all[i] = newCandidate(to, &vms[i], nil)
 		}
 		slices.SortFunc(all, candidate.compare)
 		want := []catalog.VM{}
