lane: a lane that loses its share serves what still reaches it

Cause: an empty share allows one connection while requests wait. Open transactions of a VM that is no longer a gateway hold more than that, and requests of VMs with earlier lists waited behind them until they timed out; one of them was a write in doubt. Change: such a lane keeps the bounds of its former share until its last connection is closed; idle ones are closed after 100 ms as before.

--- a/lane/lane.go
+++ b/lane/lane.go
@@ -99,6 +99,7 @@
 	allowance    int
 	minOpen      int  // how many stay open while idle
 	temporary    bool // idle connections are not retained
+	handingOver  bool // the share was lost while the lane was in use
 	idle         []*Conn
 	open         int
 	openFor      map[string]int // by workspace
@@ -296,20 +297,11 @@
 	if l.perWorkspace {
 		l.usage.forget(now, l.openFor)
 	}
+	l.endHandover()
 	l.markOverdue(now)
 	l.grow(now)
 }
 
-// setShare sets this VM's share of the target's connections. A lane with an empty share opens
-// connections beyond it while requests wait.
-func (l *Lane) setShare(s gateways.Share) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.allowance, l.minOpen, l.temporary, l.maxRunning = s.MaxOpen, s.MaxIdle, s.Temporary, s.MaxRunning
-	l.setPerWorkspace(s.PerWorkspace)
-	l.waiting.detectsLate = s.MaxRunning > 0
-}
-
 // setWeights sets the weights of the workspaces' shares.
 func (l *Lane) setWeights(w *weights) {
 	l.mu.Lock()
