edge: a VM writes its condition into its own entry

Change: the tick of the periodic work is the sample (how late it fires; the processor time once a second), so that a calm VM has no further timer. The ticker is armed anew after each tick: CLOCK_BOOTTIME counts suspensions and tickers do not. The condition is compared with the VM's entry in the fleet's list, and written if they differ, at most once in 10 s, through the shared outage guard, in a fleet that uses gateways, never while leaving. A restore, a write without an answer and a missing entry need nothing else. Metric endivemoor_vm_condition, decisions by=condition, one log line a change. Result: in virtual time, 24 VMs: no entry written in 10 s while calm with a suspension of 430 ms; a slow gateway yields, three open transactions commit, no write of 24 consumers fails, its connections are closed, and it is a gateway again 14 s later with 2 writes of entries in all. Store away, killed while yielding, slow third with a rolling restart: each a test, all pass.

--- /dev/null
+++ b/edge/condition.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/condition"
+	"endivemoor.example/endivemoor/decisions"
+)
+
+const (
+	// conditionWriteInterval is the least time between two writes of the condition: each makes all
+	// VMs select gateways anew.
+	conditionWriteInterval = 10 * time.Second
+	// processorReadInterval is how often the process's processor time is read.
+	processorReadInterval = time.Second
+)
+
+// ownCondition samples this VM's condition, and writes it into the VM's own entry while the fleet
+// uses gateways.
+type ownCondition struct {
+	edge *Edge
+	// The sampler alone uses these.
+	monitor     condition.Monitor
+	armedAt     clock.Time
+	interval    time.Duration
+	processorAt clock.Time
+	config      *catalog.Config
+	objective   time.Duration
+
+	mu        sync.Mutex
+	is        catalog.Condition
+	writing   bool
+	writtenAt clock.Time // when the last write ended; 0 if there was none
+}
+
+func newOwnCondition(e *Edge) *ownCondition {
+	o := &ownCondition{edge: e}
+	e.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "endivemoor_vm_condition", Help: "What this VM can carry: 0 normal, 1 loaded, 2 yielding."},
+		func() float64 { return conditionLevels[o.current()] }))
+	return o
+}
+
+var conditionLevels = map[catalog.Condition]float64{catalog.Loaded: 1, catalog.Yielding: 2}
+
+// conditionName is the name of a condition in logs and decisions.
+func conditionName(c catalog.Condition) string {
+	if c == catalog.Normal {
+		return "normal"
+	}
+	return string(c)
+}
+
+func (o *ownCondition) current() catalog.Condition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.is
+}
+
+// arm restarts a ticker, whose next tick is the next sample.
+//
+// Failure guarded against: the VM is suspended, and a ticker that keeps to its former times seems
+// late at each tick, because the clock counts the suspension and the ticker does not.
+func (o *ownCondition) arm(tick *time.Ticker, interval time.Duration) {
+	tick.Reset(interval)
+	o.armedAt, o.interval = o.edge.clk.Now(), interval
+}
+
+// sample takes a sample at a tick, and starts to write the entry if it says something else.
+func (o *ownCondition) sample(ctx context.Context) {
+	now, c := o.edge.clk.Now(), o.edge.catalog.Load()
+	is := catalog.Normal
+	if o.edge.router.UsesGateways() {
+		s := condition.Sample{Lateness: max(now.Sub(o.armedAt)-o.interval, 0), Processor: o.readProcessor(now)}
+		is = o.monitor.Step(s, condition.Limits{Objective: o.shortestObjective(c.Config), Capacity: o.edge.settings.Limits.Capacity()}, now)
+	} else {
+		o.monitor = condition.Monitor{}
+	}
+	o.record(is)
+	if o.claimWrite(c, now) {
+		go o.write(ctx)
+	}
+}
+
+// readProcessor returns the processor time that this process has used; 0 if it is not due to be
+// read, or not known.
+func (o *ownCondition) readProcessor(now clock.Time) time.Duration {
+	if o.edge.settings.Limits.Capacity() <= 0 || (o.processorAt != 0 && now.Sub(o.processorAt) < processorReadInterval) {
+		return 0
+	}
+	o.processorAt = now
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		o.edge.log.Debug("processor-time-unknown", zap.Error(err))
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// shortestObjective returns the shortest objective of the routes; 0 if there is none.
+func (o *ownCondition) shortestObjective(c *catalog.Config) time.Duration {
+	if c == o.config {
+		return o.objective
+	}
+	o.config, o.objective = c, 0
+	for _, r := range c.Routes {
+		if r.Objective > 0 && (o.objective == 0 || r.Objective < o.objective) {
+			o.objective = r.Objective
+		}
+	}
+	return o.objective
+}
+
+func (o *ownCondition) record(is catalog.Condition) {
+	o.mu.Lock()
+	was := o.is
+	o.is = is
+	o.mu.Unlock()
+	if was == is {
+		return
+	}
+	seen := o.monitor.Last()
+	o.edge.decisions.Count(decisions.Condition, o.edge.settings.Node, conditionName(is), 1)
+	o.edge.log.Info("condition", zap.String("is", conditionName(is)), zap.String("was", conditionName(was)),
+		zap.Int("timers", seen.Timers), zap.Int("late", seen.Late), zap.Duration("latest", seen.MaxLateness),
+		zap.Duration("objective", o.objective), zap.Float64("busy", seen.Busy))
+}
+
+// claimWrite reports whether the entry must be written now. The fleet's list is what it is compared
+// with, so that a write without an answer, or a restore of the store, needs no other care.
+func (o *ownCondition) claimWrite(c *catalog.Catalog, now clock.Time) bool {
+	if !o.outdated(c) || o.edge.shutdown.leaving.Load() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.writing || (o.writtenAt != 0 && now.Sub(o.writtenAt) < conditionWriteInterval) {
+		return false
+	}
+	o.writing = true
+	return true
+}
+
+// outdated reports whether the list has this process's entry with another condition.
+func (o *ownCondition) outdated(c *catalog.Catalog) bool {
+	own, known := c.VM(o.edge.settings.Node)
+	return known && own.Incarnation == o.edge.incarnation && own.Condition != o.current()
+}
+
+// write writes the entry once the store may be called, if it is still outdated then.
+func (o *ownCondition) write(ctx context.Context) {
+	if o.edge.outage.admit(ctx) && o.outdated(o.edge.catalog.Load()) {
+		err := o.edge.fleetEntry.update(ctx)
+		o.edge.outage.record(err)
+		if err != nil {
+			o.edge.log.Warn("entry-unwritten", zap.Error(err))
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writing, o.writtenAt = false, o.edge.clk.Now()
+}
--- /dev/null
+++ b/edge/condition_test.go
@@ -0,0 +1,191 @@
+package edge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/clock/monotonic"
+	"endivemoor.example/endivemoor/gateways"
+	"endivemoor.example/endivemoor/platform/standin/consumer"
+	"endivemoor.example/endivemoor/platform/standin/database"
+)
+
+// vmClock is a VM's clock, which goes on while the VM does not run.
+type vmClock struct {
+	*monotonic.Clock
+	ahead atomic.Int64
+}
+
+func (c *vmClock) Now() clock.Time { return c.Clock.Now() + clock.Time(c.ahead.Load()) }
+
+// runSlowly lets time pass, half of which some VMs do not run: their timers fire late.
+func (f *fleet) runSlowly(d time.Duration, vms ...string) {
+	const step = 25 * time.Millisecond
+	for range d / step {
+		time.Sleep(step)
+		for _, vm := range vms {
+			f.clocks[vm].ahead.Add(int64(step))
+		}
+	}
+}
+
+// runShared runs a scenario on a fleet that uses two gateways to each target.
+func runShared(t *testing.T, scenario func(f *fleet)) {
+	runFleetWith(t, 24, database.Options{MaxConnections: 20}, scenario)
+}
+
+// primaryUsers returns a gateway to the primary, and the VMs that try it first, while all VMs are
+// calm.
+func primaryUsers(f *fleet) (gateway string, users []string) {
+	c := &catalog.Catalog{Config: &catalog.Config{Services: map[string]*catalog.Service{service: {MaxConnections: 20}}}}
+	for _, name := range slices.Sorted(maps.Keys(f.vms)) {
+		c.VMs = append(c.VMs, catalog.VM{ID: name, Zone: f.vms[name].zone})
+	}
+	primary := &catalog.Target{ID: "ledger-0", Service: service, Zone: "a"}
+	gateway = gateways.Choose(primary, c.VMs, 2)[0].ID
+	for _, vm := range c.VMs {
+		if route := gateways.NewAssignment(vm.ID, c).Route(primary, ""); len(route) > 0 && route[0].ID == gateway {
+			users = append(users, vm.ID)
+		}
+	}
+	return gateway, users
+}
+
+// storedCondition returns the condition in a VM's entry.
+func storedCondition(f *fleet, vm string) catalog.Condition {
+	o, _ := f.world.Store.Get("endivemoor", "vm."+vm)
+	var entry struct{ Condition catalog.Condition }
+	require.NoError(f.t, json.Unmarshal(o.Spec, &entry), vm)
+	return entry.Condition
+}
+
+// entryWrites returns a function that counts the writes of VMs' entries since the call.
+func entryWrites(f *fleet) func() int {
+	_, before, _ := f.world.Store.Since("endivemoor", 0)
+	return func() (n int) {
+		changes, _, _ := f.world.Store.Since("endivemoor", before)
+		for _, c := range changes {
+			if strings.HasPrefix(c.Object.Meta.Name, "vm.") {
+				n++
+			}
+		}
+		return n
+	}
+}
+
+// writeAt lets a consumer at each VM of the zones write until the returned function is called, and
+// requires that every write is served.
+func writeAt(f *fleet, zones ...string) (stop func()) {
+	var ended atomic.Bool
+	var wait sync.WaitGroup
+	var failed atomic.Int64
+	for name, vm := range f.vms {
+		if !slices.Contains(zones, vm.zone) {
+			continue
+		}
+		c := f.session(name, exact)
+		wait.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				time.Sleep(time.Duration(150+vm.number) * time.Millisecond)
+				if a := c.Query(fmt.Sprintf("WRITE %s-%d paid", name, n)); !a.OK() {
+					failed.Add(1)
+					f.t.Logf("%s: %+v", name, a)
+				}
+			}
+		})
+	}
+	return func() {
+		ended.Store(true)
+		wait.Wait()
+		require.Zero(f.t, failed.Load())
+		f.checkInvariants()
+	}
+}
+
+// Guards against: requests that are cut or lost as a slow gateway hands its targets over, connections
+// that it keeps to them, and writes of entries while no VM is slow.
+func TestSlowGatewayHandsOverWithoutCuttingRequests(t *testing.T) {
+	runShared(t, func(f *fleet) {
+		writes, stop := entryWrites(f), writeAt(f, zones...)
+		slow, users := primaryUsers(f)
+		time.Sleep(5 * time.Second)
+		f.clocks[slow].ahead.Add(int64(430 * time.Millisecond))
+		time.Sleep(5 * time.Second)
+		require.Zero(t, writes(), "one late timer is no condition")
+		var open []*consumer.Session
+		for _, name := range users[:3] {
+			open = append(open, f.session(name, exact))
+			require.True(t, open[len(open)-1].Query("BEGIN").OK())
+		}
+		for i := range 6 {
+			for n, c := range open {
+				require.True(t, c.Query(fmt.Sprintf("WRITE seat-%d-%d held", n, i)).OK())
+			}
+			f.runSlowly(time.Second, slow)
+		}
+		require.Equal(t, catalog.Yielding, storedCondition(f, slow))
+		require.Positive(t, f.group.Connections("ledger-0", slow), "transactions are open there")
+		for _, c := range open {
+			require.True(t, c.Query("COMMIT").OK())
+		}
+		f.runSlowly(time.Second, slow)
+		require.Zero(t, f.group.Connections("ledger-0", slow))
+		time.Sleep(14 * time.Second)
+		require.Positive(t, f.group.Connections("ledger-0", slow), "it is a gateway again")
+		require.Equal(t, 2, writes())
+		stop()
+	})
+}
+
+// Guards against: a slow VM of a fleet without gateways that writes its entry.
+func TestFleetWithoutGatewaysWritesNoCondition(t *testing.T) {
+	runFleet(t, 5, func(f *fleet) {
+		writes := entryWrites(f)
+		f.runSlowly(5*time.Second, "vm1")
+		require.Zero(t, writes())
+	})
+}
+
+// Guards against: a condition that is lost because the store is away as it changes, and one of a
+// killed process that its next process keeps.
+func TestConditionIsWrittenOnceTheStoreIsBack(t *testing.T) {
+	runShared(t, func(f *fleet) {
+		f.world.Store.SetDown(true)
+		f.runSlowly(6*time.Second, "vm4")
+		f.world.Store.SetDown(false)
+		f.runSlowly(5*time.Second, "vm4")
+		require.Equal(t, catalog.Yielding, storedCondition(f, "vm4"))
+		f.kill("vm4")
+		f.restartVM("vm4")
+		time.Sleep(3 * time.Second)
+		require.Equal(t, catalog.Normal, storedCondition(f, "vm4"))
+	})
+}
+
+// Guards against: requests that fail while more than a third of a zone is slow and its other VMs
+// restart one after the other.
+func TestSlowThirdOfAZoneAndARollingRestart(t *testing.T) {
+	runShared(t, func(f *fleet) {
+		slow := []string{"vm0", "vm3", "vm6"}
+		stop := writeAt(f, "b", "c")
+		for _, name := range []string{"vm9", "vm12", "vm15", "vm18", "vm21"} {
+			f.runSlowly(4*time.Second, slow...)
+			f.restartVM(name)
+		}
+		for _, name := range slow {
+			require.Equal(t, catalog.Yielding, storedCondition(f, name))
+		}
+		stop()
+	})
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,7 @@
 	decisions     *decisions.Recorder
 	engine        *engine.Engine
 	fleetEntry    *fleetEntry
+	condition     *ownCondition
 	gossip        *gossiper
 	promoter      *promoter.Promoter
 	sessions      *sessions
@@ -176,6 +177,7 @@
 		UsesGateways: e.router.UsesGatewaysFor,
 	})
 	e.fleetEntry = newFleetEntry(e)
+	e.condition = newOwnCondition(e)
 	e.registerMetrics()
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
@@ -345,11 +347,14 @@
 	defer summary.Stop()
 	queueReport := time.NewTicker(queueReportInterval)
 	defer queueReport.Stop()
+	e.condition.arm(tick, lane.MaintainInterval)
 	for {
 		select {
 		case <-tick.C:
+			e.condition.sample(ctx)
 			e.pool.Maintain()
 			e.relay.Sweep()
+			e.condition.arm(tick, lane.MaintainInterval)
 		case <-summary.C:
 			e.summarize()
 		case <-queueReport.C:
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,8 @@
 	edge *Edge
 	// expiring are the entries that this VM knows to expire, by VM.
 	expiring map[string]expiringEntry
+	// changing serializes the changes of an entry that exists.
+	changing sync.Mutex
 }
 
 func newFleetEntry(e *Edge) *fleetEntry {
@@ -59,8 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e := f.edge
-	record := vmRecord{Zone: e.settings.Zone, Peer: e.settings.Listen.Control, Incarnation: e.incarnation, Capacity: e.settings.Limits.Capacity()}
-	name := prefixVM + e.settings.Node
+	record, name := f.record(), prefixVM+f.edge.settings.Node
 	if !e.settings.FirstStart {
 		// The entry of the previous process still exists: entries in the store do not expire.
 		_, err := e.store.Replace(ctx, kindFleet, name, anyRevision, record)
@@ -77,6 +79,34 @@
 	return err
 }
 
+// record returns this VM's entry.
+func (f *fleetEntry) record() vmRecord {
+	e := f.edge
+	return vmRecord{
+		Zone: e.settings.Zone, Peer: e.settings.Listen.Control, Incarnation: e.incarnation, Capacity: e.settings.Limits.Capacity(),
+		Condition: e.condition.current(),
+	}
+}
+
+// update writes this VM's entry if it exists. One that is missing is left to maintain.
+//
+// Failure guarded against: a VM that leaves removes its entry, and the entry comes back because its
+// condition is written after that. VMs then send statements to a VM that is gone.
+func (f *fleetEntry) update(ctx context.Context) error {
+	f.changing.Lock()
+	defer f.changing.Unlock()
+	if f.edge.shutdown.leaving.Load() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := f.edge.store.Replace(ctx, kindFleet, prefixVM+f.edge.settings.Node, anyRevision, f.record())
+	if errors.Is(err, objects.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
 // entryCheckInterval is how often the fleet's entries are checked.
 const entryCheckInterval = 10 * time.Second
 
@@ -224,6 +254,8 @@
 
 // remove deletes this VM's entry.
 func (f *fleetEntry) remove(ctx context.Context) {
+	f.changing.Lock()
+	defer f.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := f.edge.store.Delete(ctx, kindFleet, prefixVM+f.edge.settings.Node, 0); err != nil && !errors.Is(err, objects.ErrNotFound) {
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -53,6 +53,8 @@
 	seeds []string
 	// ended holds earlier processes of restarted VMs.
 	ended []*vm
+	// clocks are those of the VMs' latest processes.
+	clocks map[string]*vmClock
 }
 
 type vm struct {
@@ -87,7 +89,7 @@
 func runFleetWith(t *testing.T, n int, opt database.Options, scenario func(f *fleet)) {
 	opt.Service, opt.Lag, opt.StatementTime = service, 60*time.Millisecond, 5*time.Millisecond
 	bubble.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm)}
+		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm), clocks: make(map[string]*vmClock)}
 		f.group = f.world.AddGroup(opt, zones...)
 		f.world.SetRoutes(standardRoutes()...)
 		for i := range n {
@@ -115,7 +117,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{}), zone: zone, number: number}
-	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
+	clk := &vmClock{Clock: monotonic.New()}
+	e := edge.New(set, f.world.Net.Host(name), clk, f.log(name))
 	go func() {
 		defer close(v.done)
 		if err := e.Serve(ctx); err != nil && ctx.Err() == nil && !v.killed.Load() {
@@ -127,7 +130,7 @@
 	if old := f.vms[name]; old != nil {
 		f.ended = append(f.ended, old)
 	}
-	f.vms[name] = v
+	f.vms[name], f.clocks[name] = v, clk
 }
 
 // traffic starts consumers at all VMs.
