takeover: VMs that yield watch and replace primaries last

Change: the order of VMs takes the names of those that yield, which come after all others; if all yield, it is the order as before. Result: go test ./takeover ./promoter ./catalog ./gossip passes; TestSlowVMsActLast needs the new order.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -183,6 +183,16 @@
 	Yielding Condition = "yielding"
 )
 
+// YieldingVMs returns the names of the VMs that yield, sorted.
+func (c *Catalog) YieldingVMs() (out []string) {
+	for i := range c.VMs {
+		if c.VMs[i].Condition == Yielding {
+			out = append(out, c.VMs[i].ID)
+		}
+	}
+	return out
+}
+
 // Route returns the route of a database, or nil.
 func (c *Catalog) Route(database string) *Route {
 	if c.Config == nil {
--- a/edge/watchers.go
+++ b/edge/watchers.go
@@ -46,7 +46,8 @@
 // coveredByOthers reports whether this VM is not among the first count VMs in rank, and its copy of
 // a list was recently known to equal the store's.
 func (e *Edge) coveredByOthers(count int, l recency.List) bool {
-	rank := takeover.StaggerDelay(watcherRankKey, e.settings.Node, e.catalog.Load().VMNames())
+	c := e.catalog.Load()
+	rank := takeover.StaggerDelay(watcherRankKey, e.settings.Node, c.VMNames(), c.YieldingVMs()...)
 	return rank >= time.Duration(count)*takeover.StaggerInterval && e.upToDate(l)
 }
 
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -288,11 +288,12 @@
 }
 
 func (p *Promoter) staggerDelay(service string, reason takeover.Reason) time.Duration {
-	vms := p.cfg.Catalog.Load().VMNames()
+	c := p.cfg.Catalog.Load()
+	vms, last := c.VMNames(), c.YieldingVMs()
 	if reason.Listed() {
-		return takeover.ListedStaggerDelay(service, p.cfg.Node, vms)
+		return takeover.ListedStaggerDelay(service, p.cfg.Node, vms, last...)
 	}
-	return takeover.StaggerDelay(service, p.cfg.Node, vms)
+	return takeover.StaggerDelay(service, p.cfg.Node, vms, last...)
 }
 
 // done makes this VM's next attempt possible after a pause.
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -151,9 +152,10 @@
 }
 
 // StaggerDelay is how long a VM waits before it makes a change that others may make as well. Each
-// service has its own order of VMs.
-func StaggerDelay(service, self string, vms []string) time.Duration {
-	return time.Duration(min(rank(service, self, vms), maxStaggerSteps)) * StaggerInterval
+// service has its own order of VMs, in which those named by last, a sorted list, come after all
+// others because they are slow.
+func StaggerDelay(service, self string, vms []string, last ...string) time.Duration {
+	return time.Duration(min(rank(service, self, vms, last), maxStaggerSteps)) * StaggerInterval
 }
 
 // ListedStaggerDelay is StaggerDelay for a reason that every VM finds in the lists. After the first
@@ -163,8 +165,8 @@
 // Failure guarded against: in a large fleet most VMs have the longest StaggerDelay. They learn of a
 // draining primary and of the attempt to replace it from their peers, at about the same time, and
 // those that learn of the primary first all query its targets and try to record an attempt.
-func ListedStaggerDelay(service, self string, vms []string) time.Duration {
-	before := rank(service, self, vms)
+func ListedStaggerDelay(service, self string, vms []string, last ...string) time.Duration {
+	before := rank(service, self, vms, last)
 	delay := time.Duration(min(before, maxStaggerSteps)) * StaggerInterval
 	for group := maxStaggerSteps; group <= before; group *= 2 {
 		delay += recordSpreadTime
@@ -172,12 +174,16 @@
 	return delay
 }
 
-// rank is the number of VMs before this one in the service's order.
-func rank(service, self string, vms []string) int {
+// rank is the number of VMs before this one in the service's order, in which those in last come
+// after all others.
+func rank(service, self string, vms, last []string) int {
 	own := xxhash.Sum64String(service + "/" + self)
+	_, ownLast := slices.BinarySearch(last, self)
 	before := 0
 	for _, vm := range vms {
-		if vm != self && xxhash.Sum64String(service+"/"+vm) < own {
+		switch _, vmLast := slices.BinarySearch(last, vm); {
+		case vm == self:
+		case vmLast == ownLast && xxhash.Sum64String(service+"/"+vm) < own, ownLast && !vmLast:
 			before++
 		}
 	}
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -1,8 +1,10 @@
 package takeover
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,6 +110,20 @@
 	require.LessOrEqual(t, StaggerDelay("ledger", "other", append(vms, make([]string, 1000)...)), maxStaggerSteps*StaggerInterval)
 }
 
+// Guards against: a slow VM that is the first to watch a list or to replace a primary.
+func TestSlowVMsActLast(t *testing.T) {
+	vms := []string{"vm0", "vm1", "vm2", "vm3", "vm4", "vm5"}
+	order := func(last ...string) []string {
+		last = slices.Sorted(slices.Values(last))
+		return slices.SortedFunc(slices.Values(vms), func(a, b string) int {
+			return cmp.Compare(StaggerDelay("ledger", a, vms, last...), StaggerDelay("ledger", b, vms, last...))
+		})
+	}
+	calm := order()
+	require.Equal(t, append(slices.Clone(calm[2:]), calm[:2]...), order(calm[:2]...))
+	require.Equal(t, calm, order(vms...), "all are slow")
+}
+
 // Guards against: a change that most VMs of a large fleet try to make at once, and against VMs that
 // wait long for others that cannot make it. The last VM's delay grows with the logarithm of the fleet.
 func TestListedReasonsAreActedOnByFewVMsAtATime(t *testing.T) {
