--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,6 +91,7 @@
 	decisions     *decisions.Recorder
 	engine        *engine.Engine
 	fleetEntry    *fleetEntry
+	condition     *ownCondition
 	gossip        *gossiper
 	promoter      *promoter.Promoter
 	sessions      *sessions
@@ -172,7 +173,7 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Outcome: e.outliers.record, Dial: e.dialFor(spending.Relay)})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Decisions: e.decisions, Outcome: e.outliers.record, Dial: e.dialFor(spending.Relay)})
 	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: &e.returning, Failures: &e.outliers.failures})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
@@ -181,6 +182,7 @@
 		UsesGateways: e.router.UsesGatewaysFor, Avoid: e.outliers.avoid,
 	})
 	e.fleetEntry = newFleetEntry(e)
+	e.condition = newOwnCondition(e)
 	e.registerMetrics()
 	e.sessions = newSessions(e)
 	e.promoter = promoter.New(promoter.Config{
@@ -352,11 +354,14 @@
 	defer summary.Stop()
 	queueReport := time.NewTicker(queueReportInterval)
 	defer queueReport.Stop()
+	e.condition.arm(tick, lane.MaintainInterval)
 	for {
 		select {
 		case <-tick.C:
+			e.condition.sample(ctx)
 			e.pool.Maintain()
 			e.relay.Sweep()
+			e.condition.arm(tick, lane.MaintainInterval)
 		case <-summary.C:
 			e.summarize()
 		case <-queueReport.C:
--- a/relay/router.go
+++ b/relay/router.go
@@ -12,6 +12,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/groups"
@@ -47,6 +48,8 @@
 	// Outcome is told how each statement outside of a transaction ended at its target, and whether it
 	// went over this VM's own connections; it may be nil.
 	Outcome func(service string, id target.ID, o outlier.Outcome, local bool)
+	// Decisions counts the gateways that are passed over; without it, nothing is counted.
+	Decisions *decisions.Recorder
 	// Dial connects to peers.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -56,6 +59,7 @@
 	cfg        RouterConfig
 	peers      *peers
 	assignment atomic.Pointer[catalogAssignment]
+	overheads  overheads
 
 	mu   sync.Mutex
 	load map[target.ID]*load
@@ -92,6 +96,7 @@
 		addrs[vm.Peer] = true
 	}
 	r.peers.retain(addrs)
+	r.overheads.retain(c)
 	r.cfg.Statuses.Retain(c)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,7 +212,7 @@
 // report anything about the target.
 func (r *Router) tryGateways(id target.ID, workspace string, try func(vm catalog.VM) error) (settled bool, err error) {
 	var unreachable error
-	for _, vm := range r.route(id, workspace) {
+	for _, vm := range r.fasterFirst(id, r.route(id, workspace)) {
 		err := try(vm)
 		if err == nil || !mayTryNext(err) {
 			return true, err
@@ -283,6 +288,7 @@
 	if out.GetFailure() != nil {
 		return nil, r.recordFailure(g, id, out.GetFailure())
 	}
+	r.recordOverhead(&vm, in, out, sent)
 	a := answer(out.GetAnswer())
 	g.Health.Answered(id)
 	if in.GetCommits() && a.Code == statement.OK {
