--- a/edge/condition_internal_test.go
+++ b/edge/condition_internal_test.go
@@ -51,4 +51,7 @@
 	require.False(t, o.claimWrite(c, now.Add(time.Minute)))
 	require.NoError(t, e.fleetEntry.update(context.Background()))
 	require.Equal(t, calls, e.store.Calls())
+	e.settings.Limits.CPUShare = 0.2
+	require.Positive(t, o.readProcessor(now))
+	require.Zero(t, o.readProcessor(now.Add(time.Millisecond)), "read once a second")
 }
