--- a/edge/condition_internal_test.go
+++ b/edge/condition_internal_test.go
@@ -46,9 +46,14 @@
 	entry, _ := store.Get(kindFleet, prefixVM+"a")
 	require.Contains(t, string(entry.Spec), `"condition":"loaded"`)
 	o.writing = false
+	restarted := &catalog.Catalog{VMs: []catalog.VM{{ID: "a", Incarnation: "a-2"}}}
+	require.False(t, o.claimWrite(restarted, now.Add(time.Minute)), "the entry of another process")
 	e.shutdown.leaving.Store(true)
 	calls := e.store.Calls()
 	require.False(t, o.claimWrite(c, now.Add(time.Minute)))
 	require.NoError(t, e.fleetEntry.update(context.Background()))
 	require.Equal(t, calls, e.store.Calls())
+	e.settings.Limits.CPUShare = 0.2
+	require.Positive(t, o.readProcessor(now))
+	require.Zero(t, o.readProcessor(now.Add(time.Millisecond)), "read once a second")
 }
