feature: an operator can run the fleet without a part of hard load

Cause: a part follows the configuration only. An operator who wants to know what a part does, or who runs a fleet in which one misbehaves, has no way to switch it off. Package feature holds the set; it is asked where each part is wired. Off means the behaviour before the part: owners of limits act as old ones, lanes count requests, gateways report nothing, reads have no home, requests wait for their statement timeout, repeats have no budget.

--- a/daemon/command.go
+++ b/daemon/command.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/edge"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/finding"
 	"endivemoor.example/endivemoor/proxy"
 	"endivemoor.example/endivemoor/settings"
@@ -82,11 +83,13 @@
 type edgeCommand struct {
 	MetricsPort int    `default:"9464" help:"Port on this VM's address that serves /metrics; 0 serves none."`
 	LogLevel    string `default:"info" enum:"debug,info,warn,error" help:"Least level of the lines on standard output."`
+
+	Without []feature.Part `placeholder:"PART,..." help:"Parts to run without, as load-reports."`
 }
 
 // Run serves until SIGTERM or SIGINT.
 func (c *edgeCommand) Run() error {
-	return edge.Run(context.Background(), edge.Options{MetricsPort: c.MetricsPort, LogLevel: c.LogLevel})
+	return edge.Run(context.Background(), edge.Options{MetricsPort: c.MetricsPort, LogLevel: c.LogLevel, Features: feature.Without(c.Without...)})
 }
 
 // Run serves until SIGTERM or SIGINT.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
 	"endivemoor.example/endivemoor/engine"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
@@ -65,6 +66,7 @@
 	meter       *spending.Meter
 	clk         clock.Clock
 	net         Network
+	features    feature.Set
 	incarnation string
 	started     clock.Time
 	// watchJitter is this VM's position within selfWatchJitter, from 0 to 1.
@@ -101,6 +103,8 @@
 	MetricsPort int
 	// LogLevel is the lowest level that is logged.
 	LogLevel string
+	// Features tells which parts run.
+	Features feature.Set
 }
 
 // Run serves until SIGTERM or SIGINT, then shuts down gracefully.
@@ -119,7 +123,7 @@
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB<<20) * memoryFraction))
 	}
-	e := New(settings, hostNetwork{newDialer()}, boottime.Clock{}, log)
+	e := New(settings, hostNetwork{newDialer()}, boottime.Clock{}, log, opt.Features)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hangup := make(chan os.Signal, 1)
@@ -133,12 +137,13 @@
 }
 
 // New returns a daemon that is not yet serving.
-func New(settings *boot.Settings, network Network, clk clock.Clock, log *zap.Logger) *Edge {
+func New(settings *boot.Settings, network Network, clk clock.Clock, log *zap.Logger, features feature.Set) *Edge {
 	e := &Edge{
 		settings:    settings,
 		log:         log,
 		clk:         clk,
 		net:         network,
+		features:    features,
 		metrics:     prometheus.NewRegistry(),
 		incarnation: newIncarnation(settings.Node),
 		catalog:     catalog.NewHolder(),
@@ -155,7 +160,7 @@
 	e.store.Observe = func(kind string, v objects.Verb) { e.meter.RecordCall(kind, string(v)) }
 	e.store.ObserveEra = e.eras.record
 	e.pool = lane.NewPool(e.clk, e.dialer)
-	e.pool.Decisions = e.decisions
+	e.pool.Decisions, e.pool.Features = e.decisions, features
 	e.loadReports = newLoadReports(e)
 	e.gossip = newGossiper(e)
 	e.firstCopies = newFirstCopies(e)
@@ -167,13 +172,13 @@
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.book, Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.used(), Dial: e.dialFor(spending.Relay)})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, ReportsNothing: features.Without(feature.LoadReports)})
 	e.engineMetrics = engine.NewMetrics(e.metrics)
 	e.engine = engine.New(engine.Config{
 		Catalog: e.catalog, Groups: e.groups, Runner: e.router, Placing: e.placing, Clock: e.clk,
 		Log: log, Metrics: e.engineMetrics, Zone: settings.Zone, Limiter: e.limits, Decisions: e.decisions,
-		UsesGateways: e.router.UsesGatewaysFor,
+		UsesGateways: e.router.UsesGatewaysFor, Features: features,
 	})
 	e.fleetEntry = newFleetEntry(e)
 	e.registerMetrics()
@@ -231,7 +236,7 @@
 	go e.maintain(work)
 	go e.promoter.Run(work)
 	go e.gossip.run(work)
-	e.log.Info("serving", zap.String("consumers", e.settings.Listen.Consumers), zap.String("incarnation", e.incarnation))
+	e.log.Info("serving", zap.String("consumers", e.settings.Listen.Consumers), zap.String("incarnation", e.incarnation), zap.Stringer("without", e.features))
 	select {
 	case err := <-failed:
 		return err
@@ -304,7 +309,7 @@
 		assignment = assignment.Next(c, live)
 		e.pool.Update(c, assignment.Share)
 		e.router.Update(assignment, c)
-		e.gossip.takesReports.Store(e.router.UsesGateways())
+		e.gossip.takesReports.Store(e.router.UsesGateways() && !e.features.Without(feature.LoadReports))
 		e.limits.update(c)
 		e.groups.Update(c)
 		e.gossip.updatePeers(c)
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -17,6 +17,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/edge"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/internal/bubble"
 	"endivemoor.example/endivemoor/logging"
 	"endivemoor.example/endivemoor/platform/standin/consumer"
@@ -49,6 +50,8 @@
 	// applyWithin is the deployment's bound for a configuration to be in force; 0 uses that of
 	// world.Settings.
 	applyWithin time.Duration
+	// features are those of VMs that start.
+	features feature.Set
 	// seeds are the peers that the settings of a VM name.
 	seeds []string
 	// ended holds earlier processes of restarted VMs.
@@ -85,9 +88,14 @@
 
 // runFleetWith runs a scenario against targets with the given options.
 func runFleetWith(t *testing.T, n int, opt database.Options, scenario func(f *fleet)) {
+	runFleetOf(t, n, opt, feature.Set{}, scenario)
+}
+
+// runFleetOf runs a scenario with VMs that run the given parts.
+func runFleetOf(t *testing.T, n int, opt database.Options, features feature.Set, scenario func(f *fleet)) {
 	opt.Service, opt.Lag, opt.StatementTime = service, 60*time.Millisecond, 5*time.Millisecond
 	bubble.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm)}
+		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm), features: features}
 		f.group = f.world.AddGroup(opt, zones...)
 		f.world.SetRoutes(standardRoutes()...)
 		for i := range n {
@@ -115,7 +123,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{name: name, addr: set.Listen.Consumers, stop: cancel, done: make(chan struct{}), zone: zone, number: number}
-	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name))
+	e := edge.New(set, f.world.Net.Host(name), monotonic.New(), f.log(name), f.features)
 	go func() {
 		defer close(v.done)
 		if err := e.Serve(ctx); err != nil && ctx.Err() == nil && !v.killed.Load() {
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -11,6 +11,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/ratelimit"
 )
 
@@ -82,9 +83,15 @@
 	if share.Owners == 0 || c == nil || c.Workspaces[workspace] == nil || l.edge.shutdown.leaving.Load() {
 		return ratelimit.Reply{RetryAfter: noOwnerRetryAfter}
 	}
+	if l.edge.features.Without(feature.LimitsByPriority) {
+		r.Priority, r.Operations = ratelimit.LowestPriority, 0
+	}
 	l.mu.Lock()
 	reply := l.buckets.Grant(now, c.Workspaces[workspace], share, r)
 	l.mu.Unlock()
+	if l.edge.features.Without(feature.LimitsByPriority) {
+		reply.Interval = 0
+	}
 	l.countReply(workspace, reply)
 	return reply
 }
@@ -94,6 +101,9 @@
 	if !w.Limited {
 		return 0, true
 	}
+	if l.edge.features.Without(feature.LimitsByPriority) {
+		priority = ratelimit.LowestPriority
+	}
 	request, retryAfter, ok := l.spendOrRequest(w.Name, priority)
 	switch {
 	case ok:
--- a/edge/loadreports.go
+++ b/edge/loadreports.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/relay"
 	"endivemoor.example/endivemoor/target"
@@ -25,9 +26,20 @@
 	return l
 }
 
+// used returns the reports that this VM places reads by; nil if it uses none.
+func (l *loadReports) used() *loadreport.Book {
+	if l.edge.features.Without(feature.LoadReports) {
+		return nil
+	}
+	return l.book
+}
+
 // share returns what this VM knows of the targets of the services, or of all if services is nil:
 // what it observes at its own lanes, and what others have reported.
 func (l *loadReports) share(now clock.Time, services []string) []loadreport.Report {
+	if l.edge.features.Without(feature.LoadReports) {
+		return nil
+	}
 	c := l.edge.catalog.Load()
 	selected := func(id target.ID) bool {
 		t := c.Targets[id]
--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/groups"
 )
 
@@ -21,8 +22,7 @@
 // still have time for another VM. In a fleet without gateways each VM reaches the targets by itself,
 // and requests wait for their whole statement timeout.
 func (s *Session) refusesEarly(g *groups.Group) bool {
-	uses := s.engine.cfg.UsesGateways
-	return uses != nil && uses(g.Service)
+	return s.engine.usesGateways(g.Service) && !s.engine.cfg.Features.Without(feature.EarlyRefusals)
 }
 
 // admits reports whether a request that needs the primary may be tried. If not, it is refused at once,
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,6 +11,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/placing"
 	"endivemoor.example/endivemoor/statement"
@@ -34,6 +35,8 @@
 	// UsesGateways reports whether the fleet reaches a service's targets through gateways; nil means
 	// that it does not.
 	UsesGateways func(service string) bool
+	// Features tells which parts run.
+	Features feature.Set
 	// Decisions counts the engine's decisions; it may be nil.
 	Decisions *decisions.Recorder
 }
@@ -87,6 +90,11 @@
 	return s, nil
 }
 
+// usesGateways reports whether the fleet reaches a service's targets through gateways.
+func (e *Engine) usesGateways(service string) bool {
+	return e.cfg.UsesGateways != nil && e.cfg.UsesGateways(service)
+}
+
 // sameZone reports whether a target is in this VM's availability zone.
 func (e *Engine) sameZone(t *catalog.Target) bool { return t.Zone == e.cfg.Zone }
 
--- a/engine/place.go
+++ b/engine/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/placing"
@@ -39,7 +40,9 @@
 		clear(tried)
 		return s.place(g, w, tried)
 	}
-	placing.PreferHome(s.workspace, candidates)
+	if !s.engine.cfg.Features.Without(feature.WarmConnections) {
+		placing.PreferHome(s.workspace, candidates)
+	}
 	choice := s.engine.cfg.Placing.Choose(now, candidates, w.route.Objective, rand.Float64())
 	if choice.Index < 0 {
 		return "", choice
--- a/engine/repeat.go
+++ b/engine/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 )
 
 // sameTargetReserve is how many repeats of a service's budget are kept for tries at targets that the
@@ -15,7 +16,7 @@
 // them refuses is sent to the two others as well, and again.
 func (s *Session) mayRepeat(w *work) bool {
 	g := s.engine.cfg.Groups.Group(w.route.Service)
-	if !w.costly || !s.refusesEarly(g) {
+	if !w.costly || !s.engine.usesGateways(g.Service) || s.engine.cfg.Features.Without(feature.RepeatBudget) {
 		return true
 	}
 	reserve, outcome := 0, "elsewhere"
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -82,6 +82,20 @@
 	PerWorkspace bool
 }
 
+// Shared returns the share of a gateway that retains as many connections for workspaces as for
+// requests that share connections.
+func (s Share) Shared() Share {
+	if s.PerWorkspace {
+		return s.shared()
+	}
+	return s
+}
+
+func (s Share) shared() Share {
+	s.MaxIdle, s.PerWorkspace = min(s.MaxOpen, max(s.MaxOpen/fleetGenerations, s.MaxRunning)), false
+	return s
+}
+
 // Assignment is the mapping of targets to the VMs that hold the connections to them, for one
 // state of the catalog. It is safe for concurrent use.
 type Assignment struct {
@@ -168,11 +182,11 @@
 		return Share{Temporary: true}
 	}
 	kept, running := max(int(limit)/len(all), 1), t.Slots+extraRunning
-	idle := min(kept, max(kept/fleetGenerations, running))
+	out := Share{MaxOpen: kept, MaxRunning: running}.shared()
 	if len(a.catalog.Config.Workspaces) > 0 {
-		return Share{MaxOpen: kept, MaxIdle: max(idle, kept-running), MaxRunning: running, PerWorkspace: true}
+		out.MaxIdle, out.PerWorkspace = max(out.MaxIdle, kept-running), true
 	}
-	return Share{MaxOpen: kept, MaxIdle: idle, MaxRunning: running}
+	return out
 }
 
 // maxRunning returns this VM's share of the statements that a fleet without gateways sends to a
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -23,7 +23,7 @@
 // corePackages are the packages of the decision core. They may import only each other of this
 // module.
 var corePackages = []string{
-	"ack", "admission", "audit", "catalog", "clock", "drain", "failover", "finding", "freshness", "gateways",
+	"ack", "admission", "audit", "catalog", "clock", "drain", "failover", "feature", "finding", "freshness", "gateways",
 	"internal/guard", "leadership", "loadreport", "membership", "outcome", "ownership", "partners", "placing", "profile",
 	"profile/diff", "publication", "ratelimit", "recency", "request", "retry", "retryafter", "routing", "session", "statement", "store",
 	"takeover", "target", "timeline", "view",
--- a/lane/admit.go
+++ b/lane/admit.go
@@ -24,7 +24,7 @@
 // expectedWait returns the estimated time until requests that wait, with the given work, have got a
 // connection; 0 if not known.
 func (l *Lane) expectedWait(work time.Duration, requests int) time.Duration {
-	if l.maxRunning == 0 || !l.waiting.times.known() {
+	if l.maxRunning == 0 || l.waiting.byCount || !l.waiting.times.known() {
 		return l.drain.after(requests)
 	}
 	wait := time.Duration(float64(work) / (float64(l.maxRunning) * l.slotUse.freshFraction()))
@@ -43,6 +43,9 @@
 func (l *Lane) admit(now clock.Time, w *waiter, timeout time.Duration) error {
 	q := &l.waiting
 	q.expect(w, now, timeout)
+	if q.byCount {
+		return l.admitByCount(now, w)
+	}
 	if !q.detectsLate || !q.times.known() || q.Len() == 0 {
 		return nil
 	}
@@ -91,6 +94,9 @@
 // returns once what waits now has been served, and the others at the intervals at which the target
 // serves requests.
 func (l *Lane) overloadedError(now clock.Time, o AcquireOptions) error {
+	if l.waiting.byCount {
+		return l.overloadedByCount()
+	}
 	t := retryafter.Terms{
 		First:    min(max(l.backlog(), time.Millisecond), maxReturnTime),
 		Interval: l.expectedWait(l.waiting.times.average.mean, 1), Max: maxReturnTime,
--- a/lane/fairness.go
+++ b/lane/fairness.go
@@ -44,6 +44,8 @@
 // for, and a share that is not used goes to the others and is not owed later.
 type shares struct {
 	weights *weights
+	// off is set if workspaces have no shares.
+	off bool
 	// used is the work of each workspace by its weight, counted from the least of those served.
 	used map[string]float64
 	// floor is what the last workspace that was served had used before.
@@ -99,7 +101,7 @@
 // servesByShare reports whether workspaces are served by their shares: while not all requests can be in
 // time, at a target whose connections serve one workspace each.
 func (q *queue) servesByShare() bool {
-	return q.pressed() && q.inTime.Len() > 0 && q.inTime.all[0].opts.Workspace != ""
+	return !q.shares.off && q.pressed() && q.inTime.Len() > 0 && q.inTime.all[0].opts.Workspace != ""
 }
 
 // bestByShare returns the first request in time, of the workspace that has used least, for which fits
--- a/lane/fairness_test.go
+++ b/lane/fairness_test.go
@@ -9,19 +9,21 @@
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/internal/bubble"
 )
 
 // besideHot plays five workspaces with limits at a target. Four ask for little, at a fifth of the
-// capacity together; the other for the given multiple of the capacity. It returns what the four and
-// the other got.
-func besideHot(load float64) (small, hot result) {
+// capacity together; the other for the given multiple of the capacity. Some parts may be off. It
+// returns what the four and the other got.
+func besideHot(load float64, off ...feature.Part) (small, hot result) {
 	config := &catalog.Config{Workspaces: map[string]*catalog.Workspace{"hot": {Limited: true, Rate: 40}}}
 	for _, name := range []string{"a", "b", "c", "d"} {
 		config.Workspaces[name] = &catalog.Workspace{Limited: true, Rate: 10}
 	}
 	one := newCrowd(1, slots)
 	one.lane.setWeights(newWeights(config))
+	one.lane.setFeatures(feature.Without(off...))
 	var wait sync.WaitGroup
 	var crowds []*crowd
 	add := func(load float64, workspace string) {
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -12,6 +12,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/statement"
 	"endivemoor.example/endivemoor/target"
@@ -29,6 +30,8 @@
 type Pool struct {
 	// Decisions counts the lanes' decisions; it must be set before the first use, and may be nil.
 	Decisions *decisions.Recorder
+	// Features tells which parts run; it must be set before the first use.
+	Features feature.Set
 
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
@@ -49,6 +52,10 @@
 // VM's share of its target's connections. It must be called by one goroutine only.
 func (p *Pool) Update(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share) {
 	weights := newWeights(c.Config)
+	if p.Features.Without(feature.WarmConnections) {
+		retaining := share
+		share = func(t *catalog.Target) gateways.Share { return retaining(t).Shared() }
+	}
 	for id, l := range p.adopt(c, share, weights) {
 		l.setShare(share(c.Targets[id]))
 		l.setWeights(weights)
@@ -94,6 +101,7 @@
 		l = newLane(id, p.dial(t), p.clk, p.share(t))
 		l.target, l.decisions = t, p.Decisions
 		l.setWeights(p.weights)
+		l.setFeatures(p.Features)
 		p.lanes[id] = l
 	}
 	return l
--- a/lane/queue.go
+++ b/lane/queue.go
@@ -99,6 +99,8 @@
 type queue struct {
 	inTime, late waiters
 	detectsLate  bool
+	// byCount is set if requests are admitted by their number instead of their expected work.
+	byCount bool
 	// times are how long the target takes for a statement, its own queue included. A request that
 	// gets its connection with less time than this left before it is due is answered late.
 	times serviceTimes
@@ -137,7 +139,7 @@
 	return n, work
 }
 
-// setOrder sets the order of the requests in time. The queue is overloaded while it is byWork.
+// setOrder sets the order of the requests in time. The queue is overloaded from overloadOrder on.
 func (q *queue) setOrder(now clock.Time, by order) {
 	if q.inTime.by == by {
 		return
@@ -154,11 +156,14 @@
 func (q *queue) pressed() bool { return q.inTime.by >= byPriority }
 
 // overloaded reports whether late requests are not served.
-func (q *queue) overloaded() bool { return q.inTime.by == byWork }
+func (q *queue) overloaded() bool { return q.inTime.by >= q.overloadOrder() }
 
 // expect sets what is expected of a request that arrives now and may wait until the timeout.
 func (q *queue) expect(w *waiter, now clock.Time, timeout time.Duration) {
 	mean, deviation := q.times.of(now, w.opts.Class)
+	if q.byCount {
+		mean, deviation = q.times.average.mean, 0
+	}
 	w.arrived, w.expires, w.work, w.startBy = now, now.Add(timeout), mean, w.opts.Due.Add(-mean-deviation)
 }
 
@@ -199,7 +204,7 @@
 }
 
 // longestFirst reports whether it is the turn of the request that has waited for longest.
-func (q *queue) longestFirst() bool { return q.overloaded() && q.turn%fairTurn == 0 }
+func (q *queue) longestFirst() bool { return q.inTime.by == byWork && q.turn%fairTurn == 0 }
 
 // bestInTime returns the request in time whose turn it is.
 func (q *queue) bestInTime(fits func(*waiter) bool) *waiter {
@@ -252,14 +257,14 @@
 // overloaded. It also detects the start of an overload.
 func (q *queue) shedLate(now clock.Time) []*waiter {
 	if q.late.Len() > 0 && now.Sub(q.lateServed) > starvedAfter {
-		q.setOrder(now, byWork)
+		q.setOrder(now, q.overloadOrder())
 	}
 	if q.overloaded() {
 		q.moveLate(now)
 	}
 	var out []*waiter
 	for _, w := range q.late.all {
-		if !now.Add(w.work).Before(w.expires) || q.overloaded() && !q.outlasts(w, now) {
+		if q.isShed(w, now) {
 			out = append(out, w)
 		}
 	}
@@ -269,6 +274,14 @@
 	return out
 }
 
+// isShed reports whether a late request is refused.
+func (q *queue) isShed(w *waiter, now clock.Time) bool {
+	if q.byCount {
+		return q.overloaded()
+	}
+	return !now.Add(w.work).Before(w.expires) || q.overloaded() && !q.outlasts(w, now)
+}
+
 // moveLate moves the requests that can no longer be in time to the late ones. While requests are
 // ordered by priority first, these are not always at the head of the queue.
 func (q *queue) moveLate(now clock.Time) {
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -173,7 +173,7 @@
 
 // charge records that a workspace's statement has got a slot, if slots are given by shares.
 func (l *Lane) charge(workspace string, work time.Duration) {
-	if workspace != "" && l.waiting.pressed() {
+	if workspace != "" && l.waiting.pressed() && !l.waiting.shares.off {
 		l.waiting.shares.charge(workspace, work)
 		l.decisions.Count(decisions.Queue, string(l.id), outcomeByShare, 1)
 	}
--- a/relay/report.go
+++ b/relay/report.go
@@ -84,6 +84,9 @@
 // never nil while the target is calm: nil comes from VMs that report nothing.
 func (s *Server) report(id target.ID) (load int32, report *gossippb.LoadReport) {
 	l := s.cfg.Local.Load(id)
+	if s.cfg.ReportsNothing {
+		return int32(l.InUse + l.Queued), nil
+	}
 	r := Observed(id, l, s.failures.rate(id))
 	r.Target = ""
 	return int32(l.InUse + l.Queued), gossip.LoadReportOf(r, 0)
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -53,6 +53,10 @@
 	r.recordReport("x", "g", calm, 2)
 	load, _ = r.reported("x", "g", 2, 2)
 	require.Equal(t, lane.Load{Reported: true, InUse: 2}, load)
+	gateway.cfg.ReportsNothing = true
+	inFlight, none := gateway.report("x")
+	require.Equal(t, int32(7), inFlight)
+	require.Nil(t, none, "without load reports, as from an older program")
 	require.Equal(t, &gossippb.LoadReport{WaitUs: 80_000, ServiceUs: 40_000}, reportOf(lane.Load{InUse: 3, Parked: 1, Queued: 4, ServiceTime: 40 * time.Millisecond}))
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -37,6 +37,8 @@
 	Idle func() time.Duration
 	// Draw takes tokens from this VM's share of a workspace's limit.
 	Draw func(workspace string, r ratelimit.Request) ratelimit.Reply
+	// ReportsNothing is set if replies carry no load reports.
+	ReportsNothing bool
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
