ratelimit: a token that is returned is not lost because its grant is spent

Cause: a VM drops a grant once its last token is spent. An operation that a full target then refuses returns its token to a cache without grants, where it is lost, and its workspace is refused at a limit that is not used. Ruled out: that the token has expired; it is 5 ms old. Change: a grant is kept until it expires; a token is returned to the oldest grant that has some left, else to the latest.

--- a/ratelimit/priority_test.go
+++ b/ratelimit/priority_test.go
@@ -139,3 +139,46 @@
 	cache.Put(workspace, now, Request{Priority: 0}, Reply{Tokens: 1, Interval: time.Millisecond})
 	require.Positive(t, cache.RetryAfter(now, workspace, 1), "a token for an urgent operation says nothing of the others")
 }
+
+// A full target refuses every other operation that was let through, 5 ms later; the others have a
+// target with room. Failure guarded against: the refused ones keep their tokens, and the others are
+// refused at a limit of which half is used.
+func TestOperationsThatATargetRefusesGiveTheirTokensBack(t *testing.T) {
+	const refusedAfter = 5 * time.Millisecond
+	type refusal struct {
+		vm *vm
+		at clock.Time
+	}
+	// Each VM has ten operations or more within the lifetime of a token.
+	for _, load := range []struct {
+		vms  int
+		rate float64
+	}{{1, 40}, {1, 125}, {8, 125}, {8, 378}, {30, 378}} {
+		f := newFleet(load.vms, limit(load.rate))
+		f.mix(4, 5)
+		f.allowedAt = nil
+		var ran []clock.Time
+		var refused []refusal
+		for at, end := 0, f.now.Add(20*time.Second); f.now < end; at++ {
+			f.now = f.now.Add(time.Duration(float64(time.Second) / (4 * load.rate)))
+			for len(refused) > 0 && refused[0].at <= f.now {
+				refused[0].vm.cache.Return(workspace)
+				refused = refused[1:]
+			}
+			v := f.vms[f.list[(at*31)%load.vms].ID]
+			if !f.operateAt(v, 1) {
+				continue
+			}
+			if len(f.allowedAt)%2 == 0 {
+				refused = append(refused, refusal{v, f.now.Add(refusedAfter)})
+			} else {
+				ran = append(ran, f.now)
+			}
+		}
+		part := float64(len(ran)) / (20 * load.rate)
+		t.Logf("%+v: %.2f of the limit ran", load, part)
+		require.Greater(t, part, 0.9, "%+v", load)
+		f.allowedAt = ran
+		f.check(t)
+	}
+}
--- a/ratelimit/tokencache.go
+++ b/ratelimit/tokencache.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"slices"
 	"time"
 
 	"endivemoor.example/endivemoor/catalog"
@@ -54,7 +55,8 @@
 	interval time.Duration
 }
 
-// grant is a number of tokens that expire at the same time.
+// grant is a number of tokens that expire at the same time. Without tokens it is kept until then,
+// because some may be returned.
 type grant struct {
 	count     int
 	expiresAt clock.Time
@@ -89,7 +91,7 @@
 // Spend takes a token for an operation of a priority. It returns false if there is no valid one.
 func (c *TokenCache) Spend(now clock.Time, workspace string, priority int) bool {
 	e := c.entry(workspace)
-	for len(e.tokens) > 0 && (e.tokens[0].count == 0 || !now.Before(e.tokens[0].expiresAt)) {
+	for len(e.tokens) > 0 && !now.Before(e.tokens[0].expiresAt) {
 		c.expired += e.tokens[0].count
 		e.tokens = e.tokens[1:]
 	}
@@ -138,11 +140,18 @@
 	clear(e.backoff[:g.priority+1])
 }
 
-// Return gives back a token that was not used. It expires with the oldest cached ones.
+// Return gives back a token that was not used. It expires with the oldest cached ones, or with the
+// latest grant if all others are spent.
 func (c *TokenCache) Return(workspace string) {
-	if e := c.entry(workspace); len(e.tokens) > 0 {
-		e.tokens[0].count++
+	e := c.entry(workspace)
+	if len(e.tokens) == 0 {
+		return
+	}
+	i := slices.IndexFunc(e.tokens, func(g grant) bool { return g.count > 0 })
+	if i < 0 {
+		i = len(e.tokens) - 1
 	}
+	e.tokens[i].count++
 }
 
 // BackOff records that no owner has a token for a request, and the owners' reply. The fewer VMs
