soak: a workspace beyond its limit, servers that fail a part of their statements

Cause: the soak plays no fleet with gateways, no workspace that asks for more than its limit, and no server that fails only some of its statements while it answers status queries. Judges: no workspace over its limit (rate x window + burst, with the margin of the promise; as before); nothing that was refused at a limit ran; no refused write took effect, or ran after its caller was told; nothing below its limit is refused before the first fault.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -53,9 +53,10 @@
 // Daemons serve callers while they are killed, paused, stopped and reloaded, servers crash or stop
 // answering, the store is down or loses answers, and connections between them are delayed, reset,
 // stalled or cut one way, several at a time. All answers to callers must stay correct throughout,
-// and purchases must continue after the faults.
+// and purchases must continue after the faults. From firstSeedUnderLoad on, workspaces also ask for
+// more than their limits.
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{}, soakRegressions...)
+	seeds := append([]uint64{firstSeedUnderLoad}, soakRegressions...)
 	for i := range *soakSeeds {
 		seeds = append(seeds, *soakFirst+uint64(i))
 	}
@@ -77,6 +78,8 @@
 	withAPIKeys bool
 	// withSlowVMs is set for seeds with VMs that are slow for a while.
 	withSlowVMs bool
+	// underLoad is set for seeds with gateways, limits that are exceeded and servers that fail in part.
+	underLoad bool
 	// active contains a function for each lasting fault that ends it.
 	active []func()
 }
@@ -90,11 +93,15 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 0)), port: freePorts(t, soakPorts), dir: t.TempDir(), crashed: make(map[string]bool)}
-	start(t, s.dir, "standin", "standin", "lines", "--port", fmt.Sprint(s.port), "--dir", s.dir,
-		"--vms", fmt.Sprint(*soakVMs), "--offset", fmt.Sprint(soakProxyOffset))
+	vms, args := *soakVMs, []string{"lines", "--port", fmt.Sprint(s.port), "--dir", s.dir, "--offset", fmt.Sprint(soakProxyOffset)}
+	if s.underLoad = seed >= firstSeedUnderLoad; s.underLoad {
+		vms = max(vms, vmsUnderLoad)
+		args = append(args, "--connections", fmt.Sprint(vmsUnderLoad))
+	}
+	start(t, s.dir, "standin", "standin", append(args, "--vms", fmt.Sprint(vms))...)
 	eventually(t, "the stand-in is ready", func() bool {
 		_, err := s.callControl("/primary")
-		_, written := os.Stat(s.settings(*soakVMs))
+		_, written := os.Stat(s.settings(vms))
 		return err == nil && written == nil
 	})
 	if s.withAPIKeys = seed >= firstSeedWithAPIKeys; s.withAPIKeys {
@@ -104,7 +111,7 @@
 	for i := 1; i <= soakServers; i++ {
 		s.servers = append(s.servers, newFaultProxy(t, s.local(i+soakProxyOffset), s.local(i)))
 	}
-	for n := 1; n <= *soakVMs; n++ {
+	for n := 1; n <= vms; n++ {
 		vm := &soakVM{n: n, store: newFaultProxy(t, s.local(soakStoreProxy+n), s.local(0))}
 		s.redirect(n)
 		s.vms = append(s.vms, vm)
@@ -168,20 +175,27 @@
 	require.NoError(s.t, err)
 }
 
+// dial connects to the n-th daemon as a caller.
+func (s *soak) dial(n int) (net.Conn, error) { return net.Dial("tcp", lines.ConsumerAddr(s.port, n)) }
+
 // open opens a caller's session on a daemon.
 func (s *soak) open(name, vm, database string) (*consumer.Session, consumer.Answer) {
 	var n int
 	if _, err := fmt.Sscanf(vm, "vm%d", &n); err != nil {
 		return nil, consumer.Answer{Lost: true}
 	}
-	conn, err := net.Dial("tcp", lines.ConsumerAddr(s.port, n))
+	conn, err := s.dial(n)
 	if err != nil {
 		return nil, consumer.Answer{Lost: true}
 	}
 	if !s.withAPIKeys {
 		return consumer.Open(conn, name, database)
 	}
-	key := lines.Key(lines.Workspaces[n%len(lines.Workspaces)])
+	return s.openAs(conn, name, lines.Key(lines.Workspaces[n%len(lines.Workspaces)]), database)
+}
+
+// openAs opens the session of a caller with an API key.
+func (s *soak) openAs(conn net.Conn, name, key, database string) (*consumer.Session, consumer.Answer) {
 	if _, err := s.callControl("/caller?" + url.Values{"name": {name}, "key": {key}}.Encode()); err != nil {
 		return nil, consumer.Answer{Lost: true}
 	}
@@ -190,11 +204,15 @@
 
 func (s *soak) play() {
 	var names []string
-	for _, vm := range s.vms {
+	for _, vm := range s.vms[:*soakVMs] {
 		names = append(names, fmt.Sprintf("vm%d", vm.n))
 	}
 	load := traffic.Start(s.open, traffic.Databases{Exact: lines.Pay, Bounded: lines.Check, Own: lines.Renew}, names)
 	s.waitPurchases(load, "purchases begin")
+	var hard *hardLoad
+	if s.underLoad {
+		hard = startHardLoad(s)
+	}
 	for range *soakSteps {
 		s.injectRandom()
 		time.Sleep(s.randomDuration(50, 900))
@@ -207,6 +225,9 @@
 	}
 	s.waitPurchases(load, "purchases continue after all faults have ended")
 	broken, sales, _ := load.End()
+	if hard != nil {
+		broken = append(broken, hard.end()...)
+	}
 	result, err := s.callControl("/verdict")
 	require.NoError(s.t, err)
 	s.t.Logf("%d sales, %s", sales, result)
@@ -302,6 +323,12 @@
 	if s.withSlowVMs {
 		faults = append(faults, soakFault{"slow " + vm.name, func(name string) { s.slow(name, vm) }})
 	}
+	if s.underLoad {
+		faults = append(faults, soakFault{"failing " + id, func(name string) {
+			s.command("fail-some", id)
+			s.addActive(name, func() { s.command("fail-none", id) })
+		}})
+	}
 	drawn := faults[s.random.IntN(len(faults))]
 	s.t.Logf("%s", drawn.name)
 	drawn.inject(drawn.name)
