--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -93,7 +93,10 @@
 
 // runFleetOf runs a scenario with VMs that run the given parts.
 func runFleetOf(t *testing.T, n int, opt database.Options, features feature.Set, scenario func(f *fleet)) {
-	opt.Service, opt.Lag, opt.StatementTime = service, 60*time.Millisecond, 5*time.Millisecond
+	opt.Service, opt.Lag = service, 60*time.Millisecond
+	if opt.StatementTime == 0 {
+		opt.StatementTime = 5 * time.Millisecond
+	}
 	bubble.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, world: world.New(), vms: make(map[string]*vm), features: features}
 		f.group = f.world.AddGroup(opt, zones...)
