--- a/edge/burst_test.go
+++ b/edge/burst_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"endivemoor.example/endivemoor/platform/standin/database"
@@ -28,8 +29,11 @@
 	out := &readResults{}
 	var wait sync.WaitGroup
 	for n := range int(length.Seconds() * float64(rate)) {
-		s := f.session(vmNames(len(f.vms))[n%len(f.vms)], bounded)
 		wait.Go(func() {
+			s, started := f.world.Open(f.nextConsumer(), f.addr(vmNames(len(f.vms))[n%len(f.vms)]), bounded)
+			if !assert.Equal(f.t, "I", started.State) {
+				return
+			}
 			defer s.Close()
 			sent := time.Now()
 			a := s.Query("READ a")
--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -59,6 +59,15 @@
 	Reserved bool
 }
 
+// Bounded returns the Reply with what no owner replies to a Request replaced by the nearest that one
+// does.
+func (r Reply) Bounded(to Request) Reply {
+	r.Tokens = min(r.Tokens, max(to.Want, to.Operations, 1))
+	r.RetryAfter = min(max(r.RetryAfter, 0), maxRetryAfter)
+	r.Interval = min(max(r.Interval, 0), maxRetryAfter)
+	return r
+}
+
 // NewBuckets returns the Buckets of a VM that has just started.
 func NewBuckets(margin float64) *Buckets {
 	return &Buckets{Margin: margin, buckets: make(map[string]*bucket)}
@@ -84,7 +93,7 @@
 		want = r.Operations
 	}
 	reserve := b.pressure.reserve(now, priority, rate, size)
-	tokens := min(want, int(b.level-reserve))
+	tokens := min(want, maxTokensPerRequest, int(b.level-reserve))
 	if tokens < 1 {
 		b.pressure.refused(now, b.level < 1, rate)
 		return b.refuse(now, priority, rate, reserve)
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -15,7 +15,12 @@
 
 func micros(d time.Duration) int64 { return d.Microseconds() }
 
-func duration(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+// maxMicros bounds a duration in a message. Added to a time, more could overflow.
+const maxMicros = int64(24 * time.Hour / time.Microsecond)
+
+func duration(us int64) time.Duration {
+	return time.Duration(min(max(us, -maxMicros), maxMicros)) * time.Microsecond
+}
 
 func claimOf(service string, id target.ID, c dispatch.Claim, now clock.Time) *relaypb.Claim {
 	return &relaypb.Claim{
--- a/relay/draw.go
+++ b/relay/draw.go
@@ -27,7 +27,12 @@
 	if err != nil {
 		return ratelimit.Reply{}, err
 	}
-	return ratelimit.Reply{Tokens: int(out.GetTokens()), RetryAfter: duration(out.GetComeBackUs()), Interval: duration(out.GetIntervalUs())}, nil
+	return replyOf(out, request), nil
+}
+
+func replyOf(out *relaypb.DrawReply, to ratelimit.Request) ratelimit.Reply {
+	r := ratelimit.Reply{Tokens: int(out.GetTokens()), RetryAfter: duration(out.GetComeBackUs()), Interval: duration(out.GetIntervalUs())}
+	return r.Bounded(to)
 }
 
 // Draw implements relaypb.Relay. A request that states no demands is from an older VM, and counts as
--- a/relay/report.go
+++ b/relay/report.go
@@ -103,6 +103,12 @@
 	r.cfg.Reports.Record(report)
 }
 
+// endOfWork returns the time at which a target's work for a reply can have ended at the earliest. It has
+// come: a report from the future would let no later one replace it.
+func (r *Router) endOfWork(sent clock.Time, tookUs int64) clock.Time {
+	return min(sent.Add(duration(max(tookUs, 0))), r.cfg.Clock.Now())
+}
+
 // incarnation returns the incarnation of a target in the catalog; 0 if it is unknown.
 func (r *Router) incarnation(id target.ID) int64 {
 	if p := r.assignment.Load(); p != nil && p.catalog.Targets[id] != nil {
--- a/relay/router.go
+++ b/relay/router.go
@@ -272,7 +272,7 @@
 		return nil, err
 	}
 	recordEvidence(g, out.GetEvidence(), sent)
-	r.recordReport(id, vm.ID, out.GetLoadReport(), sent.Add(duration(out.GetTookUs())))
+	r.recordReport(id, vm.ID, out.GetLoadReport(), r.endOfWork(sent, out.GetTookUs()))
 	if out.GetFailure() != nil {
 		return nil, r.recordFailure(g, id, out.GetFailure())
 	}
