--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,6 +11,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/dispatch"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/placing"
 	"endivemoor.example/endivemoor/statement"
@@ -37,6 +38,8 @@
 	// Avoid marks the candidates for a read that fail too many of their statements; nil marks none.
 	// MayProbe is set if the read can be repeated in time.
 	Avoid func(service string, candidates []placing.Candidate, mayProbe bool)
+	// Features tells which parts run.
+	Features feature.Set
 	// Decisions counts the engine's decisions; it may be nil.
 	Decisions *decisions.Recorder
 }
@@ -90,6 +93,11 @@
 	return s, nil
 }
 
+// usesGateways reports whether the fleet reaches a service's targets through gateways.
+func (e *Engine) usesGateways(service string) bool {
+	return e.cfg.UsesGateways != nil && e.cfg.UsesGateways(service)
+}
+
 // sameZone reports whether a target is in this VM's availability zone.
 func (e *Engine) sameZone(t *catalog.Target) bool { return t.Zone == e.cfg.Zone }
 
--- a/engine/returning.go
+++ b/engine/returning.go
@@ -13,7 +13,7 @@
 // prepared name stands for: names and ids differ between tries. The begin of a transaction is
 // answered here, and its first statement opens the transaction.
 func (s *Session) callerHash(g *groups.Group, w *work, begins bool) uint64 {
-	if !s.refusesEarly(g) {
+	if !s.engine.usesGateways(g.Service) {
 		return 0
 	}
 	kind, text := "single", w.st.Text
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -12,6 +12,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/decisions"
+	"endivemoor.example/endivemoor/feature"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/statement"
@@ -33,6 +34,8 @@
 	// Returning holds the refused callers of each service; it must be set before the first use.
 	// Without it, callers who return count as new.
 	Returning *returning.Books
+	// Features tells which parts run; it must be set before the first use.
+	Features feature.Set
 
 	clk  clock.Clock
 	dial func(t *catalog.Target) Dialer
@@ -58,6 +61,10 @@
 	if c.Config != p.config {
 		terms = newTerms(c.Config)
 	}
+	if p.Features.Without(feature.WarmConnections) {
+		retaining := share
+		share = func(t *catalog.Target) gateways.Share { return retaining(t).Shared() }
+	}
 	for id, l := range p.adopt(c, share, weights, terms) {
 		l.setShare(share(c.Targets[id]))
 		l.setWeights(weights)
@@ -108,6 +115,7 @@
 		if p.Returning != nil {
 			l.returning = p.Returning.Book(t.Service)
 		}
+		l.setFeatures(p.Features)
 		p.lanes[id] = l
 	}
 	return l
--- a/relay/report.go
+++ b/relay/report.go
@@ -84,6 +84,9 @@
 // never nil while the target is calm: nil comes from VMs that report nothing.
 func (s *Server) report(id target.ID) (load int32, report *gossippb.LoadReport) {
 	l := s.cfg.Local.Load(id)
+	if s.cfg.ReportsNothing {
+		return int32(l.InUse + l.Queued), nil
+	}
 	failed, statements := s.cfg.Failures.Fraction(s.cfg.Clock.Now(), id)
 	r := Observed(id, l, failed, statements)
 	r.Target = ""
@@ -101,6 +104,12 @@
 	r.cfg.Reports.Record(report)
 }
 
+// endOfWork returns the time at which a target's work for a reply can have ended at the earliest. It has
+// come: a report from the future would let no later one replace it.
+func (r *Router) endOfWork(sent clock.Time, tookUs int64) clock.Time {
+	return min(sent.Add(duration(max(tookUs, 0))), r.cfg.Clock.Now())
+}
+
 // incarnation returns the incarnation of a target in the catalog; 0 if it is unknown.
 func (r *Router) incarnation(id target.ID) int64 {
 	if p := r.assignment.Load(); p != nil && p.catalog.Targets[id] != nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -43,6 +43,8 @@
 	Returning *returning.Books
 	// Failures counts the statements that fail at targets.
 	Failures *outlier.Counter
+	// ReportsNothing is set if replies carry no load reports.
+	ReportsNothing bool
 }
 
 // Server runs other VMs' statements over this VM's own connections. It is safe
