takeover: the change of primary for a part of failed statements is taken out

Cause: a review showed needless promotions of a healthy primary: for exact reads' own errors (the review counted 5 in 45 s), for a hiccup that is over, to successors that fail too, and by the whole fleet at once.

Stays: errors of writes are no evidence for reads either, and the test of reports that count failures.

Measured: tests of outlier, promoter, takeover, relay and loadreport pass.

--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -52,21 +52,6 @@
 	}
 }
 
-// reported returns whether several VMs report that a target fails far more of its statements than its
-// siblings, and whether any VM reports noticeable failures.
-func (o *outliers) reported(service string, id target.ID) (failing, suspected bool) {
-	now := o.edge.clk.Now()
-	if len(o.edge.loadReports.book.Failing(id, 0, now)) == 0 {
-		return false, false
-	}
-	all := o.targets(service, now)
-	i := slices.IndexFunc(all, func(t outlier.Target) bool { return t.ID == id })
-	if i < 0 {
-		return false, false
-	}
-	return outlier.Reported(all, i), outlier.Suspected(all[i])
-}
-
 // targets returns a service's targets as this VM sees them.
 func (o *outliers) targets(service string, now clock.Time) []outlier.Target {
 	var out []outlier.Target
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -12,7 +12,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"sync"
 	"time"
 
@@ -229,28 +228,8 @@
 	return rate, sources >= minSources
 }
 
-// Reported reports whether enough VMs say that the target all[i] fails far more than its siblings,
-// whatever this VM has met itself. Answers that an overloaded target gives too late are no failures:
-// another primary would have the same load.
-func Reported(all []Target, i int) bool {
-	if slices.ContainsFunc(all[i].Reports, func(r loadreport.Report) bool { return r.Overloaded }) {
-		return false
-	}
-	sources, _ := reporters(all, i)
-	return sources >= minSources
-}
-
-// Suspected reports whether any report says that a target fails noticeably.
-func Suspected(t Target) bool {
-	for _, r := range t.Reports {
-		if r.Failed >= minFailed/siblingFactor {
-			return true
-		}
-	}
-	return false
-}
-
-// reporters returns how many VMs report so, and the largest fraction.
+// reporters returns how many VMs report that all[i] fails far more than its siblings, and the largest
+// fraction.
 func reporters(all []Target, i int) (n int, rate float64) {
 	for _, r := range all[i].Reports {
 		if r.Statements >= minStatements && r.Failed >= minFailed && exceeds(r.Failed, all, i, reportedRate) {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -67,7 +67,6 @@
 	errUnpaused            = errors.New("the target did not confirm the pause")
 	errReplicaNotBehind    = errors.New("a replica is not far enough behind")
 	errIdle                = errors.New("the primary is not saturated")
-	errSuccessorFails      = errors.New("a target that may succeed the primary fails statements as well")
 	errRecovered           = errors.New("the primary has recovered")
 	errOwnNetwork          = errors.New("this VM reaches no other VM, and targets answer it only slowly: its own network path may be at fault")
 	errWasIsolated         = errors.New("this VM reaches others only since it queried the targets: what it observed before may be its own network path's")
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -42,8 +42,6 @@
 		return a.confirmStall(ctx)
 	case takeover.ReasonBehind:
 		return a.confirmBehind(ctx, statuses)
-	case takeover.ReasonFailing:
-		return a.confirmFailing(ctx)
 	default:
 		return nil
 	}
@@ -126,20 +124,6 @@
 	return a.successorKeepsUp(ctx)
 }
 
-// confirmFailing checks that the primary is still reported, and that no target that may succeed it
-// fails as well: the change costs writers about half a second and would gain nothing.
-func (a *attempt) confirmFailing(ctx context.Context) error {
-	if failing, _ := a.p.cfg.Reported(a.g.Service, a.old); !failing {
-		return errRecovered
-	}
-	for _, t := range a.others {
-		if _, suspected := a.p.cfg.Reported(a.g.Service, t.ID); suspected {
-			return errors.WithMessage(errSuccessorFails, string(t.ID))
-		}
-	}
-	return a.successorKeepsUp(ctx)
-}
-
 // busyPerSlot times its slots is the number of statements from which a primary counts as unable to
 // serve all reads. No larger number need wait there: VMs send only a few for each slot, and queue
 // the others themselves.
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -62,9 +62,6 @@
 	// era.
 	Era        func() int64
 	RestoredAt func() clock.Time
-	// Reported returns whether several VMs report that a target fails far more of its statements than
-	// its siblings, and whether any VM reports noticeable failures. If it is nil, nothing is reported.
-	Reported func(service string, id target.ID) (failing, suspected bool)
 }
 
 const (
@@ -101,7 +98,6 @@
 	queriedAt    clock.Time
 	reason       takeover.Reason
 	reasonSince  clock.Time
-	failingSince clock.Time // since when the primary is reported to fail; 0 if it is not
 	busy         bool
 	notBefore    clock.Time
 	nonce        string     // of the latest attempt of this process
@@ -117,9 +113,6 @@
 		cfg.Era = func() int64 { return 0 }
 		cfg.RestoredAt = func() clock.Time { return 0 }
 	}
-	if cfg.Reported == nil {
-		cfg.Reported = func(string, target.ID) (failing, suspected bool) { return false, false }
-	}
 	return &Promoter{cfg: cfg, services: make(map[string]*serviceState)}
 }
 
@@ -178,7 +171,7 @@
 		g.Health.Reset(now)
 		g.Breaker.Reset()
 		w := p.stateOf(g.Service)
-		w.reason, w.failingSince = takeover.ReasonNone, 0
+		w.reason = takeover.ReasonNone
 	}
 }
 
@@ -206,7 +199,6 @@
 	others := p.otherAttempt(known, w, now) || p.restoredRecently(now)
 	symptoms := p.symptoms(g, b.Primary, now)
 	symptoms.Settled = now.Sub(w.revisionSeen)
-	symptoms.Failing = p.reportedFor(g.Service, b.Primary, w, now)
 	if p.suspected(g, b.Primary, now) && now.Sub(w.queriedAt) >= statusInterval {
 		w.queriedAt = now
 		go g.Probe(ctx, b.Primary, spending.Suspicion, 0, statusTimeout)
@@ -243,22 +235,6 @@
 	return s
 }
 
-// reportedFor returns how long the primary has been reported to fail a part of its statements.
-func (p *Promoter) reportedFor(service string, primary target.ID, w *serviceState, now clock.Time) time.Duration {
-	failing := false
-	if primary != "" {
-		failing, _ = p.cfg.Reported(service, primary)
-	}
-	switch {
-	case !failing:
-		w.failingSince = 0
-		return 0
-	case w.failingSince == 0:
-		w.failingSince = now
-	}
-	return now.Sub(w.failingSince)
-}
-
 // suspected reports whether the primary should be queried whether it is alive.
 func (p *Promoter) suspected(g *groups.Group, primary target.ID, now clock.Time) bool {
 	h := g.Health.Symptoms(primary, now)
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -50,11 +50,8 @@
 	// FarBehind is how far every replica must then lag: a backlog of that length outlasts a change
 	// of primary, which takes about 0.5 s for writes.
 	FarBehind = 1500 * time.Millisecond
-	// FailingAfter is how long several VMs must have reported that the primary fails a part of its
-	// statements: longer than a stall takes to be diagnosed, whose cause is better known.
-	FailingAfter = time.Second
-	// BehindEvery is the least time between a change of primary and the next one for ReasonBehind or
-	// ReasonFailing: if the new primary has the same fault, further changes do not help.
+	// BehindEvery is the least time between a change of primary and the next one for ReasonBehind:
+	// if the new primary's replicas fall behind as well, further changes do not help.
 	BehindEvery = 10 * time.Second
 	// StaggerInterval separates the VMs that would make the same change, so that one makes it while
 	// the others watch: VMs that watch the store learn of a record within some 10 ms. Two VMs that act
@@ -88,8 +85,6 @@
 	// the old primary, whose log is applied, serves reads as a replica: two targets serve reads
 	// instead of one.
 	ReasonBehind Reason = "behind"
-	// ReasonFailing: the primary answers status queries and fails a part of its statements.
-	ReasonFailing Reason = "failing"
 	// ReasonAbsent: no target claims to lead.
 	ReasonAbsent Reason = "absent"
 	// ReasonAbandoned: it needs no other primary, but an attempt was not ended by its holder.
@@ -97,9 +92,7 @@
 )
 
 // Planned reports whether the old primary is expected to cooperate.
-func (r Reason) Planned() bool {
-	return r == ReasonLeaving || r == ReasonBehind || r == ReasonFailing
-}
+func (r Reason) Planned() bool { return r == ReasonLeaving || r == ReasonBehind }
 
 // Unanswered reports whether the primary has left requests and queries unanswered.
 func (r Reason) Unanswered() bool { return r == ReasonUnresponsive || r == ReasonRefusing }
@@ -112,7 +105,7 @@
 
 // Answers reports whether the primary answers, whatever other fault the service has.
 func (r Reason) Answers() bool {
-	return r == ReasonAbandoned || r == ReasonStalled || r == ReasonBehind || r == ReasonFailing
+	return r == ReasonAbandoned || r == ReasonStalled || r == ReasonBehind
 }
 
 // Symptoms is what a VM has observed of a service's primary.
@@ -130,9 +123,6 @@
 	// ReadsLate is how long bounded-staleness reads that no replica could serve have been late at
 	// the primary.
 	ReadsLate time.Duration
-	// Failing is how long several VMs have reported that it fails far more of its statements than
-	// its siblings.
-	Failing time.Duration
 	// Settled is how long the service's leadership record has not changed.
 	Settled time.Duration
 	// Absent is how long no target has been considered the primary.
@@ -154,8 +144,6 @@
 		return ReasonLeaving
 	case s.Stalled >= StalledAfter:
 		return ReasonStalled
-	case s.Failing >= FailingAfter && s.Settled >= BehindEvery:
-		return ReasonFailing
 	case s.ReadsLate >= ReadsLateAfter && s.Settled >= BehindEvery:
 		return ReasonBehind
 	default:
