outlier: a failure counts for a second, and none that the VM itself explains

Cause: a window by number keeps a hiccup's fraction for seconds at a low rate, and counts outlived a suspension or a cut of this VM, after which Health and Breaker are reset.

Change: a fraction is the smaller one of the window's and that of the latest 0.5 to 1 s; a VM that suspects its link goes by the same. Counter and Detector are reset with Health and Breaker.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -188,7 +188,7 @@
 	e.promoter = promoter.New(promoter.Config{
 		Node: settings.Node, Catalog: e.catalog, Groups: e.groups, Records: leadershipRecords{e},
 		Platform: designator{e.duty}, Fleet: e.gossip, Clock: e.clk, Log: log, Nonce: rand.Text,
-		Era: e.eras.current, RestoredAt: e.eras.restoredAt,
+		Era: e.eras.current, RestoredAt: e.eras.restoredAt, Reset: e.outliers.reset,
 	})
 	return e
 }
--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -81,6 +81,11 @@
 	}
 }
 
+func (o *outliers) reset() {
+	o.failures.Reset()
+	o.detector.Reset()
+}
+
 func (o *outliers) retain(c *catalog.Catalog) {
 	o.failures.Retain(c.Incarnation)
 	o.detector.Retain(c.Incarnation)
--- a/outlier/counter.go
+++ b/outlier/counter.go
@@ -16,6 +16,8 @@
 	// maxGap is the time without statements after which the number covered starts again: a target
 	// that reads avoid is judged by what it does once they return.
 	maxGap = time.Second
+	// slice is half of the longest time for which a failure counts.
+	slice = 500 * time.Millisecond
 )
 
 // Outcome is how a statement ended at a target.
@@ -46,10 +48,38 @@
 	// statements and failures are counted since the latest gap, and halved to bound them.
 	statements, failures int
 	last                 clock.Time
+	// recent and before count the slice of time that began at since, and the one before it.
+	recent, before tally
+	since          clock.Time
 	// incarnation is the target's at the last Retain; 0 before the first.
 	incarnation int64
 }
 
+type tally struct{ statements, failed, lost int }
+
+// advance begins another slice if the latest has ended.
+func (n *count) advance(now clock.Time) {
+	switch age := now.Sub(n.since); {
+	case age >= 2*slice:
+		n.before, n.recent, n.since = tally{}, tally{}, now
+	case age >= slice:
+		n.before, n.recent, n.since = n.recent, tally{}, n.since.Add(slice)
+	}
+}
+
+// current returns the fractions that failed and that were lost: the smaller ones of those of the
+// window and of the latest slices, so that a hiccup that is over counts no longer, however few
+// statements have come since.
+func (n *count) current(now clock.Time) (failed, lost float64) {
+	n.advance(now)
+	statements := n.recent.statements + n.before.statements
+	if statements == 0 {
+		return 0, 0
+	}
+	part := func(failures int) float64 { return float64(failures) / float64(statements) }
+	return min(n.failed, part(n.recent.failed+n.before.failed)), min(n.lost, part(n.recent.lost+n.before.lost))
+}
+
 // Record counts a statement at a target of a service.
 func (c *Counter) Record(now clock.Time, service string, id target.ID, o Outcome) {
 	c.mu.Lock()
@@ -69,8 +99,14 @@
 		n.statements, n.failures = 0, 0
 	}
 	n.last = now
+	n.advance(now)
+	n.recent.statements++
 	if n.statements++; o != Answered {
 		n.failures++
+		n.recent.failed++
+	}
+	if o == Lost {
+		n.recent.lost++
 	}
 	if n.statements == 2*window {
 		n.statements, n.failures = n.statements/2, n.failures/2
@@ -96,22 +132,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.byTarget[id]
-	if n == nil || n.failed < minReported {
+	if n == nil {
+		return 0, 0
+	}
+	if failed, _ = n.current(now); failed < minReported {
 		return 0, 0
 	}
-	borneOut := float64(n.failures) >= n.failed/2*float64(n.statements)
-	if now.Sub(n.last) > maxGap || !borneOut || c.suspectsLink() {
-		return n.failed, 0
+	fromBefore := float64(n.failures) < n.failed/2*float64(n.statements)
+	if fromBefore || c.suspectsLink(now) {
+		return failed, 0
 	}
-	return n.failed, min(n.statements, window)
+	return failed, min(n.statements, window)
 }
 
 // suspectsLink reports whether answers are lost at targets of several services.
-func (c *Counter) suspectsLink() bool {
+func (c *Counter) suspectsLink(now clock.Time) bool {
 	service := ""
 	for _, n := range c.byTarget {
-		switch {
-		case n.lost < minFailed || n.service == service:
+		switch _, lost := n.current(now); {
+		case lost < minFailed || n.service == service:
 		case service == "":
 			service = n.service
 		default:
@@ -127,13 +166,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.byTarget {
-		if n.failed >= minReported && now.Sub(n.last) <= maxGap {
+		if failed, _ := n.current(now); failed >= minReported {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// Reset forgets all counts: what a VM's own state explains is no target's failure.
+func (c *Counter) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.byTarget)
+}
+
 // Retain drops the counts of targets that were removed or have restarted.
 func (c *Counter) Retain(known func(target.ID) (incarnation int64, ok bool)) {
 	c.mu.Lock()
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -321,6 +321,14 @@
 	}
 }
 
+// Reset forgets all targets, those that are set aside included: what a VM's own state explains is no
+// target's failure.
+func (d *Detector) Reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.records)
+}
+
 // Retain drops what is known of targets that were removed or have restarted.
 func (d *Detector) Retain(known func(target.ID) (incarnation int64, ok bool)) {
 	d.mu.Lock()
--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -268,3 +268,13 @@
 	lead.status.Received = timeline.Position{Term: term}
 	require.ErrorIs(t, a.awaitLead(context.Background(), takeover.Fenced{ID: "b", Received: held}), errRestarted)
 }
+
+// Failure guarded against: a VM that reaches others again keeps what it counted against targets
+// while its own path was cut.
+func TestOthersResetWithThePromoter(t *testing.T) {
+	n := 0
+	p := attemptOn(nil).p
+	p.cfg.Reset = func() { n++ }
+	p.resetFailures(1)
+	require.Equal(t, 1, n)
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -62,6 +62,8 @@
 	// era.
 	Era        func() int64
 	RestoredAt func() clock.Time
+	// Reset discards what others keep of failures that this VM's own state explains; nil if nobody does.
+	Reset func()
 }
 
 const (
@@ -167,6 +169,9 @@
 func (p *Promoter) resetFailures(now clock.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cfg.Reset != nil {
+		p.cfg.Reset()
+	}
 	for _, g := range p.cfg.Groups.All() {
 		g.Health.Reset(now)
 		g.Breaker.Reset()
