outlier: own errors place no reads, fill no pulls, and set no target aside that returns

Cause: one failure of any kind set a target aside that returns (exact reads and lost writes are no probes); what all replicas fail was taken off for lost answers too; a fraction of 2% was passed on and displaced reports of queues; trouble of one service cost the reads of all.

Change: only reads that Avoided let through count as probes, and it takes two, or one and a reporter, above the siblings' own. Reports carry answered errors apart (errored_permille): reads are placed by lost answers only, so nothing is subtracted. Statements are clamped to the window, and failures count of reporters on the fleet's list. Other services' reads skip the detector.

The test of errors at all replicas moves to relay (TestErrorsDoNotPlaceReads): such errors reach no candidate now.

--- a/edge/loadreports.go
+++ b/edge/loadreports.go
@@ -41,16 +41,21 @@
 		if !selected(id) {
 			continue
 		}
-		failed, statements := l.edge.outliers.failures.Fraction(now, id)
-		r := relay.Observed(id, load, failed, statements)
+		r := relay.Observed(id, load, l.edge.outliers.failures.Fraction(now, id))
 		r.Reporter, r.Incarnation, r.At = l.edge.settings.Node, c.Targets[id].Incarnation, now
 		l.book.Record(r)
 	}
 	return l.book.Share(now, selected)
 }
 
+// apply keeps the reports of others. Failures count if their reporter is on the fleet's list: names
+// that a peer makes up would agree with each other.
 func (l *loadReports) apply(all []loadreport.Report) {
+	c := l.edge.catalog.Load()
 	for _, r := range all {
+		if _, known := c.VM(r.Reporter); !known {
+			r.Errored, r.Statements = 0, 0
+		}
 		if r.Reporter != l.edge.settings.Node {
 			l.book.Record(r)
 			l.received.Inc()
--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -26,14 +26,14 @@
 }
 
 // record records how a statement of this VM ended.
-func (o *outliers) record(service string, id target.ID, out outlier.Outcome, local bool) {
+func (o *outliers) record(service string, id target.ID, out outlier.Outcome, read, local bool) {
 	now := o.edge.clk.Now()
 	if local {
 		o.failures.Record(now, service, id, out)
 	}
 	incarnation, known := o.edge.catalog.Load().Incarnation(id)
 	if known {
-		o.tell(o.detector.Record(now, id, incarnation, out))
+		o.tell(o.detector.Record(now, id, incarnation, out, read))
 	}
 }
 
@@ -43,6 +43,9 @@
 	if o.detector.Idle() && !o.edge.loadReports.book.Failures(now) {
 		return
 	}
+	if !slices.ContainsFunc(candidates, func(c placing.Candidate) bool { return o.suspects(c.ID, now) }) {
+		return
+	}
 	all := o.targets(service, now)
 	avoided, changes := o.detector.Avoided(now, all, mayProbe, rand.Float64())
 	o.tell(changes)
@@ -52,6 +55,12 @@
 	}
 }
 
+// suspects reports whether this VM or a report knows of failures of a target: trouble of one service
+// costs the reads of others nothing more.
+func (o *outliers) suspects(id target.ID, now clock.Time) bool {
+	return o.detector.Knows(id) || len(o.edge.loadReports.book.Failing(id, 0, now)) > 0
+}
+
 // targets returns a service's targets as this VM sees them.
 func (o *outliers) targets(service string, now clock.Time) []outlier.Target {
 	var out []outlier.Target
--- a/gossip/loadreport.go
+++ b/gossip/loadreport.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"math"
-
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/gossip/gossippb"
 	"endivemoor.example/endivemoor/loadreport"
@@ -17,7 +15,7 @@
 	return &gossippb.LoadReport{
 		Target: string(r.Target), Reporter: r.Reporter, Incarnation: r.Incarnation,
 		AgeUs: uint64(max(now.Sub(r.At).Microseconds(), 0)), WaitUs: uint64(r.Wait.Microseconds()),
-		ServiceUs: uint64(r.ServiceTime.Microseconds()), FailedPermille: uint32(r.Failed * permille), Overloaded: r.Overloaded,
+		ServiceUs: uint64(r.ServiceTime.Microseconds()), FailedPermille: uint32(r.Failed * permille), ErroredPermille: uint32(r.Errored * permille), Overloaded: r.Overloaded,
 		Statements: uint32(max(r.Statements, 0)),
 	}
 }
@@ -28,11 +26,13 @@
 	r := loadreport.Report{
 		Target: target.ID(in.GetTarget()), Reporter: in.GetReporter(), Incarnation: in.GetIncarnation(),
 		At: after.Add(-microseconds(in.GetAgeUs())), Wait: microseconds(in.GetWaitUs()),
-		ServiceTime: microseconds(in.GetServiceUs()), Failed: min(float64(in.GetFailedPermille())/permille, 1), Overloaded: in.GetOverloaded(),
-		Statements: int(min(in.GetStatements(), math.MaxInt32)),
+		ServiceTime: microseconds(in.GetServiceUs()), Failed: fraction(in.GetFailedPermille()), Errored: fraction(in.GetErroredPermille()), Overloaded: in.GetOverloaded(),
+		Statements: int(min(in.GetStatements(), loadreport.MaxStatements)),
 	}
 	if r.Reporter == "" {
 		r.Reporter = sender
 	}
 	return r
 }
+
+func fraction(permilles uint32) float64 { return min(float64(permilles)/permille, 1) }
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -30,6 +30,8 @@
 	maxReporters = 4
 	// MaxShared bounds the reports that one pull carries.
 	MaxShared = 4
+	// MaxStatements bounds the statements that a report covers.
+	MaxStatements = 32
 )
 
 // Report is what a VM has observed of a target.
@@ -45,10 +47,12 @@
 	Wait time.Duration
 	// ServiceTime is the average time that the target takes for a statement; 0 if it is usual.
 	ServiceTime time.Duration
-	// Failed is the fraction of recent statements without a complete answer.
-	Failed float64
-	// Statements is the number of statements that Failed covers; 0 if the reporter does not count
-	// them.
+	// Failed is the fraction of recent statements without a complete answer, and Errored of those that
+	// were answered with an error that may be the target's. Reads are placed by the former only: why a
+	// statement is an error may lie in the statement.
+	Failed, Errored float64
+	// Statements is the number of statements that both cover, MaxStatements at most; 0 if the reporter
+	// does not count them.
 	Statements int
 	// Overloaded is set while the reporter refuses requests that would be late.
 	Overloaded bool
@@ -56,7 +60,7 @@
 
 // Calm reports whether the report says no more than a VM without reports assumes.
 func (r Report) Calm() bool {
-	return r.Wait == 0 && r.ServiceTime == 0 && r.Failed == 0 && !r.Overloaded
+	return r.Wait == 0 && r.ServiceTime == 0 && r.Failed == 0 && r.Errored == 0 && !r.Overloaded
 }
 
 // Estimate is what the reports of a target are worth at one time. The zero Estimate says that there
@@ -135,7 +139,10 @@
 }
 
 // countsFailures reports whether the report says how many statements its failures are of.
-func (r Report) countsFailures() bool { return r.Failed > 0 && r.Statements > 0 }
+func (r Report) countsFailures() bool { return r.Failed+r.Errored > 0 && r.Statements > 0 }
+
+// queued reports whether requests wait at the target, or are refused.
+func (r Report) queued() bool { return r.Wait > 0 || r.Overloaded }
 
 // Failures reports whether any current report counts failures.
 func (b *Book) Failures(now clock.Time) bool {
@@ -161,8 +168,8 @@
 func sameIncarnation(x, y int64) bool { return x == 0 || y == 0 || x == y }
 
 // Share returns the reports that are worth passing on to a VM that uses the targets for which
-// selected returns true: of each target and reporter the newest that is not calm, newest first,
-// MaxShared at most.
+// selected returns true: of each target and reporter the newest that is not calm, those of queues
+// and then the newest first, MaxShared at most.
 func (b *Book) Share(now clock.Time, selected func(target.ID) bool) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -178,6 +185,12 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y Report) int {
+		if x.queued() != y.queued() {
+			if x.queued() {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(y.At, x.At), cmp.Compare(y.Wait, x.Wait), cmp.Compare(x.Target, y.Target), cmp.Compare(x.Reporter, y.Reporter))
 	})
 	return out[:min(len(out), MaxShared)]
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -91,3 +91,14 @@
 	b.Retain(func(target.ID) (int64, bool) { return 0, false })
 	require.Empty(t, b.reports)
 }
+
+// Failure guarded against: reports of targets that fail a little displace that of one at which
+// requests are refused.
+func TestReportsOfQueuesAreSharedFirst(t *testing.T) {
+	b := NewBook()
+	b.Record(Report{Target: "full", Reporter: "g", At: at(0), Wait: 700 * ms, Overloaded: true})
+	for i := range MaxShared {
+		b.Record(Report{Target: target.ID(fmt.Sprint(i)), Reporter: "g", At: at(1), Errored: .2, Statements: MaxStatements})
+	}
+	require.Equal(t, target.ID("full"), b.Share(at(2), func(target.ID) bool { return true })[0].Target)
+}
--- a/outlier/counter.go
+++ b/outlier/counter.go
@@ -5,14 +5,18 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/target"
 )
 
 const (
 	// window is the number of statements that a fraction covers.
-	window = 32
-	// minReported is the smallest fraction that is reported.
+	window = loadreport.MaxStatements
+	// minReported is the smallest fraction of lost answers that is reported to those who place reads.
 	minReported = 0.02
+	// minShared is the smallest fraction that is passed on. It bounds what the least outlier exceeds:
+	// siblings of which nothing is reported may fail as much.
+	minShared = minFailed / siblingFactor
 	// maxGap is the time without statements after which the number covered starts again: a target
 	// that reads avoid is judged by what it does once they return.
 	maxGap = time.Second
@@ -67,17 +71,12 @@
 	}
 }
 
-// current returns the fractions that failed and that were lost: the smaller ones of those of the
-// window and of the latest slices, so that a hiccup that is over counts no longer, however few
-// statements have come since.
-func (n *count) current(now clock.Time) (failed, lost float64) {
+// confirmed reports whether the latest slices bear a fraction out: a hiccup that is over counts no
+// longer, however few statements have come since.
+func (n *count) confirmed(now clock.Time, fraction float64, failures func(tally) int) bool {
 	n.advance(now)
 	statements := n.recent.statements + n.before.statements
-	if statements == 0 {
-		return 0, 0
-	}
-	part := func(failures int) float64 { return float64(failures) / float64(statements) }
-	return min(n.failed, part(n.recent.failed+n.before.failed)), min(n.lost, part(n.recent.lost+n.before.lost))
+	return statements > 0 && float64(failures(n.recent)+failures(n.before)) >= fraction/2*float64(statements)
 }
 
 // Record counts a statement at a target of a service.
@@ -125,32 +124,50 @@
 	return fraction
 }
 
-// Fraction returns the fraction of the recent statements at a target that failed, and how many it
-// covers: 0 if it comes from before a gap, or if this VM suspects its own link, because it loses
-// answers at targets of several services.
-func (c *Counter) Fraction(now clock.Time, id target.ID) (failed float64, statements int) {
+// Fraction is the part of the recent statements at a target that failed.
+type Fraction struct {
+	// Lost is the part without an answer, and Errored that with an error that may be the target's.
+	Lost, Errored float64
+	// Statements is how many statements they cover: 1 if the latest ones do not bear them out, and 0
+	// if they say nothing of the target.
+	Statements int
+}
+
+// Fraction returns the fraction at a target. It covers nothing if it comes from before a gap, is too
+// small to matter, or if this VM suspects its own link, because it loses answers at targets of several
+// services.
+func (c *Counter) Fraction(now clock.Time, id target.ID) (f Fraction) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.byTarget[id]
 	if n == nil {
-		return 0, 0
+		return f
 	}
-	if failed, _ = n.current(now); failed < minReported {
-		return 0, 0
+	if n.lost >= minReported {
+		f.Lost = n.lost
 	}
 	fromBefore := float64(n.failures) < n.failed/2*float64(n.statements)
-	if fromBefore || c.suspectsLink(now) {
-		return failed, 0
+	if !n.matters(now) || fromBefore || c.suspectsLink(now) {
+		return f
 	}
-	return failed, min(n.statements, window)
+	f.Lost, f.Errored, f.Statements = n.lost, n.failed-n.lost, 1
+	if n.confirmed(now, n.failed, func(t tally) int { return t.failed }) {
+		f.Statements = min(n.statements, window)
+	}
+	return f
+}
+
+// matters reports whether the fraction may set the target, or keep a sibling from being set, aside.
+func (n *count) matters(now clock.Time) bool {
+	return n.failed >= minShared && now.Sub(n.last) <= maxGap
 }
 
 // suspectsLink reports whether answers are lost at targets of several services.
 func (c *Counter) suspectsLink(now clock.Time) bool {
 	service := ""
 	for _, n := range c.byTarget {
-		switch _, lost := n.current(now); {
-		case lost < minFailed || n.service == service:
+		switch {
+		case n.lost < minFailed || n.service == service || !n.confirmed(now, n.lost, func(t tally) int { return t.lost }):
 		case service == "":
 			service = n.service
 		default:
@@ -166,7 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.byTarget {
-		if failed, _ := n.current(now); failed >= minReported {
+		if n.matters(now) {
 			out = append(out, id)
 		}
 	}
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -95,6 +95,9 @@
 	// the latest time. until is 0 if it never was.
 	times int
 	until clock.Time
+	// probes is the number of reads that may have been sent to the target since it returns, and whose
+	// outcome is not known.
+	probes int
 	// forgiven is up to when it was forgiven, and returned is set once the return was told.
 	forgiven clock.Time
 	returned bool
@@ -110,9 +113,16 @@
 	return len(d.records) == 0
 }
 
-// Record records the outcome of a statement of this VM. A failure of a target that returns sets it
-// aside again.
-func (d *Detector) Record(now clock.Time, id target.ID, incarnation int64, o Outcome) []Change {
+// Knows reports whether anything is known of a target.
+func (d *Detector) Knows(id target.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.records[id] != nil
+}
+
+// Record records the outcome of a statement of this VM; read is set for a read. At a target that is
+// set aside or returns, only reads that Avoided let through count.
+func (d *Detector) Record(now clock.Time, id target.ID, incarnation int64, o Outcome, read bool) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.current(id, incarnation)
@@ -122,6 +132,13 @@
 		}
 		r = d.create(id, incarnation)
 	}
+	share := r.share(now)
+	if share < 1 {
+		if !read || r.probes == 0 {
+			return nil
+		}
+		r.probes--
+	}
 	if now.Sub(r.ownLast) > ownTTL {
 		r.own = 0
 	}
@@ -130,12 +147,12 @@
 		r.own |= 1
 	}
 	switch {
-	case r.share(now) == 0 || r.share(now) == 1:
+	case share == 0 || share == 1:
 		return nil
 	case o == Answered:
 		return []Change{{Target: id, Outcome: ProbeServed, Times: r.times}}
 	default:
-		return []Change{{Target: id, Outcome: ProbeFailed, Times: r.times}, r.setAside(now, id)}
+		return []Change{{Target: id, Outcome: ProbeFailed, Times: r.times}}
 	}
 }
 
@@ -156,6 +173,9 @@
 		if share := r.share(now); share < 1 {
 			avoided[i] = !mayProbe || draw >= share
 			left--
+			if !avoided[i] {
+				r.probes++
+			}
 		}
 	}
 	return avoided, changes
@@ -218,23 +238,29 @@
 // believed reports whether enough sources say that a target fails far more than its siblings, and
 // the largest fraction that one of them states. What this VM has met itself is one of them, also
 // where it reports the target: whatever lies between the two, its own reads had better go elsewhere.
+// For a target that returns, one failure of a probe is such a source, and two are enough alone.
 func (d *Detector) believed(now clock.Time, all []Target, i int) (rate float64, ok bool) {
 	sources, rate := reporters(all, i)
 	own := d.ownRate(now, all[i])
-	if own >= float64(minOwnFailures)/ownWindow && exceeds(own, all, i, func(t Target) float64 { return d.ownRate(now, t) }) {
+	if own == 0 || !exceeds(own, all, i, func(t Target) float64 { return d.ownRate(now, t) }) {
+		return rate, sources >= minSources
+	}
+	r := d.current(all[i].ID, all[i].Incarnation)
+	returning, enough := r.share(now) < 1, own >= float64(minOwnFailures)/ownWindow
+	if enough || returning {
 		sources++
 		rate = max(rate, own)
 	}
-	return rate, sources >= minSources
+	return rate, sources >= minSources || (returning && enough)
 }
 
 // reporters returns how many VMs report that all[i] fails far more than its siblings, and the largest
 // fraction.
 func reporters(all []Target, i int) (n int, rate float64) {
 	for _, r := range all[i].Reports {
-		if r.Statements >= minStatements && r.Failed >= minFailed && exceeds(r.Failed, all, i, reportedRate) {
+		if f := r.Failed + r.Errored; r.Statements >= minStatements && f >= minFailed && exceeds(f, all, i, reportedRate) {
 			n++
-			rate = max(rate, r.Failed)
+			rate = max(rate, f)
 		}
 	}
 	return n, rate
@@ -250,16 +276,17 @@
 	return true
 }
 
-// reportedRate returns the largest fraction that is reported of a sibling. A fraction that covers
-// few statements is taken for what it tends to: errors of all targets alike show at a busy one first.
+// reportedRate returns the largest fraction that is reported of a sibling, or what goes unreported. The fraction begins at 0
+// and nears its value while it covers more statements; it is taken for that value, as errors of all
+// targets alike show at a busy one first.
 func reportedRate(t Target) float64 {
-	rate := 0.0
+	rate := minShared
 	for _, r := range t.Reports {
-		tends := r.Failed
+		f := r.Failed + r.Errored
 		if r.Statements >= minStatements {
-			tends = min(r.Failed*window/float64(r.Statements), 1)
+			f = min(f*window/float64(r.Statements), 1)
 		}
-		rate = max(rate, tends)
+		rate = max(rate, f)
 	}
 	return rate
 }
@@ -309,7 +336,7 @@
 		r.times++
 	}
 	r.until, r.forgiven, r.returned = now.Add(pause), now.Add(pause), false
-	r.own = 0
+	r.own, r.probes = 0, 0
 	return Change{Target: id, Outcome: SetAside, For: pause, Times: r.times}
 }
 
--- a/placing/choose.go
+++ b/placing/choose.go
@@ -66,12 +66,11 @@
 	defer t.mu.Unlock()
 	costs := make([]float64, len(candidates))
 	c := Choice{Index: -1, Full: len(candidates) > 0}
-	common := commonFailures(candidates)
 	preferred, least := -1, math.Inf(1)
 	usable, open := 0, 0
 	for i := range candidates {
 		unloaded := t.cost(now, &candidates[i])
-		costs[i] = unloaded + float64(candidates[i].Wait) + max(candidates[i].Failed-common, 0)*float64(objective)
+		costs[i] = unloaded + float64(candidates[i].Wait) + candidates[i].Failed*float64(objective)
 		if unloaded < least {
 			preferred, least = i, unloaded
 		}
@@ -98,21 +97,6 @@
 	return c
 }
 
-// commonFailures returns the fraction of statements that fail at every replica. They are taken for the
-// statements' own failures: the primary, which serves few reads, would only seem to fail less.
-func commonFailures(candidates []Candidate) float64 {
-	least, replicas := math.Inf(1), 0
-	for i := range candidates {
-		if !candidates[i].Primary {
-			least, replicas = min(least, candidates[i].Failed), replicas+1
-		}
-	}
-	if replicas < 2 {
-		return 0
-	}
-	return least
-}
-
 // draw returns the cheapest candidate, or one drawn by cost if the preferred one has a queue. Full
 // candidates are left out if others are open.
 func (t *Tracker) draw(now clock.Time, candidates []Candidate, costs []float64, preferred int, open bool, draw float64) int {
--- a/relay/report.go
+++ b/relay/report.go
@@ -21,10 +21,9 @@
 // usualServiceTime is the time that a statement may take without being reported while nobody waits.
 const usualServiceTime = 60 * time.Millisecond
 
-// Observed returns the report of a VM on the lane to a target, and on the fraction of statements that
-// failed there. A target at which nobody waits is calm.
-func Observed(id target.ID, l lane.Load, failed float64, statements int) loadreport.Report {
-	r := loadreport.Report{Target: id, Overloaded: l.Overloaded, Failed: failed, Statements: statements}
+// Observed returns the report of a VM on the lane to a target, and on the statements that failed there. A target at which nobody waits is calm.
+func Observed(id target.ID, l lane.Load, f outlier.Fraction) loadreport.Report {
+	r := loadreport.Report{Target: id, Overloaded: l.Overloaded, Failed: f.Lost, Errored: f.Errored, Statements: f.Statements}
 	if l.Queued > 0 {
 		r.Wait = l.ExpectedWait
 		if r.Wait == 0 {
@@ -76,7 +75,7 @@
 		a = res.Answer
 	}
 	if o, ok := outcomeOf(a, err, !job.Commits); ok {
-		r.cfg.Outcome(job.Service, id, o, local)
+		r.cfg.Outcome(job.Service, id, o, !job.Commits, local)
 	}
 }
 
@@ -84,8 +83,7 @@
 // never nil while the target is calm: nil comes from VMs that report nothing.
 func (s *Server) report(id target.ID) (load int32, report *gossippb.LoadReport) {
 	l := s.cfg.Local.Load(id)
-	failed, statements := s.cfg.Failures.Fraction(s.cfg.Clock.Now(), id)
-	r := Observed(id, l, failed, statements)
+	r := Observed(id, l, s.cfg.Failures.Fraction(s.cfg.Clock.Now(), id))
 	r.Target = ""
 	return int32(l.InUse + l.Queued), gossip.LoadReportOf(r, 0)
 }
@@ -128,7 +126,7 @@
 	if p == nil || p.catalog.Targets[id] == nil || !p.UsesGateways(p.catalog.Targets[id]) || r.cfg.Reports == nil {
 		return l
 	}
-	o := Observed(id, l, 0, 0)
+	o := Observed(id, l, outlier.Fraction{})
 	l.Reported, l.ExpectedWait, l.ServiceTime = true, o.Wait, o.ServiceTime
 	l.InUse, l.Queued = 0, 0
 	return l
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -87,3 +87,22 @@
 		require.Equal(t, x.counts, counts, name)
 	}
 }
+
+// Failure guarded against: reads that are errors in themselves fail at both replicas, and move to the
+// primary, where they are errors too and delay writes.
+func TestErrorsDoNotPlaceReads(t *testing.T) {
+	var f outlier.Counter
+	s := NewServer(ServerConfig{Clock: fixedClock{}, Local: &loaded{}, Failures: &f})
+	for range loadreport.MaxStatements {
+		f.Record(1, "s", "x", outlier.Errored)
+	}
+	c := &catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x"}}}
+	r := NewRouter(RouterConfig{Clock: fixedClock{}, Reports: loadreport.NewBook(), Statuses: NewStatuses(nil, fixedClock{})})
+	r.Update(gateways.NewAssignment("me", c), c)
+	_, out := s.report("x")
+	require.NotZero(t, out.GetErroredPermille())
+	r.recordReport("x", "g", out, 1)
+	load, _ := r.reported("x", "g", 0, 1)
+	require.Zero(t, load.Failed)
+	require.Len(t, r.cfg.Reports.Failing("x", 0, 1), 1, "the detector has them")
+}
