outlier: losses that the caller's time explains, overload, and records that stay

Cause: a statement cut to what its caller had left counted as lost by its target; a target that is overloaded was set aside, though its late answers are its load's; a record of a target that is asked no more stayed.

Not told apart: a try that placing has shortened for its caller.

Red without their parts: TestOnlyFailuresOfTheTargetCount, TestTargetStaysWhileOthersCannotServe, TestTargetThatIsNotAskedIsForgotten.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -96,6 +96,8 @@
 type LostError struct {
 	// Gateway is the VM that did not reply; empty if it was the target.
 	Gateway string
+	// Hurried is set if the statement ended with its caller's time, which shows nothing of the target.
+	Hurried bool
 	Cause   error
 }
 
--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -97,7 +97,7 @@
 	ended(now, err == nil)
 	if err != nil {
 		g.Health.Failed(id, now, false)
-		return nil, &LostError{Cause: err}
+		return nil, &LostError{Hurried: Expired(ctx), Cause: err}
 	}
 	if job.Commits && a.Code == statement.OK {
 		g.Acknowledged.Commit(before, a.Position)
@@ -118,6 +118,9 @@
 	return c.Receive(timeout)
 }
 
+// Expired reports whether the caller's time has ended, also just before its timer says so.
+func Expired(ctx context.Context) bool { return ctx.Err() != nil || timeLeft(ctx, 1) <= 0 }
+
 // timeLeft returns the time until the context's deadline, or limit if it has none.
 func timeLeft(ctx context.Context, limit time.Duration) time.Duration {
 	d, ok := ctx.Deadline()
--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -96,6 +96,7 @@
 }
 
 func (o *outliers) retain(c *catalog.Catalog) {
-	o.failures.Retain(c.Incarnation)
-	o.detector.Retain(c.Incarnation)
+	now := o.edge.clk.Now()
+	o.failures.Retain(now, c.Incarnation)
+	o.detector.Retain(now, c.Incarnation)
 }
--- a/outlier/counter.go
+++ b/outlier/counter.go
@@ -197,13 +197,13 @@
 	clear(c.byTarget)
 }
 
-// Retain drops the counts of targets that were removed or have restarted.
-func (c *Counter) Retain(known func(target.ID) (incarnation int64, ok bool)) {
+// Retain drops the counts of targets that were removed or have restarted, or have run nothing of late.
+func (c *Counter) Retain(now clock.Time, known func(target.ID) (incarnation int64, ok bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.byTarget {
 		incarnation, ok := known(id)
-		if !ok || (n.incarnation != 0 && n.incarnation != incarnation) {
+		if !ok || now.Sub(n.last) > ownTTL || (n.incarnation != 0 && n.incarnation != incarnation) {
 			delete(c.byTarget, id)
 			continue
 		}
--- a/outlier/hiccup_test.go
+++ b/outlier/hiccup_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/target"
 )
 
 // Failure guarded against: failures that ended a second ago set a target aside, because few
@@ -47,3 +49,20 @@
 		require.Zero(t, c.Fraction(at(i*10), "x"))
 	}
 }
+
+// Failure guarded against: a target that failed once, and that no read asks for since, is remembered
+// for good and costs the reads of its service the fast path.
+func TestTargetThatIsNotAskedIsForgotten(t *testing.T) {
+	var c Counter
+	d := NewDetector()
+	c.Record(at(0), "s", "x", Lost)
+	d.Record(at(0), "x", 7, Lost, true)
+	known := func(target.ID) (int64, bool) { return 7, true }
+	c.Retain(at(1), known)
+	d.Retain(at(1), known)
+	require.False(t, d.Idle())
+	c.Retain(at(1).Add(ownTTL), known)
+	d.Retain(at(1).Add(ownTTL), known)
+	require.True(t, d.Idle())
+	require.Empty(t, c.byTarget)
+}
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -181,7 +181,8 @@
 	return avoided, changes
 }
 
-// update tells which targets have returned, forgives, and sets the worst outlier aside.
+// update tells which targets have returned, forgives, and sets the worst outlier aside. A target that
+// is overloaded stays: its late answers are its load's.
 func (d *Detector) update(now clock.Time, all []Target) (changes []Change) {
 	aside, worst, most := 0, -1, 0.0
 	for i := range all {
@@ -201,7 +202,7 @@
 				continue
 			}
 		}
-		if rate, ok := d.believed(now, all, i); ok && rate > most {
+		if rate, ok := d.believed(now, all, i); ok && rate > most && !all[i].Overloaded {
 			worst, most = i, rate
 		}
 	}
@@ -356,12 +357,13 @@
 	clear(d.records)
 }
 
-// Retain drops what is known of targets that were removed or have restarted.
-func (d *Detector) Retain(known func(target.ID) (incarnation int64, ok bool)) {
+// Retain drops what is known of targets that were removed or have restarted, and of those that were
+// never set aside and have not failed of late.
+func (d *Detector) Retain(now clock.Time, known func(target.ID) (incarnation int64, ok bool)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, r := range d.records {
-		if incarnation, ok := known(id); !ok || incarnation != r.incarnation {
+		if incarnation, ok := known(id); !ok || incarnation != r.incarnation || (r.times == 0 && r.share(now) == 1 && now.Sub(r.ownLast) > ownTTL) {
 			delete(d.records, id)
 		}
 	}
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -209,7 +209,7 @@
 	f := c.Fraction(at(0), "x")
 	require.Zero(t, f.Statements)
 	require.NotZero(t, f.Lost, "reads are placed by it as before")
-	c.Retain(func(id target.ID) (int64, bool) { return 0, id == "x" })
+	c.Retain(at(0), func(id target.ID) (int64, bool) { return 0, id == "x" })
 	for range window {
 		c.Record(at(0), "other", "z", Errored)
 	}
@@ -261,7 +261,7 @@
 	fail()
 	for _, incarnation := range []int64{7, 8} {
 		require.NotEmpty(t, c.Failing(at(0)))
-		c.Retain(func(target.ID) (int64, bool) { return incarnation, true })
+		c.Retain(at(0), func(target.ID) (int64, bool) { return incarnation, true })
 	}
 	require.Empty(t, c.Failing(at(0)))
 	fail()
@@ -313,6 +313,7 @@
 func TestTargetStaysWhileOthersCannotServe(t *testing.T) {
 	both := []loadreport.Report{report("g1", .4), report("g2", .4)}
 	for name, all := range map[string][]Target{
+		"it is overloaded":        {{ID: "r1", Reports: both, Overloaded: true}, {ID: "r2"}, {ID: "p"}},
 		"a sibling is overloaded": {{ID: "r1", Reports: both}, {ID: "r2", Overloaded: true}, {ID: "p"}},
 		"the siblings are down":   {{ID: "r1", Reports: both}, {ID: "r2", Down: true}, {ID: "p", Down: true}},
 		"a service of two":        {{ID: "r1", Reports: both}, {ID: "p"}},
--- a/relay/report.go
+++ b/relay/report.go
@@ -46,7 +46,7 @@
 		return outlier.Errored, judged
 	case err == nil:
 		return outlier.Answered, true
-	case errors.As(err, &lost) && lost.Gateway == "":
+	case errors.As(err, &lost) && lost.Gateway == "" && !lost.Hurried:
 		return outlier.Lost, true
 	default:
 		return outlier.Answered, false
@@ -74,7 +74,7 @@
 	if res != nil {
 		a = res.Answer
 	}
-	if o, ok := outcomeOf(a, err, !job.Commits); ok {
+	if o, ok := outcomeOf(a, err, !job.Commits); ok && (o != outlier.Lost || !dispatch.Expired(ctx)) {
 		r.cfg.Outcome(job.Service, id, o, !job.Commits, local)
 	}
 }
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -65,7 +65,7 @@
 }
 
 // Failure guarded against: a target counts as failing for a write that could not be done, for a
-// gateway that did not reply, or for a statement that never reached it.
+// gateway that did not reply, for a caller whose time has ended, or for a statement that never reached it.
 func TestOnlyFailuresOfTheTargetCount(t *testing.T) {
 	failed := &statement.Answer{Code: statement.Failed}
 	for name, x := range map[string]struct {
@@ -79,6 +79,7 @@
 		"a write's error":   {failed, nil, false, outlier.Errored, false},
 		"a refusal":         {&statement.Answer{Code: statement.Lagging}, nil, true, outlier.Answered, true},
 		"a lost answer":     {nil, &dispatch.LostError{Cause: errDeclined}, false, outlier.Lost, true},
+		"a hurried caller":  {nil, &dispatch.LostError{Hurried: true, Cause: errDeclined}, true, outlier.Answered, false},
 		"a silent gateway":  {nil, &dispatch.LostError{Gateway: "g", Cause: errDeclined}, true, outlier.Answered, false},
 		"no connection yet": {nil, &dispatch.SetupError{Cause: errDeclined}, true, outlier.Answered, false},
 	} {
