--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -33,7 +33,7 @@
 	}
 	incarnation, known := o.edge.catalog.Load().Incarnation(id)
 	if known {
-		o.tell(o.detector.Record(now, id, incarnation, out, read))
+		o.logChanges(o.detector.Record(now, id, incarnation, out, read))
 	}
 }
 
@@ -48,7 +48,7 @@
 	}
 	all := o.targets(service, now)
 	avoided, changes := o.detector.Avoided(now, all, mayProbe, rand.Float64())
-	o.tell(changes)
+	o.logChanges(changes)
 	for i := range candidates {
 		at := slices.IndexFunc(all, func(t outlier.Target) bool { return t.ID == candidates[i].ID })
 		if at >= 0 {
@@ -80,8 +80,8 @@
 	return out
 }
 
-// tell counts and logs decisions.
-func (o *outliers) tell(changes []outlier.Change) {
+// logChanges counts and logs decisions.
+func (o *outliers) logChanges(changes []outlier.Change) {
 	for _, c := range changes {
 		o.edge.decisions.Count(decisions.Outlier, string(c.Target), c.Outcome, 1)
 		switch c.Outcome {
--- a/relay/report.go
+++ b/relay/report.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// recordOutcome counts a statement that was run for another VM.
+// recordOutcome counts a statement that was run for another VM, also one of a transaction, of which
+// only lost answers are judged.
 func (s *Server) recordOutcome(id target.ID, in *relaypb.RunRequest, r *dispatch.Result, err error) {
 	var a *statement.Answer
 	if r != nil {
--- a/relay/router.go
+++ b/relay/router.go
@@ -46,7 +46,7 @@
 	// Reports holds the gateways' reports; without it, none are used.
 	Reports *loadreport.Book
 	// Outcome is told how each statement outside of a transaction ended at its target, and whether it
-	// went over this VM's own connections; it may be nil.
+	// is a read, and went over this VM's own connections; it may be nil.
 	Outcome func(service string, id target.ID, o outlier.Outcome, read, local bool)
 	// Decisions counts the gateways that are passed over; without it, nothing is counted.
 	Decisions *decisions.Recorder
