--- a/edge/outliers.go
+++ b/edge/outliers.go
@@ -26,14 +26,14 @@
 }
 
 // record records how a statement of this VM ended.
-func (o *outliers) record(service string, id target.ID, out outlier.Outcome, local bool) {
+func (o *outliers) record(service string, id target.ID, out outlier.Outcome, read, local bool) {
 	now := o.edge.clk.Now()
 	if local {
 		o.failures.Record(now, service, id, out)
 	}
 	incarnation, known := o.edge.catalog.Load().Incarnation(id)
 	if known {
-		o.tell(o.detector.Record(now, id, incarnation, out))
+		o.logChanges(o.detector.Record(now, id, incarnation, out, read))
 	}
 }
 
@@ -43,28 +43,25 @@
 	if o.detector.Idle() && !o.edge.loadReports.book.Failures(now) {
 		return
 	}
+	if !slices.ContainsFunc(candidates, func(c placing.Candidate) bool { return o.suspects(c.ID, now) }) {
+		return
+	}
 	all := o.targets(service, now)
 	avoided, changes := o.detector.Avoided(now, all, mayProbe, rand.Float64())
-	o.tell(changes)
+	o.logChanges(changes)
 	for i := range candidates {
 		at := slices.IndexFunc(all, func(t outlier.Target) bool { return t.ID == candidates[i].ID })
-		candidates[i].Avoided = at >= 0 && avoided[at]
+		if at >= 0 {
+			candidates[i].Avoided = avoided[at]
+			candidates[i].Returning = !avoided[at] && o.detector.Returning(now, all[at].ID, all[at].Incarnation)
+		}
 	}
 }
 
-// reported returns whether several VMs report that a target fails far more of its statements than its
-// siblings, and whether any VM reports noticeable failures.
-func (o *outliers) reported(service string, id target.ID) (failing, suspected bool) {
-	now := o.edge.clk.Now()
-	if len(o.edge.loadReports.book.Failing(id, 0, now)) == 0 {
-		return false, false
-	}
-	all := o.targets(service, now)
-	i := slices.IndexFunc(all, func(t outlier.Target) bool { return t.ID == id })
-	if i < 0 {
-		return false, false
-	}
-	return outlier.Reported(all, i), outlier.Suspected(all[i])
+// suspects reports whether this VM or a report knows of failures of a target: trouble of one service
+// costs the reads of others nothing more.
+func (o *outliers) suspects(id target.ID, now clock.Time) bool {
+	return o.detector.Knows(id) || len(o.edge.loadReports.book.Failing(id, 0, now)) > 0
 }
 
 // targets returns a service's targets as this VM sees them.
@@ -83,8 +80,8 @@
 	return out
 }
 
-// tell counts and logs decisions.
-func (o *outliers) tell(changes []outlier.Change) {
+// logChanges counts and logs decisions.
+func (o *outliers) logChanges(changes []outlier.Change) {
 	for _, c := range changes {
 		o.edge.decisions.Count(decisions.Outlier, string(c.Target), c.Outcome, 1)
 		switch c.Outcome {
@@ -96,7 +93,13 @@
 	}
 }
 
+func (o *outliers) reset() {
+	o.failures.Reset()
+	o.detector.Reset()
+}
+
 func (o *outliers) retain(c *catalog.Catalog) {
-	o.failures.Retain(c.Incarnation)
-	o.detector.Retain(c.Incarnation)
+	now := o.edge.clk.Now()
+	o.failures.Retain(now, c.Incarnation)
+	o.detector.Retain(now, c.Incarnation)
 }
--- a/outlier/counter.go
+++ b/outlier/counter.go
@@ -5,17 +5,23 @@
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/loadreport"
 	"endivemoor.example/endivemoor/target"
 )
 
 const (
 	// window is the number of statements that a fraction covers.
-	window = 32
-	// minReported is the smallest fraction that is reported.
+	window = loadreport.MaxStatements
+	// minReported is the smallest fraction of lost answers that is reported to those who place reads.
 	minReported = 0.02
+	// minShared is the smallest fraction that is passed on. It bounds what the least outlier exceeds:
+	// siblings of which nothing is reported may fail as much.
+	minShared = minFailed / siblingFactor
 	// maxGap is the time without statements after which the number covered starts again: a target
 	// that reads avoid is judged by what it does once they return.
 	maxGap = time.Second
+	// slice is half of the longest time for which a failure counts.
+	slice = 500 * time.Millisecond
 )
 
 // Outcome is how a statement ended at a target.
@@ -46,10 +52,33 @@
 	// statements and failures are counted since the latest gap, and halved to bound them.
 	statements, failures int
 	last                 clock.Time
+	// recent and before count the slice of time that began at since, and the one before it.
+	recent, before tally
+	since          clock.Time
 	// incarnation is the target's at the last Retain; 0 before the first.
 	incarnation int64
 }
 
+type tally struct{ statements, failed, lost int }
+
+// advance begins another slice if the latest has ended.
+func (n *count) advance(now clock.Time) {
+	switch age := now.Sub(n.since); {
+	case age >= 2*slice:
+		n.before, n.recent, n.since = tally{}, tally{}, now
+	case age >= slice:
+		n.before, n.recent, n.since = n.recent, tally{}, n.since.Add(slice)
+	}
+}
+
+// confirmed reports whether the latest slices bear a fraction out: a hiccup that is over counts no
+// longer, however few statements have come since.
+func (n *count) confirmed(now clock.Time, fraction float64, failures func(tally) int) bool {
+	n.advance(now)
+	statements := n.recent.statements + n.before.statements
+	return statements > 0 && float64(failures(n.recent)+failures(n.before)) >= fraction/2*float64(statements)
+}
+
 // Record counts a statement at a target of a service.
 func (c *Counter) Record(now clock.Time, service string, id target.ID, o Outcome) {
 	c.mu.Lock()
@@ -69,8 +98,14 @@
 		n.statements, n.failures = 0, 0
 	}
 	n.last = now
+	n.advance(now)
+	n.recent.statements++
 	if n.statements++; o != Answered {
 		n.failures++
+		n.recent.failed++
+	}
+	if o == Lost {
+		n.recent.lost++
 	}
 	if n.statements == 2*window {
 		n.statements, n.failures = n.statements/2, n.failures/2
@@ -89,29 +124,50 @@
 	return fraction
 }
 
-// Fraction returns the fraction of the recent statements at a target that failed, and how many it
-// covers: 0 if it comes from before a gap, or if this VM suspects its own link, because it loses
-// answers at targets of several services.
-func (c *Counter) Fraction(now clock.Time, id target.ID) (failed float64, statements int) {
+// Fraction is the part of the recent statements at a target that failed.
+type Fraction struct {
+	// Lost is the part without an answer, and Errored that with an error that may be the target's.
+	Lost, Errored float64
+	// Statements is how many statements they cover: 1 if the latest ones do not bear them out, and 0
+	// if they say nothing of the target.
+	Statements int
+}
+
+// Fraction returns the fraction at a target. It covers nothing if it comes from before a gap, is too
+// small to matter, or if this VM suspects its own link, because it loses answers at targets of several
+// services.
+func (c *Counter) Fraction(now clock.Time, id target.ID) (f Fraction) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.byTarget[id]
-	if n == nil || n.failed < minReported {
-		return 0, 0
+	if n == nil {
+		return f
+	}
+	if n.lost >= minReported {
+		f.Lost = n.lost
+	}
+	fromBefore := float64(n.failures) < n.failed/2*float64(n.statements)
+	if !n.matters(now) || fromBefore || c.suspectsLink(now) {
+		return f
 	}
-	borneOut := float64(n.failures) >= n.failed/2*float64(n.statements)
-	if now.Sub(n.last) > maxGap || !borneOut || c.suspectsLink() {
-		return n.failed, 0
+	f.Lost, f.Errored, f.Statements = n.lost, n.failed-n.lost, 1
+	if n.confirmed(now, n.failed, func(t tally) int { return t.failed }) {
+		f.Statements = min(n.statements, window)
 	}
-	return n.failed, min(n.statements, window)
+	return f
+}
+
+// matters reports whether the fraction may set the target, or keep a sibling from being set, aside.
+func (n *count) matters(now clock.Time) bool {
+	return n.failed >= minShared && now.Sub(n.last) <= maxGap
 }
 
 // suspectsLink reports whether answers are lost at targets of several services.
-func (c *Counter) suspectsLink() bool {
+func (c *Counter) suspectsLink(now clock.Time) bool {
 	service := ""
 	for _, n := range c.byTarget {
 		switch {
-		case n.lost < minFailed || n.service == service:
+		case n.lost < minFailed || n.service == service || !n.confirmed(now, n.lost, func(t tally) int { return t.lost }):
 		case service == "":
 			service = n.service
 		default:
@@ -127,20 +183,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.byTarget {
-		if n.failed >= minReported && now.Sub(n.last) <= maxGap {
+		if n.matters(now) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// Retain drops the counts of targets that were removed or have restarted.
-func (c *Counter) Retain(known func(target.ID) (incarnation int64, ok bool)) {
+// Reset forgets all counts: what a VM's own state explains is no target's failure.
+func (c *Counter) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.byTarget)
+}
+
+// Retain drops the counts of targets that were removed or have restarted, or have run nothing of late.
+func (c *Counter) Retain(now clock.Time, known func(target.ID) (incarnation int64, ok bool)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, n := range c.byTarget {
 		incarnation, ok := known(id)
-		if !ok || (n.incarnation != 0 && n.incarnation != incarnation) {
+		if !ok || now.Sub(n.last) > ownTTL || (n.incarnation != 0 && n.incarnation != incarnation) {
 			delete(c.byTarget, id)
 			continue
 		}
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -69,7 +69,7 @@
 }
 
 // Failure guarded against: a target counts as failing for a write that could not be done, for a
-// gateway that did not reply, or for a statement that never reached it.
+// gateway that did not reply, for a caller whose time has ended, or for a statement that never reached it.
 func TestOnlyFailuresOfTheTargetCount(t *testing.T) {
 	failed := &statement.Answer{Code: statement.Failed}
 	for name, x := range map[string]struct {
@@ -83,6 +83,7 @@
 		"a write's error":   {failed, nil, false, outlier.Errored, false},
 		"a refusal":         {&statement.Answer{Code: statement.Lagging}, nil, true, outlier.Answered, true},
 		"a lost answer":     {nil, &dispatch.LostError{Cause: errDeclined}, false, outlier.Lost, true},
+		"a hurried caller":  {nil, &dispatch.LostError{Hurried: true, Cause: errDeclined}, true, outlier.Answered, false},
 		"a silent gateway":  {nil, &dispatch.LostError{Gateway: "g", Cause: errDeclined}, true, outlier.Answered, false},
 		"no connection yet": {nil, &dispatch.SetupError{Cause: errDeclined}, true, outlier.Answered, false},
 	} {
@@ -91,3 +92,22 @@
 		require.Equal(t, x.counts, counts, name)
 	}
 }
+
+// Failure guarded against: reads that are errors in themselves fail at both replicas, and move to the
+// primary, where they are errors too and delay writes.
+func TestErrorsDoNotPlaceReads(t *testing.T) {
+	var f outlier.Counter
+	s := NewServer(ServerConfig{Clock: fixedClock{}, Local: &loaded{}, Failures: &f})
+	for range loadreport.MaxStatements {
+		f.Record(1, "s", "x", outlier.Errored)
+	}
+	c := &catalog.Catalog{Targets: map[target.ID]*catalog.Target{"x": {ID: "x"}}}
+	r := NewRouter(RouterConfig{Clock: fixedClock{}, Reports: loadreport.NewBook(), Statuses: NewStatuses(nil, fixedClock{})})
+	r.Update(gateways.NewAssignment("me", c), c)
+	_, out := s.report("x")
+	require.NotZero(t, out.GetErroredPermille())
+	r.recordReport("x", "g", out, 1)
+	load, _ := r.reported("x", "g", 0, 1)
+	require.Zero(t, load.Failed)
+	require.Len(t, r.cfg.Reports.Failing("x", 0, 1), 1, "the detector has them")
+}
