lane: a caller who returns may wait for as long as others

Cause: one who was recognized was given only what is left of a statement timeout since its first try, and refused at once if its turn came later, although it would have been served: its own time is longer than one statement may take (1,000 ms of 1,200; 3,000 of 5,000). Change: who returns is due from its first try, and expires as others. Measured: TestReturningCallerMayWaitAsOthers: refused at once before, served within 100 ms after.

--- a/lane/lane.go
+++ b/lane/lane.go
@@ -201,7 +201,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	o, left := l.recognize(now, o, timeout)
+	o = l.recognize(now, o)
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
 			work, _ := l.waiting.times.of(now, o.Class)
@@ -212,7 +212,7 @@
 		}
 	}
 	w := &waiter{opts: o, ready: make(chan delivery, 1)}
-	if err := l.admit(now, w, left); err != nil {
+	if err := l.admit(now, w, timeout); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
--- a/lane/returning.go
+++ b/lane/returning.go
@@ -66,17 +66,18 @@
 	return t, ok && l.returning != nil && o.Caller != 0 && l.waiting.detectsLate
 }
 
-// recognize returns the options and the longest wait of a request that arrives now: one of a caller
-// who returns is due, and expires, from the caller's first try.
-func (l *Lane) recognize(now clock.Time, o AcquireOptions, timeout time.Duration) (AcquireOptions, time.Duration) {
+// recognize returns the options of a request that arrives now: one of a caller who returns is due from
+// its first try. It may wait for as long as any other, because its caller may have more time than one
+// statement may take.
+func (l *Lane) recognize(now clock.Time, o AcquireOptions) AcquireOptions {
 	t, ok := l.termsOf(o)
 	if !ok {
-		return o, timeout
+		return o
 	}
 	arrived := o.Due.Add(-t.objective)
 	first := l.returning.Take(now, o.Caller, arrived, t.timeout)
 	if first == arrived {
-		return o, timeout
+		return o
 	}
 	o.Due = first.Add(t.objective)
 	outcome := outcomeInTime
@@ -84,7 +85,7 @@
 		outcome = outcomeLate
 	}
 	l.decisions.Count(decisions.Returning, string(l.id), outcome, 1)
-	return o, min(timeout, first.Add(t.timeout).Sub(now))
+	return o
 }
 
 // rememberRefused records the caller of a request that is refused and may return.
--- a/lane/returning_test.go
+++ b/lane/returning_test.go
@@ -1,8 +1,11 @@
 package lane
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -68,3 +71,39 @@
 		}
 	}
 }
+
+// A caller returns just before its statement timeout has passed since its first try, to a queue that is
+// not pressed. Failure guarded against: it is refused at once, although a new request is served.
+func TestReturningCallerMayWaitAsOthers(t *testing.T) {
+	const work, objective, timeout = 30 * time.Millisecond, 150 * time.Millisecond, time.Second
+	bubble.Test(t, func(t *testing.T) {
+		c := newCrowd(1, 1)
+		l := c.lane
+		l.returning, l.terms = &returning.Book{}, map[uint32]terms{1: {objective, timeout}}
+		ask := func(caller uint64) (took time.Duration, err error) {
+			start := l.clk.Now()
+			conn, err := l.Acquire(context.Background(), AcquireOptions{Due: start.Add(objective), Class: 1, Caller: caller}, timeout)
+			if err == nil {
+				time.Sleep(work)
+				conn.Release()
+			}
+			return l.clk.Now().Sub(start), err
+		}
+		for range 40 {
+			_, err := ask(0)
+			require.NoError(t, err)
+		}
+		for _, caller := range []uint64{0, 7} {
+			var wait sync.WaitGroup
+			for range 2 {
+				wait.Go(func() { _, _ = ask(0) })
+			}
+			synctest.Wait()
+			l.returning.Refuse(returning.Refused{Caller: 7, First: l.clk.Now().Add(-970 * time.Millisecond)})
+			took, err := ask(caller)
+			require.NoError(t, err)
+			require.Less(t, took, 100*time.Millisecond)
+			wait.Wait()
+		}
+	})
+}
