returning: messages and books are bounded, and a later entry is another caller's

Causes: a message from a peer could hold any number of callers, of any age; Take gave a request the entry of a caller who was refused after the request had arrived; callers who had left stayed in a book until 4,096 newer ones came, books of removed services for ever. Changes: a message of unequal lists, or of more callers than a VM sends, is ignored, as are ages of 10 s and more; a hash has eight entries at most; Take considers entries up to the request's arrival; each second callers who left are dropped, and with a configuration the books of services that are gone. The claim about messages that were long on their way is dropped: a sender gives up after 0.2 s. Tests: returning TestWrongMessagesAreIgnored, TestLaterEntryIsOfAnotherCaller, TestOldEntriesAreDropped, lane TestLanesAreMadeForUsedTargetsOnly.

--- a/lane/pool.go
+++ b/lane/pool.go
@@ -77,6 +77,9 @@
 			delete(p.lanes, id)
 		}
 	}
+	if p.Returning != nil && c.Config != nil {
+		p.Returning.Retain(func(service string) bool { return c.Config.Services[service] != nil })
+	}
 	return maps.Clone(p.lanes)
 }
 
--- a/lane/pool_test.go
+++ b/lane/pool_test.go
@@ -12,6 +12,7 @@
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -57,11 +58,16 @@
 		c := groupsOf(5)
 		p := poolOn(c)
 		require.Empty(t, p.lanes)
+		p.Returning = &returning.Books{}
+		p.Returning.Book("s1").Refuse(returning.Refused{Caller: 7})
 		take(t, p, "s1-0").Release()
 		require.True(t, p.Load("nobody").Down)
 		require.Len(t, p.lanes, 1)
-		p.Update(&catalog.Catalog{}, gateways.NewAssignment("vm1", c).Share)
+		p.Update(&catalog.Catalog{Config: &catalog.Config{Services: map[string]*catalog.Service{"s1": {}}}}, gateways.NewAssignment("vm1", c).Share)
 		require.Empty(t, p.lanes)
+		require.Equal(t, 1, p.Returning.Book("s1").Len())
+		p.Update(&catalog.Catalog{Config: &catalog.Config{}}, gateways.NewAssignment("vm1", c).Share)
+		require.Zero(t, p.Returning.Book("s1").Len(), "the service is gone")
 		_, err := p.Acquire(context.Background(), "s1-0", AcquireOptions{}, time.Second)
 		require.Error(t, err, "the target was removed")
 	})
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -16,16 +16,20 @@
 	tellInterval = 100 * time.Millisecond
 	// tellTimeout bounds one such message.
 	tellTimeout = 200 * time.Millisecond
-	// maxToldAge is the age from which a caller is not told of: it has left.
-	maxToldAge = 10 * time.Second
+	// expireInterval is the interval at which a VM forgets the callers who have left.
+	expireInterval = time.Second
 )
 
 // TellRefused tells the other gateways of each service whom this VM refuses, until ctx ends.
 func (r *Router) TellRefused(ctx context.Context, books *returning.Books) {
 	tick := time.NewTicker(tellInterval)
 	defer tick.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
 	for {
 		select {
+		case <-expire.C:
+			books.Expire(r.cfg.Clock.Now())
 		case <-tick.C:
 			for service, refused := range books.Untold() {
 				r.tell(ctx, refusedRequest(service, refused, r.cfg.Clock.Now()))
@@ -66,7 +70,7 @@
 func refusedRequest(service string, refused []returning.Refused, now clock.Time) *relaypb.RefusedRequest {
 	out := &relaypb.RefusedRequest{Service: service}
 	for _, one := range refused {
-		if age := now.Sub(one.First); age >= 0 && age < maxToldAge {
+		if age := now.Sub(one.First); age >= 0 && age < returning.MaxAge {
 			out.Callers, out.AgeUs = append(out.Callers, one.Caller), append(out.AgeUs, uint32(micros(age)))
 		}
 	}
--- a/relay/returning_test.go
+++ b/relay/returning_test.go
@@ -61,7 +61,7 @@
 
 // Failure guarded against: a VM that was suspended tells of callers who have left.
 func TestCallersWhoLeftAreNotTold(t *testing.T) {
-	in := refusedRequest("s", []returning.Refused{{Caller: 7, First: 1}}, clock.Time(maxToldAge)+1)
+	in := refusedRequest("s", []returning.Refused{{Caller: 7, First: 1}}, clock.Time(returning.MaxAge)+1)
 	require.Empty(t, in.GetCallers())
 	_, err := NewServer(ServerConfig{}).Refused(context.Background(), &relaypb.RefusedRequest{Service: "s", Callers: []uint64{7}})
 	require.NoError(t, err)
--- a/returning/returning.go
+++ b/returning/returning.go
@@ -12,6 +12,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,9 +20,14 @@
 	"endivemoor.example/endivemoor/clock"
 )
 
+// MaxAge is the age from which a caller is forgotten: it has left.
+const MaxAge = 10 * time.Second
+
 const (
 	// maxCallers bounds the callers in a Book; the one that was added first is dropped.
 	maxCallers = 4096
+	// maxOfCaller bounds the entries of one hash.
+	maxOfCaller = 8
 	// maxUntold bounds the callers that other VMs have still to be told of.
 	maxUntold = 512
 	// sameTry is the largest difference between two times of one first try that reached this VM on
@@ -56,8 +62,8 @@
 	}
 }
 
-// Told adds a caller that another VM has refused.
-func (b *Book) Told(r Refused) {
+// Keep adds a caller that other VMs know of, or need not know of.
+func (b *Book) Keep(r Refused) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.add(r)
@@ -65,7 +71,7 @@
 
 // add adds a caller unless it is in the book. Its tries at several targets may all be refused.
 func (b *Book) add(r Refused) {
-	if r.Caller == 0 || b.find(r) >= 0 {
+	if r.Caller == 0 || b.indexOfTry(r) >= 0 || len(b.byCaller[r.Caller]) >= maxOfCaller {
 		return
 	}
 	if b.byCaller == nil {
@@ -73,7 +79,7 @@
 	}
 	b.byCaller[r.Caller] = append(b.byCaller[r.Caller], b.order.PushBack(r))
 	if b.order.Len() > maxCallers {
-		b.remove(b.order.Front().Value.(Refused).Caller, 0)
+		b.removeFront()
 	}
 }
 
@@ -81,19 +87,23 @@
 // time of the caller's first try. This is the request's own arrival unless the caller returns: a
 // request that is tried at several targets returns nothing of its own.
 //
-// An entry is used once, so that of several callers with one hash as many count as returning as have
-// returned. Entries older than maxAge are dropped: their callers have left.
+// An entry is used once here. Entries older than maxAge are dropped: their callers have left.
 func (b *Book) Take(now clock.Time, caller uint64, arrived clock.Time, maxAge time.Duration) (first clock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.byCaller[caller]) > 0 && now.Sub(b.first(caller, 0)) > maxAge {
-		b.remove(caller, 0)
+	for i := len(b.byCaller[caller]) - 1; i >= 0; i-- {
+		if now.Sub(b.first(caller, i)) > maxAge {
+			b.remove(caller, i)
+		}
+	}
+	at := b.indexOfTry(Refused{caller, arrived})
+	if at < 0 {
+		at = slices.IndexFunc(b.byCaller[caller], func(e *list.Element) bool { return e.Value.(Refused).First.Before(arrived) })
 	}
-	at := max(b.find(Refused{caller, arrived}), 0)
-	if at >= len(b.byCaller[caller]) {
+	if at < 0 {
 		return arrived
 	}
-	first = min(b.first(caller, at), arrived)
+	first = b.first(caller, at)
 	b.remove(caller, at)
 	if arrived.Sub(first) < sameTry {
 		return arrived
@@ -101,13 +111,31 @@
 	return first
 }
 
-// find returns the index of the entry of a caller's first try; negative if there is none.
-func (b *Book) find(r Refused) int {
+// indexOfTry returns the index of the entry of a caller's first try; negative if there is none.
+func (b *Book) indexOfTry(r Refused) int {
 	return slices.IndexFunc(b.byCaller[r.Caller], func(e *list.Element) bool {
 		return e.Value.(Refused).First.Sub(r.First).Abs() < sameTry
 	})
 }
 
+// expire drops the callers that have left, up to the first one that has not.
+func (b *Book) expire(now clock.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.order.Len() > 0 && now.Sub(b.order.Front().Value.(Refused).First) >= MaxAge {
+		b.removeFront()
+	}
+	if b.order.Len() == 0 {
+		b.byCaller = nil // a map does not shrink
+	}
+}
+
+func (b *Book) removeFront() {
+	e := b.order.Front()
+	caller := e.Value.(Refused).Caller
+	b.remove(caller, slices.Index(b.byCaller[caller], e))
+}
+
 func (b *Book) first(caller uint64, i int) clock.Time {
 	return b.byCaller[caller][i].Value.(Refused).First
 }
@@ -159,19 +187,37 @@
 }
 
 // Told adds callers of a service that another VM has refused, with their ages. It does nothing if this
-// VM uses no target of the service.
+// VM uses no target of the service, or if a message has more than a VM sends.
 func (b *Books) Told(now clock.Time, service string, callers []uint64, ages []time.Duration) {
 	b.mu.Lock()
 	book := b.book[service]
 	b.mu.Unlock()
-	if book == nil || len(callers) != len(ages) {
+	if book == nil || len(callers) != len(ages) || len(callers) > maxUntold {
 		return
 	}
 	for i, caller := range callers {
-		book.Told(Refused{caller, now.Add(-ages[i])})
+		if ages[i] >= 0 && ages[i] < MaxAge {
+			book.Keep(Refused{caller, now.Add(-ages[i])})
+		}
+	}
+}
+
+// Expire drops the callers that have left.
+func (b *Books) Expire(now clock.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, book := range b.book {
+		book.expire(now)
 	}
 }
 
+// Retain drops the Books of the services for which has returns false.
+func (b *Books) Retain(has func(service string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.book, func(service string, _ *Book) bool { return !has(service) })
+}
+
 // Untold returns the callers that other VMs have still to be told of, by service.
 func (b *Books) Untold() map[string][]Refused {
 	b.mu.Lock()
--- a/returning/returning_test.go
+++ b/returning/returning_test.go
@@ -37,14 +37,14 @@
 	var b Book
 	b.Refuse(Refused{7, 700 * ms})
 	b.Refuse(Refused{7, 1000 * ms})
-	b.Told(Refused{7, 1010 * ms})
+	b.Keep(Refused{7, 1010 * ms})
 	require.Equal(t, 1000*ms, b.Take(1100*ms, 7, 1000*ms, time.Second))
 	require.Equal(t, 700*ms, b.Take(1100*ms, 7, 1100*ms, time.Second), "two messages of one try are one entry")
 	require.Equal(t, 1100*ms, b.Take(1100*ms, 7, 1100*ms, time.Second))
 }
 
-// Failure guarded against: a VM that was suspended, or has a message that was on its way for long,
-// takes a caller for one that has left long ago.
+// Failure guarded against: a VM that was suspended takes a caller for one that has left long ago, or
+// keeps the memory of those who left.
 func TestOldEntriesAreDropped(t *testing.T) {
 	var books Books
 	b := books.Book("s")
@@ -54,6 +54,35 @@
 	b.Refuse(Refused{7, 1000 * ms})
 	require.Equal(t, 9000*ms, b.Take(9000*ms, 7, 9000*ms, time.Second))
 	require.Zero(t, b.Len())
+	b.Refuse(Refused{7, 1000 * ms})
+	b.Refuse(Refused{8, 2000 * ms})
+	books.Expire(1000*ms + clock.Time(MaxAge))
+	require.Equal(t, 1, b.Len())
+	books.Retain(func(string) bool { return false })
+	require.Empty(t, books.book)
+}
+
+// Failure guarded against: a caller who was refused later than a request arrived gives that one its
+// entry, and counts as new when it returns.
+func TestLaterEntryIsOfAnotherCaller(t *testing.T) {
+	var b Book
+	b.Refuse(Refused{7, 2000 * ms})
+	require.Equal(t, 1500*ms, b.Take(2100*ms, 7, 1500*ms, time.Second))
+	require.Equal(t, 2000*ms, b.Take(2200*ms, 7, 2200*ms, time.Second))
+}
+
+// Failure guarded against: a peer's wrong message fills a book.
+func TestWrongMessagesAreIgnored(t *testing.T) {
+	var books Books
+	b := books.Book("s")
+	books.Told(0, "s", make([]uint64, maxUntold+1), make([]time.Duration, maxUntold+1))
+	books.Told(0, "s", []uint64{1, 2}, []time.Duration{0})
+	books.Told(0, "s", []uint64{1, 2}, []time.Duration{MaxAge, -1})
+	require.Zero(t, b.Len())
+	for i := range 2 * maxOfCaller {
+		books.Told(0, "s", []uint64{1}, []time.Duration{time.Duration(i) * time.Second / 2})
+	}
+	require.Equal(t, maxOfCaller, b.Len())
 }
 
 func TestBookIsBounded(t *testing.T) {
