lane: a caller who returned is still known at its request's next target

Cause: a request uses up its caller's entry as it arrives, and only a refusal for overload put it back. A read that left the queue after its short queue time counted as new at the next target. Change: who was recognized and not served enters the book again, without a message. TestReturningReadIsKnownAtItsNextTarget: red without the change.

--- a/lane/lane.go
+++ b/lane/lane.go
@@ -201,7 +201,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	o = l.recognize(now, o)
+	o, returns := l.recognize(now, o)
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
 			work, _ := l.waiting.times.of(now, o.Class)
@@ -212,15 +212,21 @@
 		}
 	}
 	w := &waiter{opts: o, ready: make(chan delivery, 1)}
-	if err := l.admit(now, w, timeout); err != nil {
-		l.mu.Unlock()
-		return nil, err
+	err := l.admit(now, w, timeout)
+	if err == nil {
+		l.waiting.push(w)
+		l.serve(now)
+		l.grow(now)
 	}
-	l.waiting.push(w)
-	l.serve(now)
-	l.grow(now)
 	l.mu.Unlock()
-	return l.await(ctx, w, timeout)
+	var c *Conn
+	if err == nil {
+		c, err = l.await(ctx, w, timeout)
+	}
+	if err != nil && returns {
+		l.keepReturning(o)
+	}
+	return c, err
 }
 
 func (l *Lane) await(ctx context.Context, w *waiter, timeout time.Duration) (*Conn, error) {
--- a/lane/returning.go
+++ b/lane/returning.go
@@ -66,18 +66,18 @@
 	return t, ok && l.returning != nil && o.Caller != 0 && l.waiting.detectsLate
 }
 
-// recognize returns the options of a request that arrives now: one of a caller who returns is due from
+// recognize returns the options of a request that arrives now, and whether its caller returns. One of a caller who returns is due from
 // its first try. It may wait for as long as any other, because its caller may have more time than one
 // statement may take.
-func (l *Lane) recognize(now clock.Time, o AcquireOptions) AcquireOptions {
+func (l *Lane) recognize(now clock.Time, o AcquireOptions) (_ AcquireOptions, returns bool) {
 	t, ok := l.termsOf(o)
 	if !ok {
-		return o
+		return o, false
 	}
 	arrived := o.Due.Add(-t.objective)
 	first := l.returning.Take(now, o.Caller, arrived, t.timeout)
 	if first == arrived {
-		return o
+		return o, false
 	}
 	o.Due = first.Add(t.objective)
 	outcome := outcomeInTime
@@ -85,7 +85,17 @@
 		outcome = outcomeLate
 	}
 	l.decisions.Count(decisions.Returning, string(l.id), outcome, 1)
-	return o
+	return o, true
+}
+
+// keepReturning records a caller who returned and was not served, so that the next target of its
+// request knows its first try.
+func (l *Lane) keepReturning(o AcquireOptions) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t, ok := l.termsOf(o); ok {
+		l.returning.Keep(returning.Refused{Caller: o.Caller, First: o.Due.Add(-t.objective)})
+	}
 }
 
 // rememberRefused records the caller of a request that is refused and may return.
--- a/lane/returning_test.go
+++ b/lane/returning_test.go
@@ -107,3 +107,26 @@
 		}
 	})
 }
+
+// A read waits for a part of its time only where it has another target. Failure guarded against: a
+// caller who returned counts as new there, because the first target has used its entry.
+func TestReturningReadIsKnownAtItsNextTarget(t *testing.T) {
+	const objective = 500 * time.Millisecond
+	bubble.Test(t, func(t *testing.T) {
+		first, next := newCrowd(1, 1).lane, newCrowd(1, 1).lane
+		book := &returning.Book{}
+		for _, l := range []*Lane{first, next} {
+			l.returning, l.terms = book, map[uint32]terms{1: {objective, time.Second}}
+		}
+		held := acquire(t, first)
+		arrived := first.clk.Now()
+		book.Keep(returning.Refused{Caller: 7, First: arrived.Add(-300 * time.Millisecond)})
+		o := AcquireOptions{Due: arrived.Add(objective), Class: 1, Caller: 7}
+		_, err := first.Acquire(context.Background(), o, 60*time.Millisecond)
+		require.Error(t, err)
+		got, returns := next.recognize(next.clk.Now(), o)
+		require.True(t, returns)
+		require.Equal(t, arrived.Add(objective-300*time.Millisecond), got.Due)
+		held.Release()
+	})
+}
