--- a/lane/dial.go
+++ b/lane/dial.go
@@ -33,17 +33,16 @@
 	if !l.mayGrow(now) {
 		return
 	}
-	if !l.mayRun() {
-		l.growFor(now, l.lacksConnection)
-		return
-	}
 	waiting := l.waiting.countByWorkspace()
 	l.growFor(now, func(w *waiter) bool { return l.dialsFor[w.opts.Workspace] < waiting[w.opts.Workspace] })
 }
 
 // growFor opens connections for the waiting requests for which lacks returns true.
 func (l *Lane) growFor(now clock.Time, lacks func(w *waiter) bool) {
-	for l.mayGrow(now) {
+	if !l.mayGrow(now) {
+		return
+	}
+	for l.dialing < maxDialing {
 		w := l.waiting.first(lacks)
 		if w == nil || !l.makeRoom(now, w.opts.Workspace) {
 			return
@@ -57,31 +56,14 @@
 	}
 }
 
-// mayGrow reports whether a connection could be opened for a request that lacks one. While all slots
-// are taken, that is one at a time, which is only for a workspace without any and within the limit.
-//
-// Failure guarded against: a busy workspace takes each slot that becomes free, because it has a
-// connection, and one that has none gets none and is refused, whatever its share.
+// mayGrow reports whether a connection could be opened for a request that lacks one.
 func (l *Lane) mayGrow(now clock.Time) bool {
-	if l.closed || l.waiting.Len() == 0 || l.dialing >= maxDialing {
+	if l.closed || !l.mayRun() || l.waiting.Len() == 0 || l.dialing >= maxDialing {
 		return false
 	}
-	if !l.mayRun() {
-		return l.dialing == 0 && l.open < l.maxOpen(now) && l.someLackConnection()
-	}
 	return l.open+l.dialing < l.maxOpen(now) || len(l.idle) > 0
 }
 
-// someLackConnection reports whether a workspace whose requests can be in time has no connection.
-func (l *Lane) someLackConnection() bool {
-	for name := range l.waiting.inTime.workspaces {
-		if l.openFor[name] == 0 && l.dialsFor[name] == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // makeRoom reports whether a connection may be opened for a workspace. If the lane is at its
 // limit, it closes an idle connection of another workspace.
 func (l *Lane) makeRoom(now clock.Time, workspace string) bool {
