lane: a connection is opened for the workspace whose turn it is, before the free slot goes to another

Cause: a slot that becomes free is given at once to a waiting request whose workspace has an idle connection, and a connection is opened only while a slot is free. While one workspace has requests waiting at all times, no slot remains free, and a workspace without a connection at the gateway gets none, whatever its share and priority; its requests wait until they are late and are refused. TestBusyWorkspacesDoNotStarveOthers covered only a gateway that may open no more connections than it runs. Change: before the free slot is given away, the gateway opens a connection for the request whose turn it is, if its workspace has none and none is being opened: one for the head of the queue, so that openings take no more of the target than turns do. TestBusyWorkspacesDoNotStarveOthers also plays a gateway with room for more connections.

--- a/lane/admission_test.go
+++ b/lane/admission_test.go
@@ -57,6 +57,8 @@
 	// returns is how often a refused caller returns at most.
 	returns int
 	wait    sync.WaitGroup
+	// target has the slots that several gateways share; nil if the lane is the only one.
+	target chan struct{}
 
 	mu  sync.Mutex
 	got map[uint32]*result // by class
@@ -75,6 +77,15 @@
 	return time.Duration(min(f, 10) * float64(k.work))
 }
 
+// run occupies a slot of the target.
+func (c *crowd) run(work time.Duration) {
+	if c.target != nil {
+		c.target <- struct{}{}
+		defer func() { <-c.target }()
+	}
+	time.Sleep(work)
+}
+
 // call is one caller. If it is refused, it returns after the time that it was told. Its
 // objective counts from the first time. The lane recognizes it by its hash; 0 if it cannot.
 func (c *crowd) call(k kind, workspace string, work time.Duration, hash uint64) (r result) {
@@ -90,7 +101,7 @@
 			break
 		}
 		if err == nil {
-			time.Sleep(work)
+			c.run(work)
 			conn.Release()
 			switch took := time.Since(start); {
 			case took <= k.objective:
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -29,10 +29,23 @@
 		c.idle = now
 		l.idle = append(l.idle, c)
 	}
+	l.growForNext(now)
 	l.serve(now)
 	l.growFor(now, l.lacksConnection)
 }
 
+// growForNext opens a connection for the request whose turn it is, if its workspace has none, before the
+// slot that has become free is given to another one.
+//
+// Failure guarded against: one workspace has requests waiting at all times, each free slot goes to one
+// of them because their connections are there, and as no slot remains free no connection is ever
+// opened for another workspace, whose turn it is.
+func (l *Lane) growForNext(now clock.Time) {
+	if next := l.waiting.first(anyone); next != nil {
+		l.growFor(now, func(w *waiter) bool { return w == next && l.lacksConnection(w) })
+	}
+}
+
 // lacksConnection reports whether a request's workspace has neither a connection nor a dial in
 // progress.
 func (l *Lane) lacksConnection(w *waiter) bool {
--- a/lane/workspace_test.go
+++ b/lane/workspace_test.go
@@ -51,27 +51,29 @@
 // Failure guarded against: a workspace's requests wait behind those of others until they time out,
 // because each released connection goes to a workspace that has one.
 func TestBusyWorkspacesDoNotStarveOthers(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		d := &dialer{limit: 2}
-		l := newLane("x", d.dial, monotonic.New(), gateways.Share{MaxOpen: 2, MaxIdle: 2, MaxRunning: 2})
-		var wait sync.WaitGroup
-		end := time.Now().Add(2 * time.Second)
-		for i := range 6 {
-			wait.Go(func() {
-				for time.Now().Before(end) {
-					c := forWorkspace(t, l, fmt.Sprint("busy", i%2), time.Second)
-					time.Sleep(10 * time.Millisecond)
-					c.Release()
-				}
-			})
-		}
-		time.Sleep(200 * time.Millisecond)
-		for range 5 {
-			forWorkspace(t, l, "idle", 300*time.Millisecond).Release()
-			time.Sleep(100 * time.Millisecond)
-		}
-		wait.Wait()
-	})
+	for _, open := range []int{2, 10} {
+		bubble.Test(t, func(t *testing.T) {
+			d := &dialer{limit: open}
+			l := newLane("x", d.dial, monotonic.New(), gateways.Share{MaxOpen: open, MaxIdle: open, MaxRunning: 2})
+			var wait sync.WaitGroup
+			end := time.Now().Add(2 * time.Second)
+			for i := range 6 {
+				wait.Go(func() {
+					for time.Now().Before(end) {
+						c := forWorkspace(t, l, fmt.Sprint("busy", i%2), time.Second)
+						time.Sleep(10 * time.Millisecond)
+						c.Release()
+					}
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			for range 5 {
+				forWorkspace(t, l, "idle", 300*time.Millisecond).Release()
+				time.Sleep(100 * time.Millisecond)
+			}
+			wait.Wait()
+		})
+	}
 }
 
 // Failure guarded against: the target is unreachable, and the requests of a workspace without a
