engine, lane: only a queue whose target answers others shows a busy primary

Cause: any timeout in a queue was left out of the breaker, also where nobody is served: statements or a first dial hang, writes are held. Its test had a primary that never serves anyone, and required that the breaker stays closed. Change: a lane says with a timeout whether its target answered a statement within the time that the request could wait (Failure.busy, new); only then does it not count. A try that was canceled clears what the one before had shown. Tests: TestBusyPrimaryIsNoOutage plays both, and requires that the breaker opens where nobody is served (replaces the case that required the opposite); lane TestTimeoutInQueueSaysWhetherOthersAreAnswered, red if all or none count as busy.

--- a/engine/breaker.go
+++ b/engine/breaker.go
@@ -64,7 +64,7 @@
 // recordOutage records a try at the primary that failed without an answer. A busy or saturated
 // primary is not an outage.
 func (s *Session) recordOutage(g *groups.Group, w *work, result tryResult) {
-	if result == unsent && !w.queued || result == lostAnswer {
+	if result == unsent && !w.timedOutInQueue || result == lostAnswer {
 		s.recordUnserved(g, w, groups.Unresponsive)
 	}
 }
--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -93,25 +93,40 @@
 	require.True(t, strings.HasPrefix(s.giveUp(late, 0, "no primary").Text, "no primary"))
 }
 
-// timingOut is a Runner at which each statement times out in the queue of a busy target.
-type timingOut struct{ dispatch.Runner }
+// timingOut is a Runner at which each statement times out in the queue of a target that answers others,
+// or nobody.
+type timingOut struct {
+	dispatch.Runner
+	busy bool
+}
 
-func (timingOut) Run(context.Context, target.ID, dispatch.Claim, *dispatch.Job) (*dispatch.Result, error) {
-	return nil, &lane.UnavailableError{Target: "t", Expired: true}
+func (r timingOut) Run(context.Context, target.ID, dispatch.Claim, *dispatch.Job) (*dispatch.Result, error) {
+	return nil, &lane.UnavailableError{Target: "t", Expired: true, Busy: r.busy}
 }
 
-// Failure guarded against: the requests of one VM time out in the queue of a busy primary, which serves
-// others, and the VM takes it for one that does not respond and refuses all its requests at once.
+// Failures guarded against: the requests of one VM time out in the queue of a busy primary, which serves
+// others, and the VM takes it for one that does not respond and refuses all its requests at once; or
+// the primary serves nobody, and each request waits for its whole time.
 func TestBusyPrimaryIsNoOutage(t *testing.T) {
-	e, clk := newTestEngine()
-	e.cfg.Runner = timingOut{}
-	s, g := &Session{engine: e}, e.cfg.Groups.Group("s")
-	route := &catalog.Route{Service: "s", StatementTimeout: time.Second}
-	for range 100 {
-		clk.now = clk.now.Add(50 * time.Millisecond)
-		w := &work{st: &statement.Statement{}, route: route, arrived: clk.now}
-		_, result := s.try(context.Background(), "t", w, timeline.Position{}, limits{queue: time.Second})
-		s.recordOutage(g, w, result)
-		require.True(t, s.admits(g, &work{}, groups.Write))
+	for _, busy := range []bool{true, false} {
+		e, clk := newTestEngine()
+		e.cfg.Runner = timingOut{busy: busy}
+		s, g := &Session{engine: e}, e.cfg.Groups.Group("s")
+		route := &catalog.Route{Service: "s", StatementTimeout: time.Second}
+		refused := 0
+		for range 100 {
+			clk.now = clk.now.Add(50 * time.Millisecond)
+			w := &work{st: &statement.Statement{}, route: route, arrived: clk.now}
+			_, result := s.try(context.Background(), "t", w, timeline.Position{}, limits{queue: time.Second})
+			s.recordOutage(g, w, result)
+			if !s.admits(g, &work{}, groups.Write) {
+				refused++
+			}
+		}
+		if busy {
+			require.Zero(t, refused)
+		} else {
+			require.Greater(t, refused, 50)
+		}
 	}
 }
--- a/engine/try.go
+++ b/engine/try.go
@@ -94,7 +94,7 @@
 	if errors.As(err, &lost) {
 		w.ran = true
 	}
-	w.saturated, w.costly = 0, false
+	w.saturated, w.costly, w.timedOutInQueue = 0, false, false
 	return unsent
 }
 
@@ -134,11 +134,11 @@
 // classifyError returns the result of a try that failed without an answer, and records the failure.
 func (s *Session) classifyError(id target.ID, w *work, err error) tryResult {
 	e := s.engine
-	w.queued = false
+	w.timedOutInQueue = false
 	var lost *dispatch.LostError
 	if !errors.As(err, &lost) {
 		var u *lane.UnavailableError
-		w.queued = errors.As(err, &u) && u.Expired
+		w.timedOutInQueue = errors.As(err, &u) && u.Busy
 		if u != nil && u.RetryAfter > 0 {
 			w.saturated, w.retryAfter, w.refusal = w.saturated+1, u.RetryAfter, u.Cause
 			w.cause, w.costly = groups.NoCause, true
--- a/engine/work.go
+++ b/engine/work.go
@@ -35,8 +35,8 @@
 	// latest cause.
 	outage time.Duration
 	cause  groups.Cause
-	// queued is set if the latest try timed out in a queue.
-	queued bool
+	// timedOutInQueue is set if the latest try timed out in the queue of a target that answered others.
+	timedOutInQueue bool
 	// costly is set if the latest try took some of a target's or gateway's time.
 	costly bool
 }
--- a/lane/admit.go
+++ b/lane/admit.go
@@ -58,7 +58,7 @@
 	}
 	if wait > timeout || l.backlog() > timeout || q.pressed() && !inTime && !q.outlasts(w, now) {
 		l.decisions.Count(decisions.Queue, string(l.id), outcomeRefused, 1)
-		return l.refusal(now, w.opts)
+		return l.refusal(now, w)
 	}
 	return nil
 }
@@ -66,11 +66,11 @@
 // refusal returns the error of a request that is not worth waiting. While all others are in time, it
 // is only that this one would not wait for as long as its turn takes, as a read that has another
 // target; that says nothing of an overload.
-func (l *Lane) refusal(now clock.Time, o AcquireOptions) error {
+func (l *Lane) refusal(now clock.Time, w *waiter) error {
 	if l.waiting.pressed() {
-		return l.overloadedError(now, o)
+		return l.overloadedError(now, w.opts)
 	}
-	return &UnavailableError{Target: l.id, Expired: true, Cause: errors.New("no connection would become free in time")}
+	return l.expired(w.expires.Sub(w.arrived), "no connection would become free in time")
 }
 
 // backlog returns the estimated time until all waiting requests have got a connection.
@@ -82,7 +82,7 @@
 func (l *Lane) shed(now clock.Time) {
 	late := l.waiting.shedLate(now)
 	for _, w := range late {
-		w.ready <- delivery{err: l.refusal(now, w.opts)}
+		w.ready <- delivery{err: l.refusal(now, w)}
 	}
 	l.decisions.Count(decisions.Queue, string(l.id), outcomeRefusedLater, len(late))
 }
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -56,6 +56,8 @@
 	Code statement.Code
 	// Expired is set if the request timed out in the queue.
 	Expired bool
+	// Busy is set, with Expired, if the target answered other statements meanwhile.
+	Busy bool
 	// RetryAfter is set if the request was refused without waiting because it could not have been
 	// served in time: the time until the target is expected to have room for it.
 	RetryAfter time.Duration
@@ -123,6 +125,7 @@
 	controlQueue queue              // control commands
 	drain        drain
 	created      clock.Time
+	answered     clock.Time // when a statement was last answered
 	slotUse      slotUse
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
@@ -240,14 +243,20 @@
 	}
 	l.mu.Lock()
 	if w.remove() {
-		l.mu.Unlock()
-		return nil, &UnavailableError{Target: l.id, Expired: true, Cause: errors.New("no connection became free in time")}
+		defer l.mu.Unlock()
+		return nil, l.expired(timeout, "no connection became free in time")
 	}
 	l.mu.Unlock()
 	d := <-w.ready
 	return d.conn, d.err
 }
 
+// expired returns the error of a request whose turn does not come within its timeout.
+func (l *Lane) expired(timeout time.Duration, cause string) *UnavailableError {
+	busy := l.answered != 0 && l.clk.Now().Sub(l.answered) < timeout
+	return &UnavailableError{Target: l.id, Expired: true, Busy: busy, Cause: errors.New(cause)}
+}
+
 // takeIdle takes the workspace's most recently used idle connection that is alive; nil if there is
 // none.
 func (l *Lane) takeIdle(workspace string) *Conn {
--- a/lane/overload_test.go
+++ b/lane/overload_test.go
@@ -202,3 +202,35 @@
 	require.Greater(t, purchased.Load(), purchases.Load()*9/10)
 	require.Greater(t, read.Load(), int64(180), "three quarters of the 241 that fit beside the purchases")
 }
+
+// Failure guarded against: a request times out at a target that answers nobody, because statements or
+// dials hang, and it counts as busy, so that no breaker opens; or as an outage, while it answers others.
+func TestTimeoutInQueueSaysWhetherOthersAreAnswered(t *testing.T) {
+	inBubble(t, 2, 2, func(l *Lane, d *dialer) {
+		l.setShare(gateways.Share{MaxOpen: 2, MaxIdle: 2, MaxRunning: 1})
+		busy := func() bool {
+			_, err := l.Acquire(context.Background(), AcquireOptions{}, 100*time.Millisecond)
+			var u *UnavailableError
+			require.ErrorAs(t, err, &u)
+			require.True(t, u.Expired)
+			return u.Busy
+		}
+		d.hang(200 * time.Millisecond)
+		require.False(t, busy(), "a first dial hangs")
+		time.Sleep(time.Second)
+		d.hang(0)
+		held := acquire(t, l)
+		require.False(t, busy(), "a statement hangs")
+		next := make(chan *Conn)
+		go func() { next <- acquire(t, l) }()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			held.Release()
+		}()
+		synctest.Wait()
+		require.True(t, busy(), "the slot goes to the one that came first")
+		require.False(t, busy(), "whose statement hangs")
+		(<-next).Discard()
+		synctest.Wait()
+	})
+}
--- a/lane/serve.go
+++ b/lane/serve.go
@@ -136,7 +136,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.setParked(c, true)
-	l.serve(l.clk.Now())
+	l.answered = l.clk.Now()
+	l.serve(l.answered)
 }
 
 // unpark implements Conn.Unpark. It takes precedence over requests that wait for a connection,
@@ -196,9 +197,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.end(c)
-	if c.acquiredAt != 0 && !c.wasParked {
+	if c.acquiredAt != 0 {
 		now := l.clk.Now()
-		l.waiting.times.record(now, c.class, now.Sub(c.acquiredAt))
+		l.answered = now
+		if !c.wasParked {
+			l.waiting.times.record(now, c.class, now.Sub(c.acquiredAt))
+		}
 	}
 	l.putIdle(c)
 }
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -121,7 +121,7 @@
 	switch {
 	case errors.As(err, &unavailable):
 		out.Kind, out.Code, out.Expired = relaypb.Failure_UNSENT, uint32(unavailable.Code), unavailable.Expired
-		out.ComeBackUs = micros(unavailable.RetryAfter)
+		out.Busy, out.ComeBackUs = unavailable.Busy, micros(unavailable.RetryAfter)
 	case errors.As(err, &setup):
 		out.Kind = relaypb.Failure_UNREADY
 	}
@@ -133,7 +133,7 @@
 	cause := errors.New(in.GetText())
 	switch in.GetKind() {
 	case relaypb.Failure_UNSENT:
-		return &lane.UnavailableError{Target: id, Code: statement.Code(in.GetCode()), Expired: in.GetExpired(), RetryAfter: duration(in.GetComeBackUs()), Cause: cause}
+		return &lane.UnavailableError{Target: id, Code: statement.Code(in.GetCode()), Expired: in.GetExpired(), Busy: in.GetBusy(), RetryAfter: duration(in.GetComeBackUs()), Cause: cause}
 	case relaypb.Failure_UNREADY:
 		return &dispatch.SetupError{Cause: cause}
 	case relaypb.Failure_DECLINED:
--- a/relay/convert_test.go
+++ b/relay/convert_test.go
@@ -43,6 +43,10 @@
 	require.Equal(t, 40*time.Millisecond, u.RetryAfter)
 	require.False(t, mayTryNext(full), "another gateway has no more time left")
 
+	busy := &lane.UnavailableError{Target: "t", Expired: true, Busy: true}
+	require.ErrorAs(t, failure(failureOf(busy), "t"), &u)
+	require.True(t, u.Expired && u.Busy)
+
 	away := failureOf(&lane.UnavailableError{Target: "t", Cause: syscall.ECONNREFUSED})
 	require.True(t, away.GetRefused())
 	require.True(t, mayTryNext(failure(away, "t")), "another gateway may reach it")
