returning: an entry is used once in the service, and ambiguous hashes count as new

Causes: each gateway had a copy of each entry and used it once, so that a caller who was served could count as returning elsewhere; and where many callers have one hash, new ones were taken for those refused before them, and were late by the others' first tries. Changes: gateways tell each other who returned, in the same messages (RefusedRequest.returned). A hash of two requests within a statement timeout that are no returns is ambiguous. A request that was recognized and not served is told again, instead of kept here only.

--- a/lane/admission_test.go
+++ b/lane/admission_test.go
@@ -1,6 +1,7 @@
 package lane
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -23,6 +24,7 @@
 	work              time.Duration
 	objective, budget time.Duration
 	priority          int
+	timeout           time.Duration // of a statement; 0 if it is the budget
 }
 
 var commits = kind{class: 0, share: 0.15, work: 9300 * time.Microsecond, objective: 250 * time.Millisecond, budget: 1200 * time.Millisecond, priority: 1}
@@ -39,6 +41,8 @@
 // result is what the callers of one kind got.
 type result struct{ asked, inTime, late, unserved, refusals int }
 
+func (r result) served() int { return r.inTime + r.late }
+
 func (r *result) add(o result) {
 	r.asked += o.asked
 	r.inTime += o.inTime
@@ -54,6 +58,8 @@
 	// recognizable is the share of callers that the lane recognizes when they return.
 	recognizable float64
 	hashes       *rand.Rand
+	// distinct is the number of hashes of a class; 0 if each caller has one of its own.
+	distinct uint64
 	// returns is how often a refused caller returns at most.
 	returns int
 	wait    sync.WaitGroup
@@ -93,7 +99,7 @@
 	start := time.Now()
 	for range 1 + c.returns {
 		o := AcquireOptions{Due: c.lane.clk.Now().Add(k.objective), Priority: k.priority, Class: k.class + 1, Workspace: workspace, Caller: hash}
-		conn, err := c.lane.Acquire(context.Background(), o, k.budget)
+		conn, err := c.lane.Acquire(context.Background(), o, cmp.Or(k.timeout, k.budget))
 		if time.Since(start) > k.budget {
 			if err == nil {
 				conn.Release()
@@ -135,7 +141,9 @@
 		work := c.work(k)
 		hash := uint64(0)
 		if c.recognizable > 0 && c.hashes.Float64() < c.recognizable {
-			hash = c.hashes.Uint64()
+			if hash = c.hashes.Uint64(); c.distinct > 0 {
+				hash = rand.NewPCG(hash%c.distinct, uint64(k.class)).Uint64() | 1
+			}
 		}
 		c.lane.maintain()
 		c.wait.Go(func() {
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -131,8 +131,8 @@
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
 	// returning holds the refused callers of the target's service; nil if none are recognized.
-	returning *returning.Book
-	terms     map[uint32]terms // by class
+	returning  *returning.Book
+	classTerms map[uint32]classTerms
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
@@ -227,7 +227,10 @@
 		c, err = l.await(ctx, w, timeout)
 	}
 	if err != nil && returns {
-		l.keepReturning(o)
+		// The next target of the request knows its first try.
+		l.mu.Lock()
+		l.rememberRefused(o)
+		l.mu.Unlock()
 	}
 	return c, err
 }
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -43,7 +43,7 @@
 	share   func(t *catalog.Target) gateways.Share
 	weights *weights // of the workspaces
 	config  *catalog.Config
-	terms   map[uint32]terms // of the configuration's classes
+	terms   map[uint32]classTerms // of the configuration's classes
 }
 
 // NewPool returns a Pool that opens links with the Dialer that dial returns for a target.
@@ -67,7 +67,7 @@
 
 // adopt stores the catalog's targets and returns the remaining lanes. The caller computes their
 // shares after the lock is released, because this takes longer than requests should wait.
-func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights, terms map[uint32]terms) map[target.ID]*Lane {
+func (p *Pool) adopt(c *catalog.Catalog, share func(t *catalog.Target) gateways.Share, weights *weights, terms map[uint32]classTerms) map[target.ID]*Lane {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.targets, p.share, p.weights, p.config, p.terms = c.Targets, share, weights, c.Config, terms
--- a/lane/returning.go
+++ b/lane/returning.go
@@ -37,32 +37,32 @@
 	return uint32(xxhash.Sum64String(name)) | 1
 }
 
-// terms are what the callers of a class expect.
-type terms struct{ objective, timeout time.Duration }
+// classTerms are what the callers of a class expect.
+type classTerms struct{ objective, timeout time.Duration }
 
 // newTerms returns the terms of a configuration's classes; c may be nil.
-func newTerms(c *catalog.Config) map[uint32]terms {
-	out := make(map[uint32]terms)
+func newTerms(c *catalog.Config) map[uint32]classTerms {
+	out := make(map[uint32]classTerms)
 	if c == nil {
 		return out
 	}
 	for _, route := range c.Routes {
-		t := terms{route.Objective, StatementTimeout(route)}
+		t := classTerms{route.Objective, StatementTimeout(route)}
 		out[ClassOf(route, false)], out[ClassOf(route, true)] = t, t
 	}
 	return out
 }
 
 // setTerms sets the terms of the classes.
-func (l *Lane) setTerms(t map[uint32]terms) {
+func (l *Lane) setTerms(t map[uint32]classTerms) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.terms = t
+	l.classTerms = t
 }
 
 // termsOf returns the terms of a request whose caller can be recognized; false if it cannot.
-func (l *Lane) termsOf(o AcquireOptions) (terms, bool) {
-	t, ok := l.terms[o.Class]
+func (l *Lane) termsOf(o AcquireOptions) (classTerms, bool) {
+	t, ok := l.classTerms[o.Class]
 	return t, ok && l.returning != nil && o.Caller != 0 && l.waiting.detectsLate
 }
 
@@ -81,23 +81,13 @@
 	}
 	o.Due = first.Add(t.objective)
 	outcome := outcomeInTime
-	if o.Due.Before(now) {
+	if mean, deviation := l.waiting.times.of(now, o.Class); !now.Before(o.Due.Add(-mean - deviation)) {
 		outcome = outcomeLate
 	}
 	l.decisions.Count(decisions.Returning, string(l.id), outcome, 1)
 	return o, true
 }
 
-// keepReturning records a caller who returned and was not served, so that the next target of its
-// request knows its first try.
-func (l *Lane) keepReturning(o AcquireOptions) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t, ok := l.termsOf(o); ok {
-		l.returning.Keep(returning.Refused{Caller: o.Caller, First: o.Due.Add(-t.objective)})
-	}
-}
-
 // rememberRefused records the caller of a request that is refused and may return.
 func (l *Lane) rememberRefused(o AcquireOptions) {
 	if t, ok := l.termsOf(o); ok {
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -31,8 +31,8 @@
 		case <-expire.C:
 			books.Expire(r.cfg.Clock.Now())
 		case <-tick.C:
-			for service, refused := range books.Untold() {
-				r.tell(ctx, refusedRequest(service, refused, r.cfg.Clock.Now()))
+			for service, news := range books.Untold() {
+				r.tell(ctx, refusedRequest(service, news, r.cfg.Clock.Now()))
 			}
 		case <-ctx.Done():
 			return
@@ -67,24 +67,36 @@
 	return out
 }
 
-func refusedRequest(service string, refused []returning.Refused, now clock.Time) *relaypb.RefusedRequest {
+func refusedRequest(service string, news returning.News, now clock.Time) *relaypb.RefusedRequest {
 	out := &relaypb.RefusedRequest{Service: service}
-	for _, one := range refused {
+	out.Callers, out.AgeUs = withAges(news.Refused, now)
+	out.Returned, out.ReturnedAgeUs = withAges(news.Returned, now)
+	return out
+}
+
+func withAges(all []returning.Refused, now clock.Time) (callers []uint64, us []uint32) {
+	for _, one := range all {
 		if age := now.Sub(one.First); age >= 0 && age < returning.MaxAge {
-			out.Callers, out.AgeUs = append(out.Callers, one.Caller), append(out.AgeUs, uint32(micros(age)))
+			callers, us = append(callers, one.Caller), append(us, uint32(micros(age)))
 		}
 	}
-	return out
+	return callers, us
 }
 
 // Refused implements relaypb.Relay.
 func (s *Server) Refused(_ context.Context, in *relaypb.RefusedRequest) (*relaypb.RefusedReply, error) {
 	if s.cfg.Returning != nil {
-		ages := make([]time.Duration, len(in.GetAgeUs()))
-		for i, us := range in.GetAgeUs() {
-			ages[i] = duration(int64(us))
-		}
-		s.cfg.Returning.Told(s.cfg.Clock.Now(), in.GetService(), in.GetCallers(), ages)
+		now := s.cfg.Clock.Now()
+		s.cfg.Returning.Told(now, in.GetService(), in.GetCallers(), durations(in.GetAgeUs()))
+		s.cfg.Returning.Returned(now, in.GetService(), in.GetReturned(), durations(in.GetReturnedAgeUs()))
 	}
 	return &relaypb.RefusedReply{}, nil
 }
+
+func durations(us []uint32) []time.Duration {
+	out := make([]time.Duration, len(us))
+	for i, one := range us {
+		out[i] = duration(int64(one))
+	}
+	return out
+}
--- a/relay/returning_test.go
+++ b/relay/returning_test.go
@@ -56,12 +56,16 @@
 	now := clock.Time(time.Hour)
 	require.Eventually(t, func() bool { return book.Len() == 1 }, time.Second, time.Millisecond)
 	require.Equal(t, now.Add(-300*time.Millisecond), book.Take(now, 7, now, time.Second))
+	book.Refuse(returning.Refused{Caller: 7, First: now.Add(-300 * time.Millisecond)})
+	here.Book("s").Take(r.cfg.Clock.Now(), 7, r.cfg.Clock.Now(), time.Second)
+	r.tell(context.Background(), refusedRequest("s", here.Untold()["s"], r.cfg.Clock.Now()))
+	require.Eventually(t, func() bool { return book.Len() == 0 }, time.Second, time.Millisecond, "who has returned is forgotten")
 	require.False(t, r.peers.inBackoff(vms[2].Peer), "an old program is a gateway as before")
 }
 
 // Failure guarded against: a VM that was suspended tells of callers who have left.
 func TestCallersWhoLeftAreNotTold(t *testing.T) {
-	in := refusedRequest("s", []returning.Refused{{Caller: 7, First: 1}}, clock.Time(returning.MaxAge)+1)
+	in := refusedRequest("s", returning.News{Refused: []returning.Refused{{Caller: 7, First: 1}}}, clock.Time(returning.MaxAge)+1)
 	require.Empty(t, in.GetCallers())
 	_, err := NewServer(ServerConfig{}).Refused(context.Background(), &relaypb.RefusedRequest{Service: "s", Callers: []uint64{7}})
 	require.NoError(t, err)
--- a/returning/returning.go
+++ b/returning/returning.go
@@ -28,7 +28,9 @@
 	maxCallers = 4096
 	// maxOfCaller bounds the entries of one hash.
 	maxOfCaller = 8
-	// maxUntold bounds the callers that other VMs have still to be told of.
+	// maxSeen bounds the hashes of requests that are remembered to find the ambiguous ones.
+	maxSeen = 1024
+	// maxUntold bounds the callers of each kind that other VMs have still to be told of.
 	maxUntold = 512
 	// sameTry is the largest difference between two times of one first try that reached this VM on
 	// different ways.
@@ -43,32 +45,65 @@
 	First clock.Time
 }
 
+// News is what other VMs have still to be told of.
+type News struct {
+	// Refused are callers that this VM has refused, and Returned those whose entries it has used.
+	Refused, Returned []Refused
+}
+
 // Book holds the refused callers of one service. The zero value is ready to use. It is safe for
 // concurrent use.
 type Book struct {
 	mu       sync.Mutex
 	order    list.List // of Refused, in the order in which they were added
 	byCaller map[uint64][]*list.Element
-	untold   []Refused
+	seen     []sighting // by hash; nil until the first request
+	untold   News
 }
 
-// Refuse adds a caller that this VM has refused.
+// sighting is when a hash was last seen from a request that was no return, and until when it is
+// ambiguous, because it was seen from two.
+type sighting struct {
+	caller      uint64
+	last, until clock.Time
+}
+
+// Refuse adds a caller that this VM has refused, or not served at one target.
 func (b *Book) Refuse(r Refused) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.add(r)
-	if len(b.untold) < maxUntold {
-		b.untold = append(b.untold, r)
-	}
+	move(r, &b.untold.Returned, &b.untold.Refused)
 }
 
-// Keep adds a caller that other VMs know of, or need not know of.
-func (b *Book) Keep(r Refused) {
+// Told adds a caller that another VM has refused.
+func (b *Book) Told(r Refused) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.add(r)
 }
 
+// Returned removes a caller who has returned at another VM.
+func (b *Book) Returned(r Refused) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at := b.indexOfTry(r); at >= 0 {
+		b.remove(r.Caller, at)
+	}
+}
+
+// move removes a try from one list and adds it to the other one.
+func move(r Refused, from, to *[]Refused) {
+	*from = slices.DeleteFunc(*from, r.isSameTry)
+	if len(*to) < maxUntold && !slices.ContainsFunc(*to, r.isSameTry) {
+		*to = append(*to, r)
+	}
+}
+
+func (r Refused) isSameTry(o Refused) bool {
+	return r.Caller == o.Caller && r.First.Sub(o.First).Abs() < sameTry
+}
+
 // add adds a caller unless it is in the book. Its tries at several targets may all be refused.
 func (b *Book) add(r Refused) {
 	if r.Caller == 0 || b.indexOfTry(r) >= 0 || len(b.byCaller[r.Caller]) >= maxOfCaller {
@@ -87,7 +122,8 @@
 // time of the caller's first try. This is the request's own arrival unless the caller returns: a
 // request that is tried at several targets returns nothing of its own.
 //
-// An entry is used once here. Entries older than maxAge are dropped: their callers have left.
+// An entry is used once. A hash that several requests have that are no returns says nothing of who
+// returns: they count as new. Entries older than maxAge are dropped: their callers have left.
 func (b *Book) Take(now clock.Time, caller uint64, arrived clock.Time, maxAge time.Duration) (first clock.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,26 +132,58 @@
 			b.remove(caller, i)
 		}
 	}
-	at := b.indexOfTry(Refused{caller, arrived})
-	if at < 0 {
-		at = slices.IndexFunc(b.byCaller[caller], func(e *list.Element) bool { return e.Value.(Refused).First.Before(arrived) })
+	if at := b.indexOfTry(Refused{caller, arrived}); at >= 0 {
+		b.use(caller, at)
+		b.see(now, caller, arrived, maxAge)
+		return arrived
 	}
-	if at < 0 {
+	at := slices.IndexFunc(b.byCaller[caller], func(e *list.Element) bool { return e.Value.(Refused).First.Before(arrived) })
+	if at < 0 || b.isAmbiguous(now, caller) {
+		b.see(now, caller, arrived, maxAge)
 		return arrived
 	}
 	first = b.first(caller, at)
+	b.use(caller, at)
+	return first
+}
+
+// use removes an entry, of which other VMs are told.
+func (b *Book) use(caller uint64, at int) {
+	move(Refused{caller, b.first(caller, at)}, &b.untold.Refused, &b.untold.Returned)
 	b.remove(caller, at)
-	if arrived.Sub(first) < sameTry {
-		return arrived
+}
+
+// see records a request that is no return.
+func (b *Book) see(now clock.Time, caller uint64, arrived clock.Time, window time.Duration) {
+	if b.seen == nil {
+		b.seen = make([]sighting, maxSeen)
 	}
-	return first
+	s := &b.seen[caller>>1%maxSeen]
+	if s.caller != caller {
+		*s = sighting{caller: caller, last: arrived}
+		return
+	}
+	apart := arrived.Sub(s.last).Abs()
+	if apart < sameTry {
+		return
+	}
+	if apart < window {
+		s.until = now.Add(window)
+	}
+	s.last = arrived
+}
+
+func (b *Book) isAmbiguous(now clock.Time, caller uint64) bool {
+	if b.seen == nil {
+		return false
+	}
+	s := b.seen[caller>>1%maxSeen]
+	return s.caller == caller && now.Before(s.until)
 }
 
 // indexOfTry returns the index of the entry of a caller's first try; negative if there is none.
 func (b *Book) indexOfTry(r Refused) int {
-	return slices.IndexFunc(b.byCaller[r.Caller], func(e *list.Element) bool {
-		return e.Value.(Refused).First.Sub(r.First).Abs() < sameTry
-	})
+	return slices.IndexFunc(b.byCaller[r.Caller], func(e *list.Element) bool { return r.isSameTry(e.Value.(Refused)) })
 }
 
 // expire drops the callers that have left, up to the first one that has not.
@@ -157,12 +225,12 @@
 	return b.order.Len()
 }
 
-// Untold returns the callers that other VMs have still to be told of, and forgets them.
-func (b *Book) Untold() []Refused {
+// Untold returns what other VMs have still to be told of, and forgets it.
+func (b *Book) Untold() News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := b.untold
-	b.untold = nil
+	b.untold = News{}
 	return out
 }
 
@@ -189,6 +257,15 @@
 // Told adds callers of a service that another VM has refused, with their ages. It does nothing if this
 // VM uses no target of the service, or if a message has more than a VM sends.
 func (b *Books) Told(now clock.Time, service string, callers []uint64, ages []time.Duration) {
+	b.each(now, service, callers, ages, (*Book).Told)
+}
+
+// Returned removes callers of a service who have returned at another VM, as Told adds them.
+func (b *Books) Returned(now clock.Time, service string, callers []uint64, ages []time.Duration) {
+	b.each(now, service, callers, ages, (*Book).Returned)
+}
+
+func (b *Books) each(now clock.Time, service string, callers []uint64, ages []time.Duration, do func(*Book, Refused)) {
 	b.mu.Lock()
 	book := b.book[service]
 	b.mu.Unlock()
@@ -197,7 +274,7 @@
 	}
 	for i, caller := range callers {
 		if ages[i] >= 0 && ages[i] < MaxAge {
-			book.Keep(Refused{caller, now.Add(-ages[i])})
+			do(book, Refused{caller, now.Add(-ages[i])})
 		}
 	}
 }
@@ -218,17 +295,17 @@
 	maps.DeleteFunc(b.book, func(service string, _ *Book) bool { return !has(service) })
 }
 
-// Untold returns the callers that other VMs have still to be told of, by service.
-func (b *Books) Untold() map[string][]Refused {
+// Untold returns what other VMs have still to be told of, by service.
+func (b *Books) Untold() map[string]News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out map[string][]Refused
+	var out map[string]News
 	for service, book := range b.book {
-		if refused := book.Untold(); len(refused) > 0 {
+		if news := book.Untold(); len(news.Refused)+len(news.Returned) > 0 {
 			if out == nil {
-				out = make(map[string][]Refused)
+				out = make(map[string]News)
 			}
-			out[service] = refused
+			out[service] = news
 		}
 	}
 	return out
--- a/returning/returning_test.go
+++ b/returning/returning_test.go
@@ -16,7 +16,9 @@
 	b.Refuse(Refused{7, 1000 * ms})
 	require.Equal(t, 1000*ms, b.Take(1500*ms, 7, 1500*ms, time.Second))
 	require.Equal(t, 1600*ms, b.Take(1600*ms, 7, 1600*ms, time.Second), "once served, it is forgotten")
-	require.Equal(t, []Refused{{7, 1000 * ms}}, b.Untold())
+	news := b.Untold()
+	require.Empty(t, news.Refused)
+	require.Equal(t, []Refused{{7, 1000 * ms}}, news.Returned)
 	require.Empty(t, b.Untold())
 }
 
@@ -37,7 +39,7 @@
 	var b Book
 	b.Refuse(Refused{7, 700 * ms})
 	b.Refuse(Refused{7, 1000 * ms})
-	b.Keep(Refused{7, 1010 * ms})
+	b.Told(Refused{7, 1010 * ms})
 	require.Equal(t, 1000*ms, b.Take(1100*ms, 7, 1000*ms, time.Second))
 	require.Equal(t, 700*ms, b.Take(1100*ms, 7, 1100*ms, time.Second), "two messages of one try are one entry")
 	require.Equal(t, 1100*ms, b.Take(1100*ms, 7, 1100*ms, time.Second))
@@ -93,7 +95,49 @@
 	}
 	require.Equal(t, maxCallers, b.Len())
 	require.Len(t, b.byCaller, maxCallers)
-	require.Len(t, books.Untold()["s"], maxUntold)
+	require.Len(t, books.Untold()["s"].Refused, maxUntold)
 	books.Told(0, "unknown", []uint64{1}, []time.Duration{0})
 	require.Len(t, books.book, 1)
 }
+
+// Failure guarded against: a caller was served where it returned, asks the same again at another VM, and
+// counts there as returning by its old entry; or it was refused again, and is forgotten.
+func TestEachEntryIsUsedOnceInTheService(t *testing.T) {
+	var a, b Book
+	tell := func(from, to *Book) {
+		news := from.Untold()
+		for _, r := range news.Refused {
+			to.Told(r)
+		}
+		for _, r := range news.Returned {
+			to.Returned(r)
+		}
+	}
+	a.Refuse(Refused{7, 1000 * ms})
+	tell(&a, &b)
+	require.Equal(t, 1000*ms, b.Take(1200*ms, 7, 1200*ms, time.Second))
+	b.Refuse(Refused{7, 1000 * ms})
+	tell(&b, &a)
+	require.Equal(t, 1000*ms, a.Take(1400*ms, 7, 1400*ms, time.Second))
+	tell(&a, &b)
+	require.Equal(t, 1500*ms, b.Take(1500*ms, 7, 1500*ms, time.Second))
+	require.Zero(t, a.Len()+b.Len())
+}
+
+// Failure guarded against: many ask the same under one name, and new ones are served as late for those
+// who were refused before.
+func TestAmbiguousHashesCountAsNew(t *testing.T) {
+	const other, caller, many = 9, 7, 5
+	var b Book
+	b.Refuse(Refused{other, 900 * ms})
+	refuse := func(caller uint64, at clock.Time) {
+		require.Equal(t, at, b.Take(at, caller, at, time.Second))
+		b.Refuse(Refused{caller, at})
+	}
+	refuse(caller, 1000*ms)
+	refuse(many, 1000*ms)
+	require.Equal(t, 1000*ms, b.Take(1200*ms, many, 1200*ms, time.Second), "not yet ambiguous")
+	refuse(many, 1300*ms)
+	require.Equal(t, 1500*ms, b.Take(1500*ms, many, 1500*ms, time.Second))
+	require.Equal(t, 1000*ms, b.Take(1600*ms, caller, 1600*ms, time.Second), "another hash")
+}
