--- a/lane/gateways_test.go
+++ b/lane/gateways_test.go
@@ -32,7 +32,7 @@
 	urgent.priority, urgent.work, urgent.share = 0, syncs.work, 1
 	var wait sync.WaitGroup
 	play := func(l *Lane, load float64, workspace string, kinds ...kind) *crowd {
-		c := &crowd{lane: l, target: target, rnd: rand.New(rand.NewPCG(2, uint64(workspace[0]))), got: make(map[uint32]*result)}
+		c := &crowd{lane: l, target: target, rnd: rand.New(rand.NewPCG(2, uint64(workspace[0]))), returns: 2, got: make(map[uint32]*result)}
 		wait.Go(func() {
 			c.play(load, 3*time.Second, workspace, kinds...)
 			c.wait.Wait()
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -56,6 +56,8 @@
 	Code statement.Code
 	// Expired is set if the request timed out in the queue.
 	Expired bool
+	// Busy is set, with Expired, if the target answered other statements meanwhile.
+	Busy bool
 	// RetryAfter is set if the request was refused without waiting because it could not have been
 	// served in time: the time until the target is expected to have room for it.
 	RetryAfter time.Duration
@@ -123,13 +125,14 @@
 	controlQueue queue              // control commands
 	drain        drain
 	created      clock.Time
+	answered     clock.Time // when a statement was last answered
 	slotUse      slotUse
 	perWorkspace bool // idle connections are retained by their use
 	refusedOpen  int  // how many were open at the last refusal, less those returned since
 	usage        usage
 	// returning holds the refused callers of the target's service; nil if none are recognized.
-	returning *returning.Book
-	terms     map[uint32]terms // by class
+	returning  *returning.Book
+	classTerms map[uint32]classTerms
 }
 
 func newLane(id target.ID, dial Dialer, clk clock.Clock, share gateways.Share) *Lane {
@@ -201,7 +204,7 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	o, left := l.recognize(now, o, timeout)
+	o, returns := l.recognize(now, o)
 	if l.waiting.Len() == 0 && l.mayRun() {
 		if c := l.takeIdle(o.Workspace); c != nil {
 			work, _ := l.waiting.times.of(now, o.Class)
@@ -212,15 +215,24 @@
 		}
 	}
 	w := &waiter{opts: o, ready: make(chan delivery, 1)}
-	if err := l.admit(now, w, left); err != nil {
-		l.mu.Unlock()
-		return nil, err
+	err := l.admit(now, w, timeout)
+	if err == nil {
+		l.waiting.push(w)
+		l.serve(now)
+		l.grow(now)
 	}
-	l.waiting.push(w)
-	l.serve(now)
-	l.grow(now)
 	l.mu.Unlock()
-	return l.await(ctx, w, timeout)
+	var c *Conn
+	if err == nil {
+		c, err = l.await(ctx, w, timeout)
+	}
+	if err != nil && returns {
+		// The next target of the request knows its first try.
+		l.mu.Lock()
+		l.rememberRefused(o)
+		l.mu.Unlock()
+	}
+	return c, err
 }
 
 func (l *Lane) await(ctx context.Context, w *waiter, timeout time.Duration) (*Conn, error) {
@@ -234,14 +246,20 @@
 	}
 	l.mu.Lock()
 	if w.remove() {
-		l.mu.Unlock()
-		return nil, &UnavailableError{Target: l.id, Expired: true, Cause: errors.New("no connection became free in time")}
+		defer l.mu.Unlock()
+		return nil, l.expired(timeout, "no connection became free in time")
 	}
 	l.mu.Unlock()
 	d := <-w.ready
 	return d.conn, d.err
 }
 
+// expired returns the error of a request whose turn does not come within its timeout.
+func (l *Lane) expired(timeout time.Duration, cause string) *UnavailableError {
+	busy := l.answered != 0 && l.clk.Now().Sub(l.answered) < timeout
+	return &UnavailableError{Target: l.id, Expired: true, Busy: busy, Cause: errors.New(cause)}
+}
+
 // takeIdle takes the workspace's most recently used idle connection that is alive; nil if there is
 // none.
 func (l *Lane) takeIdle(workspace string) *Conn {
--- a/lane/returning.go
+++ b/lane/returning.go
@@ -37,54 +37,55 @@
 	return uint32(xxhash.Sum64String(name)) | 1
 }
 
-// terms are what the callers of a class expect.
-type terms struct{ objective, timeout time.Duration }
+// classTerms are what the callers of a class expect.
+type classTerms struct{ objective, timeout time.Duration }
 
 // newTerms returns the terms of a configuration's classes; c may be nil.
-func newTerms(c *catalog.Config) map[uint32]terms {
-	out := make(map[uint32]terms)
+func newTerms(c *catalog.Config) map[uint32]classTerms {
+	out := make(map[uint32]classTerms)
 	if c == nil {
 		return out
 	}
 	for _, route := range c.Routes {
-		t := terms{route.Objective, StatementTimeout(route)}
+		t := classTerms{route.Objective, StatementTimeout(route)}
 		out[ClassOf(route, false)], out[ClassOf(route, true)] = t, t
 	}
 	return out
 }
 
 // setTerms sets the terms of the classes.
-func (l *Lane) setTerms(t map[uint32]terms) {
+func (l *Lane) setTerms(t map[uint32]classTerms) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.terms = t
+	l.classTerms = t
 }
 
 // termsOf returns the terms of a request whose caller can be recognized; false if it cannot.
-func (l *Lane) termsOf(o AcquireOptions) (terms, bool) {
-	t, ok := l.terms[o.Class]
+func (l *Lane) termsOf(o AcquireOptions) (classTerms, bool) {
+	t, ok := l.classTerms[o.Class]
 	return t, ok && l.returning != nil && o.Caller != 0 && l.waiting.detectsLate
 }
 
-// recognize returns the options and the longest wait of a request that arrives now: one of a caller
-// who returns is due, and expires, from the caller's first try.
-func (l *Lane) recognize(now clock.Time, o AcquireOptions, timeout time.Duration) (AcquireOptions, time.Duration) {
+// recognize returns the options of a request that arrives now, and whether its caller returns. One of a caller who returns is due from
+// its first try. It may wait for as long as any other, because its caller may have more time than one
+// statement may take.
+func (l *Lane) recognize(now clock.Time, o AcquireOptions) (_ AcquireOptions, returns bool) {
 	t, ok := l.termsOf(o)
 	if !ok {
-		return o, timeout
+		return o, false
 	}
 	arrived := o.Due.Add(-t.objective)
 	first := l.returning.Take(now, o.Caller, arrived, t.timeout)
 	if first == arrived {
-		return o, timeout
+		return o, false
 	}
 	o.Due = first.Add(t.objective)
 	outcome := outcomeInTime
-	if o.Due.Before(now) {
+	if mean, deviation := l.waiting.times.of(now, o.Class); !now.Before(o.Due.Add(-mean - deviation)) {
 		outcome = outcomeLate
 	}
 	l.decisions.Count(decisions.Returning, string(l.id), outcome, 1)
-	return o, min(timeout, first.Add(t.timeout).Sub(now))
+	return o, true
 }
 
 // rememberRefused records the caller of a request that is refused and may return.
