--- a/edge/loadreports.go
+++ b/edge/loadreports.go
@@ -63,6 +63,9 @@
 // apply keeps the reports of others. Failures count if their reporter is on the fleet's list: names
 // that a peer makes up would agree with each other.
 func (l *loadReports) apply(all []loadreport.Report) {
+	if len(all) == 0 {
+		return
+	}
 	c := l.edge.catalog.Load()
 	for _, r := range all {
 		if _, known := c.VM(r.Reporter); !known {
