failover: no term is reserved twice across a restore of the store

Cause: a store that comes back from an older copy has lost reservations that it acknowledged. On the PostgreSQL path the next VM reserved the same block again, and a server accepts a fence of the term that it has promised, whoever sends it: two VMs each found a majority and promoted a server of their own in one term. Two further ways to the same: a reservation sent before the restore lands after it, because the store compares counts only, and replaces another VM's; and an unanswered one is read back from an object of a later era.

Change: the terms of a later era are a function of the version on which their reservation is conditional; a block of another era than the object's is nobody's. In a store that tells no era, blocks follow each other as before.

Leases: a VM that knew a lease took each answer that there is none for an outdated one, so that after a restore from a copy before the lease nobody held it again and no planned change of primary began. An answer counts if it was asked for after the one that showed the lease.

--- a/failover/doc.go
+++ b/failover/doc.go
@@ -30,7 +30,9 @@
 //
 //   - A term belongs to the one VM whose conditional update of the group's object reserved it.
 //     Config.Incarnation is new for every process, so a restarted VM does not reuse the terms that
-//     its previous process reserved.
+//     its previous process reserved. A store that was restored from an older copy has lost
+//     reservations; the terms that it reserves are functions of the era and the version on which
+//     the update is conditional, and no such update takes effect twice.
 //   - A Machine uses a term for one promotion attempt, and commands at most one server to be
 //     promoted in it. A term therefore has at most one primary, and the entries of one term form
 //     one log.
--- a/failover/lease.go
+++ b/failover/lease.go
@@ -14,6 +14,7 @@
 	holder      string
 	version     store.Version
 	since       clock.Time // when this version was first seen
+	asked       clock.Time // when the newest accepted answer was asked for
 	known       bool
 	nextAt      clock.Time
 	renewalSent clock.Time // when the renewal with unknown outcome was sent; 0 if none
@@ -53,10 +54,14 @@
 	}
 	m.store.recordAnswer()
 	l := &m.lease
-	if ev.Version < l.version {
+	// A restored store may have lost the lease. An answer from before the lease was created is older
+	// than the one that showed the lease.
+	lost := ev.Version == 0 && ev.Asked.After(l.asked)
+	if ev.Version < l.version && !lost {
 		return
 	}
-	changed := ev.Version > l.version
+	l.asked = max(l.asked, ev.Asked)
+	changed := ev.Version != l.version
 	if changed {
 		l.since = ev.Asked
 	}
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -20,6 +20,8 @@
 	GuardHighest guard.Name = "failover/highest-position"
 	// GuardReserve is the conditional update that reserves a term for one VM.
 	GuardReserve guard.Name = "failover/term-reservation"
+	// GuardTermEra separates the terms that are reserved before and after a restore of the store.
+	GuardTermEra guard.Name = "failover/term-era"
 	// GuardOneCandidate allows only one candidate per term.
 	GuardOneCandidate guard.Name = "failover/one-candidate-per-term"
 	// GuardZones requires the agreement of two availability zones.
--- a/failover/reserve.go
+++ b/failover/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/store"
 	"endivemoor.example/endivemoor/timeline"
@@ -119,13 +120,51 @@
 		return
 	}
 	g := copyGroup(m.store.group)
-	base := max(g.Reserved, g.Term, m.group.Term, m.promised, m.terms.used)
-	g.Reserved = base + timeline.Term(m.cfg.ReserveBlock)
+	base, ok := m.blockBase()
+	if !ok {
+		// The terms are of later changes than the one that this VM has read last.
+		m.store.retryAt = m.now.Add(m.jitter(m.cfg.StoreRetry))
+		m.readBack()
+		return
+	}
+	g.Reserved = base + m.blockSize()
 	g.ReservedBy = m.cfg.Incarnation
 	m.write(writeReserve, g)
 	m.emit(Reserve{Group: g, ExpectVersion: m.store.version})
 }
 
+// termsPerVersion is the number of terms that belong to one version of the group's object in a store
+// that was restored from an older copy.
+const termsPerVersion = 8
+
+// eraOfTerm returns the era of the store in which a term was reserved.
+func eraOfTerm(t timeline.Term) int64 { return catalog.EraOf(int64(t / termsPerVersion)) }
+
+func eraOfVersion(v store.Version) int64 { return catalog.EraOf(int64(v)) }
+
+// blockBase returns the term before the block that a write conditional on the object's known version
+// reserves. In a store that was never restored, blocks follow each other. In a later era the block
+// is a function of the version. It returns false if that block is not above all known terms.
+//
+// Failure guarded against: a restored store has lost reservations that it acknowledged, and one that
+// is conditional on a version of an earlier era may replace another VM's. Blocks that follow the
+// recorded one would then be reserved twice. At most one write conditional on a version takes effect
+// in the version's era, whatever the object contains.
+func (m *Machine) blockBase() (timeline.Term, bool) {
+	known := max(m.store.group.Reserved, m.store.group.Term, m.group.Term, m.promised, m.terms.used)
+	era := eraOfVersion(m.store.version)
+	if m.cfg.Guards.Disabled(GuardTermEra) || era == 0 && eraOfTerm(known) == 0 {
+		return known, true
+	}
+	base := timeline.Term(m.store.version) * termsPerVersion
+	return base, era > 0 && base >= known
+}
+
+// blockSize returns the number of terms of a block; blocks of two versions do not overlap.
+func (m *Machine) blockSize() timeline.Term {
+	return timeline.Term(min(m.cfg.ReserveBlock, termsPerVersion-1))
+}
+
 func (m *Machine) write(kind writeKind, g view.Group) {
 	m.store.pending = pendingWrite{kind: kind, value: g, asked: m.now}
 	m.store.retryAt = m.now.Add(m.jitter(m.cfg.StoreRetry))
@@ -249,12 +288,16 @@
 }
 
 // learnTerms records the newest block of terms if this VM reserved it. Each block that it reserved
-// has Config.ReserveBlock terms and ends at Reserved.
+// has blockSize terms and ends at Reserved. A block of another era than the object's may belong to
+// another VM: its reservation took effect in a restored store, in which it holds no more.
 func (m *Machine) learnTerms(g view.Group) {
 	if g.ReservedBy != m.cfg.Incarnation || g.Reserved <= m.terms.to {
 		return
 	}
-	size := timeline.Term(m.cfg.ReserveBlock)
+	if eraOfTerm(g.Reserved) != eraOfVersion(m.store.version) && !m.cfg.Guards.Disabled(GuardTermEra) {
+		return
+	}
+	size := m.blockSize()
 	m.terms.from = g.Reserved - min(size, g.Reserved) + 1
 	m.terms.to = g.Reserved
 	m.record(Entry{Step: StepReserved, Term: g.Reserved})
--- a/scenario/faults_test.go
+++ b/scenario/faults_test.go
@@ -45,6 +45,8 @@
 	counted("answers-twice", effectDuplicate, func(w *World, s StepEvent) { w.net.duplicate[faultTarget(w, s)] = true }),
 	counted("connection-lost", effectReset, connectionLost),
 	counted("operators-race", effectRace, operatorsRace),
+	// The copy has the group as it was created, and no lease or reservation.
+	counted("store-restored", effectRestored, func(w *World, _ StepEvent) { w.store.restore(startOfTime) }),
 }
 
 // faultTarget returns the server that a step concerns, or else the primary.
--- a/scenario/guards_test.go
+++ b/scenario/guards_test.go
@@ -50,6 +50,26 @@
 		advance 4s
 		resume c
 		advance 1s`},
+	// The store loses a's reservation in a restore, and b reserves the same terms. Both find the
+	// primary fenced by c, and each obtains a majority of its own.
+	{failover.GuardTermEra, "term-twice", 30, `
+		kill a
+		restart a
+		advance 1s
+		store restored 990ms
+		kill b
+		restart b
+		advance 1s
+		cut a from s3
+		cut b from s2
+		cut a from b
+		cut a from c
+		cut b from c
+		on promotion fenced pause c
+		relieve s1
+		advance 4s
+		resume c
+		advance 1s`},
 	// The candidate is promoted, but its answer is lost. The same term is then assigned to a second
 	// candidate.
 	{failover.GuardOneCandidate, "term-twice", 1, `
--- a/scenario/net.go
+++ b/scenario/net.go
@@ -42,6 +42,7 @@
 	effectDown      = "store-down"
 	effectSlow      = "store-slow"
 	effectLost      = "store-lost"
+	effectRestored  = "store-restored"
 	effectRace      = "race"
 	effectReset     = "reset"
 )
--- a/scenario/script.go
+++ b/scenario/script.go
@@ -189,6 +189,10 @@
 		return err
 	case "loses":
 		w.store.loseAnswers++
+	case "restored":
+		d, err := time.ParseDuration(c.word(2))
+		w.store.restore(w.now.Add(-d))
+		return err
 	default:
 		return errors.Errorf("unknown fault of the store %q", c.word(1))
 	}
--- a/store/client/client_test.go
+++ b/store/client/client_test.go
@@ -169,3 +169,28 @@
 `), "endivemoor_platform_calls_total"))
 	require.EqualValues(t, 1, standIn.Stats().ByPurpose["audit"]["put"])
 }
+
+// Failure guarded against: a change lands in a store that was restored since its condition was read,
+// on another VM's change that has the same count. Taken for a success, it would reserve terms that
+// are not this VM's.
+func TestChangeInALaterEraIsNoAnswer(t *testing.T) {
+	era, calls := "1", 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		w.Header().Set("Store-Era", era)
+		_, _ = io.WriteString(w, `{"meta":{"name":"a","rev":7},"spec":{}}`)
+	}))
+	t.Cleanup(server.Close)
+	c, err := client.New(server.URL, client.Options{})
+	require.NoError(t, err)
+	ctx := context.Background()
+	o, err := c.Get(ctx, store.PurposeGroup, "groups/a")
+	require.NoError(t, err)
+	era = "2"
+	_, err = c.Put(ctx, store.PurposeGroup, "groups/a", nil, o.Version)
+	require.ErrorIs(t, err, store.ErrNoAnswer)
+	_, err = c.Put(ctx, store.PurposeGroup, "groups/a", nil, o.Version)
+	var conflict *store.ConflictError
+	require.ErrorAs(t, err, &conflict, "the condition is of an era that is known to be over")
+	require.Equal(t, 2, calls)
+}
