promoter, takeover: every part of pauseOne and of the settle guards is seen red

Cause: taken out part by part, four conditions turned no test red: in pauseOne the term for which a replica says that it is paused, and the role of a target that says so; in cleanUp the second look under the own record; in IsSettled a leader that did not answer.

Change: cases in TestTargetThatStillLeadsIsNotPaused, TestPausesOfDeadHolderAreResumed and TestIsSettledRequiresOneCertainPrimary. The code held in all of them and stays as it is. Each of the four is red now with its condition taken out. Red before and still: the step down and the later leader in pauseOne, both uses of SettlePeriod, the other conditions of IsSettled.

--- a/promoter/guards_test.go
+++ b/promoter/guards_test.go
@@ -24,10 +24,11 @@
 func (fixedClock) Now() clock.Time { return 1 }
 
 // server is a target that answers the fleet's commands. While it leads it ignores a command to
-// pause, and also one to step down if ignoresStepDown is set.
+// pause, and also one to step down if ignoresStepDown is set. With ignoresPause it never pauses.
 type server struct {
 	status          statement.Status
 	ignoresStepDown bool
+	ignoresPause    bool
 	dead            bool
 	commands        []lane.Command
 }
@@ -36,7 +37,7 @@
 	s.commands = append(s.commands, cmd)
 	switch cmd {
 	case lane.PauseCommand(term):
-		if s.status.Role == target.RoleReplica {
+		if s.status.Role == target.RoleReplica && !s.ignoresPause {
 			s.status.Paused = term
 		}
 	case lane.ResumeCommand:
@@ -121,6 +122,16 @@
 	reply = attemptOn(map[target.ID]*server{"t": ignoresStepDown}).pauseOne(context.Background(), "t")
 	require.ErrorIs(t, reply.err, errUnpaused)
 
+	leadsPaused := &server{status: statement.Status{Role: target.RolePrimary, Term: term - 2, Paused: term}, ignoresStepDown: true}
+	reply = attemptOn(map[target.ID]*server{"t": leadsPaused}).pauseOne(context.Background(), "t")
+	require.ErrorIs(t, reply.err, errUnpaused, "a target that leads is no fence, whatever pause it reports")
+
+	for _, before := range []timeline.Term{0, term - 1} {
+		replica := &server{status: statement.Status{Role: target.RoleReplica, Term: term - 1, Paused: before}, ignoresPause: true}
+		reply = attemptOn(map[target.ID]*server{"t": replica}).pauseOne(context.Background(), "t")
+		require.ErrorIs(t, reply.err, errUnpaused, "it reports the pause for term %d", before)
+	}
+
 	later := &server{status: statement.Status{Role: target.RolePrimary, Term: term - 1}}
 	reply = attemptOn(map[target.ID]*server{"t": later}).pauseOne(context.Background(), "t")
 	require.ErrorIs(t, reply.err, errSuperseded, "another target leads by now")
@@ -156,7 +167,11 @@
 }
 
 // records is the store's leadership record of one service.
-type records struct{ now catalog.LeadershipRecord }
+type records struct {
+	now catalog.LeadershipRecord
+	// began, if set, is called once an attempt is recorded.
+	began func()
+}
 
 func (r *records) Begin(_ context.Context, known *catalog.LeadershipRecord, a catalog.Attempt) (*catalog.LeadershipRecord, error) {
 	if known.Revision != r.now.Revision {
@@ -165,6 +180,9 @@
 	r.now.Revision++
 	r.now.Holder, r.now.Attempt = a.Holder, &a
 	held := r.now
+	if r.began != nil {
+		r.began()
+	}
 	return &held, nil
 }
 
@@ -210,6 +228,13 @@
 		require.Equal(t, "n", r.now.Attempt.Nonce, "the record is unchanged: %s", name)
 	}
 
+	chosen := &server{status: statement.Status{Role: target.RoleReplica, Term: term - 1, Paused: term}}
+	a, r = abandonedWith(chosen)
+	r.began = func() { chosen.status.Role = target.RolePrimary }
+	require.True(t, a.cleanUp(context.Background(), zap.NewNop()))
+	require.NotNil(t, r.now.Attempt, "it began to lead before the record was written: the record expires again")
+	require.NotContains(t, chosen.commands, lane.ResumeCommand)
+
 	a, r = abandonedWith(&server{status: paused.status})
 	r.now.Revision++
 	require.True(t, a.cleanUp(context.Background(), zap.NewNop()))
--- a/takeover/settled_test.go
+++ b/takeover/settled_test.go
@@ -25,6 +25,7 @@
 		"the replaced target is dead":           {leader, []TargetStatus{silent("a"), paused}, true},
 		"the dead target may be the chosen one": {leader, []TargetStatus{replica, silent("c")}, false},
 		"the primary does not answer":           {silent("b"), []TargetStatus{replica, paused}, false},
+		"the primary led when it last answered": {TargetStatus{ID: "b", Role: target.RolePrimary, Term: 2, Unresponsive: true}, []TargetStatus{replica, paused}, false},
 		"the primary has stepped down":          {TargetStatus{ID: "b", Role: target.RoleReplica, Term: 2}, []TargetStatus{replica, paused}, false},
 		"another target leads":                  {leader, []TargetStatus{{ID: "a", Role: target.RolePrimary, Term: 1}, paused}, false},
 		"a later term is known":                 {leader, []TargetStatus{replica, {ID: "c", Role: target.RoleReplica, Term: 3}}, false},
