groups: a replica whose connection broke behind a cut is no witness

Cause: a replica that was paused for a change of primary and restarts behind a cut has lost the pause.

Change: the restart breaks the VM's connections to the target, and CanWitness needs all records of attempts up to the break before it trusts the target again, none of them open or naming another primary. Records that are as old as a permission at most will do: an unknown attempt is not past its fences. Weighed: to distrust every connection that was opened since the records were confirmed; while the store is away that would stop exact reads wherever connections are opened and closed.

A gateway's answers and a VM without a connection at the restart are not covered.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,6 +71,7 @@
 	watchJitter   float64
 	catalog       *catalog.Holder
 	recency       recency.Tracker
+	breaks        *targetBreaks
 	eras          *eras
 	store         *objects.Client
 	firstCopies   *firstCopies
@@ -151,6 +152,7 @@
 	e.meter = spending.NewMeter(e.metrics)
 	e.decisions = decisions.NewRecorder(e.metrics)
 	e.eras = newEras(log, clk, e.metrics)
+	e.breaks = newTargetBreaks()
 	e.store = objects.New(settings.Platform.Addr, newTransport(e.dialFor(spending.Store)))
 	e.store.Observe = func(kind string, v objects.Verb) { e.meter.RecordCall(kind, string(v)) }
 	e.store.ObserveEra = e.eras.record
@@ -163,6 +165,7 @@
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
 		Era: e.eras.current, RecordsRevision: e.recordsRevision,
+		RecordsConfirmedAt: e.recordsConfirmedAt, BrokenAt: e.breaks.last,
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
@@ -210,7 +213,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return link, nil
+		return observedLink{link, func() { e.breaks.record(t.ID, e.clk.Now(), e.catalog.Load()) }}, nil
 	}
 }
 
--- a/groups/incarnations.go
+++ b/groups/incarnations.go
@@ -2,6 +2,8 @@
 
 import (
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -11,6 +13,9 @@
 	// listedAt is the store's revision at which this incarnation was first listed, if the service was
 	// known before and the target's reports are not trusted yet.
 	listedAt int64
+	// trustedBreak is when the last connection broke after which the target's reports are trusted
+	// again.
+	trustedBreak clock.Time
 }
 
 // recordIncarnations records the targets' incarnations as of a revision of the store, and returns
@@ -27,7 +32,7 @@
 		case !ok:
 			known = incarnation{number: t.Incarnation, listedAt: revision}
 		case known.number != t.Incarnation:
-			known = incarnation{number: t.Incarnation, listedAt: revision}
+			known.number, known.listedAt = t.Incarnation, revision
 			restarted = append(restarted, t)
 		}
 		incarnations[t.ID] = known
@@ -45,12 +50,15 @@
 // confirm commits, although another target leads. So the report of such a target counts only once
 // this VM has all records of attempts up to the revision at which the new incarnation was listed,
 // and none of them is open or has made another target the primary. An attempt that is recorded later
-// pauses the new incarnation.
+// pauses the new incarnation. A VM that is cut off from the store is told of no new incarnation, but
+// the restart breaks its connections to the target: this VM then needs all records up to the break.
 func (g *Group) CanWitness(id target.ID) bool {
+	brokenAt := g.cfg.BrokenAt(id)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.incarnations[id]
-	if known.listedAt == 0 {
+	broken := brokenAt > known.trustedBreak
+	if known.listedAt == 0 && !broken {
 		return true
 	}
 	c := g.cfg.Catalog.Load()
@@ -59,7 +67,16 @@
 	if max(c.FleetRevision, g.cfg.RecordsRevision()) < known.listedAt || replaced {
 		return false
 	}
-	known.listedAt = 0
+	if broken && g.cfg.RecordsConfirmedAt() < brokenAt {
+		return g.unknownAttemptIsFencing()
+	}
+	known.listedAt, known.trustedBreak = 0, max(known.trustedBreak, brokenAt)
 	g.incarnations[id] = known
 	return true
 }
+
+// unknownAttemptIsFencing reports whether an attempt that this VM does not know cannot have got past
+// its fences yet: it would have to be recorded after the records were last confirmed.
+func (g *Group) unknownAttemptIsFencing() bool {
+	return g.cfg.Clock.Now().Sub(g.cfg.RecordsConfirmedAt()) <= takeover.Permission
+}
--- a/groups/incarnations_test.go
+++ b/groups/incarnations_test.go
@@ -1,13 +1,19 @@
 package groups
 
 import (
+	"context"
 	"maps"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -95,3 +101,43 @@
 	r.Update(h.Load())
 	require.Empty(t, r.All())
 }
+
+// replicaThatRestarted breaks the connection on which it is queried, and answers on another one.
+type replicaThatRestarted struct {
+	unresponsiveTargets
+	broken func()
+}
+
+func (t replicaThatRestarted) Recent(context.Context, target.ID, time.Duration, time.Duration) ([]string, time.Duration, error) {
+	t.broken()
+	return []string{"status"}, 0, nil
+}
+
+// A VM that is cut off from the store sees the restart of a replica only as it queries it.
+func TestReplicaThatBreaksItsConnectionIsNoWitness(t *testing.T) {
+	clk := newAtomicClock()
+	var brokenAt, confirmedAt clock.Time
+	h := catalog.NewHolder()
+	r := NewRegistry(Config{
+		Catalog: h, Clock: clk, Log: zap.NewNop(),
+		Control: replicaThatRestarted{broken: func() { brokenAt = max(brokenAt, clk.Now()) }},
+		Decode: func(string) (statement.Status, error) {
+			return statement.Status{Role: target.RoleReplica, Term: 1}, nil
+		},
+		RecordsConfirmedAt: func() clock.Time { return confirmedAt },
+		BrokenAt:           func(target.ID) clock.Time { return brokenAt },
+	})
+	r.Update(listing(h, 7, 10))
+	g, b := r.Group("s"), leadership.State{Primary: "p", Term: 1}
+	require.ErrorIs(t, g.witnessByReplica(context.Background(), b, "r", clk.Now()), ErrNoWitness)
+	confirmedAt = clk.Now()
+	require.NoError(t, g.witnessByReplica(context.Background(), b, "r", clk.Now()), "no attempt before the break is unknown")
+
+	clk.pass(takeover.Permission)
+	require.NoError(t, g.witnessByReplica(context.Background(), b, "r", clk.Now()), "an unknown attempt is not past its fences")
+	clk.pass(1)
+	require.ErrorIs(t, g.witnessByReplica(context.Background(), b, "r", clk.Now()), ErrNoWitness)
+	confirmedAt = clk.Now()
+	h.SetFleet(nil, map[string]*catalog.LeadershipRecord{"s": {Service: "s", Revision: 12, Attempt: &catalog.Attempt{Deposed: "p"}}}, 12)
+	require.False(t, g.CanWitness("r"), "an open attempt may have paused it before the break")
+}
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -65,6 +65,10 @@
 	// RecordsRevision returns the store's revision as of which the catalog's leadership records are
 	// known to be complete, which may be later than the catalog's own; nil means that it never is.
 	RecordsRevision func() catalog.Revision
+	// RecordsConfirmedAt returns the time as of which they are known to be complete, and BrokenAt when
+	// a connection to a target last broke; nil means that none ever does.
+	RecordsConfirmedAt func() clock.Time
+	BrokenAt           func(id target.ID) clock.Time
 	// Era returns the latest known era of the store; nil means that it has only one.
 	Era func() int64
 	Log *zap.Logger
@@ -84,6 +88,9 @@
 	if cfg.RecordsRevision == nil {
 		cfg.RecordsRevision = func() catalog.Revision { return 0 }
 	}
+	if cfg.BrokenAt == nil {
+		cfg.BrokenAt = func(target.ID) clock.Time { return 0 }
+	}
 	if cfg.Era == nil {
 		cfg.Era = func() int64 { return 0 }
 	}
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -140,7 +140,7 @@
 	maxAge := max(g.cfg.Clock.Now().Sub(since), 0)
 	s, _, err := g.Recent(ctx, id, spending.Witness, maxAge, statusTimeout)
 	switch {
-	case !canWitness || err != nil || s.Role != target.RoleReplica || s.Paused != 0:
+	case !canWitness || err != nil || !g.CanWitness(id) || s.Role != target.RoleReplica || s.Paused != 0:
 		return ErrNoWitness
 	case s.Term == b.Term:
 		return nil
