ratelimit: a refused urgent operation reserves the next token

The log of a run: the first ten urgent operations, 0.6 s from their beginning, each find no token (after=0, one at each VM) and all later ones are served. The reserve counted what urgent operations spend, so that it began only once one of them met a token by chance in an empty bucket. Ruled out: the owner that is restarted later in the test.

Change: the reserve also counts urgent operations that were refused, up to the limit's rate.

--- a/ratelimit/buckets.go
+++ b/ratelimit/buckets.go
@@ -95,7 +95,7 @@
 	reserve := b.pressure.reserve(now, priority, rate, size)
 	tokens := min(want, maxTokensPerRequest, int(b.level-reserve))
 	if tokens < 1 {
-		b.pressure.refused(now, b.level < 1, rate)
+		b.pressure.refused(now, priority, b.level < 1, rate)
 		return b.refuse(now, priority, rate, reserve)
 	}
 	b.level -= float64(tokens)
--- a/ratelimit/priority.go
+++ b/ratelimit/priority.go
@@ -56,9 +56,10 @@
 // long, less urgent operations of a workspace that is below its limit again may be refused for it.
 type pressure struct {
 	until clock.Time
-	// asked counts the requests for tokens, and spent the tokens that were granted by priority.
-	asked average
-	spent [priorities]average
+	// asked counts the requests for tokens; spent counts the tokens that were granted and denied the
+	// requests that were refused, by priority.
+	asked         average
+	spent, denied [priorities]average
 }
 
 func (p *pressure) active(now clock.Time) bool { return now.Before(p.until) }
@@ -73,6 +74,19 @@
 	return sum
 }
 
+// urgentDemand returns how many tokens a second operations that are more urgent than a priority need,
+// refused ones included.
+//
+// Failure guarded against: urgent operations begin while the bucket is empty. They are refused until
+// one of them meets a token by chance, because nothing is reserved for operations that spend nothing.
+func (p *pressure) urgentDemand(now clock.Time, priority int, rate float64) float64 {
+	sum := p.urgentRate(now, priority)
+	for q := range priority {
+		sum += p.denied[q].value(now, urgentWindow)
+	}
+	return min(sum, rate)
+}
+
 // reserve returns how many tokens an operation of a priority has to leave in the bucket. It grows
 // with the rate of the more urgent ones, but remains below a fraction of the bucket's size, so that
 // it differs between priorities in small buckets too.
@@ -80,7 +94,7 @@
 	if !p.active(now) {
 		return 0
 	}
-	urgent, most := p.urgentRate(now, priority), size*maxReserve
+	urgent, most := p.urgentDemand(now, priority, rate), size*maxReserve
 	switch {
 	case urgent*urgentWindow.Seconds() < math.Exp(-1): // none within the window
 		return 0
@@ -93,8 +107,10 @@
 	return 1 + wanted*(most-1)/(wanted+most-1)
 }
 
-// refused records that an operation got no token. empty reports whether there was none at all.
-func (p *pressure) refused(now clock.Time, empty bool, rate float64) {
+// refused records that an operation of a priority got no token. empty reports whether there was none
+// at all.
+func (p *pressure) refused(now clock.Time, priority int, empty bool, rate float64) {
+	p.denied[priority].record(now, 1, urgentWindow)
 	if empty || p.asked.value(now, demandWindow) > rate {
 		p.until = now.Add(pressureHold)
 	}
--- a/ratelimit/priority_test.go
+++ b/ratelimit/priority_test.go
@@ -182,3 +182,24 @@
 		f.check(t)
 	}
 }
+
+// Failure guarded against: urgent operations that begin while a workspace asks for several times its
+// limit are refused for as long as none of them meets a token by chance.
+func TestUrgentOperationThatIsRefusedReservesAToken(t *testing.T) {
+	bs, w := NewBuckets(1), &catalog.Workspace{Name: workspace, Limited: true, Rate: 30, Burst: 30}
+	share, now := Share{Owners: 3, Since: 1}, clock.Time(1)
+	ask := func(priority int) bool {
+		now = now.Add(20 * time.Millisecond)
+		return bs.Grant(now, w, share, Request{Want: 1, Operations: 1, Priority: priority}).Tokens > 0
+	}
+	for range 100 {
+		ask(2)
+	}
+	for ask(0) {
+		ask(2)
+	}
+	for range 4 {
+		require.False(t, ask(2), "the next token is the urgent operation's")
+	}
+	require.True(t, ask(0))
+}
