gateways: a VM that yields has a small weight, without a rule for crowded zones

Cause: with more than a third of a zone yielding all of them counted as normal: the slowest VM became a gateway again, and one VM's change moved the targets of others. 'loaded' made all VMs of a burst write, and gateways ended where they began. Change: the weight of a VM that yields is divided by 64. 'loaded' and the sample of the processor time go out, with their tests. condition: the time before a VM recovers doubles if it yields again soon, a suspension is no calm time, three timers in a row that are late by a second are no suspensions, and the bound is 5 ms at least.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -177,9 +177,7 @@
 const (
 	// Normal: as much as its capacity says.
 	Normal Condition = ""
-	// Loaded: its processor or link is nearly used up; it should be a gateway less often.
-	Loaded Condition = "loaded"
-	// Yielding: it is slow; it should be a gateway only where nobody else is.
+	// Yielding: it is slow; it should be a gateway of few targets.
 	Yielding Condition = "yielding"
 )
 
--- a/condition/condition.go
+++ b/condition/condition.go
@@ -1,12 +1,11 @@
-// Package condition decides what a VM can carry at present, from how late its timers fire and how
-// much of its processor time it uses.
+// Package condition decides whether a VM is slow, from how late its timers fire.
 //
-// The load that it answers: a VM's processor is slower than its entry says, or its share of busy
-// targets is more than it can carry, and all VMs send statements through it all the same. A VM that
-// is loaded becomes a gateway less often, and one that yields only where nobody else is.
+// The load that it answers: a VM's processor is slower than its entry says, and all VMs send
+// statements through it all the same. One that yields is the gateway of few targets.
 //
 // The backlog of the VM's link is not a sample: without privileges a VM sees only that a write
-// blocks, which a peer that does not read causes as well.
+// blocks, which a peer that does not read causes as well. Neither is the processor time in use: a
+// burst makes all VMs busy, and gateways that move then end where they began.
 //
 // The package is pure: it does no I/O.
 package condition
@@ -27,41 +26,25 @@
 	// latenessFraction is the lateness of timers, as a fraction of the shortest objective, from
 	// which a VM yields: each statement passes some timers and goroutines of its gateway.
 	latenessFraction = 0.1
-	// maxBusy is the fraction of the VM's processor time from which it is loaded: waits grow
-	// steeply above it.
-	maxBusy = 0.8
-	// busyWindows is for how many windows in a row the processor is busy before the VM is loaded.
-	busyWindows = 2
-	// recoveryFraction of a bound must not be exceeded for recoveryTime before the VM recovers.
+	// minLateness is the least such lateness: timers are a few milliseconds late on any busy VM.
+	minLateness = 5 * time.Millisecond
+	// recoveryFraction of the bound must not be exceeded for the recovery time before the VM recovers.
 	recoveryFraction = 0.5
-	recoveryTime     = 10 * time.Second
+	// minRecoveryTime is doubled, up to maxRecoveryTime, with each time that the VM yields again
+	// before it was calm for as long as the last recovery took.
+	minRecoveryTime = 10 * time.Second
+	maxRecoveryTime = 160 * time.Second
+	// pausesInARow is how many timers in a row are late by a whole window before they are no
+	// suspensions, which come one at a time.
+	pausesInARow = 3
 )
 
-// Limits are what the samples are compared with.
-type Limits struct {
-	// Objective is the shortest latency objective of the routes; 0 if there is none.
-	Objective time.Duration
-	// Capacity is the processor time available to the VM, in cores; 0 if not known.
-	Capacity float64
-}
-
-// Sample is one observation of the VM.
-type Sample struct {
-	// Lateness is by how much a timer fired late.
-	Lateness time.Duration
-	// Processor is the processor time that the process has used since its start. 0 means that it
-	// was not read for this sample.
-	Processor time.Duration
-}
-
-// Observation is what the last complete window showed.
+// Observation is what the last judged samples showed.
 type Observation struct {
 	// Timers is the number of timers, of which Late were later than the bound.
 	Timers, Late int
 	// MaxLateness is the lateness of the latest one.
 	MaxLateness time.Duration
-	// Busy is the fraction of the VM's processor time that was used; 0 if not known.
-	Busy float64
 }
 
 // Monitor follows the condition of one VM. It is not safe for concurrent use.
@@ -71,95 +54,93 @@
 	current  Observation
 	halfLate int
 	last     Observation
+	pauses   Observation // the pauses in a row
 
-	processor   time.Duration // at the last reading
-	processorAt clock.Time
-	busy        float64
-
-	timers, load trigger
-}
-
-// trigger is set while a bound is exceeded, and cleared after recoveryTime without exceeding the
-// bound for recovery.
-type trigger struct {
-	set bool
-	// above is the number of windows in a row that exceeded the bound.
-	above int
+	yields bool
 	// exceededAt is when the bound for recovery was last exceeded.
-	exceededAt clock.Time
+	exceededAt   clock.Time
+	recoveryTime time.Duration
+	recoveredAt  clock.Time // 0 if the VM has not yielded yet
 }
 
-func (t *trigger) step(above, aboveHalf bool, windows int, now clock.Time) {
-	if aboveHalf {
-		t.exceededAt = now
-	}
-	if !above {
-		t.above = 0
-		t.set = t.set && now.Sub(t.exceededAt) < recoveryTime
-		return
-	}
-	t.above++
-	t.set = t.set || t.above >= windows
-}
-
-// Step adds a sample and returns the VM's condition.
-func (m *Monitor) Step(s Sample, l Limits, now clock.Time) catalog.Condition {
-	m.readProcessor(s.Processor, l.Capacity, now)
-	if s.Lateness >= window || m.begun == 0 {
-		// The VM was suspended, or has just started.
+// Step adds a sample, by how much a timer fired late, and returns the VM's condition. The objective
+// is the shortest latency objective of the routes; 0 if there is none.
+func (m *Monitor) Step(lateness, objective time.Duration, now clock.Time) catalog.Condition {
+	bound := max(time.Duration(float64(objective)*latenessFraction), minLateness)
+	switch {
+	case m.begun == 0:
 		m.reset(now)
-		return m.condition()
-	}
-	bound := time.Duration(float64(l.Objective) * latenessFraction)
-	m.current.Timers++
-	m.current.MaxLateness = max(m.current.MaxLateness, s.Lateness)
-	if bound > 0 && s.Lateness > bound {
-		m.current.Late++
-	}
-	if bound > 0 && s.Lateness > time.Duration(float64(bound)*recoveryFraction) {
-		m.halfLate++
+	case lateness >= window:
+		m.addPause(lateness, objective, now)
+	default:
+		m.pauses = Observation{}
+		m.current.add(lateness, objective > 0 && lateness > bound)
+		if objective > 0 && lateness > time.Duration(float64(bound)*recoveryFraction) {
+			m.halfLate++
+		}
+		if m.current.Timers >= minSamples && now.Sub(m.begun) >= window {
+			m.judge(2*m.current.Late > m.current.Timers, 2*m.halfLate > m.current.Timers, m.current, now)
+		}
 	}
-	if m.current.Timers >= minSamples && now.Sub(m.begun) >= window {
-		m.judge(now)
+	if m.yields {
+		return catalog.Yielding
 	}
-	return m.condition()
+	return catalog.Normal
 }
 
-// readProcessor updates the fraction of the VM's processor time that was used since the last
-// reading.
-func (m *Monitor) readProcessor(used time.Duration, capacity float64, now clock.Time) {
-	if used == 0 || capacity <= 0 {
+// addPause adds a timer that was late by a whole window: the VM was suspended, which is neither
+// lateness nor calm time, or it is so slow that all of its timers are this late.
+func (m *Monitor) addPause(lateness, objective time.Duration, now clock.Time) {
+	m.pauses.add(lateness, objective > 0)
+	if objective > 0 && m.pauses.Timers >= pausesInARow {
+		m.judge(true, true, m.pauses, now)
 		return
 	}
-	if elapsed := now.Sub(m.processorAt); m.processor > 0 && elapsed > 0 {
-		m.busy = float64(used-m.processor) / (float64(elapsed) * capacity)
+	m.exceededAt = m.exceededAt.Add(lateness)
+	if m.recoveredAt != 0 {
+		m.recoveredAt = m.recoveredAt.Add(lateness)
 	}
-	m.processor, m.processorAt = used, now
+	m.reset(now)
 }
 
 // judge ends the window.
-func (m *Monitor) judge(now clock.Time) {
-	m.current.Busy = m.busy
-	m.timers.step(2*m.current.Late > m.current.Timers, 2*m.halfLate > m.current.Timers, 1, now)
-	m.load.step(m.busy > maxBusy, m.busy > maxBusy*recoveryFraction, busyWindows, now)
-	m.last = m.current
+func (m *Monitor) judge(above, aboveHalf bool, seen Observation, now clock.Time) {
+	m.last = seen
 	m.reset(now)
+	if aboveHalf {
+		m.exceededAt = now
+	}
+	switch {
+	case above && !m.yields:
+		m.yields = true
+		m.recoveryTime = m.nextRecoveryTime(now)
+	case m.yields && now.Sub(m.exceededAt) >= m.recoveryTime:
+		m.yields, m.recoveredAt = false, now
+	}
+}
+
+// nextRecoveryTime returns for how long a VM that yields now must be calm.
+//
+// Failure guarded against: a VM that is only calm without its load yields every few seconds, and its
+// targets move to and fro.
+func (m *Monitor) nextRecoveryTime(now clock.Time) time.Duration {
+	if m.recoveredAt == 0 || now.Sub(m.recoveredAt) >= 2*m.recoveryTime {
+		return minRecoveryTime
+	}
+	return min(2*m.recoveryTime, maxRecoveryTime)
 }
 
 func (m *Monitor) reset(now clock.Time) {
 	m.begun, m.current, m.halfLate = now, Observation{}, 0
 }
 
-func (m *Monitor) condition() catalog.Condition {
-	switch {
-	case m.timers.set:
-		return catalog.Yielding
-	case m.load.set:
-		return catalog.Loaded
-	default:
-		return catalog.Normal
+func (o *Observation) add(lateness time.Duration, late bool) {
+	o.Timers++
+	o.MaxLateness = max(o.MaxLateness, lateness)
+	if late {
+		o.Late++
 	}
 }
 
-// Last returns what the last complete window showed.
+// Last returns what the last judged samples showed.
 func (m *Monitor) Last() Observation { return m.last }
--- a/edge/condition.go
+++ b/edge/condition.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,8 +19,6 @@
 	// conditionWriteInterval is the least time between two writes of the condition: each makes all
 	// VMs select gateways anew.
 	conditionWriteInterval = 10 * time.Second
-	// processorReadInterval is how often the process's processor time is read.
-	processorReadInterval = time.Second
 )
 
 // ownCondition samples this VM's condition, and writes it into the VM's own entry while the fleet
@@ -29,12 +26,11 @@
 type ownCondition struct {
 	edge *Edge
 	// The sampler alone uses these.
-	monitor     condition.Monitor
-	armedAt     clock.Time
-	interval    time.Duration
-	processorAt clock.Time
-	config      *catalog.Config
-	objective   time.Duration
+	monitor   condition.Monitor
+	armedAt   clock.Time
+	interval  time.Duration
+	config    *catalog.Config
+	objective time.Duration
 
 	mu        sync.Mutex
 	is        catalog.Condition
@@ -45,13 +41,16 @@
 func newOwnCondition(e *Edge) *ownCondition {
 	o := &ownCondition{edge: e}
 	e.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "endivemoor_vm_condition", Help: "What this VM can carry: 0 normal, 1 loaded, 2 yielding."},
-		func() float64 { return conditionLevels[o.current()] }))
+		Name: "endivemoor_vm_condition", Help: "What this VM can carry: 0 normal, 1 yielding."},
+		func() float64 {
+			if o.current() == catalog.Yielding {
+				return 1
+			}
+			return 0
+		}))
 	return o
 }
 
-var conditionLevels = map[catalog.Condition]float64{catalog.Loaded: 1, catalog.Yielding: 2}
-
 // conditionName is the name of a condition in logs and decisions.
 func conditionName(c catalog.Condition) string {
 	if c == catalog.Normal {
@@ -80,8 +79,7 @@
 	now, c := o.edge.clk.Now(), o.edge.catalog.Load()
 	is := catalog.Normal
 	if o.edge.router.UsesGateways() {
-		s := condition.Sample{Lateness: max(now.Sub(o.armedAt)-o.interval, 0), Processor: o.readProcessor(now)}
-		is = o.monitor.Step(s, condition.Limits{Objective: o.shortestObjective(c.Config), Capacity: o.edge.settings.Limits.Capacity()}, now)
+		is = o.monitor.Step(max(now.Sub(o.armedAt)-o.interval, 0), o.shortestObjective(c.Config), now)
 	} else {
 		o.monitor = condition.Monitor{}
 	}
@@ -91,21 +89,6 @@
 	}
 }
 
-// readProcessor returns the processor time that this process has used; 0 if it is not due to be
-// read, or not known.
-func (o *ownCondition) readProcessor(now clock.Time) time.Duration {
-	if o.edge.settings.Limits.Capacity() <= 0 || (o.processorAt != 0 && now.Sub(o.processorAt) < processorReadInterval) {
-		return 0
-	}
-	o.processorAt = now
-	var used syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
-		o.edge.log.Debug("processor-time-unknown", zap.Error(err))
-		return 0
-	}
-	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
-}
-
 // shortestObjective returns the shortest objective of the routes; 0 if there is none.
 func (o *ownCondition) shortestObjective(c *catalog.Config) time.Duration {
 	if c == o.config {
@@ -132,7 +115,7 @@
 	o.edge.decisions.Count(decisions.Condition, o.edge.settings.Node, conditionName(is), 1)
 	o.edge.log.Info("condition", zap.String("is", conditionName(is)), zap.String("was", conditionName(was)),
 		zap.Int("timers", seen.Timers), zap.Int("late", seen.Late), zap.Duration("latest", seen.MaxLateness),
-		zap.Duration("objective", o.objective), zap.Float64("busy", seen.Busy))
+		zap.Duration("objective", o.objective))
 }
 
 // claimWrite reports whether the entry must be written now. The fleet's list is what it is compared
--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -13,15 +13,15 @@
 // temporarily do no harm: a gateway serves every VM that sends it a statement, and a target that
 // has no connection left refuses further ones.
 //
-// A VM whose entry says that it is loaded has half of its weight, and one that yields is selected
-// only where its target's zone has no other, unless more than a third of the zone's VMs yield.
+// A VM whose entry says that it yields has a small fraction of its weight: it loses nearly all of its
+// targets, a change of one VM moves no other VM's targets, and if all VMs yield, the selection is the
+// same as if none did.
 //
 // The package is pure: it does no I/O.
 package gateways
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -68,6 +68,11 @@
 	statementsPerSlot = 3
 	// defaultWeight is the weight of a VM whose entry has no capacity.
 	defaultWeight = 1
+	// yieldingDivisor divides the weight of a VM that yields.
+	//
+	// Failure guarded against: VMs that yield are placed behind all others unless too many do. The one
+	// that is one too many moves the targets of all of them at once, and makes the slowest VM a gateway.
+	yieldingDivisor = 64
 )
 
 // Share is a VM's share of a target's connections.
@@ -93,7 +98,6 @@
 	catalog *catalog.Catalog
 	// responding is the number of the fleet's VMs that respond.
 	responding int
-	crowded    crowdedZones
 
 	mu         sync.Mutex
 	selections map[target.ID]selection
@@ -108,7 +112,7 @@
 
 // NewAssignment returns a VM's assignment for a fleet whose VMs all respond.
 func NewAssignment(self string, c *catalog.Catalog) *Assignment {
-	return &Assignment{self: self, catalog: c, responding: len(c.VMs), crowded: crowdedZonesOf(c.VMs), selections: make(map[target.ID]selection)}
+	return &Assignment{self: self, catalog: c, responding: len(c.VMs), selections: make(map[target.ID]selection)}
 }
 
 // Next returns the assignment for a later state of the catalog and the number of VMs that
@@ -119,7 +123,7 @@
 func (a *Assignment) Next(c *catalog.Catalog, responding int) *Assignment {
 	next := NewAssignment(a.self, c)
 	next.responding = responding
-	change := changeOf(a.catalog, c, a.crowded, next.crowded)
+	change := changeOf(a.catalog, c)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, d := range a.selections {
@@ -239,7 +243,7 @@
 	if d, ok := a.selections[t.ID]; ok && d.zone == t.Zone && d.count == count {
 		return d.vms
 	}
-	vms := choose(t, a.catalog.VMs, count, a.crowded)
+	vms := Choose(t, a.catalog.VMs, count)
 	sortByPreference(a.self, vms)
 	a.selections[t.ID] = selection{zone: t.Zone, count: count, vms: vms}
 	return vms
@@ -253,20 +257,18 @@
 	left map[string]bool
 	// changed are the VMs that changed otherwise, as when one restarts, by name.
 	changed map[string]catalog.VM
-	// crowded are the crowded zones after the change.
-	crowded crowdedZones
 }
 
-// changeOf returns the change of the fleet between two catalogs with their crowded zones.
-func changeOf(from, to *catalog.Catalog, before, after crowdedZones) fleetChange {
-	out := fleetChange{left: make(map[string]bool), changed: make(map[string]catalog.VM), crowded: after}
+// changeOf returns the change of the fleet between two catalogs.
+func changeOf(from, to *catalog.Catalog) fleetChange {
+	out := fleetChange{left: make(map[string]bool), changed: make(map[string]catalog.VM)}
 	difference := catalog.DifferenceOfVMs(from.VMs, to.VMs)
 	for _, vm := range difference.Updated {
 		old, known := from.VM(vm.ID)
 		switch {
 		case !known:
 			out.joined = append(out.joined, vm)
-		case old.Zone == vm.Zone && old.Capacity == vm.Capacity && before.condition(&old) == after.condition(&vm):
+		case old.Zone == vm.Zone && weight(&old) == weight(&vm):
 			out.changed[vm.ID] = vm
 		default:
 			out.left[vm.ID] = true
@@ -276,23 +278,9 @@
 	for _, name := range difference.Removed {
 		out.left[name] = true
 	}
-	if !maps.Equal(before, after) {
-		out.addYielding(from, to, before)
-	}
 	return out
 }
 
-// addYielding adds the VMs whose entries are the same, but whose zone is crowded now or no longer.
-func (f *fleetChange) addYielding(from, to *catalog.Catalog, before crowdedZones) {
-	for _, vm := range to.VMs {
-		old, known := from.VM(vm.ID)
-		if known && old == vm && before.condition(&old) != f.crowded.condition(&vm) {
-			f.left[vm.ID] = true
-			f.joined = append(f.joined, vm)
-		}
-	}
-}
-
 // applyTo returns the VMs that are selected for a target after the change; false if a selected VM
 // has left, so that any VM may take its place.
 func (f *fleetChange) applyTo(d selection, t *catalog.Target) (vms []catalog.VM, ok bool) {
@@ -309,7 +297,7 @@
 	if len(f.joined) == 0 {
 		return vms, true
 	}
-	return choose(t, append(vms, f.joined...), d.count, f.crowded), true
+	return Choose(t, append(vms, f.joined...), d.count), true
 }
 
 // preference is a hash that spreads names evenly over a target's gateways.
@@ -319,14 +307,9 @@
 // the zone has VMs: a statement then crosses zones as often as if its VM connected to the target
 // itself, and a VM that cannot reach the zone cannot reach the target either.
 func Choose(t *catalog.Target, vms []catalog.VM, count int) []catalog.VM {
-	return choose(t, vms, count, crowdedZonesOf(vms))
-}
-
-// choose is Choose for VMs that may be a part of the fleet, whose crowded zones are given.
-func choose(t *catalog.Target, vms []catalog.VM, count int, crowded crowdedZones) []catalog.VM {
 	best := make([]candidate, 0, count+1)
 	for i := range vms {
-		one := newCandidate(t, &vms[i], crowded)
+		one := newCandidate(t, &vms[i])
 		at, _ := slices.BinarySearchFunc(best, one, candidate.compare)
 		if at < count {
 			best = slices.Insert(best, at, one)[:min(len(best)+1, count)]
@@ -342,19 +325,11 @@
 type candidate struct {
 	vm       *catalog.VM
 	sameZone bool
-	yielding bool
 	score    float64
 }
 
-func newCandidate(t *catalog.Target, vm *catalog.VM, crowded crowdedZones) candidate {
-	out := candidate{vm: vm, sameZone: vm.Zone == t.Zone, score: score(t.ID, vm)}
-	switch crowded.condition(vm) {
-	case catalog.Loaded:
-		out.score *= loadedWeight
-	case catalog.Yielding:
-		out.yielding = true
-	}
-	return out
+func newCandidate(t *catalog.Target, vm *catalog.VM) candidate {
+	return candidate{vm: vm, sameZone: vm.Zone == t.Zone, score: score(t.ID, vm)}
 }
 
 // compare puts the better candidate first.
@@ -365,23 +340,24 @@
 		}
 		return 1
 	}
-	if a.yielding != b.yielding {
-		if b.yielding {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.ID, b.vm.ID))
 }
 
 // score returns the score of weighted rendezvous hashing: the largest one wins, and a VM's
 // fraction of wins is its fraction of the sum of all weights.
 func score(id target.ID, vm *catalog.VM) float64 {
-	weight := vm.Capacity
-	if weight <= 0 {
-		weight = defaultWeight
-	}
 	h := xxhash.Sum64String(string(id) + "/" + vm.ID)
 	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
+	return -weight(vm) / math.Log(u)
+}
+
+func weight(vm *catalog.VM) float64 {
+	out := vm.Capacity
+	if out <= 0 {
+		out = defaultWeight
+	}
+	if vm.Condition == catalog.Yielding {
+		out /= yieldingDivisor
+	}
+	return out
 }
