edge: writes of a condition are spread, conditional and no outage

Cause: all VMs wrote at once, up to 986 above the store's rate; a write without an answer was repeated after 0.5 s; a refused one counted as an outage for all callers of the VM; a suspended or killed process could write over the entry of the next. Change: a random delay of up to 0.2 s for each VM of the fleet (986: 197 s, five a second if all change); the entry is read, compared and replaced at its revision; a read is repeated after growing pauses, a write after 10 s; no failure is recorded as an outage, and nothing while leaving.

--- a/edge/condition.go
+++ b/edge/condition.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -13,14 +15,23 @@
 	"endivemoor.example/endivemoor/condition"
 	"endivemoor.example/endivemoor/decisions"
 	"endivemoor.example/endivemoor/internal/wait"
+	"endivemoor.example/endivemoor/retry"
 )
 
 const (
 	// conditionWriteInterval is the least time between two writes of the condition: each makes all
 	// VMs select gateways anew.
 	conditionWriteInterval = 10 * time.Second
+	// conditionSpread is the time, for each VM of the fleet, over which writes are spread.
+	//
+	// Failure guarded against: something makes all VMs of a large fleet slow at once, and their writes
+	// exceed the store's rate.
+	conditionSpread = 200 * time.Millisecond
 )
 
+// conditionBackoff is the pause before the entry is read again.
+var conditionBackoff = retry.Backoff{Base: time.Second, Max: conditionWriteInterval}
+
 // ownCondition samples this VM's condition, and writes it into the VM's own entry while the fleet
 // uses gateways.
 type ownCondition struct {
@@ -139,18 +150,31 @@
 	return known && own.Incarnation == o.edge.incarnation && own.Condition != o.current()
 }
 
-// write writes the entry once the store may be called, as long as it is outdated.
+// write writes the entry, after a random delay, if it is still outdated. Only what cannot have been
+// written is tried again. A failure is no sign of an outage: other calls need not be held back.
 func (o *ownCondition) write(ctx context.Context) {
-	for o.edge.outage.admit(ctx) && o.outdated(o.edge.catalog.Load()) {
-		err := o.edge.fleetEntry.update(ctx)
-		o.edge.outage.record(err)
-		if err == nil {
-			break
-		}
-		o.edge.log.Warn("entry-unwritten", zap.Error(err))
-		wait.For(ctx, joinRetry)
-	}
+	o.tryWrite(ctx)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.writing, o.writtenAt = false, o.edge.clk.Now()
 }
+
+func (o *ownCondition) tryWrite(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	wait.For(ctx, time.Duration(rnd.Int64N(int64(len(o.edge.catalog.Load().VMs)+1)*int64(conditionSpread))))
+	for attempt := 1; o.outdated(o.edge.catalog.Load()) && o.edge.outage.admit(ctx); attempt++ {
+		sent, err := o.edge.fleetEntry.update(ctx)
+		switch {
+		case err == nil:
+			o.edge.outage.record(nil)
+			return
+		case errors.Is(err, errLeaving):
+			return
+		}
+		o.edge.log.Warn("entry-unwritten", zap.Error(err))
+		if sent {
+			return
+		}
+		wait.For(ctx, conditionBackoff.Delay(attempt, rnd))
+	}
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -24,8 +24,8 @@
 	edge *Edge
 	// expiring are the entries that this VM knows to expire, by VM.
 	expiring map[string]expiringEntry
-	// changing serializes the changes of an entry that exists.
-	changing sync.Mutex
+	// ownMu is held while the own entry is updated or removed.
+	ownMu sync.Mutex
 }
 
 func newFleetEntry(e *Edge) *fleetEntry {
@@ -88,23 +88,41 @@
 	}
 }
 
-// update writes this VM's entry if it exists. One that is missing is left to maintain.
+// errLeaving reports that the store was not called, because this VM leaves.
+var errLeaving = errors.New("this VM leaves")
+
+// update writes this process's entry if it exists with another condition; sent is set if a write may
+// have reached the store. A missing entry is left to maintain.
 //
-// Failure guarded against: a VM that leaves removes its entry, and the entry comes back because its
-// condition is written after that. VMs then send statements to a VM that is gone.
-func (f *fleetEntry) update(ctx context.Context) error {
-	f.changing.Lock()
-	defer f.changing.Unlock()
-	if f.edge.shutdown.leaving.Load() {
-		return nil
+// Failures guarded against: a VM that leaves removes its entry, and the entry comes back because its
+// condition is written after that. Or a process that was suspended or killed writes its incarnation
+// and address over those of the next one. VMs then send statements to a VM that is gone.
+func (f *fleetEntry) update(ctx context.Context) (sent bool, err error) {
+	f.ownMu.Lock()
+	defer f.ownMu.Unlock()
+	e, name := f.edge, prefixVM+f.edge.settings.Node
+	if e.shutdown.leaving.Load() {
+		return false, errLeaving
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := f.edge.store.Replace(ctx, kindFleet, prefixVM+f.edge.settings.Node, anyRevision, f.record())
+	o, err := e.store.Get(ctx, kindFleet, name)
 	if errors.Is(err, objects.ErrNotFound) {
-		return nil
+		return false, nil
 	}
-	return err
+	if err != nil {
+		return false, err
+	}
+	var stored vmRecord
+	if err := json.Unmarshal(o.Spec, &stored); err != nil {
+		return false, errors.Wrap(err, "decode own fleet entry")
+	}
+	record := f.record()
+	if stored.Incarnation != record.Incarnation || stored.Condition == record.Condition {
+		return false, nil
+	}
+	_, err = e.store.Replace(ctx, kindFleet, name, o.Meta.Revision, record)
+	return true, err
 }
 
 // entryCheckInterval is how often the fleet's entries are checked.
@@ -254,8 +272,8 @@
 
 // remove deletes this VM's entry.
 func (f *fleetEntry) remove(ctx context.Context) {
-	f.changing.Lock()
-	defer f.changing.Unlock()
+	f.ownMu.Lock()
+	defer f.ownMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := f.edge.store.Delete(ctx, kindFleet, prefixVM+f.edge.settings.Node, 0); err != nil && !errors.Is(err, objects.ErrNotFound) {
