lane: a lane that hands over does not grow

Cause: it kept its whole former share, and with its successors could open 135% of the target's limit; a lowered limit was not seen. Change: it may have what is open, one connection at least, and the burst; a share of a former gateway tells what the limit leaves (MaxFormer). Result: TestLaneThatHandsOverDoesNotGrow (new), lane and gateways pass.

--- a/gateways/gateways.go
+++ b/gateways/gateways.go
@@ -86,6 +86,9 @@
 	MaxIdle int
 	// Temporary is set if the VM may open one connection only, and for a short time.
 	Temporary bool
+	// MaxFormer is the number of connections that a former gateway may have open while it hands over
+	// to the present ones; 0 if Temporary is not set.
+	MaxFormer int
 	// PerWorkspace is set if requests belong to workspaces, each of which needs connections of its
 	// own. More connections are then retained, but fewer while the target has none left.
 	PerWorkspace bool
@@ -173,10 +176,10 @@
 		return Share{MaxOpen: kept, MaxIdle: max(kept/fleetGenerations, 1), MaxRunning: a.maxRunning(t)}
 	}
 	all := a.gateways(t)
+	kept, running := max(int(limit)/len(all), 1), t.Slots+extraRunning
 	if !containsVM(all, a.self) {
-		return Share{Temporary: true}
+		return Share{Temporary: true, MaxFormer: kept}
 	}
-	kept, running := max(int(limit)/len(all), 1), t.Slots+extraRunning
 	idle := min(kept, max(kept/fleetGenerations, running))
 	if len(a.catalog.Config.Workspaces) > 0 {
 		return Share{MaxOpen: kept, MaxIdle: max(idle, kept-running), MaxRunning: running, PerWorkspace: true}
--- a/lane/handover_test.go
+++ b/lane/handover_test.go
@@ -32,3 +32,22 @@
 		require.Equal(t, 4, l.Load().Allowance)
 	})
 }
+
+// Failure guarded against: a VM that hands over opens connections beyond those that it has, or keeps to
+// the share of a limit that was lowered.
+func TestLaneThatHandsOverDoesNotGrow(t *testing.T) {
+	inBubble(t, 99, 9, func(l *Lane, d *dialer) {
+		open := []*Conn{acquire(t, l), acquire(t, l), acquire(t, l)}
+		l.setShare(gateways.Share{Temporary: true, MaxFormer: 9})
+		require.Equal(t, 3+burst, l.maxOpen(l.clk.Now()))
+		open[0].Release()
+		time.Sleep(2 * temporaryIdleTimeout)
+		l.maintain()
+		l.maintain()
+		require.Equal(t, 2+burst, l.maxOpen(l.clk.Now()))
+		l.setShare(gateways.Share{Temporary: true, MaxFormer: 1})
+		require.Equal(t, 1+burst, l.maxOpen(l.clk.Now()))
+		open[1].Release()
+		open[2].Release()
+	})
+}
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -302,7 +302,7 @@
 	if l.perWorkspace {
 		l.usage.forget(now, l.openFor)
 	}
-	l.endHandover()
+	l.continueHandover()
 	l.markOverdue(now)
 	l.grow(now)
 }
