--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -164,10 +164,10 @@
 }
 
 // StaggerDelay is how long a VM waits before it makes a change that others may make as well. Each
-// service has its own order of VMs, in which those named by last, a sorted list, come after all
-// others because they are slow.
-func StaggerDelay(service, self string, vms []string, last ...string) time.Duration {
-	return time.Duration(min(rank(service, self, vms, last), maxStaggerSteps)) * StaggerInterval
+// service has its own order of VMs, in which those named by slow, a sorted list, come after all
+// others.
+func StaggerDelay(service, self string, vms []string, slow ...string) time.Duration {
+	return time.Duration(min(rank(service, self, vms, slow), maxStaggerSteps)) * StaggerInterval
 }
 
 // ListedStaggerDelay is StaggerDelay for a reason that every VM finds in the lists. After the first
@@ -177,8 +177,8 @@
 // Failure guarded against: in a large fleet most VMs have the longest StaggerDelay. They learn of a
 // draining primary and of the attempt to replace it from their peers, at about the same time, and
 // those that learn of the primary first all query its targets and try to record an attempt.
-func ListedStaggerDelay(service, self string, vms []string, last ...string) time.Duration {
-	before := rank(service, self, vms, last)
+func ListedStaggerDelay(service, self string, vms []string, slow ...string) time.Duration {
+	before := rank(service, self, vms, slow)
 	delay := time.Duration(min(before, maxStaggerSteps)) * StaggerInterval
 	for group := maxStaggerSteps; group <= before; group *= 2 {
 		delay += recordSpreadTime
@@ -186,16 +186,16 @@
 	return delay
 }
 
-// rank is the number of VMs before this one in the service's order, in which those in last come
+// rank is the number of VMs before this one in the service's order, in which those in slow come
 // after all others.
-func rank(service, self string, vms, last []string) int {
+func rank(service, self string, vms, slow []string) int {
 	own := xxhash.Sum64String(service + "/" + self)
-	_, ownLast := slices.BinarySearch(last, self)
+	_, ownSlow := slices.BinarySearch(slow, self)
 	before := 0
 	for _, vm := range vms {
-		switch _, vmLast := slices.BinarySearch(last, vm); {
+		switch _, vmSlow := slices.BinarySearch(slow, vm); {
 		case vm == self:
-		case vmLast == ownLast && xxhash.Sum64String(service+"/"+vm) < own, ownLast && !vmLast:
+		case vmSlow == ownSlow && xxhash.Sum64String(service+"/"+vm) < own, ownSlow && !vmSlow:
 			before++
 		}
 	}
