--- a/lane/returning.go
+++ b/lane/returning.go
@@ -66,9 +66,9 @@
 	return t, ok && l.returning != nil && o.Caller != 0 && l.waiting.detectsLate
 }
 
-// recognize returns the options of a request that arrives now, and whether its caller returns. One of a caller who returns is due from
-// its first try. It may wait for as long as any other, because its caller may have more time than one
-// statement may take.
+// recognize returns the options of a request that arrives now, and whether its caller returns. The
+// request of one who does is due from the first try. It may wait for as long as any other, because
+// its caller may have more time than one statement may take.
 func (l *Lane) recognize(now clock.Time, o AcquireOptions) (_ AcquireOptions, returns bool) {
 	t, ok := l.termsOf(o)
 	if !ok {
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -285,9 +285,9 @@
 	return true
 }
 
-// reportedRate returns the largest fraction that is reported of a sibling, or what goes unreported. The fraction begins at 0
-// and nears its value while it covers more statements; it is taken for that value, as errors of all
-// targets alike show at a busy one first.
+// reportedRate returns the largest fraction that is reported of a sibling, or what goes unreported. The
+// fraction begins at 0 and nears its value while it covers more statements; it is taken for that
+// value, as errors of all targets alike show at a busy one first.
 func reportedRate(t Target) float64 {
 	rate := minShared
 	for _, r := range t.Reports {
