groups, promoter: an outage stays known when a VM reaches others again

A VM on the wrong side of a partition whose only peer answers now and then does so again and again, and each time holds its callers anew until they have no time for another VM.

--- a/groups/breaker.go
+++ b/groups/breaker.go
@@ -162,16 +162,6 @@
 	}
 }
 
-// Reset discards the present outages, which this VM's own state explains. It learns nothing of how long
-// outages last.
-func (b *Breaker) Reset() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for c := range causes {
-		b.outages[c].failures, b.outages[c].measured = eventRun{}, false
-	}
-}
-
 // Admits reports whether a request should be tried rather than refused at once, and the cause for
 // which it is refused. Causes that follow one another, as in a change of primary, are one outage.
 func (b *Breaker) Admits(now clock.Time, n Need) (Cause, bool) {
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -174,7 +174,6 @@
 	}
 	for _, g := range p.cfg.Groups.All() {
 		g.Health.Reset(now)
-		g.Breaker.Reset()
 		w := p.stateOf(g.Service)
 		w.reason = takeover.ReasonNone
 	}
