--- /dev/null
+++ b/review/standin/deployment.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+const (
+	machines       = 3
+	servers        = 3
+	startTimeout   = 20 * time.Second
+	readyInterval  = 100 * time.Millisecond
+	heartbeat      = 1200 * time.Millisecond
+	databaseName   = "pay"
+	statementLimit = 800
+	idleLimit      = 3000
+)
+
+// machine is one machine of the system with its process.
+type machine struct {
+	name, front, ready string
+	process            *exec.Cmd
+}
+
+// deployment is a small deployment on loopback addresses: three machines and one database group.
+type deployment struct {
+	rec      *record
+	machines []*machine
+	done     chan struct{}
+}
+
+// startDeployment starts the stand-ins and the daemons, and waits until all machines are ready.
+func startDeployment(rec *record, daemon, dir string) (*deployment, error) {
+	d := &deployment{rec: rec, done: make(chan struct{})}
+	storeAddr, err := d.startPlatform()
+	if err != nil {
+		return nil, err
+	}
+	for n := 1; n <= machines; n++ {
+		if err := d.startMachine(n, daemon, dir, storeAddr); err != nil {
+			d.stop()
+			return nil, err
+		}
+	}
+	for _, m := range d.machines {
+		if err := m.awaitReady(); err != nil {
+			d.stop()
+			return nil, err
+		}
+	}
+	rec.printf("%d machines are ready", machines)
+	return d, nil
+}
+
+// host returns a loopback address of this run's own, so that fixed ports do not collide.
+func host(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid/250%128, pid%250, n)
+}
+
+// startPlatform starts the store, the failover call and the servers.
+func (d *deployment) startPlatform() (storeAddr string, err error) {
+	s := newStore()
+	ln, err := net.Listen("tcp", host(100)+":0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(ln, s) }()
+	g := &group{rec: d.rec, items: make(map[string]string)}
+	for n := 0; n < servers; n++ {
+		sv := &server{group: g, id: "i-" + strconv.Itoa(n), primary: n == 0}
+		at, err := net.Listen("tcp", host(101+n)+":0")
+		if err != nil {
+			return "", err
+		}
+		go sv.serve(at)
+		go d.checkIn(s, sv, at.Addr().String(), n)
+	}
+	s.primary = "i-0"
+	s.put("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r-pay", "host": databaseName, "kind": "primary", "svc": serviceName,
+			"timeout-ms": statementLimit, "slo-ms": 150, "prio": 1, "max-staleness-ms": 0,
+		}},
+		"svcs":   []any{map[string]any{"name": serviceName, "max-conns": 23, "sync-replicas": 1}},
+		"limits": map[string]any{"tx-idle-ms": idleLimit},
+	})
+	return ln.Addr().String(), nil
+}
+
+// checkIn writes a server's entry at each heartbeat.
+func (d *deployment) checkIn(s *store, sv *server, addr string, zone int) {
+	role := "replica"
+	if sv.primary {
+		role = "primary"
+	}
+	born := time.Now().UnixMilli()
+	for seq := 1; ; seq++ {
+		s.put("servers", sv.id, map[string]any{
+			"svc": serviceName, "addr": addr, "zone": "z" + strconv.Itoa(zone+1), "version": "v1", "slots": 3,
+			"state": "ready", "cold-left-ms": 0, "db-role": role, "seq": seq, "born": born,
+		})
+		select {
+		case <-time.After(heartbeat):
+		case <-d.done:
+			return
+		}
+	}
+}
+
+const settings = `node = "edge-z%[1]d-1"
+role = "edge"
+machine-class = "edge"
+serves = ["edge", "ctl"]
+ip = "%[2]s"
+zone = "z%[1]d"
+region = "r1"
+seeds = ["%[3]s:8782"]
+bootstrap = true
+discovery = "platform"
+heartbeat-ms = 1200
+[zones]
+z1 = "r1"
+z2 = "r1"
+z3 = "r1"
+[listen]
+front = "%[2]s:8784"
+ready = "%[2]s:8785"
+ctl = "%[2]s:8782"
+[limits]
+memory-mb = 284
+max-fds = 4200
+[bounds]
+drain-ms = 7000
+grace-s = 6
+config-apply-ms = 3000
+[platform]
+addr = "%[4]s"
+form = "objects"
+[cloud-api]
+addr = "%[4]s"
+duties = ["failover"]
+`
+
+// startMachine starts a daemon with the command of the deploy file.
+func (d *deployment) startMachine(n int, daemon, dir, storeAddr string) error {
+	ip := host(n)
+	file := filepath.Join(dir, fmt.Sprintf("local%d.toml", n))
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(settings, n, ip, host(1), storeAddr)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(dir, fmt.Sprintf("log%d", n)))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	m := &machine{name: fmt.Sprintf("edge-z%d-1", n), front: ip + ":8784", ready: ip + ":8785"}
+	m.process = exec.Command(daemon, "edge", "--metrics-port", "9464")
+	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ENDIVEMOOR_BOOT=" + file}
+	m.process.Stdout, m.process.Stderr = log, log
+	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := m.process.Start(); err != nil {
+		return err
+	}
+	d.machines = append(d.machines, m)
+	d.rec.printf("%s starts, pid %d", m.name, m.process.Process.Pid)
+	return nil
+}
+
+func (m *machine) awaitReady() error {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(readyInterval) {
+		resp, err := http.Get("http://" + m.ready + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New(m.name + " is not ready in time")
+}
+
+// stop ends all processes that were started.
+func (d *deployment) stop() {
+	close(d.done)
+	for _, m := range d.machines {
+		_ = m.process.Process.Kill()
+		_ = m.process.Wait()
+	}
+}
--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,88 @@
+// Command standin runs one review case: it starts stand-ins for the platform's store, the failover
+// call and a group of database servers, starts the project's daemons as separate processes, plays a
+// consumer against them and checks what the servers ran. It needs the standard library only.
+//
+// Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// scenario plays a case. With trouble set it adds the disruption.
+type scenario func(d *deployment, trouble bool) error
+
+var scenarios = map[string]scenario{
+	"split-while-stopping": splitWhileStopping,
+	"line-feed":            lineFeed,
+}
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	daemon := flag.String("daemon", "target/endivemoor", "the daemon's program")
+	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	flag.Parse()
+	code, err := run(*name, *daemon, *out, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(code)
+}
+
+func run(name, daemon, out string, trouble bool) (int, error) {
+	play := scenarios[name]
+	if play == nil {
+		return exitNotRun, errors.New("unknown case " + name)
+	}
+	rec, err := newRecord(out)
+	if err != nil {
+		return exitNotRun, err
+	}
+	defer rec.close()
+	rec.printf("case %s, with trouble: %t", name, trouble)
+	dir, err := os.MkdirTemp("", "endivemoor-review-")
+	if err != nil {
+		return exitNotRun, err
+	}
+	defer os.RemoveAll(dir)
+	program, err := filepath.Abs(daemon)
+	if err != nil {
+		return exitNotRun, err
+	}
+	d, err := startDeployment(rec, program, dir)
+	if err != nil {
+		return exitNotRun, err
+	}
+	defer d.stop()
+	if err := play(d, trouble); err != nil {
+		rec.printf("the case could not run: %v", err)
+		return exitNotRun, err
+	}
+	return verdict(rec), nil
+}
+
+// verdict applies the rule UNASKED: every statement that a server ran must be one that a consumer
+// sent, with the same text.
+func verdict(rec *record) int {
+	broken := rec.unasked()
+	for _, finding := range broken {
+		rec.printf("UNASKED: %s", finding)
+		fmt.Println("UNASKED:", finding)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	rec.printf("every statement that ran was sent by a consumer with the same text")
+	fmt.Println("held")
+	return exitHeld
+}
