--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,25 +23,30 @@
 	databaseName   = "pay"
 	statementLimit = 800
 	idleLimit      = 3000
+	maxConnections = 41
 )
 
 // machine is one machine of the system with its process.
 type machine struct {
-	name, front, ready string
-	process            *exec.Cmd
+	name, front, ready, log string
+	process                 *exec.Cmd
 }
 
 // deployment is a small deployment on loopback addresses: three machines and one database group.
 type deployment struct {
 	rec      *record
 	machines []*machine
+	group    *replicated // nil unless servers replicate
 	done     chan struct{}
 }
 
+// platform starts the store, the failover call and the servers of a deployment.
+type platform func(d *deployment) (storeAddr string, err error)
+
 // startDeployment starts the stand-ins and the daemons, and waits until all machines are ready.
-func startDeployment(rec *record, daemon, dir string) (*deployment, error) {
+func startDeployment(rec *record, daemon, dir string, start platform) (*deployment, error) {
 	d := &deployment{rec: rec, done: make(chan struct{})}
-	storeAddr, err := d.startPlatform()
+	storeAddr, err := start(d)
 	if err != nil {
 		return nil, err
 	}
@@ -66,14 +72,33 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid/250%128, pid%250, n)
 }
 
-// startPlatform starts the store, the failover call and the servers.
-func (d *deployment) startPlatform() (storeAddr string, err error) {
-	s := newStore()
+// startStore starts the store and the failover call, and writes the configuration.
+func (d *deployment) startStore() (s *store, addr string, err error) {
+	s = newStore()
 	ln, err := net.Listen("tcp", host(100)+":0")
 	if err != nil {
-		return "", err
+		return nil, "", err
 	}
 	go func() { _ = http.Serve(ln, s) }()
+	s.put("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r-pay", "host": databaseName, "kind": "primary", "svc": serviceName,
+			"timeout-ms": statementLimit, "slo-ms": 150, "prio": 1, "max-staleness-ms": 0,
+		}},
+		"svcs":   []any{map[string]any{"name": serviceName, "max-conns": maxConnections, "sync-replicas": 1}},
+		"limits": map[string]any{"tx-idle-ms": idleLimit},
+	})
+	return s, ln.Addr().String(), nil
+}
+
+// plainPlatform starts servers that never fail and whose primary is never replaced.
+func plainPlatform(d *deployment) (storeAddr string, err error) {
+	s, storeAddr, err := d.startStore()
+	if err != nil {
+		return "", err
+	}
+	s.failover = func(id string) bool { return id == "i-0" }
 	g := &group{rec: d.rec, items: make(map[string]string)}
 	for n := 0; n < servers; n++ {
 		sv := &server{group: g, id: "i-" + strconv.Itoa(n), primary: n == 0}
@@ -82,33 +107,40 @@
 			return "", err
 		}
 		go sv.serve(at)
-		go d.checkIn(s, sv, at.Addr().String(), n)
+		e := &entry{store: s, id: sv.id, addr: at.Addr().String(), zone: n + 1, role: sv.role}
+		go d.checkIn(e)
 	}
-	s.primary = "i-0"
-	s.put("config", "main", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r-pay", "host": databaseName, "kind": "primary", "svc": serviceName,
-			"timeout-ms": statementLimit, "slo-ms": 150, "prio": 1, "max-staleness-ms": 0,
-		}},
-		"svcs":   []any{map[string]any{"name": serviceName, "max-conns": 23, "sync-replicas": 1}},
-		"limits": map[string]any{"tx-idle-ms": idleLimit},
+	return storeAddr, nil
+}
+
+// entry is a server's entry in the store.
+type entry struct {
+	store    *store
+	id, addr string
+	zone     int
+	role     func() string
+	mu       sync.Mutex
+	seq      int
+	born     int64
+}
+
+// write writes the entry with the role that the server has now.
+func (e *entry) write() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.seq++; e.born == 0 {
+		e.born = time.Now().UnixMilli()
+	}
+	e.store.put("servers", e.id, map[string]any{
+		"svc": serviceName, "addr": e.addr, "zone": "z" + strconv.Itoa(e.zone), "version": "v1", "slots": 3,
+		"state": "ready", "cold-left-ms": 0, "db-role": e.role(), "seq": e.seq, "born": e.born,
 	})
-	return ln.Addr().String(), nil
 }
 
 // checkIn writes a server's entry at each heartbeat.
-func (d *deployment) checkIn(s *store, sv *server, addr string, zone int) {
-	role := "replica"
-	if sv.primary {
-		role = "primary"
-	}
-	born := time.Now().UnixMilli()
-	for seq := 1; ; seq++ {
-		s.put("servers", sv.id, map[string]any{
-			"svc": serviceName, "addr": addr, "zone": "z" + strconv.Itoa(zone+1), "version": "v1", "slots": 3,
-			"state": "ready", "cold-left-ms": 0, "db-role": role, "seq": seq, "born": born,
-		})
+func (d *deployment) checkIn(e *entry) {
+	for {
+		e.write()
 		select {
 		case <-time.After(heartbeat):
 		case <-d.done:
@@ -163,7 +195,7 @@
 		return err
 	}
 	defer log.Close()
-	m := &machine{name: fmt.Sprintf("edge-z%d-1", n), front: ip + ":8784", ready: ip + ":8785"}
+	m := &machine{name: fmt.Sprintf("edge-z%d-1", n), front: ip + ":8784", ready: ip + ":8785", log: log.Name()}
 	m.process = exec.Command(daemon, "edge", "--metrics-port", "9464")
 	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ENDIVEMOOR_BOOT=" + file}
 	m.process.Stdout, m.process.Stderr = log, log
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,12 +19,19 @@
 	exitNotRun = 2
 )
 
-// scenario plays a case. With trouble set it adds the disruption.
-type scenario func(d *deployment, trouble bool) error
+// scenario is one case.
+type scenario struct {
+	start platform
+	// play plays the case. With trouble set it adds the disruption.
+	play func(d *deployment, trouble bool) error
+	// judge returns how the rule was broken.
+	judge func(d *deployment) []string
+}
 
 var scenarios = map[string]scenario{
-	"split-while-stopping": splitWhileStopping,
-	"line-feed":            lineFeed,
+	"second-failover":      {replicatedPlatform, secondFailover, lost},
+	"split-while-stopping": {plainPlatform, splitWhileStopping, unasked},
+	"line-feed":            {plainPlatform, lineFeed, unasked},
 }
 
 func main() {
@@ -40,8 +47,8 @@
 }
 
 func run(name, daemon, out string, trouble bool) (int, error) {
-	play := scenarios[name]
-	if play == nil {
+	s, known := scenarios[name]
+	if !known {
 		return exitNotRun, errors.New("unknown case " + name)
 	}
 	rec, err := newRecord(out)
@@ -59,30 +66,32 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	d, err := startDeployment(rec, program, dir)
+	d, err := startDeployment(rec, program, dir, s.start)
 	if err != nil {
 		return exitNotRun, err
 	}
 	defer d.stop()
-	if err := play(d, trouble); err != nil {
+	if err := s.play(d, trouble); err != nil {
 		rec.printf("the case could not run: %v", err)
 		return exitNotRun, err
 	}
-	return verdict(rec), nil
+	d.dumpLogs()
+	return verdict(rec, s.judge(d)), nil
 }
 
-// verdict applies the rule UNASKED: every statement that a server ran must be one that a consumer
-// sent, with the same text.
-func verdict(rec *record) int {
-	broken := rec.unasked()
+func verdict(rec *record, broken []string) int {
 	for _, finding := range broken {
-		rec.printf("UNASKED: %s", finding)
-		fmt.Println("UNASKED:", finding)
+		rec.printf("BROKEN %s", finding)
+		fmt.Println("BROKEN", finding)
 	}
 	if len(broken) > 0 {
 		return exitBroken
 	}
-	rec.printf("every statement that ran was sent by a consumer with the same text")
-	fmt.Println("held")
+	rec.printf("the rule held")
+	fmt.Println("the rule held")
 	return exitHeld
 }
+
+// unasked applies the rule UNASKED: every statement that a server ran must be one that a consumer
+// sent, with the same text.
+func unasked(d *deployment) []string { return d.rec.unasked() }
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	start time.Time
 	sent  map[string]string // text of each message, by request id
 	ran   []statement
+	acked []string // ids of writes that consumers got a success for
 }
 
 // statement is a statement that a server ran.
@@ -48,6 +50,19 @@
 	r.sent[id] = text
 }
 
+// recordAcknowledged records a write that a consumer got a success for.
+func (r *record) recordAcknowledged(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acked = append(r.acked, id)
+}
+
+func (r *record) acknowledged() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.acked)
+}
+
 // recordRun records a statement that a server runs. Statements of the system itself have the id "-".
 func (r *record) recordRun(server, id, text string) {
 	r.mu.Lock()
@@ -68,9 +83,9 @@
 		text, known := r.sent[s.id]
 		switch {
 		case !known:
-			out = append(out, fmt.Sprintf("%s ran id %q, text %q: no consumer sent this id", s.server, s.id, s.text))
+			out = append(out, fmt.Sprintf("UNASKED: %s ran id %q, text %q: no consumer sent this id", s.server, s.id, s.text))
 		case text != s.text:
-			out = append(out, fmt.Sprintf("%s ran id %q, text %q: the consumer sent text %q", s.server, s.id, s.text, text))
+			out = append(out, fmt.Sprintf("UNASKED: %s ran id %q, text %q: the consumer sent text %q", s.server, s.id, s.text, text))
 		}
 	}
 	return out
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -162,15 +162,18 @@
 	}
 }
 
-func (c *connection) status() string {
-	role := "replica"
-	if c.primary {
-		role = "primary"
+func (s *server) role() string {
+	if s.primary {
+		return "primary"
 	}
+	return "replica"
+}
+
+func (c *connection) status() string {
 	position := c.position()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%s 1 %s 0 0 1 %d", role, position, c.conns)
+	return fmt.Sprintf("%s 1 %s 0 0 1 %d", c.role(), position, c.conns)
 }
 
 func (c *connection) read(item string) string {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -45,8 +45,10 @@
 	objects map[string]map[string]object
 	history []event
 	changed chan struct{}
-	// primary is the server that the failover call accepts, as the present primary.
-	primary string
+	// failover makes a server the primary, and reports whether that server is running.
+	failover func(id string) bool
+	// called is told the holder and the server of each failover call.
+	called func(holder, id string)
 }
 
 func newStore() *store {
@@ -91,7 +93,7 @@
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	switch {
 	case r.Method == http.MethodPost && r.URL.Path == "/failover":
-		s.failover(w, r)
+		s.serveFailover(w, r)
 	case len(parts) < 2 || parts[0] != "objects":
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodGet && len(parts) == 2 && r.FormValue("watch") != "":
@@ -105,11 +107,18 @@
 	}
 }
 
-func (s *store) failover(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveFailover(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		ID string `json:"id"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.ID != s.primary {
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if s.called != nil {
+		s.called(r.Header.Get("X-Duty-Holder"), body.ID)
+	}
+	if !s.failover(body.ID) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
