Review, case 2: a new VM acknowledges writes that a failover loses

Cause: a VM trusts every target of its first list as a witness. A replica that has restarted during a failover is not paused any more, and the new VM takes it as proof that the old primary still leads.

The case of the split line is case 3 now. The case of the line feed has no folder any more; its scenario stays in the stand-ins.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 record=$PWD/record.txt
 cd ../.. || exit 2
 review/build.sh >&2 || exit 2
-exec review/bin/standin -case line-feed -daemon target/endivemoor -record "$record"
+exec review/bin/standin -case split-while-stopping -daemon target/endivemoor -record "$record"
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -38,6 +38,8 @@
 	machines []*machine
 	group    *replicated // nil unless servers replicate
 	done     chan struct{}
+
+	daemon, dir, storeAddr string
 }
 
 // platform starts the store, the failover call and the servers of a deployment.
@@ -45,13 +47,13 @@
 
 // startDeployment starts the stand-ins and the daemons, and waits until all machines are ready.
 func startDeployment(rec *record, daemon, dir string, start platform) (*deployment, error) {
-	d := &deployment{rec: rec, done: make(chan struct{})}
-	storeAddr, err := start(d)
-	if err != nil {
+	d := &deployment{rec: rec, done: make(chan struct{}), daemon: daemon, dir: dir}
+	var err error
+	if d.storeAddr, err = start(d); err != nil {
 		return nil, err
 	}
 	for n := 1; n <= machines; n++ {
-		if err := d.startMachine(n, daemon, dir, storeAddr); err != nil {
+		if err := d.startMachine(n, true); err != nil {
 			d.stop()
 			return nil, err
 		}
@@ -149,7 +151,7 @@
 	}
 }
 
-const settings = `node = "edge-z%[1]d-1"
+const settings = `node = "%[6]s"
 role = "edge"
 machine-class = "edge"
 serves = ["edge", "ctl"]
@@ -157,7 +159,7 @@
 zone = "z%[1]d"
 region = "r1"
 seeds = ["%[3]s:8782"]
-bootstrap = true
+bootstrap = %[5]t
 discovery = "platform"
 heartbeat-ms = 1200
 [zones]
@@ -184,19 +186,20 @@
 `
 
 // startMachine starts a daemon with the command of the deploy file.
-func (d *deployment) startMachine(n int, daemon, dir, storeAddr string) error {
-	ip := host(n)
-	file := filepath.Join(dir, fmt.Sprintf("local%d.toml", n))
-	if err := os.WriteFile(file, []byte(fmt.Sprintf(settings, n, ip, host(1), storeAddr)), 0o600); err != nil {
+func (d *deployment) startMachine(n int, bootstrap bool) error {
+	ip, zone := host(n), (n-1)%machines+1
+	name := fmt.Sprintf("edge-z%d-%d", zone, (n-1)/machines+1)
+	file := filepath.Join(d.dir, fmt.Sprintf("local%d.toml", n))
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(settings, zone, ip, host(1), d.storeAddr, bootstrap, name)), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(dir, fmt.Sprintf("log%d", n)))
+	log, err := os.Create(filepath.Join(d.dir, fmt.Sprintf("log%d", n)))
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	m := &machine{name: fmt.Sprintf("edge-z%d-1", n), front: ip + ":8784", ready: ip + ":8785", log: log.Name()}
-	m.process = exec.Command(daemon, "edge", "--metrics-port", "9464")
+	m := &machine{name: name, front: ip + ":8784", ready: ip + ":8785", log: log.Name()}
+	m.process = exec.Command(d.daemon, "edge", "--metrics-port", "9464")
 	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ENDIVEMOOR_BOOT=" + file}
 	m.process.Stdout, m.process.Stderr = log, log
 	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"second-failover":      {replicatedPlatform, secondFailover, lost},
+	"second-failover":      {replicatedPlatform(firstPrimary, "i-1", "i-2"), secondFailover, lost},
+	"replica-restarts":     {replicatedPlatform("i-1", "i-2", "i-3"), replicaRestarts, lost},
 	"split-while-stopping": {plainPlatform, splitWhileStopping, unasked},
 	"line-feed":            {plainPlatform, lineFeed, unasked},
 }
--- a/review/standin/replicated.go
+++ b/review/standin/replicated.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,15 +29,25 @@
 // replicated is the group of servers of the case, with the network between machines and servers.
 type replicated struct {
 	*database.Group
-	net   *network
-	calls chan call
+	net     *network
+	calls   chan call
+	entries map[string]*entry
+	// open holds the listeners of the servers that run.
+	open map[string]net.Listener
+	// busy is set while the failover call is refused.
+	busy atomic.Bool
 }
 
 // call is one failover call.
 type call struct{ holder, id string }
 
-// replicatedPlatform starts servers that replicate, and whose primary can be replaced.
-func replicatedPlatform(d *deployment) (storeAddr string, err error) {
+// replicatedPlatform returns a platform with servers that replicate, and whose primary can be
+// replaced. The first server is the primary.
+func replicatedPlatform(ids ...string) platform {
+	return func(d *deployment) (storeAddr string, err error) { return d.startReplicated(ids) }
+}
+
+func (d *deployment) startReplicated(ids []string) (storeAddr string, err error) {
 	s, storeAddr, err := d.startStore()
 	if err != nil {
 		return "", err
@@ -45,32 +56,62 @@
 		Service: serviceName, Lag: replicationDelay, StatementTime: statementTime,
 		PromotionTime: promotionTime, MaxConnections: maxConnections,
 	})
-	d.group = &replicated{Group: g, net: newNetwork(), calls: make(chan call, 16)}
+	d.group = &replicated{Group: g, net: newNetwork(), calls: make(chan call, 1000), entries: make(map[string]*entry), open: make(map[string]net.Listener)}
 	s.failover = g.Failover
+	s.busy = d.group.busy.Load
 	s.called = func(holder, id string) {
-		d.rec.printf("POST /failover of %s by %s", id, holder)
+		d.rec.printf("POST /failover of %s by %s, refused: %t", id, holder, d.group.busy.Load())
 		d.group.calls <- call{holder, id}
 	}
-	entries := make(map[string]*entry)
-	for n, id := range []string{firstPrimary, "i-1", "i-2"} {
+	for n, id := range ids {
 		sv := g.Add(id, fmt.Sprint("z", n+1))
-		ln, err := net.Listen("tcp", host(101+n)+":0")
-		if err != nil {
+		d.group.entries[id] = &entry{store: s, id: id, addr: host(101+n) + ":0", zone: n + 1, role: sv.Role}
+		if err := d.group.listen(id); err != nil {
 			return "", err
 		}
-		entries[id] = &entry{store: s, id: id, addr: ln.Addr().String(), zone: n + 1, role: sv.Role}
-		go sv.Serve(&listener{ln, id, d.group.net})
 	}
 	g.OnRoleChange = func(sv *database.Server) {
 		d.rec.printf("%s is now %s", sv.ID, sv.Role())
-		entries[sv.ID].write()
+		d.group.entries[sv.ID].write()
 	}
-	for _, e := range entries {
+	for _, e := range d.group.entries {
 		go d.checkIn(e)
 	}
 	return storeAddr, nil
 }
 
+// listen makes a server accept connections at the address in its entry.
+func (g *replicated) listen(id string) error {
+	ln, err := net.Listen("tcp", g.entries[id].addr)
+	if err != nil {
+		return err
+	}
+	g.entries[id].addr, g.open[id] = ln.Addr().String(), ln
+	go g.Server(id).Serve(&listener{ln, id, g.net})
+	return nil
+}
+
+// crash ends the process of a server.
+func (g *replicated) crash(id string) {
+	_ = g.open[id].Close()
+	g.Crash(id)
+}
+
+// restart starts a server again under its id, as a replica. It holds and knows nothing of before: its
+// log, its pause and its term are gone.
+func (g *replicated) restart(id string) error {
+	g.RestartEmpty(id)
+	if err := g.listen(id); err != nil {
+		return err
+	}
+	e := g.entries[id]
+	e.mu.Lock()
+	e.seq, e.born = 0, 0
+	e.mu.Unlock()
+	e.write()
+	return nil
+}
+
 // network cuts the path between single machines and servers. A cut is silent; when it ends, the
 // connections that were open during the cut are reset.
 type network struct {
@@ -179,6 +220,8 @@
 }
 
 const (
+	// calm is how long the consumers write before the first disruption.
+	calm = 2 * time.Second
 	// followerTime is how long the first primary needs to follow its successor, and other machines
 	// wait after a failover before they begin another one.
 	followerTime = 4 * time.Second
@@ -193,7 +236,7 @@
 	g := d.group
 	w := startWriters(d)
 	defer w.stop()
-	time.Sleep(2 * time.Second)
+	time.Sleep(calm)
 	if !trouble {
 		time.Sleep(followerTime + afterCall)
 		return w.check()
@@ -265,13 +308,18 @@
 func startWriters(d *deployment) *writers {
 	w := &writers{d: d, done: make(chan struct{})}
 	for n, m := range d.machines {
-		for i := range writersPerMachine {
-			w.wait.Go(func() { w.run(fmt.Sprintf("w%d.%d", n+1, i), m) })
-		}
+		w.start(n+1, m)
 	}
 	return w
 }
 
+// start starts the consumers at one machine.
+func (w *writers) start(number int, m *machine) {
+	for i := range writersPerMachine {
+		w.wait.Go(func() { w.run(fmt.Sprintf("w%d.%d", number, i), m) })
+	}
+}
+
 func (w *writers) stop() {
 	close(w.done)
 	w.wait.Wait()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -47,6 +47,8 @@
 	changed chan struct{}
 	// failover makes a server the primary, and reports whether that server is running.
 	failover func(id string) bool
+	// busy reports whether the failover call is refused; nil if it never is.
+	busy func() bool
 	// called is told the holder and the server of each failover call.
 	called func(holder, id string)
 }
@@ -118,11 +120,14 @@
 	if s.called != nil {
 		s.called(r.Header.Get("X-Duty-Holder"), body.ID)
 	}
-	if !s.failover(body.ID) {
+	switch {
+	case s.busy != nil && s.busy():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !s.failover(body.ID):
 		w.WriteHeader(http.StatusConflict)
-		return
+	default:
+		w.WriteHeader(http.StatusOK)
 	}
-	w.WriteHeader(http.StatusOK)
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
