--- a/review/2/run.sh
+++ b/review/further/replica-restarts/run.sh
@@ -4,6 +4,6 @@
 set -uo pipefail
 cd "$(dirname "$0")" || exit 2
 record=$PWD/record.txt
-cd ../.. || exit 2
+cd ../../.. || exit 2
 review/build.sh >&2 || exit 2
 exec review/bin/standin -case replica-restarts -daemon target/endivemoor -record "$record"
