Count the first commits of a term as acknowledged

Callers saw: one to four writes that were acknowledged right after a planned failover were gone after the next one.

Cause: the position known before such a commit is of the term before, or none at a process that has just started, and Acknowledged.Commit returned without raising the bound. The only other server that had received the commits left with its log, and a server without them was promoted.

Evidence: TestFirstCommitsOfATermRaiseTheBound draws terms, promotions and replies; without the change the bound stays in the term before (expected term 1, actual 0).

Fix: a commit that is sent to the primary of a term lies in that term, and beyond what was acknowledged before it was sent, which the new primary holds.

Ruled out: raising the bound to the position known in the term before, which may belong to a discarded branch (TestBoundDoesNotCrossTerms stays as it is).

--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -90,7 +90,7 @@
 		return nil, &SetupError{Cause: err}
 	}
 	sent := l.Clock.Now()
-	before := g.Acknowledged.Before()
+	before := g.BeforeCommit(id)
 	ended := g.Health.Sent(id, sent, job.Commits)
 	a, err := exchange(ctx, c, job, name)
 	now := l.Clock.Now()
--- a/groups/acknowledged.go
+++ b/groups/acknowledged.go
@@ -38,6 +38,22 @@
 	return a.known
 }
 
+// beforeIn is Before for a commit that is sent to the primary of a term.
+//
+// Failure guarded against: no position of a new term is known yet, and its first commits do not raise the
+// bound. Their only other holder leaves with its log, and a target without them is promoted.
+//
+// The new primary holds the bound, so that its own commits lie beyond it. A position that was known in
+// an earlier term may belong to a branch of the log that the promotion has discarded.
+func (a *Acknowledged) beforeIn(term timeline.Term) timeline.Position {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.known.Term >= term {
+		return a.known
+	}
+	return timeline.Position{Term: term, LSN: a.bound.LSN}
+}
+
 // Commit records that a commit was acknowledged, with what Before returned when it was sent and the
 // position in its reply.
 func (a *Acknowledged) Commit(before, after timeline.Position) {
--- a/groups/acknowledged_test.go
+++ b/groups/acknowledged_test.go
@@ -4,8 +4,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
 
@@ -55,3 +58,49 @@
 		}
 	})
 }
+
+// Failure guarded against: the first commits of a term that a VM learns of leave the bound as it was, and a
+// log that lacks them is promoted. The bound must not lie above an acknowledged commit either.
+func TestFirstCommitsOfATermRaiseTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a Acknowledged
+		term, log, highest := 0, 0, timeline.Position{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if term == 0 || rapid.IntRange(0, 4).Draw(t, "promotion") == 0 {
+				// The new primary holds what was acknowledged, and not all that the last one held.
+				term++
+				log = rapid.IntRange(int(highest.LSN), log).Draw(t, "received")
+			}
+			before := a.beforeIn(timeline.Term(term))
+			log += rapid.IntRange(0, 5).Draw(t, "others")
+			log++
+			own := at(term, log)
+			log += rapid.IntRange(0, 5).Draw(t, "later")
+			if rapid.Bool().Draw(t, "acknowledged") {
+				a.Commit(before, at(term, log))
+				highest = own
+				require.EqualValues(t, term, a.Bound().Term, "a log of the term before passes")
+			}
+			require.False(t, highest.Less(a.Bound()), "%v is above %v", a.Bound(), highest)
+			require.LessOrEqual(t, a.Bound().LSN, highest.LSN)
+			if rapid.Bool().Draw(t, "reported") {
+				a.RecordPosition(at(term, log))
+			}
+		}
+	})
+}
+
+// Failure guarded against: the same at the places that send commits, which know the primary's term.
+func TestCommitIsBeyondTheTermOfItsPrimary(t *testing.T) {
+	h := catalog.NewHolder()
+	r := NewRegistry(Config{Catalog: h, Clock: &manual{now: 1}, Log: zap.NewNop()})
+	r.Update(listing(h, 7, 10))
+	g := r.Group("s")
+	g.Acknowledged.RecordPosition(at(1, 500))
+	g.Acknowledged.Raise(at(1, 480))
+	require.Equal(t, at(1, 500), g.BeforeCommit("other"))
+	g.Leadership.RecordStatus("p", target.RolePrimary, 2)
+	require.Equal(t, at(2, 480), g.BeforeCommit("p"))
+	g.Acknowledged.Commit(g.BeforeCommit("p"), at(2, 481))
+	require.Equal(t, at(2, 481), g.Acknowledged.Bound())
+}
--- a/groups/group.go
+++ b/groups/group.go
@@ -276,6 +276,14 @@
 	g.RecordCachedStatus(p.Leader, target.RolePrimary, p.Term)
 }
 
+// BeforeCommit returns a position that a commit sent to a target now will lie beyond.
+func (g *Group) BeforeCommit(id target.ID) timeline.Position {
+	if b := g.Leadership.Current(); b.Primary == id {
+		return g.Acknowledged.beforeIn(b.Term)
+	}
+	return g.Acknowledged.Before()
+}
+
 // Refused records that a target does not lead any more.
 func (g *Group) Refused(id target.ID) {
 	g.Leadership.Refused(id)
--- a/relay/router.go
+++ b/relay/router.go
@@ -282,7 +282,7 @@
 // run makes the call for one statement, and records the evidence, the health of the target and the
 // acknowledged position that the reply shows.
 func (r *Router) run(ctx context.Context, vm catalog.VM, g *groups.Group, b leadership.State, id target.ID, in *relaypb.RunRequest, sent clock.Time, timeout time.Duration) (*outcome, error) {
-	before := g.Acknowledged.Before()
+	before := g.BeforeCommit(id)
 	var out *relaypb.RunReply
 	err := r.peers.call(ctx, vm, timeout+callSlack, in.GetTransaction() == 0 && !in.GetCommits(), func(ctx context.Context, to relaypb.Relay) (err error) {
 		out, err = to.Run(ctx, in)
