Avoid a target at a promotion only if the logs show that nothing is lost

Callers saw: for some seconds writes were acknowledged, and the server that was promoted then had none of them.

Cause: the target that an open record names as deposed is avoided, because the platform may consider it the present primary, as long as the others hold every position known to be acknowledged. A VM that was cut off had acknowledged commits that only that target and the dead primary held, and answered nobody. A target that was designated without effect was avoided as well, also if it was dead.

Fix: the others are preferred if one of them holds the avoided target's log, or if all are fenced, it led the term in which its log ends, nobody knows a later one and all others hold commits of that term: it has then acknowledged only what one of them received. Otherwise the longest log is promoted. A designated target counts as without effect only if it answers and follows until the time limit.

Ruled out: avoiding nobody (a primary that has stepped down without a successor is designated without effect again and again); asking only the longest of the others to hold commits of that term, which a drawn history refuted.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -31,10 +31,14 @@
 	claims   map[target.ID]*claim
 	promoted target.ID
 	highest  timeline.Term
+	// led is the latest term in which each target has reported that it leads.
+	led map[target.ID]timeline.Term
 }
 
 // NewTracker returns a Tracker without claims.
-func NewTracker() *Tracker { return &Tracker{claims: make(map[target.ID]*claim)} }
+func NewTracker() *Tracker {
+	return &Tracker{claims: make(map[target.ID]*claim), led: make(map[target.ID]timeline.Term)}
+}
 
 // State is the leader that the Tracker derives from the claims.
 type State struct {
@@ -62,6 +66,7 @@
 	for id := range b.claims {
 		if !present[id] {
 			delete(b.claims, id)
+			delete(b.led, id)
 		}
 	}
 }
@@ -87,6 +92,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.claims, id)
+	delete(b.led, id)
+}
+
+// recordLed records the term of a report in which a target leads.
+func (b *Tracker) recordLed(id target.ID, role target.Role, term timeline.Term) {
+	if role == target.RolePrimary {
+		b.led[id] = max(b.led[id], term)
+	}
+}
+
+// LastLed returns the latest term in which a target has reported that it leads; 0 if there is none.
+func (b *Tracker) LastLed(id target.ID) timeline.Term {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.led[id]
 }
 
 // RecordStatus records a target's own status.
@@ -98,6 +118,7 @@
 	if c == nil {
 		return
 	}
+	b.recordLed(id, role, term)
 	c.role = role
 	c.term = term
 }
@@ -115,6 +136,9 @@
 	defer b.mu.Unlock()
 	b.highest = max(b.highest, term)
 	c := b.claims[id]
+	if c != nil {
+		b.recordLed(id, role, term)
+	}
 	if c == nil || term <= c.term || (c.term == 0 && c.role != role) {
 		return
 	}
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -71,6 +71,8 @@
 	errOwnNetwork          = errors.New("this VM reaches no other VM, and targets answer it only slowly: its own network path may be at fault")
 	errWasIsolated         = errors.New("this VM reaches others only since it queried the targets: what it observed before may be its own network path's")
 	errRestored            = errors.New("the store was restored from an older copy: the attempt's record may be lost")
+	errNotLeading          = errors.New("the chosen target did not report that it leads within the time limit")
+	errNoEffect            = errors.New("the designated target still follows: the platform may consider it the present primary")
 	errRestarted           = errors.New("the target has restarted and lost its pause or its log")
 )
 
@@ -178,7 +180,9 @@
 		return "", err
 	}
 	if err := a.awaitLead(ctx, chosen); err != nil {
-		a.p.recordIneffective(a.g.Service, chosen.ID)
+		if errors.Is(err, errNoEffect) {
+			a.p.recordIneffective(a.g.Service, chosen.ID)
+		}
 		return chosen.ID, err
 	}
 	a.p.recordIneffective(a.g.Service, "")
@@ -238,20 +242,26 @@
 // Failure guarded against: the target restarts before it leads, and then leads with an empty log.
 // The other targets would be resumed, follow it and replace their logs by its empty one. So the
 // attempt fails with them still paused, and the next attempt finds the acknowledged commits in
-// their logs.
+// their logs. It fails with errNoEffect only if the target answers until then and does not lead.
 func (a *attempt) awaitLead(ctx context.Context, chosen takeover.Fenced) error {
 	deadline := a.p.cfg.Clock.Now().Add(leadTimeout)
+	failed := errNotLeading
 	for a.p.cfg.Clock.Now().Before(deadline) {
 		s, err := a.g.Status(ctx, chosen.ID, spending.Change, statusTimeout)
-		if err == nil && s.Role == target.RolePrimary {
-			if !takeover.Holds(s.Received, chosen.Received) {
-				return errors.WithMessage(errRestarted, string(chosen.ID))
-			}
+		holds := err == nil && takeover.Holds(s.Received, chosen.Received)
+		switch {
+		case err == nil && s.Role == target.RolePrimary && !holds:
+			return errors.WithMessage(errRestarted, string(chosen.ID))
+		case err == nil && s.Role == target.RolePrimary:
 			return nil
+		case holds:
+			failed = errNoEffect
+		default:
+			failed = errNotLeading
 		}
 		time.Sleep(pollInterval)
 	}
-	return errors.New("the chosen target did not report that it leads within the time limit")
+	return failed
 }
 
 // finish resumes the other targets and records the new primary.
--- a/promoter/choose.go
+++ b/promoter/choose.go
@@ -1,8 +1,6 @@
 package promoter
 
 import (
-	"slices"
-
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
@@ -19,32 +17,42 @@
 	if end != nil {
 		return takeover.Choose(fenced, end)
 	}
-	avoided := a.avoided()
-	others := slices.DeleteFunc(slices.Clone(fenced), func(f takeover.Fenced) bool { return f.ID == avoided })
-	if len(others) >= takeover.RequiredFenced {
-		chosen, err := takeover.Choose(others, nil)
-		if err == nil && takeover.Holds(chosen.Received, a.g.Acknowledged.Bound()) {
-			return chosen, nil
-		}
+	if chosen, ok := takeover.ChooseOther(fenced, a.present(fenced), a.g.Acknowledged.Bound()); ok {
+		return chosen, nil
 	}
 	return takeover.Choose(fenced, nil)
 }
 
-// avoided returns the target that the platform may consider the present primary: one that was
-// designated without effect, or else the last one that led. The latter may be the only holder of
-// what a service without synchronous replicas has acknowledged.
-func (a *attempt) avoided() target.ID {
-	if id := a.p.lastIneffective(a.g.Service); id != "" {
-		return id
+// present returns the target that the platform may consider the present primary: one that was
+// designated without effect, or else the last one that led. The latter may be the only holder of what a
+// service without synchronous replicas has acknowledged.
+func (a *attempt) present(fenced []takeover.Fenced) takeover.Present {
+	out := takeover.Present{ID: a.p.lastIneffective(a.g.Service)}
+	out.Led = latestTerm(fenced, out.ID)
+	if out.ID == "" {
+		if s := a.p.cfg.Catalog.Load().Service(a.g.Service); s == nil || s.SyncReplicas == 0 {
+			return out
+		}
+		out.ID = a.g.Health.Watched()
+		if a.known != nil && a.known.Attempt != nil {
+			out.ID = a.known.Attempt.Deposed
+		}
+		out.Led = a.g.Leadership.LastLed(out.ID)
 	}
-	s := a.p.cfg.Catalog.Load().Service(a.g.Service)
-	if s == nil || s.SyncReplicas == 0 {
-		return ""
+	if a.old != "" {
+		out.Led = 0 // The old primary may have led since, and is not fenced.
 	}
-	if a.known != nil && a.known.Attempt != nil {
-		return a.known.Attempt.Deposed
+	return out
+}
+
+// latestTerm returns the latest term that a fenced target knows. The platform's present primary led it.
+func latestTerm(fenced []takeover.Fenced, id target.ID) timeline.Term {
+	for _, f := range fenced {
+		if f.ID == id {
+			return f.Term
+		}
 	}
-	return a.g.Health.Watched()
+	return 0
 }
 
 // recordIneffective records the target that was designated last and does not lead; empty if there
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -106,7 +106,7 @@
 		}
 		a.paused = append(a.paused, s.id)
 		t := a.p.cfg.Catalog.Load().Targets[s.id]
-		out = append(out, takeover.Fenced{ID: s.id, Received: s.status.Received, Leaving: t == nil || t.Draining})
+		out = append(out, takeover.Fenced{ID: s.id, Term: s.status.Term, Received: s.status.Received, Leaving: t == nil || t.Draining})
 	}
 	return out, failed
 }
--- a/takeover/choose.go
+++ b/takeover/choose.go
@@ -26,6 +26,8 @@
 // Fenced is a target that was paused, with the end of its log.
 type Fenced struct {
 	ID target.ID
+	// Term is the newest term that it knows.
+	Term timeline.Term
 	// Received is the end of the log that it has received.
 	Received timeline.Position
 	// Leaving is set if the target is draining.
@@ -109,3 +111,43 @@
 	}
 	return *best, nil
 }
+
+// Present is the fenced target that the platform may consider the present primary of a service: to
+// designate it would change nothing.
+type Present struct {
+	ID target.ID
+	// Led is the latest term in which it is known to have led; 0 if none is, or if a target that may have
+	// led since is not fenced.
+	Led timeline.Term
+}
+
+// ChooseOther is Choose among the targets other than the present primary. It is false if these may lack
+// an acknowledged commit. The bound is a position that is known to be acknowledged.
+//
+// Failure guarded against: the other targets hold every position that this VM knows to be acknowledged,
+// and lack what a VM that is cut off has acknowledged since. Only the avoided target holds it, and
+// confirmed purchases are lost.
+//
+// So one of the others must hold the avoided target's log, or what they all lack was acknowledged by
+// nobody: the avoided target led the term in which its log ends, nobody has led since, and all others
+// received commits of that term. Then it has acknowledged only what the longest of their logs holds.
+func ChooseOther(fenced []Fenced, present Present, bound timeline.Position) (Fenced, bool) {
+	others := slices.DeleteFunc(slices.Clone(fenced), func(f Fenced) bool { return f.ID == present.ID })
+	if len(others) < RequiredFenced {
+		return Fenced{}, false
+	}
+	best, err := Choose(others, nil)
+	if err != nil || !Holds(best.Received, bound) {
+		return Fenced{}, false
+	}
+	avoided := slices.IndexFunc(fenced, func(f Fenced) bool { return f.ID == present.ID })
+	if avoided < 0 || CompareLogs(best.Received, fenced[avoided].Received) >= 0 {
+		return best, true
+	}
+	return best, present.Led != 0 && fenced[avoided].endsIn(present.Led) && !slices.ContainsFunc(others, func(f Fenced) bool { return !f.endsIn(present.Led) })
+}
+
+// endsIn reports whether a target's log ends in a term, and it knows no later one.
+func (f Fenced) endsIn(term timeline.Term) bool {
+	return f.Received.LSN > 0 && f.Received.Term == term && f.Term <= term
+}
