End a pause only while holding the service's record

Callers saw: writes were acknowledged, and the server that was promoted half a second later did not have them.

Cause: the follow-up of one failover sent RESUME to a replica that the next one had paused. The command names no term. The replica received again, the primary under replacement could confirm commits, and a VM that was shutting down acknowledged them.

Fix: a paused target that a follow-up finds is left to a recorded clean-up. An attempt beyond its time limit records itself again before it resumes anything, and leaves everything alone if another VM has begun one. Commands of an attempt expire with that limit, checked once they have a connection, and are not handed to a gateway. After a command to resume that was not answered the VM's own next attempt waits as long as those of others do. A target that did not confirm its pause is pursued, as it may be paused all the same.

Ruled out: comparing the term of the pause with that of the follow-up, since a second attempt has the same term if the first one was given up.

--- a/lane/pool.go
+++ b/lane/pool.go
@@ -289,6 +289,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if isExpired(ctx) {
+		c.Release()
+		return nil, ErrExpired
+	}
 	command.queueOn(c)
 	if err := c.Flush(timeout); err != nil {
 		c.Discard()
--- a/promoter/abandoned.go
+++ b/promoter/abandoned.go
@@ -39,13 +39,13 @@
 	return r.Lost || r.Era < catalog.EraOf(r.Revision)
 }
 
-// replacedTarget returns the target that the recorded attempt was to replace; empty if there is
+// replacedBefore returns the target that the attempt to be cleaned up was to replace; empty if there is
 // none.
-func replacedTarget(r *catalog.LeadershipRecord) target.ID {
-	if r.Attempt == nil {
-		return ""
+func (a *attempt) replacedBefore() target.ID {
+	if a.known.Attempt != nil {
+		return a.known.Attempt.Deposed
 	}
-	return r.Attempt.Deposed
+	return a.followsUp
 }
 
 // cleanUp undoes the remains of an attempt whose holder has left it open. It is false if it is not
@@ -61,7 +61,7 @@
 	if _, settled := a.pausedTargets(ctx); !settled {
 		return false
 	}
-	if err := a.record(ctx, replacedTarget(a.known)); err != nil {
+	if err := a.record(ctx, a.known, a.replacedBefore()); err != nil {
 		log.Info("takeover-not-ours", zap.Error(err))
 		return true
 	}
@@ -73,7 +73,9 @@
 		return true
 	}
 	a.paused = paused
-	a.resume(ctx, a.old)
+	if !a.resume(lane.WithExpiry(ctx, a.expired), a.old, a.replacedBefore()) {
+		return true
+	}
 	a.end(ctx, a.old)
 	log.Info("takeover-tidied", zap.Int("resumed", len(paused)), zap.Duration("after", a.elapsed()))
 	return true
@@ -92,7 +94,7 @@
 			paused = append(paused, o.ID)
 		}
 	}
-	return paused, takeover.IsSettled(leader, others, replacedTarget(a.known))
+	return paused, takeover.IsSettled(leader, others, a.replacedBefore())
 }
 
 func targetStatusOf(id target.ID, s statement.Status, err error) takeover.TargetStatus {
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -10,6 +10,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
@@ -48,12 +49,20 @@
 	started clock.Time
 	known   *catalog.LeadershipRecord // the record on which the decision was based
 	held    *catalog.LeadershipRecord
+	heldAt  clock.Time // a time before held was recorded
 	others  []*catalog.Target
 	term    timeline.Term
 	paused  []target.ID
 	ordered bool
-	// cleansUp is set if an attempt was abandoned under a primary that leads.
+	// unsure are the targets that did not confirm a pause, and may be paused all the same.
+	unsure []target.ID
+	// unanswered is set if a command to resume was sent and not answered: it may arrive late.
+	unanswered bool
+	// cleansUp is set if an attempt was abandoned under a primary that leads, or has left targets paused.
 	cleansUp bool
+	// followsUp is the primary that an ended attempt has replaced, if this one resumes what it has left
+	// paused.
+	followsUp target.ID
 	// isolated is set if this VM reached no other VM when it decided to act.
 	isolated bool
 }
@@ -78,7 +87,7 @@
 
 // runAttempt makes one attempt and logs its outcome.
 func (p *Promoter) runAttempt(ctx context.Context, a *attempt, b leadership.State, symptoms takeover.Symptoms) {
-	defer p.done(a.g)
+	defer p.done(a)
 	log := p.cfg.Log.With(zap.String("service", a.g.Service), zap.String("reason", string(a.reason)), zap.String("old", string(a.old)))
 	if a.cleansUp && (a.cleanUp(ctx, log) || a.reason == takeover.ReasonAbandoned) {
 		return
@@ -87,12 +96,13 @@
 		log.Info("takeover-unfeasible", zap.Error(err), zap.Duration("silent", symptoms.Unresponsive), zap.Duration("stalled", symptoms.Stalled))
 		return
 	}
-	if err := a.record(ctx, a.old); err != nil {
+	if err := a.record(ctx, a.known, a.old); err != nil {
 		log.Info("takeover-not-ours", zap.Error(err))
 		return
 	}
 	log.Info("takeover-begun", zap.Int64("token", a.held.Revision), zap.Duration("silent", symptoms.Unresponsive),
 		zap.Int("refusals", symptoms.Refusals), zap.Duration("stalled", symptoms.Stalled), zap.Uint64("term", uint64(b.Term)))
+	ctx = lane.WithExpiry(ctx, a.expired)
 	chosen, err := a.run(ctx)
 	if err != nil {
 		log.Warn("takeover-failed", zap.Error(err), zap.Bool("ordered", a.ordered), zap.Duration("after", a.elapsed()))
@@ -111,19 +121,45 @@
 // record, targets are queried, and another VM may have recorded its own attempt meanwhile. So the
 // update is conditional on the revision on which the decision was based, not on the latest one, and
 // fails in that case.
-func (a *attempt) record(ctx context.Context, replaced target.ID) error {
+func (a *attempt) record(ctx context.Context, known *catalog.LeadershipRecord, replaced target.ID) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	nonce := a.p.cfg.Nonce()
 	a.p.recordNonce(a.g.Service, nonce)
-	held, err := a.p.cfg.Records.Begin(ctx, a.known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: nonce, Deposed: replaced})
+	begun := a.p.cfg.Clock.Now()
+	held, err := a.p.cfg.Records.Begin(ctx, known, catalog.Attempt{Holder: a.p.cfg.Node, Nonce: nonce, Deposed: replaced})
 	if err != nil {
 		return err
 	}
-	a.held = held
+	a.held, a.heldAt = held, begun
 	return nil
 }
 
+// expired reports whether others may consider the holder of this attempt dead before a command that is
+// sent now has arrived.
+func (a *attempt) expired() bool { return a.p.cfg.Clock.Now().Sub(a.heldAt) >= takeover.PromotionLimit }
+
+// extend records the attempt again if its time is over, and reports whether this VM still holds it.
+func (a *attempt) extend(ctx context.Context) bool {
+	if !a.expired() {
+		return true
+	}
+	if err := a.record(ctx, a.held, a.held.Attempt.Deposed); err != nil {
+		a.p.cfg.Log.Warn("takeover-expired", zap.String("service", a.g.Service), zap.Duration("after", a.elapsed()), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// pauseAfter is the least time before this VM's next attempt: a command that is still on its way must
+// have arrived, as others wait for it.
+func (a *attempt) pauseAfter() time.Duration {
+	if a.unanswered {
+		return takeover.SettlePeriod
+	}
+	return attemptPause
+}
+
 // recordNonce records the nonce of this process's latest attempt.
 func (p *Promoter) recordNonce(service, nonce string) {
 	p.mu.Lock()
@@ -266,9 +302,11 @@
 
 // finish resumes the other targets and records the new primary.
 func (a *attempt) finish(ctx context.Context, chosen target.ID) {
-	a.resume(ctx, chosen)
+	if !a.resume(ctx, chosen, a.old) {
+		return
+	}
 	a.end(ctx, chosen)
-	a.p.startFollowUp(a.g.Service, a.old, a.term)
+	a.p.startFollowUp(a.g.Service, a.old, a.term, a.old)
 }
 
 // giveUp undoes the effects of a failed attempt. If a promotion was ordered it may still be
@@ -278,8 +316,9 @@
 	if a.ordered {
 		return
 	}
-	a.resume(ctx, "")
-	a.end(ctx, a.held.Primary)
+	if a.resume(ctx, "", "") {
+		a.end(ctx, a.held.Primary)
+	}
 }
 
 func (a *attempt) end(ctx context.Context, primary target.ID) {
--- a/promoter/commands.go
+++ b/promoter/commands.go
@@ -14,17 +14,29 @@
 )
 
 // resume ends the pauses of an attempt. A command to a target without a free connection is
-// repeated: until that target receives, the new primary can confirm nothing.
-func (a *attempt) resume(ctx context.Context, except target.ID) {
+// repeated: until that target receives, the new primary can confirm nothing. It is false if this VM does
+// not hold the attempt any more: the pauses may be another's by now, and the record is left to expire.
+//
+// Failure guarded against: the VM is suspended, another one begins an attempt and pauses the targets, and
+// this one resumes them when it wakes.
+func (a *attempt) resume(ctx context.Context, except, replaced target.ID) bool {
 	for _, id := range a.paused {
 		if id == except {
 			continue
 		}
+		if !a.extend(ctx) {
+			return false
+		}
 		if _, err := a.sendWithRetry(ctx, id, lane.ResumeCommand); err != nil {
 			a.p.cfg.Log.Warn("resume-unanswered", zap.String("target", string(id)), zap.Error(err))
-			a.p.startFollowUp(a.g.Service, id, a.term)
+			a.unanswered = true
+			a.p.startFollowUp(a.g.Service, id, a.term, replaced)
 		}
 	}
+	for _, id := range a.unsure {
+		a.p.startFollowUp(a.g.Service, id, a.term, replaced)
+	}
+	return true
 }
 
 // reply is one target's reply to a command.
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -102,6 +102,7 @@
 	for _, s := range answers {
 		if s.err != nil {
 			failed = errors.WithMessage(s.err, "pause "+string(s.id))
+			a.unsure = append(a.unsure, s.id)
 			continue
 		}
 		a.paused = append(a.paused, s.id)
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -210,6 +210,10 @@
 	}
 	reason := takeover.Diagnose(symptoms)
 	leftOpen := p.abandoned(known, w, b.Primary, now)
+	var followsUp target.ID
+	if x := w.pausedFollowUp(); x != nil && known.Attempt == nil {
+		leftOpen, followsUp = true, x.replaced
+	}
 	if reason == takeover.ReasonNone && leftOpen {
 		reason = takeover.ReasonAbandoned
 	}
@@ -225,7 +229,7 @@
 	w.busy = true
 	p.running.Add(1)
 	a := &attempt{p: p, g: g, reason: reason, old: b.Primary, known: known, started: now, others: g.Replicas(b.Primary), cleansUp: leftOpen && reason.Answers(),
-		isolated: p.isolatedSince != 0}
+		followsUp: followsUp, isolated: p.isolatedSince != 0}
 	go p.runAttempt(context.WithoutCancel(ctx), a, b, symptoms)
 }
 
@@ -303,12 +307,12 @@
 }
 
 // done makes this VM's next attempt possible after a pause.
-func (p *Promoter) done(g *groups.Group) {
+func (p *Promoter) done(a *attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := p.stateOf(g.Service)
+	w := p.stateOf(a.g.Service)
 	now := p.cfg.Clock.Now()
-	w.busy, w.notBefore = false, now.Add(attemptPause)
+	w.busy, w.notBefore = false, now.Add(a.pauseAfter())
 	w.reason = takeover.ReasonNone
 	p.running.Done()
 }
