--- a/edge/start_without_store_test.go
+++ b/edge/start_without_store_test.go
@@ -32,3 +32,24 @@
 		f.checkInvariants()
 	})
 }
+
+// Guards against: a VM without any proof runs each write and leaves it in doubt.
+func TestVMWithoutAnyProofRefusesWritesAsNotRun(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		f.seeds = []string{world.Settings("", "", 1).Listen.Control}
+		f.world.Store.SetDown(true)
+		f.kill("vm2")
+		f.restartVM("vm2")
+		time.Sleep(time.Second)
+		c, tx := f.session("vm2", exact), f.session("vm2", exact)
+		require.True(t, tx.Query("BEGIN").OK())
+		require.True(t, tx.Query("WRITE seat 1").OK())
+		f.isolate("vm2")
+		time.Sleep(time.Second)
+		require.Equal(t, "BUSY", c.Query("WRITE seat 2").Code)
+		require.Equal(t, "ABORTED", tx.Query("COMMIT").Code)
+		time.Sleep(time.Second)
+		require.Empty(t, f.group.Stored(), "what was refused has not run")
+		f.checkInvariants()
+	})
+}
