Hand commands of an attempt to gateways again, which let them expire

Cause: since commands of an attempt expire they were not handed to a gateway any more. In a fleet with gateways a VM may have no connection to a target that accepts no further one, so that the target could be neither paused nor resumed, and the attempt failed.

Change: a command that has not expired is handed on as before. The gateway does not send it after the time that its sender waits for the answer, counted from its receipt.

--- a/lane/expiry.go
+++ b/lane/expiry.go
@@ -19,11 +19,8 @@
 	return context.WithValue(ctx, expiryKey{}, expired)
 }
 
-// HasExpiry reports whether a context is from WithExpiry. Its commands are not handed to another VM, which
-// may be suspended as well.
-func HasExpiry(ctx context.Context) bool { return ctx.Value(expiryKey{}) != nil }
-
-func isExpired(ctx context.Context) bool {
+// Expired reports whether a context is from WithExpiry and its commands must not be sent any more.
+func Expired(ctx context.Context) bool {
 	expired, ok := ctx.Value(expiryKey{}).(func() bool)
 	return ok && expired()
 }
--- a/lane/pool.go
+++ b/lane/pool.go
@@ -289,7 +289,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if isExpired(ctx) {
+	if Expired(ctx) {
 		c.Release()
 		return nil, ErrExpired
 	}
--- a/relay/control.go
+++ b/relay/control.go
@@ -31,7 +31,7 @@
 	}
 	rows, err := a.cfg.Control.Control(ctx, id, cmd, timeout)
 	var u *lane.UnavailableError
-	if !errors.As(err, &u) || u.Code != statement.TooManyConnections || lane.HasExpiry(ctx) {
+	if !errors.As(err, &u) || u.Code != statement.TooManyConnections || lane.Expired(ctx) {
 		return rows, err
 	}
 	if rows, _, relayed := a.relay(ctx, id, cmd, 0, timeout); !isGateway(relayed) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -225,6 +225,9 @@
 	if cmd == lane.StatusCommand {
 		return s.cfg.Statuses.Recent(ctx, id, duration(int64(in.GetMaxAgeUs())), timeout)
 	}
+	// A command that has waited longer is not answered any more, and its sender's authority may have ended.
+	received := s.cfg.Clock.Now()
+	ctx = lane.WithExpiry(ctx, func() bool { return s.cfg.Clock.Now().Sub(received) >= timeout })
 	rows, err := s.cfg.Control.Control(ctx, id, cmd, timeout)
 	return rows, 0, err
 }
