A target that its group does not know yet is no witness

Callers saw: a process ended by itself with a panic (assignment to entry in nil map) as it started, and its sessions broke.

Cause: CanWitness records the trust in a target's incarnation. Since a process that starts trusts no replica at first, that happens for targets of a catalog which the group has not taken yet, also from the check of all groups that runs every 50 ms.

The test panics without the change.

Fix: a target without a known incarnation is no witness. It is known an instant later.

--- a/groups/incarnations.go
+++ b/groups/incarnations.go
@@ -60,7 +60,10 @@
 	brokenAt := max(g.cfg.BrokenAt(id), g.startedAt)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.incarnations[id]
+	known, listed := g.incarnations[id]
+	if !listed {
+		return false
+	}
 	broken := brokenAt > known.trustedBreak
 	if known.listedAt == 0 && !broken {
 		return true
--- a/groups/incarnations_test.go
+++ b/groups/incarnations_test.go
@@ -177,3 +177,16 @@
 	require.NoError(t, g.Prove(context.Background(), b, 0, clk.Now()))
 	require.True(t, g.HasWitness(b))
 }
+
+// Failure guarded against: a process ends with a panic when a replica of a new catalog is looked up before
+// its group has taken the catalog.
+func TestTargetThatItsGroupDoesNotKnowYetIsNoWitness(t *testing.T) {
+	clk, h := newAtomicClock(), catalog.NewHolder()
+	r := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), RecordsConfirmedAt: clk.Now})
+	listing(h, 7, 10)
+	g := r.Group("s")
+	g.TrustReplicas()
+	require.False(t, g.CanWitness("r"))
+	r.Update(h.Load())
+	require.True(t, g.CanWitness("r"))
+}
