--- a/edge/leaderless_test.go
+++ b/edge/leaderless_test.go
@@ -61,6 +61,26 @@
 	})
 }
 
+// Guards against: the same for a process that starts while its attempt is recorded. It trusts no replica
+// until that has ended, and does not detect that the primary is dead since it sends it no write.
+func TestHolderThatStartsDuringItsAttemptGoesOnSoon(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		c := f.session("vm1", exact)
+		_, bought := buyUntil(f, c, time.Second)
+		recordAttempt(f, "vm0")
+		f.kill("vm0")
+		f.restartVM("vm0")
+		time.Sleep(time.Second)
+		go buyUntil(f, f.session("vm0", exact), time.Second)
+		f.world.Crash(service, "ledger-0")
+		gap, after := buyUntil(f, c, 7*time.Second)
+		require.Less(t, gap, 3*time.Second)
+		requireAll(f, f.session("vm2", exact), append(bought, after...))
+		require.Equal(t, "vm0", f.world.Store.DesignationCalls()[0].Holder)
+		f.checkInvariants()
+	})
+}
+
 // Guards against: a longer outage because the entry of a dead primary is removed before the primary
 // can be replaced. No target is considered the leader from then on, but the primary was dead
 // before, and waiting for new claims would delay consumers. A VM considers an entry removed some
--- a/engine/confirm.go
+++ b/engine/confirm.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/spending"
 )
 
 // stillLeads reports whether a commit that the primary has answered may be acknowledged: a witness
@@ -37,10 +39,23 @@
 //
 // Failure guarded against: a VM that trusts no replica, as behind a cut, runs each write and leaves it in
 // doubt.
+//
+// The primary is queried meanwhile: a VM that sends it nothing would not detect that it is dead.
 func (s *Session) provable(ctx context.Context, g *groups.Group, w *work, leader leadership.State, since clock.Time) bool {
-	return g.HasWitness(leader) || s.proven(g, w, s.prove(ctx, g, leader, since))
+	if g.HasWitness(leader) {
+		return true
+	}
+	go g.Probe(context.WithoutCancel(ctx), leader.Primary, spending.Suspicion, unprovenProbeInterval, unprovenProbeTimeout)
+	return s.proven(g, w, s.prove(ctx, g, leader, since))
 }
 
+const (
+	// unprovenProbeInterval is the interval in which writes that lack a proof share one query of the
+	// primary.
+	unprovenProbeInterval = 100 * time.Millisecond
+	unprovenProbeTimeout  = 250 * time.Millisecond
+)
+
 func (s *Session) logUnwitnessed(g *groups.Group, leader leadership.State, err error) {
 	s.engine.cfg.Log.Info("commit-unwitnessed", zap.String("service", g.Service),
 		zap.String("primary", string(leader.Primary)), zap.Uint64("term", uint64(leader.Term)), zap.Error(err))
