--- /dev/null
+++ b/review/stand2/main.go
@@ -0,0 +1,67 @@
+// Command stand2 is the platform, the servers and the consumers of the review's scripted cases. It
+// writes the settings files of the machines to a folder, waits until these are ready, plays a case
+// and writes to a record what was sent, answered and run. It exits with 1 if the rule of the case was
+// broken, 0 if it held, and 2 if the case could not run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// Values of --trouble: all disruptions of a case, or none. With any other, the replicas fall behind alone.
+const (
+	troubleAll  = "1"
+	troubleNone = "0"
+)
+
+func main() {
+	dir := flag.String("dir", "", "folder for the settings files")
+	path := flag.String("record", "", "file for the record")
+	trouble := flag.String("trouble", troubleAll, "which disruption to bring about")
+	flag.Parse()
+	os.Exit(play(*dir, *path, flag.Arg(0), *trouble))
+}
+
+func play(dir, path, name string, trouble string) int {
+	rec, err := newRecord(path)
+	if err != nil {
+		return notRun(err)
+	}
+	rec.line("case %s, trouble %s", name, trouble)
+	var broken int
+	switch name {
+	case "own-writes":
+		var d *deployment
+		if d, err = start(rec, dir, 3, firstService, secondService); err == nil {
+			fmt.Println("listening")
+			broken, err = ownWrites(d, trouble)
+		}
+	default:
+		err = fmt.Errorf("there is no case %q", name)
+	}
+	time.Sleep(100 * time.Millisecond) // until late lines are written
+	if err != nil {
+		rec.line("not run: %v", err)
+		return notRun(err)
+	}
+	rec.line("broken: %d times", broken)
+	fmt.Printf("%s: the rule was broken %d times\n", name, broken)
+	if broken > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+func notRun(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	return exitNotRun
+}
