--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Runs a scripted case: CASE FOLDER [MACHINES]. Starts the stand-in and the machines with the command
-# of the deploy file, waits for the stand-in's result, and ends all processes that it started.
+# Runs a scripted case: CASE FOLDER. Starts the stand-in and the machines, these with the command of the
+# deploy file, waits for the stand-in's result, and ends all processes that it started. With TROUBLE=0
+# the case is played without its disruptions, and with TROUBLE=first with the first one alone.
 set -uo pipefail
-case=$1 folder=$(cd "$2" && pwd) machines=${3:-3}
+case=$1 folder=$(cd "$2" && pwd) machines=3
 cd "$(dirname "$0")/.."
 work=$(mktemp -d "${TMPDIR:-/tmp}/review2.XXXXXX")
 pids=()
@@ -24,7 +25,7 @@
   ENDIVEMOOR_BOOT="$work/edge$n.toml" target/endivemoor edge --metrics-port 9464 >"$work/edge$n.log" 2>&1 &
   pids+=("$!")
 done
-for _ in $(seq 1100); do kill -0 "$stand" 2>/dev/null || break; sleep 0.1; done
+for _ in $(seq 1150); do kill -0 "$stand" 2>/dev/null || break; sleep 0.1; done
 if kill -0 "$stand" 2>/dev/null; then echo "the case took too long" >&2; exit 2; fi
 wait "$stand"
 result=$?
--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -23,6 +23,7 @@
 // Figures of the site skybridge-passes.
 const (
 	usualLag      = 60 * time.Millisecond
+	receiveDelay  = 2 * time.Millisecond
 	promotionTime = 300 * time.Millisecond
 	slots         = 3
 	connections   = 23
@@ -33,56 +34,53 @@
 type deployment struct {
 	rec   *record
 	world *world.World
-	// fronts and readies are the addresses of the machines.
-	fronts, readies []string
+	links *links
+	// nodes are the names of the machines, and fronts and readies their addresses.
+	nodes, fronts, readies []string
+	// paths are the machines' paths to the store.
+	paths []*path
 }
 
 // start starts the platform with the services, and writes the settings of each machine to dir.
+//
+// A server receives a commit after receiveDelay and applies it usualLag after it was made.
 func start(rec *record, dir string, machines int, services ...string) (*deployment, error) {
 	port, err := freePorts(1 + len(services)*len(zones))
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, world: world.Loopback(port)}
-	store, err := d.serveStore()
-	if err != nil {
-		return nil, err
-	}
+	d := &deployment{rec: rec, world: world.Loopback(port), links: newLinks()}
+	d.world.Advertise = d.links.advertise
 	for _, name := range services {
 		g := d.world.AddGroup(database.Options{
-			Service: name, Lag: usualLag, StatementTime: statementTime, PromotionTime: promotionTime, Slots: slots, MaxConnections: connections,
+			Service: name, Lag: receiveDelay, StatementTime: statementTime, PromotionTime: promotionTime, Slots: slots, MaxConnections: connections,
 		}, zones...)
 		g.OnStatement = func(client, request string, _ bool) {
 			rec.line("run %s at service %s, sent by %s", request, name, client)
 		}
 	}
+	for _, name := range services {
+		d.setApplyDelay(name, usualLag)
+	}
 	for n := range machines {
-		if err := d.writeSettings(dir, n, store); err != nil {
+		p, err := d.openPath()
+		if err != nil {
+			return nil, err
+		}
+		d.paths = append(d.paths, p)
+		if err := d.writeSettings(dir, n, p.addr); err != nil {
 			return nil, err
 		}
 	}
 	return d, nil
 }
 
-// serveStore serves the store without the header that the pages do not describe.
-func (d *deployment) serveStore() (addr string, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// setApplyDelay sets how late the servers of a service apply commits while they are replicas.
+func (d *deployment) setApplyDelay(service string, delay time.Duration) {
+	g := d.world.Group(service)
+	for _, id := range g.Servers() {
+		g.SetApplyDelay(id, delay)
 	}
-	go func() {
-		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.world.Store.ServeHTTP(described{w}, r) }))
-	}()
-	return ln.Addr().String(), nil
-}
-
-// described is a response with the headers that the pages describe.
-type described struct{ http.ResponseWriter }
-
-// WriteHeader implements http.ResponseWriter.
-func (w described) WriteHeader(status int) {
-	w.Header().Del("Store-Era")
-	w.ResponseWriter.WriteHeader(status)
 }
 
 // freePorts returns the first of several consecutive free ports.
@@ -132,6 +130,8 @@
 		defer ln.Close()
 		addrs[i] = ln.Addr().String()
 	}
+	zone, number := zones[n%len(zones)], n/len(zones)+1
+	d.nodes = append(d.nodes, fmt.Sprintf("edge-%s-%d", zone, number))
 	d.fronts, d.readies = append(d.fronts, addrs[0]), append(d.readies, addrs[1])
 	f, err := os.Create(filepath.Join(dir, fmt.Sprintf("edge%d.toml", n+1)))
 	if err != nil {
@@ -139,7 +139,7 @@
 	}
 	defer f.Close()
 	return settings.Execute(f, map[string]any{
-		"Zone": zones[n%len(zones)], "Number": n/len(zones) + 1, "IP": ip, "Store": store,
+		"Zone": zone, "Number": number, "IP": ip, "Store": store,
 		"Front": addrs[0], "Ready": addrs[1], "Control": addrs[2],
 	})
 }
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,7 +17,8 @@
 	exitNotRun = 2
 )
 
-// Values of --trouble: all disruptions of a case, or none. With any other, the replicas fall behind alone.
+// Values of --trouble: all disruptions of a case, or none. Any other value stands for the first of the two
+// alone: the primary is cut off, or the replicas fall behind.
 const (
 	troubleAll  = "1"
 	troubleNone = "0"
@@ -45,6 +46,18 @@
 			fmt.Println("listening")
 			broken, err = ownWrites(d, trouble)
 		}
+	case "replaced":
+		var d *deployment
+		if d, err = start(rec, dir, 3, firstService); err == nil {
+			fmt.Println("listening")
+			broken, err = replaced(d, trouble)
+		}
+	case "lost":
+		var d *deployment
+		if d, err = start(rec, dir, 3, firstService); err == nil {
+			fmt.Println("listening")
+			broken, err = lostCommits(d, trouble)
+		}
 	default:
 		err = fmt.Errorf("there is no case %q", name)
 	}
--- a/review/stand2/ownwrites.go
+++ b/review/stand2/ownwrites.go
@@ -83,17 +83,14 @@
 // fallBehind makes the replicas of a service apply late what they receive.
 func (d *deployment) fallBehind(service string) {
 	d.rec.line("the replicas of %s fall behind: they apply commits %s late", service, disruptedLag)
-	g := d.world.Group(service)
-	for _, id := range g.Servers() {
-		g.SetApplyDelay(id, disruptedLag)
-	}
+	d.setApplyDelay(service, disruptedLag)
 }
 
 // openAll opens sessions at all machines in turn.
 func (d *deployment) openAll(count int) ([]*session, error) {
 	var out []*session
 	for i := range count {
-		s, err := open(d.rec, d.fronts[i%len(d.fronts)], fmt.Sprintf("own%d", i), ownDatabase, false)
+		s, err := open(d.rec, d.fronts[i%len(d.fronts)], fmt.Sprintf("own%d", i), ownDatabase)
 		if err != nil {
 			return nil, err
 		}
@@ -117,7 +114,7 @@
 	var wg sync.WaitGroup
 	for i, addr := range d.fronts {
 		wg.Go(func() {
-			s, err := open(d.rec, addr, fmt.Sprintf("buyer%d", i), otherDatabase, true)
+			s, err := open(d.rec, addr, fmt.Sprintf("buyer%d", i), otherDatabase)
 			if err != nil {
 				return
 			}
--- a/review/stand2/session.go
+++ b/review/stand2/session.go
@@ -7,16 +7,15 @@
 	"endivemoor.example/endivemoor/platform/standin/consumer"
 )
 
-// session is a consumer's session whose statements are recorded, unless it is quiet.
+// session is a consumer's session whose statements are recorded.
 type session struct {
 	*consumer.Session
-	name  string
-	rec   *record
-	next  int
-	quiet bool
+	name string
+	rec  *record
+	next int
 }
 
-func open(rec *record, addr, name, database string, quiet bool) (*session, error) {
+func open(rec *record, addr, name, database string) (*session, error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -25,15 +24,12 @@
 	if !a.OK() {
 		return nil, fmt.Errorf("session %s was refused: %s %s", name, a.Code, a.Text)
 	}
-	return &session{Session: s, name: name, rec: rec, quiet: quiet}, nil
+	return &session{Session: s, name: name, rec: rec}, nil
 }
 
 // query sends a statement and waits for its answer. A successful answer names the server that gave it.
 func (s *session) query(text string) consumer.Answer {
 	s.next++
-	if s.quiet {
-		return s.Query(text)
-	}
 	s.rec.line("sent %s.%d %s", s.name, s.next, text)
 	a := s.Query(text)
 	s.rec.line("answered %s.%d code=%q text=%q rows=%q position=%s lost=%t", s.name, s.next, a.Code, a.Text, a.Rows, a.Position, a.Lost)
