--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -28,6 +28,8 @@
 	slots         = 3
 	connections   = 23
 	statementTime = 4 * time.Millisecond
+	// maxServers is the number of servers of a service in one run, those that have left included.
+	maxServers = 8
 )
 
 // deployment is the platform of a small deployment, and the addresses of its machines.
@@ -45,7 +47,7 @@
 //
 // A server receives a commit after receiveDelay and applies it usualLag after it was made.
 func start(rec *record, dir string, machines int, services ...string) (*deployment, error) {
-	port, err := freePorts(1 + len(services)*len(zones))
+	port, err := freePorts(1 + len(services)*maxServers)
 	if err != nil {
 		return nil, err
 	}
--- a/review/stand2/lostcommits.go
+++ b/review/stand2/lostcommits.go
@@ -6,22 +6,25 @@
 	"time"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/platform/standin/database"
 )
 
 const (
 	writers = 12
-	// cutRounds is how often a primary is cut off from its replicas, each time for replicaCutTime.
-	cutRounds      = 4
+	// releases is how often a replica is replaced, each time with a cut of the primary for replicaCutTime.
+	releases       = 5
 	replicaCutTime = 4 * time.Second
-	cutRoundTime   = 14 * time.Second
-	// streamGap is by how much the replication to one replica ends before that to the other one.
-	streamGap = 3 * time.Millisecond
-	// restartAfter is how long after the cut the replica restarts that has received the most.
-	restartAfter = 50 * time.Millisecond
+	// leavesAfter is how long after its report a leaving server ends: drain-ms, and a little longer.
+	leavesAfter = 7500 * time.Millisecond
+	releaseTime = 8 * time.Second
+	// streamGap is by how much the replication to the leaving replica ends later than that to the others.
+	streamGap = 2 * time.Millisecond
+	// leavesWithin is how long after the beginning of the cut the leaving replica ends.
+	leavesWithin = 50 * time.Millisecond
 )
 
-// lostCommits plays primaries that are cut off from their replicas, of which one restarts. It returns the
-// number of writes that were acknowledged to their consumers and that the primary lacks at the end.
+// lostCommits plays releases of replicas, and primaries that are cut off from their replicas as the leaving
+// one ends. It returns the number of writes that were acknowledged to their consumers and that the primary lacks at the end.
 func lostCommits(d *deployment, trouble string) (broken int, err error) {
 	d.publish(catalog.Route{
 		Database: ownDatabase, Service: firstService, Freshness: catalog.Exact,
@@ -42,9 +45,9 @@
 		each(sessions, func(i int, s *session) { acknowledged[i] = s.writeUntil(stop) })
 	})
 	time.Sleep(5 * time.Second)
-	for range cutRounds {
-		d.cutReplicas(firstService, trouble)
-		time.Sleep(cutRoundTime)
+	for n := range releases {
+		d.releaseReplica(firstService, n, trouble)
+		time.Sleep(releaseTime)
 	}
 	close(stop)
 	running.Wait()
@@ -74,33 +77,59 @@
 	}
 }
 
-// cutReplicas cuts the primary of a service off from its replicas for a while. The stream to one of them
-// ends a moment earlier; the other one restarts soon after, without what it had.
-func (d *deployment) cutReplicas(service, trouble string) {
+// releaseReplica replaces a replica of a service: the new server starts, and the old one leaves. As it is
+// about to end, the primary is cut off from all its replicas for a while.
+func (d *deployment) releaseReplica(service string, n int, trouble string) {
 	if trouble == troubleNone {
 		return
 	}
 	g := d.world.Group(service)
-	primary := g.Leader()
-	var replicas []string
-	for _, id := range g.Servers() {
-		if id != primary {
-			replicas = append(replicas, id)
-		}
+	primary, leaving := g.Leader(), ""
+	if trouble == troubleAll {
+		leaving = d.startRelease(service, fmt.Sprintf("%s-new%d", service, n))
+		time.Sleep(leavesAfter)
+	}
+	if g.Leader() != primary {
+		d.rec.line("no cut: %s was replaced meanwhile", primary)
+		return
 	}
-	// What is on its way to the one replica is lost, and what is on its way to the other one arrives.
-	g.SetReplicationCut(replicas[0], true)
+	// What is on its way to the other replicas is lost, and what is on its way to the leaving one arrives.
+	d.cutAllBut(g, true, primary, leaving)
 	time.Sleep(streamGap)
 	g.SetReplicationCut(primary, true)
-	d.rec.line("cut: the primary %s from its replicas, first from %s", primary, replicas[0])
-	g.SetReplicationCut(replicas[0], false)
-	if trouble == troubleAll {
-		time.Sleep(restartAfter)
-		d.world.RestartEmpty(service, replicas[1])
-		d.rec.line("restarted: %s, which holds and knows nothing of before", replicas[1])
+	d.rec.line("cut: the primary %s from its replicas", primary)
+	d.cutAllBut(g, false, primary, leaving)
+	if leaving != "" {
+		time.Sleep(leavesWithin)
+		d.world.Remove(service, leaving)
+		d.rec.line("release: %s has left", leaving)
 	}
 	time.AfterFunc(replicaCutTime, func() {
 		g.SetReplicationCut(primary, false)
 		d.rec.line("healed: %s and its replicas; %s leads", primary, g.Leader())
 	})
 }
+
+// startRelease starts a server, and lets a replica leave. It returns the replica.
+func (d *deployment) startRelease(service, id string) (leaving string) {
+	g := d.world.Group(service)
+	for _, server := range g.Servers() {
+		if server != g.Leader() {
+			leaving = server
+		}
+	}
+	d.world.AddServer(service, id, g.Server(leaving).Zone)
+	g.SetApplyDelay(id, usualLag)
+	d.world.Drain(service, leaving)
+	d.rec.line("release: %s has started, the replica %s is leaving", id, leaving)
+	return leaving
+}
+
+// cutAllBut ends or restores the replication to all servers of a group but two.
+func (d *deployment) cutAllBut(g *database.Group, cut bool, primary, leaving string) {
+	for _, id := range g.Servers() {
+		if id != primary && id != leaving && g.Server(id).Alive() {
+			g.SetReplicationCut(id, cut)
+		}
+	}
+}
