--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,6 +17,9 @@
 	exitNotRun = 2
 )
 
+// machines is the number of machines that run.sh starts.
+const machines = 3
+
 // Values of --trouble: all disruptions of a case, or none. Any other value stands for the first of the two
 // alone: the primary is cut off, or the replicas fall behind.
 const (
@@ -38,29 +41,7 @@
 		return notRun(err)
 	}
 	rec.line("case %s, trouble %s", name, trouble)
-	var broken int
-	switch name {
-	case "own-writes":
-		var d *deployment
-		if d, err = start(rec, dir, 3, firstService, secondService); err == nil {
-			fmt.Println("listening")
-			broken, err = ownWrites(d, trouble)
-		}
-	case "replaced":
-		var d *deployment
-		if d, err = start(rec, dir, 3, firstService); err == nil {
-			fmt.Println("listening")
-			broken, err = replaced(d, trouble)
-		}
-	case "lost":
-		var d *deployment
-		if d, err = start(rec, dir, 3, firstService); err == nil {
-			fmt.Println("listening")
-			broken, err = lostCommits(d, trouble)
-		}
-	default:
-		err = fmt.Errorf("there is no case %q", name)
-	}
+	broken, err := playCase(rec, dir, name, trouble)
 	time.Sleep(100 * time.Millisecond) // until late lines are written
 	if err != nil {
 		rec.line("not run: %v", err)
@@ -74,6 +55,26 @@
 	return exitHeld
 }
 
+// playCase starts the platform and plays a case.
+func playCase(rec *record, dir, name, trouble string) (broken int, err error) {
+	cases := map[string]func(d *deployment, trouble string) (int, error){
+		"lost": lostCommits, "replaced": replaced, "own-writes": ownWrites,
+	}
+	if cases[name] == nil {
+		return 0, fmt.Errorf("there is no case %q", name)
+	}
+	d, err := start(rec, dir, machines, firstService, secondService)
+	if err != nil {
+		return 0, err
+	}
+	fmt.Println("listening")
+	broken, err = cases[name](d, trouble)
+	for _, c := range d.world.Store.DesignationCalls() {
+		rec.line("failover call at %s: service %s, server %s, holder %s, fence %d", c.At.Format("15:04:05.000"), c.Service, c.ID, c.Holder, c.Token)
+	}
+	return broken, err
+}
+
 func notRun(err error) int {
 	fmt.Fprintln(os.Stderr, err)
 	return exitNotRun
