Count the acknowledged commits that run at once in the bound of a new primary

Cause: a commit raises the position that a new primary must hold to one beyond what was known as it was sent. Of commits that are sent together, which know the same position, only the first one counted. Evidence: TestCommitsThatRunAtOnceAllRaiseTheBound before the change, with two commits sent at position 0: "1" is not greater than or equal to "2" Change: Acknowledged counts: n acknowledged commits that all lie beyond a position have n numbers beyond it. It holds for the commits of one VM; two VMs' commits are not added up.

--- a/groups/acknowledged.go
+++ b/groups/acknowledged.go
@@ -1,6 +1,7 @@
 package groups
 
 import (
+	"slices"
 	"sync"
 
 	"endivemoor.example/endivemoor/timeline"
@@ -17,13 +18,22 @@
 // The protocol does not report a commit's own position, only the end of the log after it, which may
 // lie beyond what is acknowledged. A commit lies beyond every position that was known before it was
 // sent, so the position after that one is a lower bound: every target that holds all acknowledged
-// commits has reached it, and no valid candidate is refused.
+// commits has reached it, and no valid candidate is refused. Commits that run at once are known to lie
+// beyond the same position: n of them prove n positions beyond it.
 type Acknowledged struct {
 	mu    sync.Mutex
 	known timeline.Position // the furthest position that the primary has reported
 	bound timeline.Position
+
+	// term is the latest term with an acknowledged commit, and beyond has for each of its latest commits
+	// the number that it lies beyond, in ascending order.
+	term   timeline.Term
+	beyond []timeline.LSN
 }
 
+// maxCounted bounds the commits that are counted together: more than run at once at a primary.
+const maxCounted = 64
+
 // RecordPosition records a position from a reply of the primary.
 func (a *Acknowledged) RecordPosition(p timeline.Position) {
 	a.mu.Lock()
@@ -56,11 +66,27 @@
 
 // Commit records that a commit was acknowledged, with what Before returned when it was sent and the
 // position in its reply.
+//
+// Failure guarded against: of commits that run at once only the first raises the bound. The only other
+// holder of the others leaves with its log, and a target without them is promoted.
 func (a *Acknowledged) Commit(before, after timeline.Position) {
-	if before.Term != after.Term || !before.Less(after) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if before.Term != after.Term || !before.Less(after) || before.Term < a.term {
 		return
 	}
-	a.Raise(timeline.Position{Term: before.Term, LSN: before.LSN + 1})
+	if before.Term > a.term {
+		a.term, a.beyond = before.Term, a.beyond[:0]
+	}
+	at, _ := slices.BinarySearch(a.beyond, before.LSN)
+	a.beyond = slices.Insert(a.beyond, at, before.LSN)
+	if len(a.beyond) > maxCounted {
+		a.beyond = slices.Delete(a.beyond, 0, 1)
+	}
+	for i, lsn := range a.beyond {
+		commits := timeline.LSN(len(a.beyond) - i)
+		a.bound = timeline.Later(a.bound, timeline.Position{Term: a.term, LSN: lsn + commits})
+	}
 }
 
 // Raise merges another VM's bound.
--- a/groups/acknowledged_test.go
+++ b/groups/acknowledged_test.go
@@ -59,6 +59,41 @@
 	})
 }
 
+// Failure guarded against: of commits that run at once only the first one raises the bound. The others'
+// only other holder leaves with its log, and a target without them is promoted.
+func TestCommitsThatRunAtOnceAllRaiseTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a Acknowledged
+		log, highest, running := 0, 0, []runningCommit(nil)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				log++ // another VM's commit
+			case 1, 2:
+				log++
+				running = append(running, runningCommit{before: a.beforeIn(1), number: log})
+			default:
+				for _, c := range running {
+					a.Commit(c.before, at(1, log))
+					highest = max(highest, c.number)
+				}
+				if n := len(running); n > 0 {
+					require.GreaterOrEqual(t, int(a.Bound().LSN), int(running[0].before.LSN)+n)
+				}
+				running = nil
+				a.RecordPosition(at(1, log))
+			}
+			require.LessOrEqual(t, int(a.Bound().LSN), highest)
+		}
+	})
+}
+
+// runningCommit is a commit that was sent with what was known before, and took a number of the log.
+type runningCommit struct {
+	before timeline.Position
+	number int
+}
+
 // Failure guarded against: the first commits of a term that a VM learns of leave the bound as it was, and a
 // log that lacks them is promoted. The bound must not lie above an acknowledged commit either.
 func TestFirstCommitsOfATermRaiseTheBound(t *testing.T) {
