Replace a stalled primary only if the others hold what it acknowledged

Cause: two of three logs were fenced, but the replica that had received the last commits had just left with its log. Only the primary still held them, and nothing asked what it held. Evidence: TestNoOrderOfDeparturesLosesTheCommitsOfAStalledPrimary draws orders of commits, receipts, cuts, departures and lists heard late. Why it works: each commit acknowledged before the report is in a log that will be fenced, and each later one was received by a target that has not left since. Ruled out: to count the stalled primary's log as a candidate's. The platform takes it for the present primary, so that it cannot be designated.

--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -144,9 +144,8 @@
 func recordPosition(g *groups.Group, leader leadership.State, id target.ID, sent clock.Time, p timeline.Position) {
 	switch {
 	case leader.Primary == id && leader.Term != 0:
-		g.Acknowledged.RecordPosition(p)
-		g.Freshness.Sample(leader.Term, id, sent, p)
-	case leader.Primary != id && g.CanWitness(id):
-		g.Freshness.Seen(id, p)
+		g.RecordEnd(leader, sent, p)
+	case leader.Primary != id:
+		g.RecordCopy(id, p)
 	}
 }
--- /dev/null
+++ b/groups/copies.go
@@ -0,0 +1,141 @@
+package groups
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/spending"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+const (
+	// copiesQueryInterval is the interval at which targets are queried whose logs are to be verified, and
+	// how long statements may show it before.
+	copiesQueryInterval = 500 * time.Millisecond
+	// copiesMaxAge is how old a status of theirs may be: the gateways to a target share them.
+	copiesMaxAge = 100 * time.Millisecond
+)
+
+// logCopies tracks as of when a target other than the primary is known to hold every acknowledged
+// commit. It is safe for concurrent use.
+type logCopies struct {
+	mu sync.Mutex
+	// end is where the log of a term's primary ended, as it reported in reply to a query sent at sent;
+	// zero if no report is awaiting a replica.
+	term timeline.Term
+	end  timeline.Position
+	sent clock.Time
+	// verified is as of when the logs of the others are known to hold every acknowledged commit.
+	verified clock.Time
+	// left is when a target was last found to have left or restarted, with its log. A process that starts
+	// does not know what was before.
+	left clock.Time
+	// nextQuery is when the targets may be queried again to verify their logs.
+	nextQuery clock.Time
+}
+
+func (c *logCopies) recordLeft(now clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left, c.end, c.nextQuery = now, timeline.Position{}, now.Add(copiesQueryInterval)
+}
+
+// queryDue reports whether the targets are to be queried now.
+func (c *logCopies) queryDue(now clock.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.nextQuery) {
+		return false
+	}
+	c.nextQuery = now.Add(copiesQueryInterval)
+	return true
+}
+
+// recordEnd records that the primary of a term reported the end of its log in reply to a query.
+func (c *logCopies) recordEnd(term timeline.Term, sent clock.Time, end timeline.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if term < c.term || (term == c.term && !c.end.IsZero()) || sent.Before(c.left) || end.IsZero() {
+		return
+	}
+	c.term, c.sent, c.end = term, sent, end
+}
+
+// recordCopy records that a replica that follows a term, and is not paused for a later one, has received a
+// position. As it follows the term, the primary had not been replaced when it reported the end of its log.
+func (c *logCopies) recordCopy(term timeline.Term, received timeline.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if term == c.term && !c.end.IsZero() && takeover.Holds(received, c.end) {
+		c.verified, c.end = c.sent, timeline.Position{}
+	}
+}
+
+// holdsSince reports whether the logs were verified since a time and since the last target has left.
+func (c *logCopies) holdsSince(since clock.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.verified.Before(max(since, c.left))
+}
+
+// OthersHoldLog reports whether the targets other than the primary certainly hold every acknowledged
+// commit between them.
+//
+// Failure guarded against: a replica receives the last commits that the primary acknowledges, and leaves
+// or restarts without its log. Only the primary still holds them, and a target without them is promoted
+// because the primary, which receives no receipts any more, seems stalled.
+//
+// So a target that has not left must have been seen to hold what the primary had committed since then.
+// A connection that broke may show a restart.
+func (g *Group) OthersHoldLog(primary target.ID) bool {
+	var broken clock.Time
+	for _, t := range g.Replicas(primary) {
+		broken = max(broken, g.cfg.BrokenAt(t.ID))
+	}
+	return g.copies.holdsSince(broken)
+}
+
+// VerifyCopies queries the primary and its replicas while the others are not known to hold every
+// acknowledged commit. It is to be called often for the services that this VM uses.
+//
+// Failure guarded against: no statements show what the others hold between the departure of a target, or
+// the start of this process, and the time at which the primary stalls. It is then not replaced.
+func (g *Group) VerifyCopies() {
+	now, b := g.cfg.Clock.Now(), g.Leadership.Current()
+	if b.Primary == "" || g.OthersHoldLog(b.Primary) || !g.copies.queryDue(now) {
+		return
+	}
+	go g.queryCopies(b.Primary)
+}
+
+func (g *Group) queryCopies(primary target.ID) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*statusTimeout)
+	defer cancel()
+	if _, _, err := g.Recent(ctx, primary, spending.Sample, copiesMaxAge, statusTimeout); err != nil {
+		return
+	}
+	for _, t := range g.Replicas(primary) {
+		if !g.OthersHoldLog(primary) {
+			_, _, _ = g.Recent(ctx, t.ID, spending.Witness, copiesMaxAge, statusTimeout)
+		}
+	}
+}
+
+// anyLeft reports whether a target of the previous list is not in the present one.
+func anyLeft(before, now []*catalog.Target) bool {
+	present := make(map[target.ID]bool, len(now))
+	for _, t := range now {
+		present[t.ID] = true
+	}
+	for _, t := range before {
+		if !present[t.ID] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/groups/copies_test.go
@@ -0,0 +1,74 @@
+package groups
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/leadership"
+	"endivemoor.example/endivemoor/target"
+)
+
+// copiesService is a service of the primary "p" and the replicas "q" and "r", of whose connections some may
+// break.
+type copiesService struct {
+	clk    manual
+	broken map[target.ID]clock.Time
+	h      *catalog.Holder
+	r      *Registry
+	g      *Group
+}
+
+func newCopiesService() *copiesService {
+	s := &copiesService{clk: manual{now: clock.Time(time.Second)}, broken: make(map[target.ID]clock.Time), h: catalog.NewHolder()}
+	s.r = NewRegistry(Config{Catalog: s.h, Clock: &s.clk, Log: zap.NewNop(), BrokenAt: func(id target.ID) clock.Time { return s.broken[id] }})
+	s.h.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s"}}})
+	s.g = s.r.Group("s")
+	s.list(10, "q", "r")
+	s.g.Leadership.RecordStatus("p", target.RolePrimary, 1)
+	return s
+}
+
+func (s *copiesService) list(revision int64, replicas ...target.ID) {
+	listed := map[target.ID]*catalog.Target{"p": {ID: "p", Service: "s", Role: target.RolePrimary}}
+	for _, id := range replicas {
+		listed[id] = &catalog.Target{ID: id, Service: "s", Role: target.RoleReplica}
+	}
+	s.h.SetTargets(listed, revision)
+	s.r.Update(s.h.Load())
+}
+
+// Failure guarded against: what the others hold is judged by what the primary reported before a target has
+// left, or by the position of a target that was paused since.
+func TestCopiesAreVerifiedByReportsSinceADeparture(t *testing.T) {
+	s := newCopiesService()
+	leader := leadership.State{Primary: "p", Term: 1}
+	require.True(t, s.g.OthersHoldLog("p"), "no target has left")
+	before := s.clk.now
+	s.clk.now += clock.Time(time.Second)
+	s.list(20, "q")
+	require.False(t, s.g.OthersHoldLog("p"))
+	s.g.RecordEnd(leader, before, at(1, 7))
+	s.g.RecordCopy("q", at(1, 9))
+	require.False(t, s.g.OthersHoldLog("p"), "the primary was queried before the departure")
+	s.g.RecordEnd(leader, s.clk.now, at(1, 10))
+	s.g.RecordCopy("q", at(1, 10))
+	require.False(t, s.g.OthersHoldLog("p"), "the replica may have been paused since it received this")
+	s.g.RecordCopy("q", at(1, 11))
+	require.True(t, s.g.OthersHoldLog("p"))
+}
+
+// Failure guarded against: a replica restarts without its log, and its entry states no incarnation.
+func TestCopiesAreVerifiedAfterABrokenConnection(t *testing.T) {
+	s := newCopiesService()
+	s.clk.now += clock.Time(time.Second)
+	s.broken["q"] = s.clk.now
+	require.False(t, s.g.OthersHoldLog("p"))
+	s.g.RecordEnd(leadership.State{Primary: "p", Term: 1}, s.clk.now, at(1, 10))
+	s.g.RecordCopy("r", at(1, 11))
+	require.True(t, s.g.OthersHoldLog("p"))
+}
--- a/groups/group.go
+++ b/groups/group.go
@@ -65,6 +65,8 @@
 	// Repeats is the budget for sending statements of the service again.
 	Repeats *retry.Budget
 
+	copies logCopies
+
 	cfg *Config
 	// slot is the tick in which the group is due even if the service is not in use.
 	slot int
@@ -106,6 +108,7 @@
 		cfg:         cfg,
 		latestJoin:  &r.latestJoin,
 		startedAt:   r.startedAt,
+		copies:      logCopies{left: r.startedAt},
 		slot:        int(xxhash.Sum64String(service) % Ticks),
 		absentSince: cfg.Clock.Now(),
 		Repeats:     retry.NewBudget(repeats),
@@ -161,6 +164,9 @@
 	if slices.ContainsFunc(targets, g.isNew) {
 		g.latestJoin.Store(int64(g.cfg.Clock.Now()))
 	}
+	if anyLeft(g.targets, targets) {
+		g.copies.recordLeft(g.cfg.Clock.Now())
+	}
 	g.targets, g.record = targets, record
 	g.updateTargets(targets, c)
 }
@@ -178,6 +184,7 @@
 		g.cfg.Log.Info("target-reborn", zap.String("service", g.Service), zap.String("target", string(t.ID)),
 			zap.Int64("incarnation", t.Incarnation), zap.Int64("revision", c.TargetsRevision))
 		g.Leadership.RecordRestart(t.ID)
+		g.copies.recordLeft(g.cfg.Clock.Now())
 	}
 	g.Leadership.Listed(targets, c.LeadershipRecords[g.Service])
 	g.updateState()
@@ -357,11 +364,32 @@
 func (g *Group) observe(id target.ID, s statement.Status, sent clock.Time) {
 	if s.Role == target.RolePrimary {
 		g.Freshness.Sample(s.Term, id, sent, s.Received)
+		g.copies.recordEnd(s.Term, sent, s.Received)
 		return
 	}
 	if s.Role == target.RoleReplica && s.Paused == 0 && g.CanWitness(id) {
 		g.Freshness.Witness(s.Term, id, sent)
+		g.copies.recordCopy(s.Term, s.Received)
+	}
+}
+
+// RecordEnd records that the primary of a term reported the end of its log in its answer to a statement
+// that was sent at a time.
+func (g *Group) RecordEnd(leader leadership.State, sent clock.Time, end timeline.Position) {
+	g.Acknowledged.RecordPosition(end)
+	g.Freshness.Sample(leader.Term, leader.Primary, sent, end)
+	g.copies.recordEnd(leader.Term, sent, end)
+}
+
+// RecordCopy records that a replica's answer to a statement shows that it has received a position.
+func (g *Group) RecordCopy(id target.ID, received timeline.Position) {
+	if received.LSN == 0 || !g.CanWitness(id) {
+		return
 	}
+	g.Freshness.Seen(id, received)
+	// The replica was not paused as it received the last position, but may have been since.
+	received.LSN--
+	g.copies.recordCopy(received.Term, received)
 }
 
 // KnownPrimary returns the target that leads; false if requests have to wait for one.
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -71,6 +71,7 @@
 	errUnreachable         = errors.New("a target that may hold acknowledged commits did not answer")
 	errTooFew              = errors.New("too few targets remain to certainly hold every acknowledged commit")
 	errAcknowledgedMissing = errors.New("no target holds every position known to be acknowledged")
+	errOnlyCopy            = errors.New("a target has left that may have held acknowledged commits which only the primary still has")
 	errTimeLimit           = errors.New("promotion not accepted within the attempt's time limit")
 	errSuperseded          = errors.New("another target leads")
 	errUnpaused            = errors.New("the target did not confirm the pause")
@@ -208,6 +209,9 @@
 	if err := a.stillPaused(ctx, append(fenced, joined...)); err != nil {
 		return "", err
 	}
+	if err := a.othersHoldLog(); err != nil {
+		return "", err
+	}
 	// By now all VMs have reported the positions that they know to be acknowledged.
 	if !takeover.Holds(chosen.Received, a.g.Acknowledged.Bound()) {
 		return "", errAcknowledgedMissing
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -39,7 +39,10 @@
 	case takeover.ReasonLeaving:
 		return a.successorKeepsUp(ctx)
 	case takeover.ReasonStalled:
-		return a.confirmStall(ctx)
+		if err := a.confirmStall(ctx); err != nil {
+			return err
+		}
+		return a.othersHoldLog()
 	case takeover.ReasonBehind:
 		return a.confirmBehind(ctx, statuses)
 	default:
@@ -162,6 +165,15 @@
 	return nil
 }
 
+// othersHoldLog checks that no acknowledged commit is on the log of a stalled primary alone. A primary that
+// does not answer may never return, so that its log is not waited for.
+func (a *attempt) othersHoldLog() error {
+	if a.reason == takeover.ReasonStalled && !a.g.OthersHoldLog(a.old) {
+		return errOnlyCopy
+	}
+	return nil
+}
+
 // newestReceived returns the highest position that any replica has received.
 func (a *attempt) newestReceived(ctx context.Context) (timeline.Position, error) {
 	var out timeline.Position
--- /dev/null
+++ b/promoter/orders_test.go
@@ -0,0 +1,333 @@
+package promoter
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/groups"
+	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/spending"
+	"endivemoor.example/endivemoor/statement"
+	"endivemoor.example/endivemoor/takeover"
+	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
+)
+
+// bubbleClock is the virtual time of a bubble.
+type bubbleClock struct{ began time.Time }
+
+func (c bubbleClock) Now() clock.Time { return clock.Time(time.Second + time.Since(c.began)) }
+
+// logCopy is a target of a logsWorld, which holds the first commits of the primary's log.
+type logCopy struct {
+	received timeline.LSN
+	paused   timeline.Term
+	cut      bool // from the primary
+	gone     bool
+}
+
+// sentCommit is a commit that a VM has sent and that is not answered.
+type sentCommit struct {
+	vm     *listener
+	before timeline.Position
+	number timeline.LSN
+}
+
+// listener is a VM that hears of the world's targets late.
+type listener struct {
+	catalog  *catalog.Holder
+	registry *groups.Registry
+	group    *groups.Group
+	revision catalog.Revision
+}
+
+// logsWorld is a service with synchronous replicas, of which some leave with their logs.
+type logsWorld struct {
+	// script has the choices that the world makes, one after the other.
+	script  []int
+	clock   bubbleClock
+	copies  map[target.ID]*logCopy
+	primary logCopy
+	silent  bool // the primary does not answer the fleet
+	leads   bool
+	running []sentCommit
+	vms     []*listener
+
+	acknowledged timeline.LSN
+	promoted     target.ID
+	missing      timeline.LSN // acknowledged commits that the promoted target lacks
+}
+
+const oldPrimary target.ID = "p"
+
+func newLogsWorld(script []int) *logsWorld {
+	w := &logsWorld{script: script, clock: bubbleClock{time.Now()}, leads: true, copies: map[target.ID]*logCopy{"q": {}, "r": {}}}
+	for range 2 {
+		w.vms = append(w.vms, w.newListener())
+	}
+	return w
+}
+
+func (w *logsWorld) newListener() *listener {
+	vm := &listener{catalog: catalog.NewHolder()}
+	vm.catalog.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s", SyncReplicas: 1}}})
+	vm.registry = groups.NewRegistry(groups.Config{
+		Catalog: vm.catalog, Control: w, Clock: w.clock, Log: zap.NewNop(),
+		Decode: func(row string) (statement.Status, error) { return w.status(target.ID(row)), nil },
+	})
+	vm.group = vm.registry.Group("s")
+	w.hear(vm)
+	vm.group.Leadership.RecordStatus(oldPrimary, target.RolePrimary, 1)
+	return vm
+}
+
+// hear brings a VM's list of the targets up to date.
+func (w *logsWorld) hear(vm *listener) {
+	listed := map[target.ID]*catalog.Target{oldPrimary: {ID: oldPrimary, Service: "s", Role: target.RolePrimary}}
+	for id, c := range w.copies {
+		if !c.gone {
+			listed[id] = &catalog.Target{ID: id, Service: "s", Role: target.RoleReplica}
+		}
+	}
+	vm.revision++
+	vm.catalog.SetTargets(listed, vm.revision)
+	vm.registry.Update(vm.catalog.Load())
+}
+
+func (w *logsWorld) status(id target.ID) statement.Status {
+	if id == oldPrimary {
+		s := statement.Status{Role: target.RoleReplica, Term: 1, Received: timeline.Position{Term: 1, LSN: w.primary.received}}
+		if w.leads {
+			s.Role = target.RolePrimary
+		}
+		return s
+	}
+	c := w.copies[id]
+	s := statement.Status{Role: target.RoleReplica, Term: 1, Paused: c.paused, Received: timeline.Position{Term: 1, LSN: c.received}}
+	if id == w.promoted {
+		s.Role, s.Term = target.RolePrimary, 2
+	}
+	return s
+}
+
+// Control implements groups.ControlClient.
+func (w *logsWorld) Control(_ context.Context, id target.ID, cmd lane.Command, _ time.Duration) ([]string, error) {
+	time.Sleep(time.Millisecond)
+	if id == oldPrimary {
+		if w.silent {
+			return nil, errors.New("no answer")
+		}
+		w.leads = w.leads && cmd != lane.StepDownCommand(2)
+		return []string{string(id)}, nil
+	}
+	c := w.copies[id]
+	if c.gone {
+		return nil, errors.New("no answer")
+	}
+	switch cmd {
+	case lane.PauseCommand(2):
+		c.paused = 2
+	case lane.ResumeCommand:
+		c.paused = 0
+	}
+	return []string{string(id)}, nil
+}
+
+// Recent implements groups.ControlClient.
+func (w *logsWorld) Recent(ctx context.Context, id target.ID, _, timeout time.Duration) ([]string, time.Duration, error) {
+	rows, err := w.Control(ctx, id, lane.StatusCommand, timeout)
+	return rows, 0, err
+}
+
+// ListTargets implements Fleet.
+func (w *logsWorld) ListTargets(context.Context, string) ([]target.ID, error) {
+	ids := []target.ID{oldPrimary}
+	for id, c := range w.copies {
+		if !c.gone {
+			ids = append(ids, id)
+		}
+	}
+	return ids, nil
+}
+
+// RevokeAll implements Fleet.
+func (w *logsWorld) RevokeAll(context.Context, *catalog.LeadershipRecord) bool {
+	for _, vm := range w.vms {
+		w.vms[0].group.Acknowledged.Raise(vm.group.Acknowledged.Bound())
+	}
+	return true
+}
+
+// Reaches implements Fleet.
+func (w *logsWorld) Reaches(clock.Time) bool { return true }
+
+// Promote implements Designator.
+func (w *logsWorld) Promote(_ context.Context, _ string, _ int64, _ string, id target.ID) error {
+	w.promoted = id
+	w.missing = max(w.acknowledged, w.copies[id].received) - w.copies[id].received
+	return nil
+}
+
+// choose returns a number below n.
+func (w *logsWorld) choose(n int) int {
+	if len(w.script) == 0 {
+		return 0
+	}
+	next := w.script[0]
+	w.script = w.script[1:]
+	return next % n
+}
+
+// replica chooses a replica that has not left.
+func (w *logsWorld) replica() *logCopy {
+	present := w.present()
+	if len(present) == 0 {
+		return &logCopy{}
+	}
+	return w.copies[present[w.choose(len(present))]]
+}
+
+// present returns the replicas that have not left, in their order.
+func (w *logsWorld) present() (out []target.ID) {
+	for _, id := range []target.ID{"q", "r", "n0", "n1", "n2"} {
+		if c := w.copies[id]; c != nil && !c.gone {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (w *logsWorld) act(event string) {
+	vm := w.vms[w.choose(len(w.vms))]
+	switch event {
+	case "commit":
+		w.primary.received++
+		w.running = append(w.running, sentCommit{vm, vm.group.BeforeCommit(oldPrimary), w.primary.received})
+	case "receive":
+		if c := w.replica(); !c.cut {
+			c.received += timeline.LSN(w.choose(int(w.primary.received-c.received) + 1))
+		}
+	case "acknowledge":
+		w.acknowledge()
+	case "query":
+		_, _ = vm.group.Status(context.Background(), oldPrimary, spending.Sample, time.Second)
+	case "query replicas":
+		for _, t := range vm.group.Replicas(oldPrimary) {
+			_, _ = vm.group.Status(context.Background(), t.ID, spending.Witness, time.Second)
+		}
+	case "cut":
+		w.replica().cut = true
+	case "heal":
+		w.replica().cut = false
+	case "leave":
+		// A server starts before the one that it replaces leaves.
+		if n := len(w.copies) - 2; n < 3 {
+			w.replica().gone = true
+			w.copies[target.ID(fmt.Sprint("n", n))] = &logCopy{cut: w.choose(2) == 0}
+		}
+	case "hear":
+		w.hear(vm)
+	case "settle":
+		w.hear(vm)
+		_, _ = vm.group.Status(context.Background(), oldPrimary, spending.Sample, time.Second)
+		for _, id := range w.present() {
+			if c := w.copies[id]; !c.cut {
+				c.received = w.primary.received
+			}
+			_, _ = vm.group.Status(context.Background(), id, spending.Witness, time.Second)
+		}
+	}
+}
+
+// acknowledge answers the commits that a replica has received.
+func (w *logsWorld) acknowledge() {
+	var held timeline.LSN
+	for _, id := range w.present() {
+		held = max(held, w.copies[id].received)
+	}
+	var waiting []sentCommit
+	for _, c := range w.running {
+		if c.number > held {
+			waiting = append(waiting, c)
+			continue
+		}
+		end := timeline.Position{Term: 1, LSN: w.primary.received}
+		c.vm.group.Acknowledged.Commit(c.before, end)
+		c.vm.group.Acknowledged.RecordPosition(end)
+		w.acknowledged = max(w.acknowledged, c.number)
+	}
+	w.running = waiting
+}
+
+// fail brings the primary into the state that a reason names.
+func (w *logsWorld) fail(reason takeover.Reason) {
+	w.silent = reason.Unanswered()
+	w.primary.received++
+}
+
+// replace lets the first VM replace the primary for a reason.
+func (w *logsWorld) replace(reason takeover.Reason) {
+	vm := w.vms[0]
+	p := New(Config{
+		Node: "vm0", Catalog: vm.catalog, Groups: vm.registry, Records: &records{}, Platform: w, Fleet: w,
+		Clock: w.clock, Log: zap.NewNop(), Nonce: func() string { return "n" },
+	})
+	a := &attempt{p: p, g: vm.group, reason: reason, old: oldPrimary, known: &catalog.LeadershipRecord{Service: "s"}, started: w.clock.Now(), others: vm.group.Replicas(oldPrimary)}
+	p.running.Add(1)
+	p.runAttempt(context.Background(), a, vm.group.Leadership.Current(), takeover.Symptoms{})
+}
+
+// eventInterval is the time between two events.
+const eventInterval = 10 * time.Millisecond
+
+// playLogs draws orders of the events, after each of which the primary is found at fault for a reason. It
+// requires that some lead to a promotion, also after a replica has left.
+func playLogs(t *testing.T, reason takeover.Reason, events ...string) {
+	t.Helper()
+	promotions, afterLeave := 0, 0
+	choices := rapid.SliceOfN(rapid.IntRange(0, 1<<16), 100, 200)
+	rapid.Check(t, func(rt *rapid.T) {
+		for _, script := range rapid.SliceOfN(choices, 10, 10).Draw(rt, "choices") {
+			w := playScript(t, script, reason, events)
+			require.Zero(rt, w.missing, "%s was promoted and lacks acknowledged commits", w.promoted)
+			if w.promoted != "" {
+				promotions++
+				if len(w.copies) > 2 {
+					afterLeave++
+				}
+			}
+		}
+	})
+	require.NotZero(t, promotions)
+	require.NotZero(t, afterLeave, "no promotion after a replica has left")
+}
+
+func playScript(t *testing.T, script []int, reason takeover.Reason, events []string) (w *logsWorld) {
+	bubble.Test(t, func(*testing.T) {
+		w = newLogsWorld(script)
+		for len(w.script) > 0 {
+			w.act(events[w.choose(len(events))])
+			time.Sleep(eventInterval)
+		}
+		w.fail(reason)
+		w.replace(reason)
+	})
+	return w
+}
+
+// Failure guarded against: a primary that answers and acknowledges nothing is replaced after a replica has
+// left, which was the only other holder of acknowledged commits.
+func TestNoOrderOfDeparturesLosesTheCommitsOfAStalledPrimary(t *testing.T) {
+	playLogs(t, takeover.ReasonStalled, "commit", "commit", "receive", "receive", "acknowledge", "acknowledge",
+		"query", "query replicas", "settle", "cut", "heal", "leave", "hear")
+}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -147,6 +147,9 @@
 		g.TrustReplicas()
 		p.check(ctx, g, now)
 	}
+	for _, g := range p.cfg.Groups.Used() {
+		g.VerifyCopies()
+	}
 }
 
 // recordIsolation records whether this VM reaches others. Once it does again, requests that went
