Remember a session's own commits for each service

Cause: Session kept the end of the log after its last commit of one service only. A commit at another service replaced it, and the floor of a read at the first one required nothing of the session's own. Evidence: TestOwnCommitsAreSeenAfterADatabaseReturns before the change: expected: []string{"renewed"} actual: []string{"none"} Change: one position for each service. It grows with the services that one session has written at.

--- a/engine/session.go
+++ b/engine/session.go
@@ -23,11 +23,10 @@
 	workspace string
 	values    map[string]string
 	prepared  map[string]*lane.Prepared
-	// ownCommit is the end of the log after this session's last commit, in ownCommitService.
-	ownCommit        timeline.Position
-	ownCommitService string
-	state            statement.State
-	tx               *transaction
+	// ownCommits are the ends of the logs after this session's last commits, by service.
+	ownCommits map[string]timeline.Position
+	state      statement.State
+	tx         *transaction
 }
 
 // State returns the session's transaction state.
@@ -173,8 +172,8 @@
 			s.recordRefresh(g, w, ok)
 		}
 	}
-	if ok && route.Freshness == catalog.Own && s.ownCommitService == route.Service && p.Less(s.ownCommit) {
-		p = s.ownCommit
+	if ok && route.Freshness == catalog.Own {
+		p = timeline.Later(p, s.ownCommits[route.Service])
 	}
 	return p, ok
 }
@@ -206,12 +205,16 @@
 	g.Breaker.Failed(now, max(w.arrived, now.Add(-w.outage)), groups.NoEvidence)
 }
 
-// recordOwnCommit records the end of the log after the session's own commit.
+// recordOwnCommit records the end of a service's log after the session's own commit.
+//
+// Failure guarded against: the session's database moves to another service and back, and the session reads a
+// log that lacks what it had committed before.
 func (s *Session) recordOwnCommit(service string, p timeline.Position) {
 	if p.IsZero() {
 		return
 	}
-	if s.ownCommitService != service || s.ownCommit.Less(p) {
-		s.ownCommit, s.ownCommitService = p, service
+	if s.ownCommits == nil {
+		s.ownCommits = make(map[string]timeline.Position)
 	}
+	s.ownCommits[service] = timeline.Later(s.ownCommits[service], p)
 }
