Restore a permission only by a witness from after the attempt

Cause: hasRevoked ceases with the record of the ended attempt, and Permitted then accepted a witness from before the fences: a promotion takes less than takeover.Permission. The VM had not heard of the new primary. BeingReplaced holds beyond the record until the target that it names is known to lead. Why it works: a replica that is queried after the end either follows the new term or was resumed because the primary remained.

--- a/groups/group.go
+++ b/groups/group.go
@@ -94,6 +94,8 @@
 	revokedRevision  int64                    // revision of the attempt for which the permission was given up
 	revokedAt        clock.Time               // when the permission was given up
 	replaced         target.ID                // the primary that the attempt replaces
+	endedRevision    catalog.Revision         // of the latest known record without an attempt
+	endedAt          clock.Time               // when this VM learned of that record
 	drainingSince    map[target.ID]clock.Time // since when a target is known to be draining
 	incarnations     map[target.ID]incarnation
 	recordReadAt     clock.Time // when the service's record was last read for a proof
@@ -168,6 +170,7 @@
 		g.copies.recordLeft(g.cfg.Clock.Now())
 	}
 	g.targets, g.record = targets, record
+	g.attemptEndedAt()
 	g.updateTargets(targets, c)
 }
 
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -69,6 +69,9 @@
 	// a connection to a target last broke; nil means that none ever does.
 	RecordsConfirmedAt func() clock.Time
 	BrokenAt           func(id target.ID) clock.Time
+	// TargetsConfirmedAt returns the time as of which the catalog's targets are known to be complete; nil
+	// means that a change of a target is known at once.
+	TargetsConfirmedAt func() clock.Time
 	// ReachesPeers reports whether this VM reaches other VMs, whose proofs it receives; nil means that
 	// it does not.
 	ReachesPeers func() bool
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -186,12 +186,25 @@
 // Failure guarded against: an exact read at a primary that was just replaced. An attempt promotes
 // no target before every VM on the fleet's list has given up its permission, or Permission has
 // passed since the last target was paused, and a VM that is not certainly on the list has no
-// permission.
+// permission. A permission that was given up comes back only by a witness from after the attempt: the
+// promotion takes less than Permission, so that one from before the fences may still be recent as this VM
+// learns that the attempt has ended, and not of the new primary.
 func (g *Group) Permitted(b leadership.State, arrived clock.Time) bool {
 	if !g.cfg.Eligible() || g.hasRevoked() {
 		return false
 	}
-	return g.Freshness.WitnessedSince(b.Term, arrived.Add(-takeover.Permission))
+	return g.Freshness.WitnessedSince(b.Term, max(arrived.Add(-takeover.Permission), g.attemptEndedAt()))
+}
+
+// attemptEndedAt returns when this VM learned that the last known attempt had ended; 0 if none is known.
+func (g *Group) attemptEndedAt() clock.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// The catalog may be ahead of the latest update.
+	if r := g.cfg.Catalog.Load().LeadershipRecords[g.Service]; r != nil && r.Attempt == nil && r.Revision != g.endedRevision {
+		g.endedRevision, g.endedAt = r.Revision, g.cfg.Clock.Now()
+	}
+	return g.endedAt
 }
 
 // hasRevoked reports whether an attempt is known to be under way.
@@ -224,13 +237,13 @@
 }
 
 // BeingReplaced reports whether a primary is being replaced, as the holder of the attempt has
-// reported to this VM. Nothing new is sent to that primary meanwhile, and nothing that it confirms
-// is acknowledged.
+// reported to this VM, or was replaced by a target that is not known to lead yet. Nothing new is sent to
+// that primary meanwhile, and nothing that it confirms is acknowledged.
 func (g *Group) BeingReplaced(id target.ID) bool {
 	r := g.cfg.Catalog.Load().LeadershipRecords[g.Service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ended := r != nil && r.Attempt == nil && endedSince(r, g.revokedRevision)
+	ended := r != nil && r.Attempt == nil && endedSince(r, g.revokedRevision) && (r.Primary == id || r.Primary == "")
 	return id != "" && id == g.replaced && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.ExpireAfter
 }
 
--- a/groups/witness_test.go
+++ b/groups/witness_test.go
@@ -173,3 +173,18 @@
 	clk.pass(takeover.ExpireAfter)
 	require.False(t, g.hasRevoked())
 }
+
+// Failure guarded against: an attempt ends before a VM hears of the new primary, and what the VM sends the old
+// one is answered in doubt.
+func TestReplacedPrimaryGetsNothingUntilItsSuccessorIsKnown(t *testing.T) {
+	clk := newAtomicClock()
+	h := catalog.NewHolder()
+	reg := NewRegistry(Config{Catalog: h, Clock: clk, Log: zap.NewNop(), Eligible: func() bool { return true }})
+	g := reg.Group("s")
+	g.Revoke(11, "p")
+	h.SetLeadershipRecord(&catalog.LeadershipRecord{Service: "s", Revision: 12, Primary: "q"})
+	require.True(t, g.BeingReplaced("p"))
+	require.False(t, g.BeingReplaced("q"))
+	h.SetLeadershipRecord(&catalog.LeadershipRecord{Service: "s", Revision: 14, Primary: "p"})
+	require.False(t, g.BeingReplaced("p"), "it remains")
+}
