Count a drain from its report, not from when a process hears of it

Cause: recordDraining counted from when this process first knew of the report. A process that has started since, or that hears of it late, counted anew. Evidence: TestLeavingPrimaryGetsNoWorkFromAVMThatLearnsOfItLate before the change, in both cases: expected: "BUSY" actual: "" Change: the time counts from when this VM's list before was last known to be the store's, which the targets' heartbeats keep recent. A VM that had no such list gives a draining primary no work. Why it works: the report came after that time, so that the age is never taken for less than it is.

--- a/edge/breaks.go
+++ b/edge/breaks.go
@@ -47,6 +47,11 @@
 	return e.recency.Newest(recency.Fleet, versionOf(e.catalog.Load(), recency.Fleet)).At
 }
 
+// targetsConfirmedAt is recordsConfirmedAt for the list of targets.
+func (e *Edge) targetsConfirmedAt() clock.Time {
+	return e.recency.Newest(recency.Targets, versionOf(e.catalog.Load(), recency.Targets)).At
+}
+
 // observedLink reports the break of a connection to a target.
 type observedLink struct {
 	lane.Link
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -180,7 +180,7 @@
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
 		Era: e.eras.current, RecordsRevision: e.recordsRevision,
-		RecordsConfirmedAt: e.recordsConfirmedAt, BrokenAt: e.breaks.last, ReachesPeers: func() bool { return e.gossip.Reaches(e.clk.Now()) },
+		RecordsConfirmedAt: e.recordsConfirmedAt, TargetsConfirmedAt: e.targetsConfirmedAt, BrokenAt: e.breaks.last, ReachesPeers: func() bool { return e.gossip.Reaches(e.clk.Now()) },
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -356,6 +356,44 @@
 	})
 }
 
+// Failure guarded against: a VM that starts after the primary has reported its drain, or hears of the report
+// late, counts the time from then and sends it work for too long.
+func TestLeavingPrimaryGetsNoWorkFromAVMThatLearnsOfItLate(t *testing.T) {
+	for name, learnLate := range map[string]func(f *fleet){
+		"starts": func(f *fleet) {
+			time.Sleep(4 * time.Second)
+			f.start("late", zones[1], 2)
+		},
+		"hears late": func(f *fleet) {
+			f.isolate("late")
+			time.Sleep(4 * time.Second)
+			f.world.CutFromStore("late", false)
+			f.world.Net.HealAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 1, func(f *fleet) {
+				if name == "hears late" {
+					f.start("late", zones[1], 2)
+					time.Sleep(2 * time.Second)
+				}
+				c := f.session("vm0", exact)
+				f.group.SetReplicationCut("ledger-2", true)
+				require.True(t, c.Query("WRITE a 1").OK())
+				f.world.Crash(service, "ledger-1")
+				f.world.Store.Remove("servers", "ledger-1")
+				time.Sleep(4 * time.Second)
+				f.world.Drain(service, "ledger-0")
+				learnLate(f)
+				time.Sleep(2800 * time.Millisecond)
+				late := f.session("late", exact)
+				require.Equal(t, "BUSY", late.Query("READ a").Code)
+				require.Equal(t, "BUSY", late.Query("WRITE a 2").Code)
+			})
+		})
+	}
+}
+
 // Guards against: writes in doubt during a planned change under steady load at every VM. Writes are
 // in flight at the old primary when it receives the step-down command. They are in its log, which
 // its successor holds, so each one is confirmed.
--- a/groups/group.go
+++ b/groups/group.go
@@ -76,7 +76,7 @@
 	latestJoin *atomic.Int64
 	startedAt  clock.Time
 
-	// targets and record are those of the latest update.
+	// targets and record are those of the latest update; mu guards writes of targets.
 	targets []*catalog.Target
 	record  *catalog.LeadershipRecord
 
@@ -96,7 +96,8 @@
 	replaced         target.ID                // the primary that the attempt replaces
 	endedRevision    catalog.Revision         // of the latest known record without an attempt
 	endedAt          clock.Time               // when this VM learned of that record
-	drainingSince    map[target.ID]clock.Time // since when a target is known to be draining
+	drainingSince    map[target.ID]clock.Time // since when a target may have been draining
+	listConfirmedAt  clock.Time               // as of when targets was the store's list
 	incarnations     map[target.ID]incarnation
 	recordReadAt     clock.Time // when the service's record was last read for a proof
 }
@@ -169,7 +170,9 @@
 	if anyLeft(g.targets, targets) {
 		g.copies.recordLeft(g.cfg.Clock.Now())
 	}
+	g.mu.Lock()
 	g.targets, g.record = targets, record
+	g.mu.Unlock()
 	g.attemptEndedAt()
 	g.updateTargets(targets, c)
 }
@@ -193,7 +196,8 @@
 	g.updateState()
 }
 
-// recordDraining records since when each target has been draining.
+// recordDraining records since when each target may have been draining: since this VM last knew that it was
+// not.
 func (g *Group) recordDraining(targets []*catalog.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -204,21 +208,50 @@
 		}
 		since[t.ID] = g.drainingSince[t.ID]
 		if since[t.ID] == 0 {
-			since[t.ID] = g.cfg.Clock.Now()
+			since[t.ID] = g.reportedAfter()
 		}
 	}
 	g.drainingSince = since
 }
 
+// unknownReport is the time of a report of which nothing is known.
+const unknownReport clock.Time = 1
+
+// reportedAfter returns a time before a report that the latest list contains and the one before did not. The
+// caller holds the lock.
+func (g *Group) reportedAfter() clock.Time {
+	if g.cfg.TargetsConfirmedAt == nil {
+		return g.cfg.Clock.Now()
+	}
+	return max(g.listConfirmedAt, unknownReport)
+}
+
+// ConfirmTargets records as of when the list of the latest update is known to be complete. It is to be
+// called often.
+func (g *Group) ConfirmTargets() {
+	if g.cfg.TargetsConfirmedAt == nil {
+		return
+	}
+	// The time is that of this list or an earlier one if the list is loaded after it.
+	confirmed := g.cfg.TargetsConfirmedAt()
+	listed := g.cfg.Catalog.Load().ByService[g.Service]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.EqualFunc(listed, g.targets, equalTargets) {
+		g.listConfirmedAt = max(g.listConfirmedAt, confirmed)
+	}
+}
+
 // AcceptsWork reports whether a target may still be given work.
 //
 // Failure guarded against: a draining primary that cannot be replaced is given work until the
-// moment it is removed. Once DrainTimeout has passed, consumers are refused instead.
+// moment it is removed. Once DrainTimeout has passed since its report, consumers are refused instead. A
+// VM that has started since, or hears of the report late, must not count from then.
 func (g *Group) AcceptsWork(id target.ID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	since := g.drainingSince[id]
-	return since == 0 || g.cfg.DrainTimeout <= 0 || g.cfg.Clock.Now().Sub(since) < g.cfg.DrainTimeout
+	return since == 0 || g.cfg.DrainTimeout <= 0 || (since != unknownReport && g.cfg.Clock.Now().Sub(since) < g.cfg.DrainTimeout)
 }
 
 // updateState takes the current state from Leadership and, if it has changed, wakes the requests
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -145,6 +145,7 @@
 	p.recordIsolation(now)
 	for _, g := range p.cfg.Groups.Due(n) {
 		g.TrustReplicas()
+		g.ConfirmTargets()
 		p.check(ctx, g, now)
 	}
 	for _, g := range p.cfg.Groups.Used() {
