Test statements in three parts at each moment of a shutdown

Change: the test splits a statement anywhere into three parts, at five moments of the stop, one of which ends the transaction between the parts.

--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -1,10 +1,13 @@
 package edge_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"endivemoor.example/endivemoor/platform/standin/consumer"
 )
 
 // Guards against: the rest of a statement that arrives in two parts at a VM that shuts down is run as a
@@ -54,3 +57,43 @@
 		f.checkInvariants()
 	})
 }
+
+// Guards against: the same for a statement in three parts, split anywhere, at any moment of the shutdown. One
+// that the end of its transaction cuts off does not run at all.
+func TestStatementInThreePartsDuringShutdownRunsWholeOrNot(t *testing.T) {
+	const text, data = "QUERY user WRITE note see QUERY smuggled WRITE account 0\r\n", "see QUERY smuggled WRITE account 0"
+	for _, sent := range []time.Duration{0, time.Second, 2290 * time.Millisecond, 2600 * time.Millisecond, 2950 * time.Millisecond} {
+		runFleet(t, 3, func(f *fleet) {
+			other := f.session("vm1", exact)
+			require.True(t, other.Query("WRITE account 100").OK())
+			c := make(map[int]*consumer.Session)
+			for first := 1; first < len(text)-2; first += 7 {
+				c[first] = f.session("vm0", exact)
+				require.True(t, c[first].Query("BEGIN").OK())
+			}
+			f.vms["vm0"].stop()
+			time.Sleep(sent)
+			var wait sync.WaitGroup
+			for first, session := range c {
+				wait.Go(func() {
+					second := first + (len(text)-first)/2
+					if session.SendPart(text[:first]) != nil {
+						return
+					}
+					time.Sleep(70 * time.Millisecond)
+					if session.SendPart(text[first:second]) != nil {
+						return
+					}
+					time.Sleep(70 * time.Millisecond)
+					written := session.Send(text[second:]).OK()
+					committed := written && session.Query("COMMIT").OK()
+					require.True(t, committed || sent > 2600*time.Millisecond, "split at %d and %d", first, second)
+				})
+			}
+			wait.Wait()
+			require.Equal(t, []string{"100"}, other.Query("READ account").Rows)
+			require.Contains(t, [][]string{{"none"}, {data}}, other.Query("READ note").Rows)
+			f.checkInvariants()
+		})
+	}
+}
