Spread the verification of copies over the fleet, and refuse early without a query

Cause: all VMs of a fleet learn of a departure at about the same time, and each that no statement shows what the others hold would query the targets half a second later. An attempt for a stalled primary queried all targets before it found that it may not go on. Reports of replicas that have left are forgotten.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,6 +94,15 @@
 	Incarnation int64
 }
 
+// IDs returns the ids of targets, in their order.
+func IDs(targets []*Target) []target.ID {
+	ids := make([]target.ID, len(targets))
+	for i, t := range targets {
+		ids[i] = t.ID
+	}
+	return ids
+}
+
 // LeadershipRecord is the stored record of a service's newest promotion, or of the promotion attempt
 // under way.
 type LeadershipRecord struct {
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -19,6 +19,7 @@
 package freshness
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -107,6 +108,9 @@
 		b.reports = make(map[target.ID]clock.Time)
 	}
 	b.reports[from] = max(b.reports[from], at)
+	if n := len(rule.Targets); n > 0 && len(b.reports) > 2*n {
+		maps.DeleteFunc(b.reports, func(id target.ID, _ clock.Time) bool { return !slices.Contains(rule.Targets, id) })
+	}
 	if at <= rule.Alone {
 		b.witnessed = max(b.witnessed, at)
 	}
--- a/groups/copies.go
+++ b/groups/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// copiesQueryInterval is the interval at which targets are queried whose logs are to be verified, and
 	// how long statements may show it before.
 	copiesQueryInterval = 500 * time.Millisecond
+	// copiesQuerySpread is the time for each VM of a fleet over which such queries are spread.
+	copiesQuerySpread = 10 * time.Millisecond
 	// copiesMaxAge is how old a status of theirs may be: the gateways to a target share them.
 	copiesMaxAge = 100 * time.Millisecond
 )
@@ -36,25 +39,26 @@
 	// left is when a target was last found to have left or restarted, with its log. A process that starts
 	// does not know what was before.
 	left clock.Time
-	// nextQuery is when the targets may be queried again to verify their logs.
+	// nextQuery is when the targets may be queried to verify their logs; 0 if that is not decided.
 	nextQuery clock.Time
 }
 
 func (c *logCopies) recordLeft(now clock.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.left, c.end, c.nextQuery = now, timeline.Position{}, now.Add(copiesQueryInterval)
+	c.left, c.end, c.nextQuery = now, timeline.Position{}, 0
 }
 
-// queryDue reports whether the targets are to be queried now.
-func (c *logCopies) queryDue(now clock.Time) bool {
+// queryDue reports whether the targets are to be queried now. The queries of a fleet of so many VMs are spread
+// out: all of them learn of a departure at about the same time.
+func (c *logCopies) queryDue(now clock.Time, vms int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.nextQuery) {
-		return false
+	due := c.nextQuery != 0 && !now.Before(c.nextQuery)
+	if due || c.nextQuery == 0 {
+		c.nextQuery = now.Add(copiesQueryInterval + rand.N(time.Duration(max(vms, 1))*copiesQuerySpread))
 	}
-	c.nextQuery = now.Add(copiesQueryInterval)
-	return true
+	return due
 }
 
 // recordEnd records that the primary of a term reported the end of its log in reply to a query.
@@ -108,7 +112,7 @@
 // the start of this process, and the time at which the primary stalls. It is then not replaced.
 func (g *Group) VerifyCopies() {
 	now, b := g.cfg.Clock.Now(), g.Leadership.Current()
-	if b.Primary == "" || g.OthersHoldLog(b.Primary) || !g.copies.queryDue(now) {
+	if b.Primary == "" || g.OthersHoldLog(b.Primary) || !g.copies.queryDue(now, len(g.cfg.Catalog.Load().VMs)) {
 		return
 	}
 	go g.queryCopies(b.Primary)
--- a/groups/group.go
+++ b/groups/group.go
@@ -172,7 +172,7 @@
 		g.copies.recordLeft(g.cfg.Clock.Now())
 	}
 	g.mu.Lock()
-	g.targets, g.record, g.targetIDs = targets, record, idsOf(targets)
+	g.targets, g.record, g.targetIDs = targets, record, catalog.IDs(targets)
 	g.mu.Unlock()
 	g.attemptEndedAt()
 	g.updateTargets(targets, c)
@@ -183,14 +183,6 @@
 	return !slices.ContainsFunc(g.targets, func(known *catalog.Target) bool { return known.ID == t.ID })
 }
 
-func idsOf(targets []*catalog.Target) []target.ID {
-	ids := make([]target.ID, len(targets))
-	for i, t := range targets {
-		ids[i] = t.ID
-	}
-	return ids
-}
-
 func equalTargets(a, b *catalog.Target) bool { return *a == *b }
 
 func (g *Group) updateTargets(targets []*catalog.Target, c *catalog.Catalog) {
--- a/promoter/commands.go
+++ b/promoter/commands.go
@@ -48,7 +48,7 @@
 
 // sendAll sends a command to several targets concurrently.
 func (a *attempt) sendAll(ctx context.Context, targets []*catalog.Target, cmd lane.Command) []reply {
-	return a.sendAllTo(ctx, idsOf(targets), cmd)
+	return a.sendAllTo(ctx, catalog.IDs(targets), cmd)
 }
 
 // sendAllTo is sendAll for targets given by their ids.
@@ -74,14 +74,6 @@
 	return out
 }
 
-func idsOf(targets []*catalog.Target) []target.ID {
-	out := make([]target.ID, len(targets))
-	for i, t := range targets {
-		out[i] = t.ID
-	}
-	return out
-}
-
 // sendWithRetry repeats a command to a target that has no free slot.
 func (a *attempt) sendWithRetry(ctx context.Context, id target.ID, cmd lane.Command) (statement.Status, error) {
 	for try := 0; ; try++ {
--- a/promoter/feasible.go
+++ b/promoter/feasible.go
@@ -18,6 +18,9 @@
 	if len(a.others) < a.requiredOthers() {
 		return errTooFew
 	}
+	if err := a.othersHoldLog(); err != nil {
+		return err
+	}
 	statuses, err := a.queryOthers(ctx)
 	if err != nil {
 		return err
@@ -39,10 +42,7 @@
 	case takeover.ReasonLeaving:
 		return a.successorKeepsUp(ctx)
 	case takeover.ReasonStalled:
-		if err := a.confirmStall(ctx); err != nil {
-			return err
-		}
-		return a.othersHoldLog()
+		return a.confirmStall(ctx)
 	case takeover.ReasonBehind:
 		return a.confirmBehind(ctx, statuses)
 	default:
--- a/promoter/fence.go
+++ b/promoter/fence.go
@@ -74,7 +74,7 @@
 // pause stops every other target from receiving. All of them must confirm: one that does not may be
 // the only holder of an acknowledged commit, or may still be a witness for the old primary.
 func (a *attempt) pause(ctx context.Context) ([]takeover.Fenced, error) {
-	return a.pauseAll(ctx, idsOf(a.others))
+	return a.pauseAll(ctx, catalog.IDs(a.others))
 }
 
 // pauseJoined pauses the targets that have joined since the attempt began. It follows the end of
