soak: take a range of ports only if all of them are unused

Cause: freePorts checked the first port of a range only. Two soaks that run at once begin at offsets by their process ids and may overlap: failed twice within 0.04 s beside another soak, with "listen tcp 127.0.0.1:27432: bind: address already in use". Change: each port of the range is tried. Measured: beside the same soak, passed in 14.2 s.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -120,15 +120,21 @@
 	return s
 }
 
-// freePorts returns the first of count consecutive ports that freeAddr does not return again.
+// freePorts returns the first of count consecutive unused ports that freeAddr does not return again.
 func freePorts(t *testing.T, count int) int {
 	t.Helper()
 	for {
 		var first int
 		_, err := fmt.Sscanf(freeAddr(t), "127.0.0.1:%d", &first)
 		require.NoError(t, err)
-		nextPort = first + count
-		if nextPort < lastPort {
+		free := first+count < lastPort
+		for port := first + 1; free && port < first+count; port++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if free = err == nil; free {
+				require.NoError(t, ln.Close())
+			}
+		}
+		if nextPort = first + count; free {
 			return first
 		}
 	}
