A primary that has stepped down is no copy of its own log

Cause: an attempt commands the old primary to step down. It then reports the role replica, the old term and its whole log, and logCopies took that for another target's copy, just before the last check of the attempt. Evidence: the drawn orders of the promoter with replicas that restart without their logs, seen by a connection that breaks or by their entries. The error of the check says what it means at a process that has started, too. The same reading: a drawn world for leaving primaries, whose lists are heard late or before the groups take them (red without each part of the guard); tests for guards that had none (a restart, the start of a process, a leaving primary in the first list, no query for a stalled primary that may not be replaced); a check in recordEnd that no test missed is gone; the choices of both worlds stand once, in internal/drawn.

--- a/edge/failover_test.go
+++ b/edge/failover_test.go
@@ -336,18 +336,24 @@
 	}
 }
 
+// drainWithoutSuccessor drains the primary while no other target can be promoted: one has left, and the other
+// lacks a write.
+func (f *fleet) drainWithoutSuccessor(c *consumer.Session) {
+	f.group.SetReplicationCut("ledger-2", true)
+	require.True(f.t, c.Query("WRITE a 1").OK())
+	f.world.Crash(service, "ledger-1")
+	f.world.Store.Remove("servers", "ledger-1")
+	time.Sleep(4 * time.Second)
+	f.world.Drain(service, "ledger-0")
+}
+
 // Guards against: work that is sent to a draining primary for too long, because it may stop with
 // that work. The primary cannot be replaced, because its replicas receive nothing. It still
 // answers, but must get no more work a few seconds after it reported the drain.
 func TestLeavingPrimaryGetsNoWorkForLong(t *testing.T) {
 	runFleet(t, 1, func(f *fleet) {
 		c := f.session("vm0", exact)
-		f.group.SetReplicationCut("ledger-2", true)
-		require.True(t, c.Query("WRITE a 1").OK())
-		f.world.Crash(service, "ledger-1")
-		f.world.Store.Remove("servers", "ledger-1")
-		time.Sleep(4 * time.Second)
-		f.world.Drain(service, "ledger-0")
+		f.drainWithoutSuccessor(c)
 		time.Sleep(4 * time.Second)
 		require.Equal(t, []string{"1"}, c.Query("READ a").Rows, "it serves until then: the drain bound has not passed")
 		time.Sleep(2800 * time.Millisecond)
@@ -377,13 +383,7 @@
 					f.start("late", zones[1], 2)
 					time.Sleep(2 * time.Second)
 				}
-				c := f.session("vm0", exact)
-				f.group.SetReplicationCut("ledger-2", true)
-				require.True(t, c.Query("WRITE a 1").OK())
-				f.world.Crash(service, "ledger-1")
-				f.world.Store.Remove("servers", "ledger-1")
-				time.Sleep(4 * time.Second)
-				f.world.Drain(service, "ledger-0")
+				f.drainWithoutSuccessor(f.session("vm0", exact))
 				learnLate(f)
 				time.Sleep(2800 * time.Millisecond)
 				late := f.session("late", exact)
--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -58,8 +58,8 @@
 	})
 }
 
-// Guards against: the same for a statement in three parts, split anywhere, at any moment of the shutdown. One
-// that the end of its transaction cuts off does not run at all.
+// Guards against: a part of a statement that arrives in three parts, split anywhere and at any moment of a
+// shutdown, is run as a statement of its own. One that the end of its transaction cuts off does not run at all.
 func TestStatementInThreePartsDuringShutdownRunsWholeOrNot(t *testing.T) {
 	const text, data = "QUERY user WRITE note see QUERY smuggled WRITE account 0\r\n", "see QUERY smuggled WRITE account 0"
 	for _, sent := range []time.Duration{0, time.Second, 2290 * time.Millisecond, 2600 * time.Millisecond, 2950 * time.Millisecond} {
--- a/groups/copies.go
+++ b/groups/copies.go
@@ -30,9 +30,10 @@
 	mu sync.Mutex
 	// end is where the log of a term's primary ended, as it reported in reply to a query sent at sent;
 	// zero if no report is awaiting a replica.
-	term timeline.Term
-	end  timeline.Position
-	sent clock.Time
+	term    timeline.Term
+	primary target.ID
+	end     timeline.Position
+	sent    clock.Time
 	// verified is as of when the logs of the others are known to hold every acknowledged commit.
 	verified clock.Time
 	// left is when a target was last found to have left or restarted, with its log. A process that starts
@@ -61,21 +62,24 @@
 }
 
 // recordEnd records that the primary of a term reported the end of its log in reply to a query.
-func (c *logCopies) recordEnd(term timeline.Term, sent clock.Time, end timeline.Position) {
+func (c *logCopies) recordEnd(term timeline.Term, primary target.ID, sent clock.Time, end timeline.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if term < c.term || (term == c.term && !c.end.IsZero()) || sent.Before(c.left) || end.IsZero() {
+	if term < c.term || (term == c.term && !c.end.IsZero()) || end.IsZero() {
 		return
 	}
-	c.term, c.sent, c.end = term, sent, end
+	c.term, c.primary, c.sent, c.end = term, primary, sent, end
 }
 
 // recordCopy records that a replica that follows a term, and is not paused for a later one, has received a
 // position. As it follows the term, the primary had not been replaced when it reported the end of its log.
-func (c *logCopies) recordCopy(term timeline.Term, received timeline.Position) {
+//
+// Failure guarded against: the primary of the term has stepped down for an attempt. It reports the role
+// replica and its whole log, which counts as another target's copy.
+func (c *logCopies) recordCopy(term timeline.Term, from target.ID, received timeline.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if term == c.term && !c.end.IsZero() && takeover.Holds(received, c.end) {
+	if term == c.term && from != c.primary && !c.end.IsZero() && takeover.Holds(received, c.end) {
 		c.verified, c.end = c.sent, timeline.Position{}
 	}
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -400,12 +400,12 @@
 func (g *Group) observe(id target.ID, s statement.Status, sent clock.Time) {
 	if s.Role == target.RolePrimary {
 		g.Freshness.Sample(s.Term, id, sent, s.Received)
-		g.copies.recordEnd(s.Term, sent, s.Received)
+		g.copies.recordEnd(s.Term, id, sent, s.Received)
 		return
 	}
 	if s.Role == target.RoleReplica && s.Paused == 0 && g.CanWitness(id) {
 		g.Freshness.Witness(s.Term, id, sent)
-		g.copies.recordCopy(s.Term, s.Received)
+		g.copies.recordCopy(s.Term, id, s.Received)
 	}
 }
 
@@ -414,7 +414,7 @@
 func (g *Group) RecordEnd(leader leadership.State, sent clock.Time, end timeline.Position) {
 	g.Acknowledged.RecordPosition(end)
 	g.Freshness.Sample(leader.Term, leader.Primary, sent, end)
-	g.copies.recordEnd(leader.Term, sent, end)
+	g.copies.recordEnd(leader.Term, leader.Primary, sent, end)
 }
 
 // RecordCopy records that a replica's answer to a statement shows that it has received a position.
@@ -425,7 +425,7 @@
 	g.Freshness.Seen(id, received)
 	// The replica was not paused as it received the last position, but may have been since.
 	received.LSN--
-	g.copies.recordCopy(received.Term, received)
+	g.copies.recordCopy(received.Term, id, received)
 }
 
 // KnownPrimary returns the target that leads; false if requests have to wait for one.
--- a/groups/orders_test.go
+++ b/groups/orders_test.go
@@ -102,6 +102,8 @@
 	m := w.momentSince(w.targetsAt)
 	w.targetsAt = m.at
 	w.holder.SetTargets(m.targets, m.listed)
+	// The list may be confirmed before the groups have taken it.
+	w.registry.Group("s").ConfirmTargets()
 	w.registry.Update(w.holder.Load())
 }
 
@@ -115,6 +117,8 @@
 		RecordsRevision:    func() catalog.Revision { return w.records.revision },
 		RecordsConfirmedAt: func() clock.Time { return w.records.at },
 		BrokenAt:           func(id target.ID) clock.Time { return w.broken[id] },
+		TargetsConfirmedAt: func() clock.Time { return w.targetsAt },
+		DrainTimeout:       drainTimeout,
 	})
 	w.records, w.targetsAt = moment{at: since}, since
 	w.hearRecords()
--- a/groups/permissions_test.go
+++ b/groups/permissions_test.go
@@ -16,6 +16,7 @@
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/internal/drawn"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/spending"
@@ -28,8 +29,7 @@
 // permissionsWorld is a service whose primary "p" is replaced by "q", and a VM that hears of the records late.
 // "p" continues to answer.
 type permissionsWorld struct {
-	// script has the choices that the world makes, one after the other.
-	script   []int
+	script   drawn.Script
 	now      clock.Time
 	statuses map[target.ID]statement.Status
 	record   catalog.LeadershipRecord
@@ -79,16 +79,6 @@
 	return w
 }
 
-// choose returns a number below n.
-func (w *permissionsWorld) choose(n int) int {
-	if len(w.script) == 0 {
-		return 0
-	}
-	next := w.script[0]
-	w.script = w.script[1:]
-	return next % n
-}
-
 func (w *permissionsWorld) Now() clock.Time { return w.now }
 
 // Control implements ControlClient.
@@ -139,12 +129,12 @@
 		w.write(w.record.Primary, &catalog.Attempt{Holder: "other", Deposed: "p"})
 		w.asked, w.fencedAt = false, 0
 	case open && w.fencedAt == 0:
-		if w.asked = w.listed && w.choose(2) == 0; w.asked {
+		if w.asked = w.listed && w.script.Choose(2) == 0; w.asked {
 			w.group.Revoke(w.record.Revision, "p")
 		}
 		w.setReplicas(1, 2)
 		w.fencedAt = w.now
-	case open && !w.promoted && w.choose(4) == 0:
+	case open && !w.promoted && w.script.Choose(4) == 0:
 		w.setReplicas(1, 0)
 		w.write("p", nil)
 	case open && !w.promoted:
@@ -174,7 +164,7 @@
 	case "attempt":
 		w.advanceAttempt()
 	case "query":
-		w.query([]target.ID{"p", "q", "r"}[w.choose(3)])
+		w.query([]target.ID{"p", "q", "r"}[w.script.Choose(3)])
 	case "records":
 		w.hearRecords()
 	case "cut":
@@ -197,7 +187,7 @@
 			set(w)
 			for len(w.script) > 0 {
 				w.now = w.now.Add(permissionsStep)
-				event := events[w.choose(len(events))]
+				event := events[w.script.Choose(len(events))]
 				w.act(event)
 				is := proves(w)
 				// Queries that were begun end before the world changes.
@@ -238,7 +228,7 @@
 	proves := func(w *permissionsWorld) bool {
 		return w.group.Permitted(oldPrimary, w.now) || w.group.Prove(context.Background(), oldPrimary, 0, w.now) == nil
 	}
-	deaf := func(w *permissionsWorld) { w.deaf, w.apart, w.listed = true, true, w.choose(2) == 0 }
+	deaf := func(w *permissionsWorld) { w.deaf, w.apart, w.listed = true, true, w.script.Choose(2) == 0 }
 	n := playPermissions(t, deaf, proves, "attempt", "attempt", "query", "records", "cut")
 	require.NotZero(t, n.promotions)
 	require.NotZero(t, n.proven)
--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -71,7 +71,7 @@
 	errUnreachable         = errors.New("a target that may hold acknowledged commits did not answer")
 	errTooFew              = errors.New("too few targets remain to certainly hold every acknowledged commit")
 	errAcknowledgedMissing = errors.New("no target holds every position known to be acknowledged")
-	errOnlyCopy            = errors.New("a target has left that may have held acknowledged commits which only the primary still has")
+	errOnlyCopy            = errors.New("the other targets are not known to hold all acknowledged commits since one of them left, restarted or lost its connection, or this process started")
 	errTimeLimit           = errors.New("promotion not accepted within the attempt's time limit")
 	errSuperseded          = errors.New("another target leads")
 	errUnpaused            = errors.New("the target did not confirm the pause")
--- a/promoter/orders_test.go
+++ b/promoter/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/groups"
 	"endivemoor.example/endivemoor/internal/bubble"
+	"endivemoor.example/endivemoor/internal/drawn"
 	"endivemoor.example/endivemoor/lane"
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/statement"
@@ -32,6 +34,7 @@
 type logCopy struct {
 	received timeline.LSN
 	paused   timeline.Term
+	run      int64
 	cut      bool // from the primary
 	gone     bool
 }
@@ -43,25 +46,31 @@
 	number timeline.LSN
 }
 
-// listener is a VM that hears of the world's targets late.
+// listener is a VM that hears of the world's targets late. It has a connection to each target that it has
+// heard of, and sees a restart as it next uses that.
 type listener struct {
+	world    *logsWorld
 	catalog  *catalog.Holder
 	registry *groups.Registry
 	group    *groups.Group
 	revision catalog.Revision
+	runs     map[target.ID]int64 // of the targets' processes to which the connections lead
+	broken   map[target.ID]clock.Time
 }
 
 // logsWorld is a service with synchronous replicas, of which some leave with their logs.
 type logsWorld struct {
-	// script has the choices that the world makes, one after the other.
-	script  []int
+	script  drawn.Script
 	clock   bubbleClock
 	copies  map[target.ID]*logCopy
 	primary logCopy
+	stated  bool // entries state the incarnation
 	silent  bool // the primary does not answer the fleet
 	leads   bool
 	running []sentCommit
 	vms     []*listener
+	mu      sync.Mutex // guards what commands change, which are sent concurrently
+	queries int
 
 	acknowledged timeline.LSN
 	promoted     target.ID
@@ -71,7 +80,7 @@
 const oldPrimary target.ID = "p"
 
 func newLogsWorld(script []int) *logsWorld {
-	w := &logsWorld{script: script, clock: bubbleClock{time.Now()}, leads: true, copies: map[target.ID]*logCopy{"q": {}, "r": {}}}
+	w := &logsWorld{script: script, clock: bubbleClock{time.Now()}, leads: true, copies: map[target.ID]*logCopy{"q": {run: 1}, "r": {run: 1}}}
 	for range 2 {
 		w.vms = append(w.vms, w.newListener())
 	}
@@ -79,10 +88,10 @@
 }
 
 func (w *logsWorld) newListener() *listener {
-	vm := &listener{catalog: catalog.NewHolder()}
+	vm := &listener{world: w, catalog: catalog.NewHolder(), runs: make(map[target.ID]int64), broken: make(map[target.ID]clock.Time)}
 	vm.catalog.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s", SyncReplicas: 1}}})
 	vm.registry = groups.NewRegistry(groups.Config{
-		Catalog: vm.catalog, Control: w, Clock: w.clock, Log: zap.NewNop(),
+		Catalog: vm.catalog, Control: vm, Clock: w.clock, Log: zap.NewNop(), BrokenAt: vm.brokenAt,
 		Decode: func(row string) (statement.Status, error) { return w.status(target.ID(row)), nil },
 	})
 	vm.group = vm.registry.Group("s")
@@ -96,7 +105,10 @@
 	listed := map[target.ID]*catalog.Target{oldPrimary: {ID: oldPrimary, Service: "s", Role: target.RolePrimary}}
 	for id, c := range w.copies {
 		if !c.gone {
-			listed[id] = &catalog.Target{ID: id, Service: "s", Role: target.RoleReplica}
+			listed[id] = &catalog.Target{ID: id, Service: "s", Role: target.RoleReplica, Incarnation: w.incarnation(c)}
+			if vm.runs[id] == 0 {
+				vm.runs[id] = c.run
+			}
 		}
 	}
 	vm.revision++
@@ -120,9 +132,27 @@
 	return s
 }
 
+// incarnation is what a replica's entry states: nothing, as long as entries state none.
+func (w *logsWorld) incarnation(c *logCopy) int64 {
+	if !w.stated {
+		return 0
+	}
+	return c.run
+}
+
+func (vm *listener) brokenAt(id target.ID) clock.Time {
+	vm.world.mu.Lock()
+	defer vm.world.mu.Unlock()
+	return vm.broken[id]
+}
+
 // Control implements groups.ControlClient.
-func (w *logsWorld) Control(_ context.Context, id target.ID, cmd lane.Command, _ time.Duration) ([]string, error) {
+func (vm *listener) Control(_ context.Context, id target.ID, cmd lane.Command, _ time.Duration) ([]string, error) {
+	w := vm.world
 	time.Sleep(time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queries++
 	if id == oldPrimary {
 		if w.silent {
 			return nil, errors.New("no answer")
@@ -134,6 +164,9 @@
 	if c.gone {
 		return nil, errors.New("no answer")
 	}
+	if vm.runs[id] != c.run {
+		vm.runs[id], vm.broken[id] = c.run, w.clock.Now()
+	}
 	switch cmd {
 	case lane.PauseCommand(2):
 		c.paused = 2
@@ -144,8 +177,8 @@
 }
 
 // Recent implements groups.ControlClient.
-func (w *logsWorld) Recent(ctx context.Context, id target.ID, _, timeout time.Duration) ([]string, time.Duration, error) {
-	rows, err := w.Control(ctx, id, lane.StatusCommand, timeout)
+func (vm *listener) Recent(ctx context.Context, id target.ID, _, timeout time.Duration) ([]string, time.Duration, error) {
+	rows, err := vm.Control(ctx, id, lane.StatusCommand, timeout)
 	return rows, 0, err
 }
 
@@ -178,23 +211,13 @@
 	return nil
 }
 
-// choose returns a number below n.
-func (w *logsWorld) choose(n int) int {
-	if len(w.script) == 0 {
-		return 0
-	}
-	next := w.script[0]
-	w.script = w.script[1:]
-	return next % n
-}
-
 // replica chooses a replica that has not left.
 func (w *logsWorld) replica() *logCopy {
 	present := w.present()
 	if len(present) == 0 {
 		return &logCopy{}
 	}
-	return w.copies[present[w.choose(len(present))]]
+	return w.copies[present[w.script.Choose(len(present))]]
 }
 
 // present returns the replicas that have not left, in their order.
@@ -208,14 +231,14 @@
 }
 
 func (w *logsWorld) act(event string) {
-	vm := w.vms[w.choose(len(w.vms))]
+	vm := w.vms[w.script.Choose(len(w.vms))]
 	switch event {
 	case "commit":
 		w.primary.received++
 		w.running = append(w.running, sentCommit{vm, vm.group.BeforeCommit(oldPrimary), w.primary.received})
 	case "receive":
 		if c := w.replica(); !c.cut {
-			c.received += timeline.LSN(w.choose(int(w.primary.received-c.received) + 1))
+			c.received += timeline.LSN(w.script.Choose(int(w.primary.received-c.received) + 1))
 		}
 	case "acknowledge":
 		w.acknowledge()
@@ -233,8 +256,12 @@
 		// A server starts before the one that it replaces leaves.
 		if n := len(w.copies) - 2; n < 3 {
 			w.replica().gone = true
-			w.copies[target.ID(fmt.Sprint("n", n))] = &logCopy{cut: w.choose(2) == 0}
+			w.copies[target.ID(fmt.Sprint("n", n))] = &logCopy{run: 1, cut: w.script.Choose(2) == 0}
 		}
+	case "restart":
+		// A replica that is cut off from the primary remains without a log.
+		c := w.replica()
+		c.run, c.received, c.paused = c.run+1, 0, 0
 	case "hear":
 		w.hear(vm)
 	case "settle":
@@ -315,8 +342,9 @@
 func playScript(t *testing.T, script []int, reason takeover.Reason, events []string) (w *logsWorld) {
 	bubble.Test(t, func(*testing.T) {
 		w = newLogsWorld(script)
+		w.stated = w.script.Choose(2) == 0
 		for len(w.script) > 0 {
-			w.act(events[w.choose(len(events))])
+			w.act(events[w.script.Choose(len(events))])
 			time.Sleep(eventInterval)
 		}
 		w.fail(reason)
@@ -326,14 +354,31 @@
 }
 
 // Failure guarded against: a primary that answers and acknowledges nothing is replaced after a replica has
-// left, which was the only other holder of acknowledged commits.
+// left or lost its log, which was the only other holder of acknowledged commits.
 func TestNoOrderOfDeparturesLosesTheCommitsOfAStalledPrimary(t *testing.T) {
 	playLogs(t, takeover.ReasonStalled, "commit", "commit", "receive", "receive", "acknowledge", "acknowledge",
-		"query", "query replicas", "settle", "cut", "heal", "leave", "hear")
+		"query", "query replicas", "settle", "cut", "heal", "leave", "restart", "hear")
 }
 
-// Failure guarded against: the same for a primary that does not answer, so that its log is out of reach.
+// Failure guarded against: a primary that does not answer is replaced after a replica has left or lost its log,
+// which was the only other holder of acknowledged commits.
 func TestNoOrderOfDeparturesLosesTheCommitsOfASilentPrimary(t *testing.T) {
 	playLogs(t, takeover.ReasonUnresponsive, "commit", "commit", "receive", "receive", "acknowledge", "acknowledge",
-		"query", "query replicas", "settle", "cut", "heal", "leave", "hear")
+		"query", "query replicas", "settle", "cut", "heal", "leave", "restart", "hear")
+}
+
+// Failure guarded against: each VM that finds the primary stalled queries all targets again and again, although it
+// knows that it may not replace it.
+func TestStalledPrimaryThatMayHoldTheOnlyCopyCostsNoQuery(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newLogsWorld(nil)
+		w.act("leave")
+		w.act("hear")
+		w.replace(takeover.ReasonStalled)
+		require.Zero(t, w.queries)
+		w.act("settle")
+		w.fail(takeover.ReasonStalled)
+		w.replace(takeover.ReasonStalled)
+		require.NotEmpty(t, w.promoted)
+	})
 }
