Verify the copies of a log only by reports from after a restart

Cause: logCopies took the others' logs for whole as of the primary's report, however old the replica's report was. Gateways share reports up to 100 ms old, and answers may come late: the replica's may be from before it restarted without its log. Evidence: TestReportFromBeforeARestartIsNoCopy before the change, both cases: "Should be false" Change: the knowledge is as of the earlier one of both reports. Why it works: a restart that this VM knows of by the time of both reports is older than both; one that it learns of later ends the knowledge.

--- a/dispatch/local.go
+++ b/dispatch/local.go
@@ -146,6 +146,6 @@
 	case leader.Primary == id && leader.Term != 0:
 		g.RecordEnd(leader, sent, p)
 	case leader.Primary != id:
-		g.RecordCopy(id, p)
+		g.RecordCopy(id, sent, p)
 	}
 }
--- a/groups/copies.go
+++ b/groups/copies.go
@@ -72,15 +72,19 @@
 }
 
 // recordCopy records that a replica that follows a term, and is not paused for a later one, has received a
-// position. As it follows the term, the primary had not been replaced when it reported the end of its log.
+// position, in reply to a query or statement sent at queried. As it follows the term, the primary had not been
+// replaced when it reported the end of its log.
+//
+// Failure guarded against: a report that a gateway has shared, or a late answer, is from before the replica
+// restarted without its log.
 //
 // Failure guarded against: the primary of the term has stepped down for an attempt. It reports the role
 // replica and its whole log, which counts as another target's copy.
-func (c *logCopies) recordCopy(term timeline.Term, from target.ID, received timeline.Position) {
+func (c *logCopies) recordCopy(term timeline.Term, from target.ID, queried clock.Time, received timeline.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if term == c.term && from != c.primary && !c.end.IsZero() && takeover.Holds(received, c.end) {
-		c.verified, c.end = c.sent, timeline.Position{}
+		c.verified, c.end = max(c.verified, min(c.sent, queried)), timeline.Position{}
 	}
 }
 
--- a/groups/copies_test.go
+++ b/groups/copies_test.go
@@ -60,12 +60,12 @@
 	s.list(20, 1, "q")
 	require.False(t, s.g.OthersHoldLog("p"))
 	s.g.RecordEnd(leader, before, at(1, 7))
-	s.g.RecordCopy("q", at(1, 9))
+	s.g.RecordCopy("q", s.clk.now, at(1, 9))
 	require.False(t, s.g.OthersHoldLog("p"), "the primary was queried before the departure")
 	s.g.RecordEnd(leader, s.clk.now, at(1, 10))
-	s.g.RecordCopy("q", at(1, 10))
+	s.g.RecordCopy("q", s.clk.now, at(1, 10))
 	require.False(t, s.g.OthersHoldLog("p"), "the replica may have been paused since it received this")
-	s.g.RecordCopy("q", at(1, 11))
+	s.g.RecordCopy("q", s.clk.now, at(1, 11))
 	require.True(t, s.g.OthersHoldLog("p"))
 }
 
@@ -76,7 +76,7 @@
 	s.broken["q"] = s.clk.now
 	require.False(t, s.g.OthersHoldLog("p"))
 	s.g.RecordEnd(leadership.State{Primary: "p", Term: 1}, s.clk.now, at(1, 10))
-	s.g.RecordCopy("r", at(1, 11))
+	s.g.RecordCopy("r", s.clk.now, at(1, 11))
 	require.True(t, s.g.OthersHoldLog("p"))
 }
 
@@ -93,7 +93,7 @@
 	s := newCopiesService(true)
 	require.False(t, s.g.OthersHoldLog("p"))
 	s.g.RecordEnd(leadership.State{Primary: "p", Term: 1}, s.clk.now, at(1, 10))
-	s.g.RecordCopy("r", at(1, 11))
+	s.g.RecordCopy("r", s.clk.now, at(1, 11))
 	require.True(t, s.g.OthersHoldLog("p"))
 }
 
@@ -109,3 +109,28 @@
 	s.g.observe("q", statement.Status{Role: target.RoleReplica, Term: 1, Received: at(1, 10)}, s.clk.now)
 	require.True(t, s.g.OthersHoldLog("p"))
 }
+
+// Failure guarded against: a replica restarts without its log, and a gateway's report of it from before counts as its
+// copy, or the answer to a statement that was sent to it before.
+func TestReportFromBeforeARestartIsNoCopy(t *testing.T) {
+	for name, record := range map[string]func(s *copiesService, sent clock.Time){
+		"status": func(s *copiesService, sent clock.Time) {
+			s.g.observe("q", statement.Status{Role: target.RoleReplica, Term: 1, Received: at(1, 10)}, sent)
+		},
+		"answer": func(s *copiesService, sent clock.Time) { s.g.RecordCopy("q", sent, at(1, 11)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCopiesService(false)
+			before := s.clk.now
+			s.clk.now += clock.Time(time.Second)
+			s.broken["q"] = s.clk.now
+			s.g.recordReadAt = s.clk.now // The replica is a witness again.
+			s.g.RecordEnd(leadership.State{Primary: "p", Term: 1}, s.clk.now, at(1, 10))
+			record(s, before)
+			require.False(t, s.g.OthersHoldLog("p"))
+			s.g.RecordEnd(leadership.State{Primary: "p", Term: 1}, s.clk.now, at(1, 10))
+			record(s, s.clk.now)
+			require.True(t, s.g.OthersHoldLog("p"))
+		})
+	}
+}
--- a/groups/group.go
+++ b/groups/group.go
@@ -405,7 +405,7 @@
 	}
 	if s.Role == target.RoleReplica && s.Paused == 0 && g.CanWitness(id) {
 		g.Freshness.Witness(s.Term, id, sent)
-		g.copies.recordCopy(s.Term, id, s.Received)
+		g.copies.recordCopy(s.Term, id, sent, s.Received)
 	}
 }
 
@@ -417,15 +417,16 @@
 	g.copies.recordEnd(leader.Term, leader.Primary, sent, end)
 }
 
-// RecordCopy records that a replica's answer to a statement shows that it has received a position.
-func (g *Group) RecordCopy(id target.ID, received timeline.Position) {
+// RecordCopy records that a replica's answer to a statement that was sent at a time shows that it has received a
+// position.
+func (g *Group) RecordCopy(id target.ID, sent clock.Time, received timeline.Position) {
 	if received.LSN == 0 || !g.CanWitness(id) {
 		return
 	}
 	g.Freshness.Seen(id, received)
 	// The replica was not paused as it received the last position, but may have been since.
 	received.LSN--
-	g.copies.recordCopy(received.Term, id, received)
+	g.copies.recordCopy(received.Term, id, sent, received)
 }
 
 // KnownPrimary returns the target that leads; false if requests have to wait for one.
