Tell VMs that use a gateway when its connection to a target broke

Cause: a restart breaks all connections to a target, and that is how a VM learns of it at once. One that queries the target through a gateway has none that breaks. Why it works: an attempt queries all targets again before it checks the copies for the last time, and the gateway sees the break as it sends that query.

--- a/edge/breaks.go
+++ b/edge/breaks.go
@@ -25,11 +25,11 @@
 
 func newTargetBreaks() *targetBreaks { return &targetBreaks{at: make(map[target.ID]clock.Time)} }
 
-// record records a break. Targets that have left the catalog are forgotten now and then.
-func (b *targetBreaks) record(id target.ID, now clock.Time, c *catalog.Catalog) {
+// record records a break at a time. Targets that have left the catalog are forgotten now and then.
+func (b *targetBreaks) record(id target.ID, at clock.Time, c *catalog.Catalog) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.at[id] = now
+	b.at[id] = max(b.at[id], at)
 	if len(b.at) > 2*len(c.Targets) {
 		maps.DeleteFunc(b.at, func(id target.ID, _ clock.Time) bool { return c.Targets[id] == nil })
 	}
@@ -41,6 +41,12 @@
 	return b.at[id]
 }
 
+// brokenAt returns when a connection to a target last broke: one of this VM, or of a gateway that told of it.
+// A gateway tells of its own only: told on and on, a break would seem later and later.
+func (e *Edge) brokenAt(id target.ID) clock.Time {
+	return max(e.breaks.last(id), e.gatewayBreaks.last(id))
+}
+
 // recordsConfirmedAt returns the time as of which this VM's leadership records are known to be
 // complete.
 func (e *Edge) recordsConfirmedAt() clock.Time {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,7 @@
 	"endivemoor.example/endivemoor/relay"
 	"endivemoor.example/endivemoor/returning"
 	"endivemoor.example/endivemoor/spending"
+	"endivemoor.example/endivemoor/target"
 )
 
 const (
@@ -75,7 +76,8 @@
 	watchJitter   float64
 	catalog       *catalog.Holder
 	recency       recency.Tracker
-	breaks        *targetBreaks
+	breaks        *targetBreaks // of this VM's own connections
+	gatewayBreaks *targetBreaks // of gateways' connections, as they tell
 	eras          *eras
 	store         *objects.Client
 	firstCopies   *firstCopies
@@ -163,7 +165,7 @@
 	e.meter = spending.NewMeter(e.metrics)
 	e.decisions = decisions.NewRecorder(e.metrics)
 	e.eras = newEras(log, clk, e.metrics)
-	e.breaks = newTargetBreaks()
+	e.breaks, e.gatewayBreaks = newTargetBreaks(), newTargetBreaks()
 	e.store = objects.New(settings.Platform.Addr, newTransport(e.dialFor(spending.Store)))
 	e.store.Observe = func(kind string, v objects.Verb) { e.meter.RecordCall(kind, string(v)) }
 	e.store.ObserveEra = e.eras.record
@@ -180,13 +182,13 @@
 		Catalog: e.catalog, Control: controlClient{e}, Clock: e.clk, Decode: line.ParseStatus, Records: leadershipRecords{e},
 		Eligible: e.gossip.eligible, OnCommand: e.meter.RecordQuery, DrainTimeout: leaveAfter(settings), Log: log,
 		Era: e.eras.current, RecordsRevision: e.recordsRevision,
-		RecordsConfirmedAt: e.recordsConfirmedAt, TargetsConfirmedAt: e.targetsConfirmedAt, BrokenAt: e.breaks.last, ReachesPeers: func() bool { return e.gossip.Reaches(e.clk.Now()) },
+		RecordsConfirmedAt: e.recordsConfirmedAt, TargetsConfirmedAt: e.targetsConfirmedAt, BrokenAt: e.brokenAt, ReachesPeers: func() bool { return e.gossip.Reaches(e.clk.Now()) },
 	})
 	e.limits = newLimits(e)
 	e.local = &dispatch.Local{Pool: e.pool, Groups: e.groups, Clock: e.clk}
 	statuses := relay.NewStatuses(e.pool, e.clk)
-	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.used(), Decisions: e.decisions, Outcome: e.outliers.record, IgnoresOverhead: features.Without(feature.VMCondition), Dial: e.dialFor(spending.Relay)})
-	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: e.pool.Returning, ReportsNothing: features.Without(feature.LoadReports), Failures: &e.outliers.failures})
+	e.router = relay.NewRouter(relay.RouterConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, Reports: e.loadReports.used(), Decisions: e.decisions, Outcome: e.outliers.record, IgnoresOverhead: features.Without(feature.VMCondition), Dial: e.dialFor(spending.Relay), Broken: func(id target.ID, at clock.Time) { e.gatewayBreaks.record(id, at, e.catalog.Load()) }})
+	e.relay = relay.NewServer(relay.ServerConfig{Local: e.local, Control: e.pool, Statuses: statuses, Groups: e.groups, Clock: e.clk, Log: log, BrokenAt: e.breaks.last, Serves: e.acceptsRelayFor, Idle: e.relayIdleTimeout, Draw: e.limits.Draw, Returning: e.pool.Returning, ReportsNothing: features.Without(feature.LoadReports), Failures: &e.outliers.failures})
 	avoid := e.outliers.avoid
 	if features.Without(feature.Outliers) {
 		avoid = nil
--- a/promoter/orders_test.go
+++ b/promoter/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -46,16 +47,45 @@
 	number timeline.LSN
 }
 
+// connections are a VM's, one to each target. It sees a restart as it next uses the connection.
+type connections struct {
+	runs   map[target.ID]int64 // of the targets' processes to which the connections lead
+	broken map[target.ID]clock.Time
+}
+
+func newConnections() *connections {
+	return &connections{runs: make(map[target.ID]int64), broken: make(map[target.ID]clock.Time)}
+}
+
+// use records a break if the target's process is another one than before.
+func (c *connections) use(id target.ID, run int64, now clock.Time) {
+	if c.runs[id] != 0 && c.runs[id] != run {
+		c.broken[id] = now
+	}
+	c.runs[id] = run
+}
+
+// reportedStatus is a status that a target has reported in reply to a query sent at a time.
+type reportedStatus struct {
+	status statement.Status
+	sent   clock.Time
+}
+
+// gateway is a VM through which others query the targets. It shares the latest report of each.
+type gateway struct {
+	*connections
+	latest map[target.ID]int // the number of the report
+}
+
 // listener is a VM that hears of the world's targets late. It has a connection to each target that it has
-// heard of, and sees a restart as it next uses that.
+// heard of, or queries the targets through a gateway.
 type listener struct {
+	*connections
 	world    *logsWorld
 	catalog  *catalog.Holder
 	registry *groups.Registry
 	group    *groups.Group
 	revision catalog.Revision
-	runs     map[target.ID]int64 // of the targets' processes to which the connections lead
-	broken   map[target.ID]clock.Time
 }
 
 // logsWorld is a service with synchronous replicas, of which some leave with their logs.
@@ -71,6 +101,8 @@
 	vms     []*listener
 	mu      sync.Mutex // guards what commands change, which are sent concurrently
 	queries int
+	reports []reportedStatus
+	gateway *gateway // nil if the VMs query the targets themselves
 
 	acknowledged timeline.LSN
 	promoted     target.ID
@@ -79,8 +111,9 @@
 
 const oldPrimary target.ID = "p"
 
-func newLogsWorld(script []int) *logsWorld {
-	w := &logsWorld{script: script, clock: bubbleClock{time.Now()}, leads: true, copies: map[target.ID]*logCopy{"q": {run: 1}, "r": {run: 1}}}
+func newLogsWorld(script []int, behind *gateway) *logsWorld {
+	w := &logsWorld{script: script, clock: bubbleClock{time.Now()}, leads: true, gateway: behind, copies: map[target.ID]*logCopy{"q": {run: 1}, "r": {run: 1}}}
+	w.reports = make([]reportedStatus, 1)
 	for range 2 {
 		w.vms = append(w.vms, w.newListener())
 	}
@@ -88,11 +121,11 @@
 }
 
 func (w *logsWorld) newListener() *listener {
-	vm := &listener{world: w, catalog: catalog.NewHolder(), runs: make(map[target.ID]int64), broken: make(map[target.ID]clock.Time)}
+	vm := &listener{connections: newConnections(), world: w, catalog: catalog.NewHolder()}
 	vm.catalog.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s", SyncReplicas: 1}}})
 	vm.registry = groups.NewRegistry(groups.Config{
 		Catalog: vm.catalog, Control: vm, Clock: w.clock, Log: zap.NewNop(), BrokenAt: vm.brokenAt,
-		Decode: func(row string) (statement.Status, error) { return w.status(target.ID(row)), nil },
+		Decode: w.decode,
 	})
 	vm.group = vm.registry.Group("s")
 	w.hear(vm)
@@ -106,7 +139,7 @@
 	for id, c := range w.copies {
 		if !c.gone {
 			listed[id] = &catalog.Target{ID: id, Service: "s", Role: target.RoleReplica, Incarnation: w.incarnation(c)}
-			if vm.runs[id] == 0 {
+			if w.gateway == nil && vm.runs[id] == 0 {
 				vm.runs[id] = c.run
 			}
 		}
@@ -147,39 +180,83 @@
 }
 
 // Control implements groups.ControlClient.
-func (vm *listener) Control(_ context.Context, id target.ID, cmd lane.Command, _ time.Duration) ([]string, error) {
+func (vm *listener) Control(ctx context.Context, id target.ID, cmd lane.Command, timeout time.Duration) ([]string, error) {
+	if vm.world.gateway != nil && cmd == lane.StatusCommand {
+		rows, _, err := vm.Recent(ctx, id, 0, timeout)
+		return rows, err
+	}
+	n, err := vm.world.send(vm.connections, id, cmd)
+	return []string{strconv.Itoa(n)}, err
+}
+
+// Recent implements groups.ControlClient.
+func (vm *listener) Recent(ctx context.Context, id target.ID, maxAge, timeout time.Duration) ([]string, time.Duration, error) {
 	w := vm.world
+	if w.gateway == nil {
+		rows, err := vm.Control(ctx, id, lane.StatusCommand, timeout)
+		return rows, 0, err
+	}
+	n, age := w.cached(id, maxAge)
+	if n < 0 {
+		var err error
+		if n, err = w.send(w.gateway.connections, id, lane.StatusCommand); err != nil {
+			return nil, 0, err
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gateway.latest[id] = n
+	vm.broken[id] = max(vm.broken[id], w.gateway.broken[id])
+	return []string{strconv.Itoa(n)}, age, nil
+}
+
+// cached returns the gateway's latest report of a target and its age; -1 if it is older than allowed.
+func (w *logsWorld) cached(id target.ID, maxAge time.Duration) (int, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, known := w.gateway.latest[id]
+	if age := w.clock.Now().Sub(w.reports[n].sent); known && age <= maxAge {
+		return n, age
+	}
+	return -1, 0
+}
+
+// send sends a target a command over a connection, and returns the number of the report that answers it.
+func (w *logsWorld) send(over *connections, id target.ID, cmd lane.Command) (int, error) {
+	sent := w.clock.Now()
 	time.Sleep(time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queries++
-	if id == oldPrimary {
-		if w.silent {
-			return nil, errors.New("no answer")
-		}
-		w.leads = w.leads && cmd != lane.StepDownCommand(2)
-		return []string{string(id)}, nil
-	}
 	c := w.copies[id]
-	if c.gone {
-		return nil, errors.New("no answer")
-	}
-	if vm.runs[id] != c.run {
-		vm.runs[id], vm.broken[id] = c.run, w.clock.Now()
+	switch {
+	case id == oldPrimary && w.silent, c != nil && c.gone:
+		return -1, errors.New("no answer")
+	case id == oldPrimary:
+		w.leads = w.leads && cmd != lane.StepDownCommand(2)
+	default:
+		over.use(id, c.run, w.clock.Now())
+		w.pause(c, cmd)
 	}
+	w.reports = append(w.reports, reportedStatus{w.status(id), sent})
+	return len(w.reports) - 1, nil
+}
+
+func (w *logsWorld) pause(c *logCopy, cmd lane.Command) {
 	switch cmd {
 	case lane.PauseCommand(2):
 		c.paused = 2
 	case lane.ResumeCommand:
 		c.paused = 0
 	}
-	return []string{string(id)}, nil
 }
 
-// Recent implements groups.ControlClient.
-func (vm *listener) Recent(ctx context.Context, id target.ID, _, timeout time.Duration) ([]string, time.Duration, error) {
-	rows, err := vm.Control(ctx, id, lane.StatusCommand, timeout)
-	return rows, 0, err
+// decode decodes a row, which is the number of a report.
+func (w *logsWorld) decode(row string) (statement.Status, error) {
+	n, err := strconv.Atoi(row)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports[n].status, err
 }
 
 // ListTargets implements Fleet.
@@ -248,6 +325,8 @@
 		for _, t := range vm.group.Replicas(oldPrimary) {
 			_, _ = vm.group.Status(context.Background(), t.ID, spending.Witness, time.Second)
 		}
+	case "verify":
+		vm.group.VerifyCopies()
 	case "cut":
 		w.replica().cut = true
 	case "heal":
@@ -320,12 +399,18 @@
 // playLogs draws orders of the events, after each of which the primary is found at fault for a reason. It
 // requires that some lead to a promotion, also after a replica has left.
 func playLogs(t *testing.T, reason takeover.Reason, events ...string) {
+	t.Helper()
+	playLogsBehind(t, func() *gateway { return nil }, reason, events...)
+}
+
+// playLogsBehind is playLogs for VMs that query the targets through a gateway.
+func playLogsBehind(t *testing.T, newGateway func() *gateway, reason takeover.Reason, events ...string) {
 	t.Helper()
 	promotions, afterLeave := 0, 0
 	choices := rapid.SliceOfN(rapid.IntRange(0, 1<<16), 100, 200)
 	rapid.Check(t, func(rt *rapid.T) {
 		for _, script := range rapid.SliceOfN(choices, 10, 10).Draw(rt, "choices") {
-			w := playScript(t, script, reason, events)
+			w := playScript(t, script, newGateway(), reason, events)
 			require.Zero(rt, w.missing, "%s was promoted and lacks acknowledged commits", w.promoted)
 			if w.promoted != "" {
 				promotions++
@@ -339,9 +424,9 @@
 	require.NotZero(t, afterLeave, "no promotion after a replica has left")
 }
 
-func playScript(t *testing.T, script []int, reason takeover.Reason, events []string) (w *logsWorld) {
+func playScript(t *testing.T, script []int, behind *gateway, reason takeover.Reason, events []string) (w *logsWorld) {
 	bubble.Test(t, func(*testing.T) {
-		w = newLogsWorld(script)
+		w = newLogsWorld(script, behind)
 		w.stated = w.script.Choose(2) == 0
 		for len(w.script) > 0 {
 			w.act(events[w.script.Choose(len(events))])
@@ -360,6 +445,16 @@
 		"query", "query replicas", "settle", "cut", "heal", "leave", "restart", "hear")
 }
 
+// Failure guarded against: a replica restarts without its log, and a VM that queries the targets through a gateway
+// sees no connection break, or takes a report from before the restart for one of the others' logs.
+func TestNoOrderOfRestartsBehindAGatewayLosesTheCommitsOfAStalledPrimary(t *testing.T) {
+	newGateway := func() *gateway {
+		return &gateway{connections: newConnections(), latest: make(map[target.ID]int)}
+	}
+	playLogsBehind(t, newGateway, takeover.ReasonStalled, "commit", "commit", "receive", "receive", "acknowledge", "acknowledge",
+		"query", "query replicas", "verify", "settle", "cut", "heal", "leave", "restart", "hear")
+}
+
 // Failure guarded against: a primary that does not answer is replaced after a replica has left or lost its log,
 // which was the only other holder of acknowledged commits.
 func TestNoOrderOfDeparturesLosesTheCommitsOfASilentPrimary(t *testing.T) {
@@ -371,7 +466,7 @@
 // knows that it may not replace it.
 func TestStalledPrimaryThatMayHoldTheOnlyCopyCostsNoQuery(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
-		w := newLogsWorld(nil)
+		w := newLogsWorld(nil, nil)
 		w.act("leave")
 		w.act("hear")
 		w.replace(takeover.ReasonStalled)
--- a/relay/control.go
+++ b/relay/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,6 +79,18 @@
 	case out.GetRefusedCode() != 0:
 		return nil, 0, &lane.RefusedError{Target: id, Code: statement.Code(out.GetRefusedCode())}
 	default:
+		a.recordBreak(id, out.GetBrokenUs())
 		return out.GetRows(), duration(int64(out.GetAgeUs())), nil
 	}
 }
+
+// recordBreak records that a connection between a gateway and a target broke, as a reply states. The
+// time is not earlier than that of the break.
+//
+// Failure guarded against: a target restarts without its log or its pause. A VM that queries it through
+// gateways has no connection to it that breaks, and trusts what it reported before.
+func (r *Router) recordBreak(id target.ID, sinceUs uint64) {
+	if sinceUs != 0 && r.cfg.Broken != nil {
+		r.cfg.Broken(id, r.cfg.Clock.Now().Add(-duration(int64(min(sinceUs-1, math.MaxInt64)))))
+	}
+}
--- a/relay/control_test.go
+++ b/relay/control_test.go
@@ -11,9 +11,11 @@
 	"go.uber.org/zap"
 
 	"endivemoor.example/endivemoor/catalog"
+	"endivemoor.example/endivemoor/clock"
 	"endivemoor.example/endivemoor/clock/monotonic"
 	"endivemoor.example/endivemoor/gateways"
 	"endivemoor.example/endivemoor/lane"
+	"endivemoor.example/endivemoor/relay/relaypb"
 	"endivemoor.example/endivemoor/target"
 )
 
@@ -42,3 +44,27 @@
 	require.Equal(t, 2, atGateway.count())
 	require.Zero(t, own.count())
 }
+
+// Failure guarded against: a target restarts without its log or its pause, and a VM that has no connection to it,
+// as it queries it through a gateway, does not learn that one broke.
+func TestGatewayTellsOfBrokenConnections(t *testing.T) {
+	clk := monotonic.New()
+	broken := clk.Now()
+	gateway := &slowTarget{}
+	s := NewServer(ServerConfig{
+		Statuses: NewStatuses(gateway, clk), Control: gateway, Clock: clk, Groups: registryOn(clk), Serves: func(target.ID) bool { return true },
+		BrokenAt: func(target.ID) clock.Time { return broken },
+	})
+	var told clock.Time
+	r := NewRouter(RouterConfig{Clock: clk, Broken: func(_ target.ID, at clock.Time) { told = at }})
+	ask := func() {
+		out, err := s.Ask(context.Background(), &relaypb.AskRequest{Target: "t", TimeoutUs: micros(time.Second)})
+		require.NoError(t, err)
+		r.recordBreak("t", out.GetBrokenUs())
+	}
+	ask()
+	require.False(t, told.Before(broken))
+	broken, told = 0, 0
+	ask()
+	require.Zero(t, told, "no connection broke")
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -52,6 +52,8 @@
 	Decisions *decisions.Recorder
 	// IgnoresOverhead is set if what a gateway adds does not decide which one is tried first.
 	IgnoresOverhead bool
+	// Broken is told when a connection between a gateway and a target broke; it may be nil.
+	Broken func(id target.ID, at clock.Time)
 	// Dial connects to peers.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -33,6 +33,8 @@
 	Groups   *groups.Registry
 	Clock    clock.Clock
 	Log      *zap.Logger
+	// BrokenAt returns when a connection to a target last broke, or 0; nil means that none ever does.
+	BrokenAt func(id target.ID) clock.Time
 	// Serves reports whether this VM accepts new work for a target.
 	Serves func(id target.ID) bool
 	// Idle returns how long a transaction may stay open without a statement.
@@ -73,6 +75,9 @@
 	if cfg.Failures == nil {
 		cfg.Failures = &outlier.Counter{}
 	}
+	if cfg.BrokenAt == nil {
+		cfg.BrokenAt = func(target.ID) clock.Time { return 0 }
+	}
 	return &Server{cfg: cfg, open: make(map[uint64]*openTransaction)}
 }
 
@@ -216,8 +221,17 @@
 	case err != nil:
 		return &relaypb.AskReply{Failure: failureOf(err)}, nil
 	default:
-		return &relaypb.AskReply{Rows: rows, AgeUs: uint64(micros(age))}, nil
+		return &relaypb.AskReply{Rows: rows, AgeUs: uint64(micros(age)), BrokenUs: s.sinceBreak(id)}, nil
+	}
+}
+
+// sinceBreak returns the time since a connection to a target last broke, as a reply carries it.
+func (s *Server) sinceBreak(id target.ID) uint64 {
+	at := s.cfg.BrokenAt(id)
+	if at == 0 {
+		return 0
 	}
+	return uint64(max(micros(s.cfg.Clock.Now().Sub(at)), 0)) + 1
 }
 
 func (s *Server) command(ctx context.Context, id target.ID, cmd lane.Command, in *relaypb.AskRequest) ([]string, time.Duration, error) {
