Let a replica's word prove a leader only soon after another proof

Cause: the promotion ends all pauses, so that a replica that does not reach the new primary reports the old term without a pause, as before the attempt. One replica's word sufficed. Change: a report proves the leader alone if it is received within takeover.Permission of the time as of which this VM knows all records, or of the latest proof from any source, for the primary that the records name, at a VM that is on the fleet's list and has not given its permission up. Beyond that all replicas on its list must report, or the record or another VM's proof is needed. Why it works: a proof shows that the fences of no successful attempt were complete at its time. The attempt promotes no sooner than Permission after its fences, so that a report received sooner is from before that promotion; unpaused, it is from before the fences as well, and so a proof. It needs no store.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -7,7 +7,8 @@
 // followed that term and had not been paused for a later one. A promotion pauses every replica
 // first, so no later primary can have acknowledged anything before the witness was queried. Both
 // together prove that a log which holds the position lacks no commit acknowledged before the
-// sample's query was sent.
+// sample's query was sent. As a promotion ends the pauses, the word of one replica counts only up to
+// a time; see Sufficiency.
 //
 // A sample alone proves nothing: a superseded primary that is cut off from its peers still answers,
 // and a newer primary may have acknowledged commits that it will never receive. Nor is the primary
@@ -18,11 +19,13 @@
 package freshness
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
 	"endivemoor.example/endivemoor/timeline"
 )
@@ -49,6 +52,7 @@
 	leader    target.ID // the primary of term; empty if it is not known
 	samples   []sample
 	witnessed clock.Time
+	reports   map[target.ID]clock.Time // when each replica was last known to follow term
 }
 
 // Sample records that the primary of a term reported a position in reply to a status query sent at
@@ -70,16 +74,83 @@
 	b.samples = append(b.samples, sample{sent: sent, position: p})
 }
 
+// Sufficiency says which reports of replicas prove that the primary has not been replaced.
+//
+// Failure guarded against: a promotion ends all pauses, and a replica that does not reach the new primary
+// continues to report the old term, without a pause. A VM that is cut off takes it for a witness, and
+// reads at the old primary what another target has overwritten.
+type Sufficiency struct {
+	// At is when the report was received.
+	At clock.Time
+	// Primary is the primary that the records name; empty if they name none. The report of one replica proves
+	// no other.
+	Primary target.ID
+	// Alone is the time up to which a report of one replica proves it: no promotion can have taken effect
+	// before without this VM knowing of it, and so have ended the replica's pause.
+	Alone clock.Time
+	// Chain is how long after a witness one replica's report proves it as well, whichever source the witness
+	// had; 0 if it does not. A promotion takes effect at least that long after the fences of its attempt, and
+	// a witness shows that these were not complete. So each report carries the time of the next one on.
+	Chain time.Duration
+	// Targets are the service's targets. If all of them but the primary have reported, which includes
+	// whichever was promoted, that proves it at any time.
+	Targets []target.ID
+}
+
+// Unlimited is a Sufficiency by which each report proves it.
+var Unlimited = Sufficiency{Alone: math.MaxInt64}
+
 // Witness records that a replica, queried at the given time, followed the term and was not paused
 // for a later one.
-func (b *Tracker) Witness(term timeline.Term, from target.ID, queried clock.Time) {
+func (b *Tracker) Witness(term timeline.Term, from target.ID, queried clock.Time, rule Sufficiency) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.enter(term, "") && b.mayWitness(from) && queried.After(b.witnessed) {
-		b.witnessed = queried
+	if b.enter(term, "") && b.mayWitness(from) {
+		b.report(from, queried, rule)
 	}
 }
 
+// report records a replica's report as of a time.
+func (b *Tracker) report(from target.ID, at clock.Time, rule Sufficiency) {
+	if b.reports == nil {
+		b.reports = make(map[target.ID]clock.Time)
+	}
+	b.reports[from] = max(b.reports[from], at)
+	named := rule.Primary == "" || rule.Primary == b.leader
+	if named && (rule.At <= rule.Alone || b.chains(rule)) {
+		b.witnessed = max(b.witnessed, at)
+	}
+	b.witnessed = max(b.witnessed, b.reportedByAll(rule.Targets))
+}
+
+// chains reports whether a report follows the latest witness soon enough.
+func (b *Tracker) chains(rule Sufficiency) bool {
+	return b.witnessed != 0 && rule.At.Sub(b.witnessed) < rule.Chain
+}
+
+// reportedByAll returns the time as of which all targets but the primary have reported; 0 if one has not, or
+// if there are too few of them for a promotion.
+func (b *Tracker) reportedByAll(targets []target.ID) clock.Time {
+	others, earliest := 0, clock.Time(math.MaxInt64)
+	for _, id := range targets {
+		if id != b.leader {
+			others++
+			earliest = min(earliest, b.reports[id])
+		}
+	}
+	if others < takeover.RequiredFenced {
+		return 0
+	}
+	return earliest
+}
+
+// Leads records which target is the primary of a term.
+func (b *Tracker) Leads(term timeline.Term, leader target.ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.enter(term, leader)
+}
+
 // WitnessByRecord records that the store, queried at the given time, had no record of a promotion
 // after that of the term's leader.
 func (b *Tracker) WitnessByRecord(term timeline.Term, leader target.ID, queried clock.Time) {
@@ -97,7 +168,7 @@
 // below that position: what lies beyond the sample was committed after the primary had replied, and
 // a paused replica would not have received it. Reads at replicas thereby renew the evidence without
 // a status query.
-func (b *Tracker) Seen(from target.ID, p timeline.Position) {
+func (b *Tracker) Seen(from target.ID, p timeline.Position, rule Sufficiency) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p.Term != b.term || !b.mayWitness(from) {
@@ -106,9 +177,7 @@
 	for i := len(b.samples) - 1; i >= 0; i-- {
 		s := &b.samples[i]
 		if s.position.Term == p.Term && s.position.LSN < p.LSN {
-			if s.sent.After(b.witnessed) {
-				b.witnessed = s.sent
-			}
+			b.report(from, s.sent, rule)
 			return
 		}
 	}
@@ -119,6 +188,7 @@
 func (b *Tracker) enter(term timeline.Term, leader target.ID) bool {
 	if term > b.term {
 		b.term, b.leader, b.samples, b.witnessed = term, "", b.samples[:0], 0
+		clear(b.reports)
 	}
 	if term == b.term && b.leader == "" {
 		b.leader = leader
--- a/groups/copies.go
+++ b/groups/copies.go
@@ -8,6 +8,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
@@ -73,19 +74,19 @@
 	c.term, c.primary, c.sent, c.end = term, primary, sent, end
 }
 
-// recordCopy records that a replica that follows a term, and is not paused for a later one, has received a
-// position, in reply to a query or statement sent at queried. As it follows the term, the primary had not been
-// replaced when it reported the end of its log.
+// recordCopy records that a replica that follows a term has received a position, in reply to a query or statement
+// sent at queried. It counts if the primary is proven not to have been replaced when it reported the end of its
+// log.
 //
 // Failure guarded against: a report that a gateway has shared, or a late answer, is from before the replica
 // restarted without its log.
 //
 // Failure guarded against: the primary of the term has stepped down for an attempt. It reports the role
 // replica and its whole log, which counts as another target's copy.
-func (c *logCopies) recordCopy(term timeline.Term, from target.ID, queried clock.Time, received timeline.Position) {
+func (c *logCopies) recordCopy(term timeline.Term, from target.ID, queried clock.Time, received timeline.Position, proofs *freshness.Tracker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if term == c.term && from != c.primary && !c.end.IsZero() && takeover.Holds(received, c.end) {
+	if term == c.term && from != c.primary && !c.end.IsZero() && takeover.Holds(received, c.end) && proofs.WitnessedSince(term, c.sent) {
 		c.verified, c.end = max(c.verified, min(c.sent, queried)), timeline.Position{}
 	}
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -98,6 +98,7 @@
 	endedAt          clock.Time               // when this VM learned of that record
 	drainingSince    map[target.ID]clock.Time // since when a target may have been draining
 	listConfirmedAt  clock.Time               // as of when targets was the store's list
+	targetIDs        []target.ID              // of targets; not modified
 	incarnations     map[target.ID]incarnation
 	recordReadAt     clock.Time // when the service's record was last read for a proof
 }
@@ -171,7 +172,7 @@
 		g.copies.recordLeft(g.cfg.Clock.Now())
 	}
 	g.mu.Lock()
-	g.targets, g.record = targets, record
+	g.targets, g.record, g.targetIDs = targets, record, catalog.IDs(targets)
 	g.mu.Unlock()
 	g.attemptEndedAt()
 	g.updateTargets(targets, c)
@@ -404,8 +405,8 @@
 		return
 	}
 	if s.Role == target.RoleReplica && s.Paused == 0 && g.CanWitness(id) {
-		g.Freshness.Witness(s.Term, id, sent)
-		g.copies.recordCopy(s.Term, id, sent, s.Received)
+		g.Freshness.Witness(s.Term, id, sent, g.sufficiency())
+		g.copies.recordCopy(s.Term, id, sent, s.Received, g.Freshness)
 	}
 }
 
@@ -423,10 +424,10 @@
 	if received.LSN == 0 || !g.CanWitness(id) {
 		return
 	}
-	g.Freshness.Seen(id, received)
+	g.Freshness.Seen(id, received, g.sufficiency())
 	// The replica was not paused as it received the last position, but may have been since.
 	received.LSN--
-	g.copies.recordCopy(received.Term, id, sent, received)
+	g.copies.recordCopy(received.Term, id, sent, received, g.Freshness)
 }
 
 // KnownPrimary returns the target that leads; false if requests have to wait for one.
--- a/groups/permissions_test.go
+++ b/groups/permissions_test.go
@@ -34,8 +34,9 @@
 	statuses map[target.ID]statement.Status
 	record   catalog.LeadershipRecord
 	// confirmedAt is as of when the VM knows the records, and behindCut is set while it hears of none.
-	confirmedAt clock.Time
-	behindCut   bool
+	confirmedAt   clock.Time
+	knownRevision catalog.Revision
+	behindCut     bool
 	// apart is set if the VM does not reach "q" once that leads, and deaf if "r" does not.
 	apart, deaf bool
 	// listed is set if the VM is on the fleet's list.
@@ -43,6 +44,11 @@
 	asked    bool // the VM has given up its permission
 	fencedAt clock.Time
 	promoted bool
+	// paused has the runs of the targets that the attempt has paused, and runs and broken when each target was
+	// started, and when the VM's connection to it last broke.
+	paused map[target.ID]int64
+	runs   map[target.ID]int64
+	broken map[target.ID]clock.Time
 
 	holder   *catalog.Holder
 	registry *Registry
@@ -62,15 +68,14 @@
 		"q": {Role: target.RoleReplica, Term: 1, Received: at(1, 7)},
 		"r": {Role: target.RoleReplica, Term: 1, Received: at(1, 7)},
 	}
-	listed := make(map[target.ID]*catalog.Target)
-	for id, s := range w.statuses {
-		listed[id] = &catalog.Target{ID: id, Service: "s", Role: s.Role}
-	}
+	w.runs = map[target.ID]int64{"p": 1, "q": 1, "r": 1}
+	w.paused, w.broken = make(map[target.ID]int64), make(map[target.ID]clock.Time)
 	w.holder.SetConfig(&catalog.Config{Version: 1, Services: map[string]*catalog.Service{"s": {Name: "s", SyncReplicas: 1}}})
-	w.holder.SetTargets(listed, 5)
+	w.holder.SetTargets(w.targets(), 5)
 	w.registry = NewRegistry(Config{
 		Catalog: w.holder, Control: w, Clock: w, Log: zap.NewNop(), Records: w,
 		Eligible: func() bool { return w.listed }, RecordsConfirmedAt: func() clock.Time { return w.confirmedAt },
+		RecordsRevision: func() catalog.Revision { return w.knownRevision }, BrokenAt: func(id target.ID) clock.Time { return w.broken[id] },
 		Decode: func(row string) (statement.Status, error) { return w.statuses[target.ID(row)], nil },
 	})
 	w.group = w.registry.Group("s")
@@ -79,6 +84,15 @@
 	return w
 }
 
+// targets is the store's list.
+func (w *permissionsWorld) targets() map[target.ID]*catalog.Target {
+	listed := make(map[target.ID]*catalog.Target)
+	for id, s := range w.statuses {
+		listed[id] = &catalog.Target{ID: id, Service: "s", Role: s.Role, Incarnation: w.runs[id]}
+	}
+	return listed
+}
+
 func (w *permissionsWorld) Now() clock.Time { return w.now }
 
 // Control implements ControlClient.
@@ -97,7 +111,7 @@
 
 // Recent implements ControlClient.
 func (w *permissionsWorld) Recent(_ context.Context, id target.ID, _, _ time.Duration) ([]string, time.Duration, error) {
-	if w.apart && w.promoted && id == "q" {
+	if _, present := w.statuses[id]; !present || w.apart && w.promoted && id == "q" {
 		return nil, 0, errors.New("no answer")
 	}
 	return []string{string(id)}, 0, nil
@@ -112,7 +126,7 @@
 		return
 	}
 	r := w.record
-	w.confirmedAt = w.now
+	w.confirmedAt, w.knownRevision = w.now, r.Revision
 	w.holder.SetLeadershipRecord(&r)
 	w.registry.Update(w.holder.Load())
 }
@@ -132,9 +146,9 @@
 		if w.asked = w.listed && w.script.Choose(2) == 0; w.asked {
 			w.group.Revoke(w.record.Revision, "p")
 		}
-		w.setReplicas(1, 2)
+		w.pauseReplicas()
 		w.fencedAt = w.now
-	case open && !w.promoted && w.script.Choose(4) == 0:
+	case open && !w.promoted && (w.script.Choose(4) == 0 || !w.stillPaused()):
 		w.setReplicas(1, 0)
 		w.write("p", nil)
 	case open && !w.promoted:
@@ -153,22 +167,87 @@
 	}
 }
 
+// replicas are the targets other than "p".
+func (w *permissionsWorld) replicas() (out []target.ID) {
+	for _, id := range []target.ID{"q", "r", "n"} {
+		if _, present := w.statuses[id]; present {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (w *permissionsWorld) setReplicas(term, paused timeline.Term) {
-	for _, id := range []target.ID{"q", "r"} {
+	for _, id := range w.replicas() {
 		w.statuses[id] = statement.Status{Role: target.RoleReplica, Term: term, Paused: paused, Received: at(1, 7)}
 	}
 }
 
+func (w *permissionsWorld) pauseReplicas() {
+	w.setReplicas(1, 2)
+	clear(w.paused)
+	for _, id := range w.replicas() {
+		w.paused[id] = w.runs[id]
+	}
+}
+
+// stillPaused reports whether the attempt finds each target in the run in which it was paused. It pauses one that
+// has joined since.
+func (w *permissionsWorld) stillPaused() bool {
+	for _, id := range w.replicas() {
+		if run, paused := w.paused[id]; paused && run != w.runs[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// start starts a replica anew, without a pause, at a VM that has a connection to it or none.
+func (w *permissionsWorld) start(id target.ID) {
+	if id == "q" && w.promoted {
+		return
+	}
+	w.runs[id]++
+	if w.runs[id] > 1 {
+		w.broken[id] = w.now
+	}
+	w.record.Revision++
+	s := statement.Status{Role: target.RoleReplica, Term: 1, Received: at(1, 7)}
+	if w.promoted && !(w.deaf && id == "r") {
+		s.Term = 2
+	}
+	w.statuses[id] = s
+}
+
 func (w *permissionsWorld) act(event string) {
 	switch event {
 	case "attempt":
 		w.advanceAttempt()
 	case "query":
 		w.query([]target.ID{"p", "q", "r"}[w.script.Choose(3)])
+	case "query replicas":
+		for _, t := range w.group.Replicas("p") {
+			w.query(t.ID)
+		}
 	case "records":
 		w.hearRecords()
 	case "cut":
 		w.behindCut = true
+	case "restart":
+		w.start([]target.ID{"q", "r"}[w.script.Choose(2)])
+	case "join":
+		if _, present := w.statuses["n"]; !present {
+			w.start("n")
+		}
+	case "leave":
+		if !w.promoted || w.script.Choose(2) == 0 {
+			delete(w.statuses, "n")
+		}
+	case "targets":
+		if !w.behindCut {
+			w.holder.SetTargets(w.targets(), w.record.Revision)
+			w.registry.Update(w.holder.Load())
+		}
 	}
 }
 
@@ -234,3 +313,16 @@
 	require.NotZero(t, n.proven)
 	require.NotZero(t, n.behindCut, "all replicas prove it without the records")
 }
+
+// Failure guarded against: the same while targets join, leave and restart amid an attempt, at a VM that the holder of the
+// attempt waits for or not.
+func TestNoOrderOfStartsAmidAnAttemptProvesAReplacedPrimary(t *testing.T) {
+	proves := func(w *permissionsWorld) bool {
+		return w.group.Permitted(oldPrimary, w.now) || w.group.Prove(context.Background(), oldPrimary, 0, w.now) == nil
+	}
+	deaf := func(w *permissionsWorld) { w.deaf, w.apart, w.listed = true, true, w.script.Choose(4) != 0 }
+	n := playPermissions(t, deaf, proves, "attempt", "attempt", "query", "query replicas", "records", "cut", "restart", "join", "leave", "targets")
+	require.NotZero(t, n.promotions)
+	require.NotZero(t, n.proven)
+	require.NotZero(t, n.behindCut, "the chain of reports proves it without the records")
+}
--- a/groups/registry.go
+++ b/groups/registry.go
@@ -56,7 +56,7 @@
 	Decode  Decoder
 	Records Records
 	// Eligible reports whether this VM is certainly on the list by which the holder of an attempt
-	// asks VMs to give up their permissions.
+	// asks VMs to give up their permissions; nil means that it always is.
 	Eligible func() bool
 	// OnCommand is called for each status query or command sent to a target, unless it is nil.
 	OnCommand func(reason spending.Reason)
@@ -96,6 +96,9 @@
 	if cfg.RecordsRevision == nil {
 		cfg.RecordsRevision = func() catalog.Revision { return 0 }
 	}
+	if cfg.Eligible == nil {
+		cfg.Eligible = func() bool { return true }
+	}
 	if cfg.BrokenAt == nil {
 		cfg.BrokenAt = func(target.ID) clock.Time { return 0 }
 	}
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -9,6 +9,7 @@
 
 	"endivemoor.example/endivemoor/catalog"
 	"endivemoor.example/endivemoor/clock"
+	"endivemoor.example/endivemoor/freshness"
 	"endivemoor.example/endivemoor/internal/wait"
 	"endivemoor.example/endivemoor/leadership"
 	"endivemoor.example/endivemoor/spending"
@@ -165,12 +166,13 @@
 // witnessByReplica queries one replica as the witness.
 func (g *Group) witnessByReplica(ctx context.Context, b leadership.State, id target.ID, since clock.Time) error {
 	canWitness := g.CanWitness(id)
+	g.Freshness.Leads(b.Term, b.Primary)
 	maxAge := max(g.cfg.Clock.Now().Sub(since), 0)
 	s, _, err := g.Recent(ctx, id, spending.Witness, maxAge, statusTimeout)
 	switch {
 	case !canWitness || err != nil || !g.CanWitness(id) || s.Role != target.RoleReplica || s.Paused != 0:
 		return ErrNoWitness
-	case s.Term == b.Term:
+	case s.Term == b.Term && g.Freshness.WitnessedSince(b.Term, since):
 		return nil
 	case s.Term > b.Term:
 		g.Rediscover()
@@ -180,6 +182,32 @@
 	}
 }
 
+// sufficiency returns which reports of replicas that are received now prove that the primary has not been replaced.
+//
+// This VM knows all attempts recorded up to a time. The holder of a later one waits for Permission after its
+// fences, or until each VM on the fleet's list has given its permission up.
+func (g *Group) sufficiency() freshness.Sufficiency {
+	eligible, revoked := g.cfg.Eligible(), g.hasRevoked()
+	r := g.cfg.Catalog.Load().LeadershipRecords[g.Service]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rule := freshness.Sufficiency{At: g.cfg.Clock.Now(), Targets: g.targetIDs}
+	if r != nil {
+		rule.Primary = r.Primary
+	}
+	switch {
+	case g.cfg.RecordsConfirmedAt == nil:
+		rule.Alone = freshness.Unlimited.Alone
+	case revoked:
+	case eligible:
+		rule.Alone = g.recordConfirmedAt().Add(takeover.Permission)
+		rule.Chain = takeover.Permission
+	default:
+		rule.Alone = g.recordConfirmedAt()
+	}
+	return rule
+}
+
 // Permitted reports whether the primary may be assumed unchanged at the time of a request, without
 // a query: a witness was queried so recently that no attempt can have got past its fences since.
 //
