--- a/groups/permissions_test.go
+++ b/groups/permissions_test.go
@@ -233,6 +233,9 @@
 		w.hearRecords()
 	case "cut":
 		w.behindCut = true
+	case "expire":
+		// The holder of the attempt has died, or the VM hears nothing of its end.
+		w.now = w.now.Add(takeover.ExpireAfter)
 	case "restart":
 		w.start([]target.ID{"q", "r"}[w.script.Choose(2)])
 	case "join":
@@ -301,6 +304,15 @@
 	require.NotZero(t, n.proven)
 }
 
+// Failure guarded against: the same after the time of an attempt, whose holder has died or whose end the VM does not hear
+// of, and over several attempts.
+func TestNoOrderOfExpiredAttemptsRestoresAPermission(t *testing.T) {
+	permitted := func(w *permissionsWorld) bool { return w.group.Permitted(oldPrimary, w.now) }
+	n := playPermissions(t, func(*permissionsWorld) {}, permitted, "attempt", "attempt", "attempt", "query", "query replicas", "records", "expire")
+	require.NotZero(t, n.promotions)
+	require.NotZero(t, n.proven)
+}
+
 // Failure guarded against: a promotion has ended all pauses, and a replica that does not reach the new primary
 // reports the old term. A VM behind a cut, or that is not on the fleet's list, takes it for a witness.
 func TestNoOrderOfDeafReplicasProvesAReplacedPrimary(t *testing.T) {
@@ -321,7 +333,7 @@
 		return w.group.Permitted(oldPrimary, w.now) || w.group.Prove(context.Background(), oldPrimary, 0, w.now) == nil
 	}
 	deaf := func(w *permissionsWorld) { w.deaf, w.apart, w.listed = true, true, w.script.Choose(4) != 0 }
-	n := playPermissions(t, deaf, proves, "attempt", "attempt", "query", "query replicas", "records", "cut", "restart", "join", "leave", "targets")
+	n := playPermissions(t, deaf, proves, "attempt", "attempt", "query", "query replicas", "records", "cut", "expire", "restart", "join", "leave", "targets")
 	require.NotZero(t, n.promotions)
 	require.NotZero(t, n.proven)
 	require.NotZero(t, n.behindCut, "the chain of reports proves it without the records")
