Prove a new primary before the record of its attempt is seen to end

Cause: while an attempt is known to be under way, no report of one replica proved any primary. Its successor leads as soon as it is promoted, the old primary is dead and cannot report, and a VM may hear late that the attempt has ended, as when the store loses an answer. Evidence: TestSuccessorIsProvenBeforeTheRecordOfItsAttemptEnds, both cases red before the change. Change: a known attempt excludes the primaries that it may be replacing: those that it and the record name, and all of a term that was known when this VM learned of it. Why it works: the successor leads a later term than any target that the attempt has fenced. An attempt that would replace the successor is another one, whose holder waits for this VM or has told it. Tried and taken back before a commit: to replace a silent primary only by a target that holds the furthest end of the log in any VM's answer to an acknowledged commit.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -82,9 +82,13 @@
 type Sufficiency struct {
 	// At is when the report was received.
 	At clock.Time
-	// Primary is the primary that the records name; empty if they name none. The report of one replica proves
-	// no other.
+	// Primary is the primary that the records name; empty if they name none, or one that is being replaced.
+	// Deposed are those that may be replaced by a known attempt, and After is the latest term that was known
+	// before it. The report of one replica proves no other than Primary, none of Deposed, and none of a term
+	// up to After.
 	Primary target.ID
+	Deposed []target.ID
+	After   timeline.Term
 	// Alone is the time up to which a report of one replica proves it: no promotion can have taken effect
 	// before without this VM knowing of it, and so have ended the replica's pause.
 	Alone clock.Time
@@ -116,13 +120,17 @@
 		b.reports = make(map[target.ID]clock.Time)
 	}
 	b.reports[from] = max(b.reports[from], at)
-	named := rule.Primary == "" || rule.Primary == b.leader
-	if named && (rule.At <= rule.Alone || b.chains(rule)) {
+	if b.mayBeProven(rule) && (rule.At <= rule.Alone || b.chains(rule)) {
 		b.witnessed = max(b.witnessed, at)
 	}
 	b.witnessed = max(b.witnessed, b.reportedByAll(rule.Targets))
 }
 
+// mayBeProven reports whether the report of one replica may prove the leader.
+func (b *Tracker) mayBeProven(rule Sufficiency) bool {
+	return (rule.Primary == "" || rule.Primary == b.leader) && b.term > rule.After && !slices.Contains(rule.Deposed, b.leader)
+}
+
 // chains reports whether a report follows the latest witness soon enough.
 func (b *Tracker) chains(rule Sufficiency) bool {
 	return b.witnessed != 0 && rule.At.Sub(b.witnessed) < rule.Chain
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -190,6 +190,12 @@
 	other.Primary = "q"
 	b.Witness(1, "q", at(1600), other)
 	require.False(t, b.WitnessedSince(1, at(1401)), "the records name another primary")
+	other.Primary, other.Deposed = "", []target.ID{"p"}
+	b.Witness(1, "q", at(1600), other)
+	require.False(t, b.WitnessedSince(1, at(1401)), "it is being replaced")
+	other.Deposed, other.After = []target.ID{"o"}, 1
+	b.Witness(1, "q", at(1600), other)
+	require.False(t, b.WitnessedSince(1, at(1401)), "it may have been replaced by the one that is being replaced")
 	b.Witness(1, "q", at(1600), chained(1610))
 	require.True(t, b.WitnessedSince(1, at(1600)), "another VM's proof begins the chain")
 }
--- a/groups/group.go
+++ b/groups/group.go
@@ -94,6 +94,8 @@
 	revokedRevision  int64                    // revision of the attempt for which the permission was given up
 	revokedAt        clock.Time               // when the permission was given up
 	replaced         target.ID                // the primary that the attempt replaces
+	attemptRevision  catalog.Revision         // of the latest known attempt
+	attemptAfter     timeline.Term            // the latest term known when this VM learned of that attempt
 	endedRevision    catalog.Revision         // of the latest known record without an attempt
 	endedAt          clock.Time               // when this VM learned of that record
 	drainingSince    map[target.ID]clock.Time // since when a target may have been draining
@@ -173,6 +175,7 @@
 	}
 	g.mu.Lock()
 	g.targets, g.record, g.targetIDs = targets, record, catalog.IDs(targets)
+	g.provablePrimary(record)
 	g.mu.Unlock()
 	g.attemptEndedAt()
 	g.updateTargets(targets, c)
--- a/groups/permissions_test.go
+++ b/groups/permissions_test.go
@@ -338,3 +338,28 @@
 	require.NotZero(t, n.proven)
 	require.NotZero(t, n.behindCut, "the chain of reports proves it without the records")
 }
+
+// Failure guarded against: the old primary is dead, and its successor serves no exact read and no write until a VM hears
+// that the attempt has ended, as when the store loses an answer.
+func TestSuccessorIsProvenBeforeTheRecordOfItsAttemptEnds(t *testing.T) {
+	for name, learn := range map[string]func(w *permissionsWorld){
+		"the VM has heard the record": (*permissionsWorld).hearRecords,
+		"the holder has told the VM":  func(w *permissionsWorld) { w.group.Revoke(w.record.Revision, "p") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				w := newPermissionsWorld(nil)
+				w.group.TrustReplicas()
+				w.write("p", &catalog.Attempt{Holder: "other", Deposed: "p"})
+				learn(w)
+				w.behindCut = true
+				w.statuses["q"] = statement.Status{Role: target.RolePrimary, Term: 2, Received: at(1, 7)}
+				w.statuses["r"] = statement.Status{Role: target.RoleReplica, Term: 2, Received: at(1, 7)}
+				delete(w.statuses, "p")
+				w.query("q")
+				require.NoError(t, w.group.Prove(context.Background(), leadership.State{Primary: "q", Term: 2}, 0, w.now))
+				require.Error(t, w.group.Prove(context.Background(), oldPrimary, 0, w.now))
+			})
+		})
+	}
+}
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -15,6 +15,7 @@
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
+	"endivemoor.example/endivemoor/timeline"
 )
 
 // sampleAgeFraction is the fraction of the age accepted by a read that its sample may have.
@@ -185,20 +186,18 @@
 // sufficiency returns which reports of replicas that are received now prove that the primary has not been replaced.
 //
 // This VM knows all attempts recorded up to a time. The holder of a later one waits for Permission after its
-// fences, or until each VM on the fleet's list has given its permission up.
+// fences, or until each VM on the fleet's list has given its permission up. An attempt that is known to be under
+// way replaces only the primary that it names: its successor may be proven as soon as it leads.
 func (g *Group) sufficiency() freshness.Sufficiency {
-	eligible, revoked := g.cfg.Eligible(), g.hasRevoked()
+	eligible := g.cfg.Eligible()
 	r := g.cfg.Catalog.Load().LeadershipRecords[g.Service]
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rule := freshness.Sufficiency{At: g.cfg.Clock.Now(), Targets: g.targetIDs}
-	if r != nil {
-		rule.Primary = r.Primary
-	}
+	rule.Primary, rule.Deposed, rule.After = g.provablePrimary(r)
 	switch {
 	case g.cfg.RecordsConfirmedAt == nil:
 		rule.Alone = freshness.Unlimited.Alone
-	case revoked:
 	case eligible:
 		rule.Alone = g.recordConfirmedAt().Add(takeover.Permission)
 		rule.Chain = takeover.Permission
@@ -208,6 +207,29 @@
 	return rule
 }
 
+// provablePrimary returns the primary that a record names. While an attempt is known to be under way it returns
+// the targets that may be replaced by it, and the latest term that was known when this VM learned of the attempt:
+// its successor leads a later one. The caller holds the lock.
+func (g *Group) provablePrimary(r *catalog.LeadershipRecord) (named target.ID, deposed []target.ID, after timeline.Term) {
+	if r != nil {
+		named = r.Primary
+	}
+	var attempt catalog.Revision
+	if r != nil && r.Attempt != nil {
+		attempt, deposed = r.Revision, append(deposed, r.Attempt.Deposed)
+	}
+	if g.hasToldAttempt(r) {
+		attempt, deposed = max(attempt, g.revokedRevision), append(deposed, g.replaced)
+	}
+	if attempt == 0 {
+		return named, nil, 0
+	}
+	if attempt != g.attemptRevision {
+		g.attemptRevision, g.attemptAfter = attempt, g.Leadership.Highest()
+	}
+	return "", append(deposed, named), g.attemptAfter
+}
+
 // Permitted reports whether the primary may be assumed unchanged at the time of a request, without
 // a query: a witness was queried so recently that no attempt can have got past its fences since.
 //
@@ -243,6 +265,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.hasToldAttempt(r)
+}
+
+// hasToldAttempt reports whether the attempt of which a holder has told this VM may be under way. The caller holds
+// the lock.
+func (g *Group) hasToldAttempt(r *catalog.LeadershipRecord) bool {
 	ended := r != nil && endedSince(r, g.revokedRevision)
 	return g.revokedRevision != 0 && !ended && g.cfg.Clock.Now().Sub(g.revokedAt) < takeover.ExpireAfter
 }
@@ -261,6 +289,7 @@
 	defer g.mu.Unlock()
 	if revision > g.revokedRevision {
 		g.revokedRevision, g.revokedAt, g.replaced = revision, g.cfg.Clock.Now(), replaced
+		g.provablePrimary(g.cfg.Catalog.Load().LeadershipRecords[g.Service])
 	}
 }
 
