Split what is learned of an attempt from what it excludes

Cause: provablePrimary was called for its side effect in two places, and returned three things. Change: observeAttempt records the latest term known before an attempt and returns whom it may replace; the record's primary is read where the rule is made.

--- a/groups/group.go
+++ b/groups/group.go
@@ -175,7 +175,7 @@
 	}
 	g.mu.Lock()
 	g.targets, g.record, g.targetIDs = targets, record, catalog.IDs(targets)
-	g.provablePrimary(record)
+	g.observeAttempt(record)
 	g.mu.Unlock()
 	g.attemptEndedAt()
 	g.updateTargets(targets, c)
--- a/groups/witness.go
+++ b/groups/witness.go
@@ -15,7 +15,6 @@
 	"endivemoor.example/endivemoor/spending"
 	"endivemoor.example/endivemoor/takeover"
 	"endivemoor.example/endivemoor/target"
-	"endivemoor.example/endivemoor/timeline"
 )
 
 // sampleAgeFraction is the fraction of the age accepted by a read that its sample may have.
@@ -194,7 +193,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rule := freshness.Sufficiency{At: g.cfg.Clock.Now(), Targets: g.targetIDs}
-	rule.Primary, rule.Deposed, rule.After = g.provablePrimary(r)
+	if deposed, underWay := g.observeAttempt(r); underWay {
+		rule.Deposed, rule.After = deposed, g.attemptAfter
+	} else if r != nil {
+		rule.Primary = r.Primary
+	}
 	switch {
 	case g.cfg.RecordsConfirmedAt == nil:
 		rule.Alone = freshness.Unlimited.Alone
@@ -207,13 +210,10 @@
 	return rule
 }
 
-// provablePrimary returns the primary that a record names. While an attempt is known to be under way it returns
-// the targets that may be replaced by it, and the latest term that was known when this VM learned of the attempt:
-// its successor leads a later one. The caller holds the lock.
-func (g *Group) provablePrimary(r *catalog.LeadershipRecord) (named target.ID, deposed []target.ID, after timeline.Term) {
-	if r != nil {
-		named = r.Primary
-	}
+// observeAttempt returns the targets that an attempt may replace that is known to be under way; false if none is. It
+// records the latest term that is known as this VM learns of an attempt: a successor leads a later one. The caller
+// holds the lock.
+func (g *Group) observeAttempt(r *catalog.LeadershipRecord) (deposed []target.ID, underWay bool) {
 	var attempt catalog.Revision
 	if r != nil && r.Attempt != nil {
 		attempt, deposed = r.Revision, append(deposed, r.Attempt.Deposed)
@@ -222,12 +222,15 @@
 		attempt, deposed = max(attempt, g.revokedRevision), append(deposed, g.replaced)
 	}
 	if attempt == 0 {
-		return named, nil, 0
+		return nil, false
 	}
 	if attempt != g.attemptRevision {
 		g.attemptRevision, g.attemptAfter = attempt, g.Leadership.Highest()
 	}
-	return "", append(deposed, named), g.attemptAfter
+	if r != nil {
+		deposed = append(deposed, r.Primary)
+	}
+	return deposed, true
 }
 
 // Permitted reports whether the primary may be assumed unchanged at the time of a request, without
@@ -289,7 +292,7 @@
 	defer g.mu.Unlock()
 	if revision > g.revokedRevision {
 		g.revokedRevision, g.revokedAt, g.replaced = revision, g.cfg.Clock.Now(), replaced
-		g.provablePrimary(g.cfg.Catalog.Load().LeadershipRecords[g.Service])
+		g.observeAttempt(g.cfg.Catalog.Load().LeadershipRecords[g.Service])
 	}
 }
 
