Test that a stalled primary still leads after the death of a holder

Cause: with the step down before the designation again, TestDepartureAfterTheDeathOfAHolderLosesNoCommits was green: the guard of the next attempt (Present.LostCopy) kept the commits, and left the service without a primary. Change: the test requires a primary, too. Only test code changes.

--- a/promoter/orders_test.go
+++ b/promoter/orders_test.go
@@ -590,6 +590,7 @@
 					if w.promoted != "" {
 						promotions++
 					}
+					require.True(t, w.leads || w.promoted != "" || reason.Planned(), "no target leads after the death at command %d", diesAfter)
 				})
 			}
 			require.NotZero(t, promotions)
