Promoter tests: let concurrent commands end before the world changes

Change: after each step the world waits for them; whether a VM has died is read under the lock. Only test code changes.

--- a/promoter/orders_test.go
+++ b/promoter/orders_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,6 +99,12 @@
 	dead      bool
 }
 
+func (vm *listener) hasDied() bool {
+	vm.world.mu.Lock()
+	defer vm.world.mu.Unlock()
+	return vm.dead
+}
+
 // countCommand returns an error if the VM has died.
 func (vm *listener) countCommand() error {
 	w := vm.world
@@ -310,7 +317,7 @@
 // RevokeAll implements Fleet.
 func (vm *listener) RevokeAll(context.Context, *catalog.LeadershipRecord) bool {
 	for _, other := range vm.world.vms {
-		if !other.dead {
+		if !other.hasDied() {
 			vm.group.Acknowledged.Raise(other.group.Acknowledged.Bound())
 		}
 	}
@@ -521,6 +528,7 @@
 		w.play(events, 0)
 		w.fail(reason)
 		w.replace(reason)
+		synctest.Wait()
 	})
 	return w
 }
@@ -529,10 +537,16 @@
 func (w *logsWorld) play(events []string, left int) {
 	for len(w.script) > left {
 		w.act(events[w.script.Choose(len(events))])
-		time.Sleep(eventInterval)
+		pass(eventInterval)
 	}
 }
 
+// pass lets time pass. Commands that are sent concurrently have ended then.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // Failure guarded against: a primary that answers and acknowledges nothing is replaced after a replica has
 // left or lost its log, which was the only other holder of acknowledged commits.
 func TestNoOrderOfDeparturesLosesTheCommitsOfAStalledPrimary(t *testing.T) {
@@ -567,11 +581,12 @@
 	}
 	w.vms[0].diesAfter = diesAfter
 	w.replace(reason)
-	time.Sleep(takeover.ExpireAfter)
+	pass(takeover.ExpireAfter)
 	w.vms[0].dead = true
 	if w.promoted == "" {
 		w.copies["r"].gone = true
 		w.replaceAfterDeath()
+		synctest.Wait()
 	}
 	return w
 }
@@ -625,12 +640,13 @@
 		w.fail(takeover.ReasonStalled)
 		w.vms[0].diesAfter = diesAfter
 		w.replace(takeover.ReasonStalled)
-		time.Sleep(takeover.ExpireAfter)
+		pass(takeover.ExpireAfter)
 		w.vms[0].dead = true
 		if w.promoted == "" {
 			w.play(events, 0)
 			w.replaceAfterDeath()
 		}
+		synctest.Wait()
 	})
 	return w
 }
